--- /dev/null
+++ b/Makefile
@@ -0,0 +1,69 @@
+.PHONY: all build demo test unit race e2e spec lint fmt docs docs-check proto prove bench slopes soak fuzz system clean
+
+BIN := bin
+PACKAGES := ./...
+GENERATED := internal/zppeer/zppeerpb
+
+all: build
+
+# Builds the daemon and the stand-ins.
+build:
+	go build -o $(BIN)/ ./cmd/...
+
+# Runs a small site, sends prompts and a booking, takes a failure domain out
+# and back, and stops.
+demo: build
+	$(BIN)/zpstandin demo --bin $(BIN)
+
+# Every test, the model check and the linters.
+test: lint docs-check unit race spec e2e
+
+# Unit tests, with fakes at the interfaces.
+unit:
+	go test ./pkg/... ./internal/... ./cmd/...
+
+# The same under the race detector.
+race:
+	go test -race ./pkg/... ./internal/...
+
+# End-to-end tests with separate processes.
+e2e: build
+	go test -count=1 -timeout 8m ./e2e/...
+
+# The model check of the core protocol, and its mutants.
+spec: system
+	sh spec/check.sh
+
+# Debian packages that the model check needs.
+system:
+	@command -v spin >/dev/null || (apt-get update -q && apt-get install -q -y spin)
+
+lint:
+	go vet $(PACKAGES)
+	@test -z "$$(gofmt -l cmd internal pkg e2e)" || (gofmt -l cmd internal pkg e2e; exit 1)
+	go build -modfile=tools/go.mod -o $(BIN)/tools/ honnef.co/go/tools/cmd/staticcheck github.com/mgechev/revive github.com/kisielk/errcheck
+	$(BIN)/tools/staticcheck $(PACKAGES)
+	$(BIN)/tools/revive -config revive.toml -formatter friendly -exclude $(GENERATED)/... $(PACKAGES)
+	$(BIN)/tools/errcheck -ignoregenerated $(PACKAGES)
+
+fmt:
+	gofmt -w cmd internal pkg e2e
+
+# Writes the generated pages.
+docs: build
+	$(BIN)/zinniapaddle docs settings > docs/settings.md
+	$(BIN)/zinniapaddle docs events > docs/events.md
+
+# Compares the generated pages with the code.
+docs-check: build
+	$(BIN)/zinniapaddle docs settings | diff - docs/settings.md
+	$(BIN)/zinniapaddle docs events | diff - docs/events.md
+
+# Writes the code of the protocol between daemons. Needs protobuf-compiler.
+proto:
+	GOBIN=$(CURDIR)/$(BIN)/tools go install google.golang.org/protobuf/cmd/protoc-gen-go@v1.36.12
+	GOBIN=$(CURDIR)/$(BIN)/tools go install storj.io/drpc/cmd/protoc-gen-go-drpc@v1.1.0
+	PATH=$(CURDIR)/$(BIN)/tools:$$PATH protoc -I $(GENERATED) --go_out=. --go_opt=module=github.com/zinniapaddle/zinniapaddle --go-drpc_out=. --go-drpc_opt=module=github.com/zinniapaddle/zinniapaddle peer.proto
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/e2e/doc.go
@@ -0,0 +1,3 @@
+// Package e2e holds end-to-end tests: whole sites of separate processes under
+// load and faults.
+package e2e
--- /dev/null
+++ b/internal/zpapp/daemon.go
@@ -0,0 +1,224 @@
+// Package zpapp builds one daemon from its settings, runs it, and stops it
+// without cutting a request.
+package zpapp
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/tls"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	mathrand "math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpconfig"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpfleet"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpfront"
+	"github.com/zinniapaddle/zinniapaddle/internal/zphint"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpholding"
+	"github.com/zinniapaddle/zinniapaddle/internal/zplease"
+	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmetric"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpnode"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpowner"
+	"github.com/zinniapaddle/zinniapaddle/internal/zppeer"
+	"github.com/zinniapaddle/zinniapaddle/internal/zppipeline"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpquarantine"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpretry"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpsettings"
+	"github.com/zinniapaddle/zinniapaddle/internal/zptrace"
+	"github.com/zinniapaddle/zinniapaddle/pkg/zpmanifest"
+	"github.com/zinniapaddle/zinniapaddle/pkg/zpobject"
+)
+
+// Daemon is one instance with all its parts.
+type Daemon struct {
+	Settings *zpsettings.Settings
+	Log      *zplog.Logger
+	Metrics  *zpmetric.Metrics
+
+	fleet     *zpfleet.Fleet
+	owner     *zpowner.Owner
+	pipeline  *zppipeline.Pipeline
+	front     *zpfront.Front
+	engine    *zpengine.Client
+	dialer    *zppeer.Dialer
+	exchange  *zppeer.Exchange
+	local     *zpnode.Local
+	tracing   *zptrace.Tracing
+	tls       *tls.Config
+	open      atomic.Int64
+	leaving   atomic.Bool
+	replaced  chan struct{}
+	listeners listeners
+}
+
+type listeners struct {
+	callers net.Listener
+	peers   net.Listener
+	admin   net.Listener
+}
+
+const (
+	hintCapacity        = 200_000
+	quarantineRetention = 24 * time.Hour
+	instanceRandomBytes = 4
+	idRandomBytes       = 12
+)
+
+// NewDaemon builds a new instance. Nothing runs yet.
+func NewDaemon(ctx context.Context, s *zpsettings.Settings, log *zplog.Logger) (*Daemon, error) {
+	d := &Daemon{Settings: s, Log: log, Metrics: zpmetric.New(), replaced: make(chan struct{}, 1)}
+	var err error
+	if !s.Peers.Insecure {
+		if d.tls, err = zppeer.TLSConfig(s.Peers.CAFile, s.Peers.CertFile, s.Peers.KeyFile); err != nil {
+			return nil, err
+		}
+	}
+	self := zpassign.Member{
+		Instance: s.Name + "." + randomHex(instanceRandomBytes), Name: s.Name, Address: s.Peers.Listen,
+		Callers: s.Callers.Listen, Region: s.Region, Domain: s.Domain, State: zpassign.MemberServing,
+	}
+	if d.tracing, err = zptrace.Open(ctx, s.Trace, self.Instance); err != nil {
+		return nil, err
+	}
+	if err := d.build(self); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// Replaced is signalled when another daemon has ended this instance's lease.
+func (d *Daemon) Replaced() <-chan struct{} { return d.replaced }
+
+func (d *Daemon) build(self zpassign.Member) error {
+	s := d.Settings
+	api := &zpobject.Client{
+		BaseURL: s.Platform.Address, HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}},
+		Timeout: s.Platform.Timeout, OnCall: d.countPlatform,
+	}
+	d.dialer = &zppeer.Dialer{TLS: d.tls, Timeout: s.Peers.CallTimeout, OnCall: d.countPeer}
+	d.dialer.Open()
+	d.exchange = &zppeer.Exchange{Self: self.Instance, Dialer: d.dialer}
+	d.engine = &zpengine.Client{ConnectTimeout: s.Endpoint.ConnectTimeout, Clock: time.Now}
+	d.engine.Open()
+	holdings := zpholding.NewRegistry(self.Instance)
+	quarantine := zpquarantine.NewList(quarantineRetention)
+	hints, err := zphint.NewTable(hintCapacity)
+	if err != nil {
+		return fmt.Errorf("build hint table: %w", err)
+	}
+	d.buildFleet(self, api)
+	d.owner = &zpowner.Owner{
+		Self: self.Instance, StartDeadline: s.Reserve.StartDeadline, ReportEvery: s.Endpoint.Report,
+		QueueLimit: s.Reserve.QueueLimit, Reporter: d.engine, HeldBy: d.exchange.HeldBy,
+		Fleet: d.fleet, Log: d.Log, Clock: time.Now,
+	}
+	d.local = &zpnode.Local{
+		Fleet: d.fleet, Owner: d.owner, Holdings: holdings, Hints: hints, Quarantine: quarantine,
+		API: api, Retention: s.Claims.Retention, NewID: newID, Metrics: d.Metrics, Log: d.Log,
+		Clock: time.Now, Open: &d.open,
+	}
+	d.exchange.Local = d.local
+	d.exchange.SelfAddress = self.Address
+	d.pipeline = &zppipeline.Pipeline{
+		Settings: s, Fleet: d.fleet, Exchange: d.exchange, Engine: d.engine, Holdings: holdings,
+		Quarantine: quarantine, Retries: &zpretry.Book{Ratio: s.Retry.BudgetRatio, Burst: s.Retry.BudgetBurst},
+		Log: d.Log, Metrics: d.Metrics, Tracer: d.tracing.Tracer, NewID: newID, Clock: time.Now, Open: &d.open,
+	}
+	d.front = &zpfront.Front{
+		Settings: s.Callers, Pipeline: d.pipeline, Fleet: d.fleet, Tracer: d.tracing.Tracer,
+		Clock: time.Now, Leaving: d.leaving.Load,
+	}
+	return d.front.Build()
+}
+
+func (d *Daemon) buildFleet(self zpassign.Member, api zpobject.API) {
+	s := d.Settings
+	cache := zpconfig.NewCache()
+	cache.OnManifest = d.noteManifest
+	d.fleet = &zpfleet.Fleet{
+		Self: self, API: api, Calls: d.exchange, Cache: cache,
+		Judge: zpconfig.Judge{
+			Self: self.Instance, PlatformRegion: s.Platform.Region, MaxAge: s.Config.MaxAge,
+			ContactWindow: s.Config.MaxAge, ServeLast: s.Config.CutOffPolicy == zpsettings.CutOffServeLast,
+		},
+		Timing: zplease.Timing{Duration: s.Lease.Duration, Margin: s.Lease.Margin},
+		Intervals: zpfleet.Intervals{
+			Renew: s.Lease.Renew, Compare: s.Config.Compare, WatchWait: s.Config.WatchWait,
+			WatchersPerDomain: s.Config.WatchersPerDomain,
+		},
+		Log: d.Log, Metrics: d.Metrics, Clock: time.Now,
+		Random:   mathrand.New(mathrand.NewPCG(mathrand.Uint64(), 0)),
+		Replaced: d.noteReplaced,
+	}
+	if s.Peers.Seeds != "" {
+		d.fleet.Seeds = strings.Split(s.Peers.Seeds, ",")
+	}
+	d.fleet.Open()
+}
+
+func (d *Daemon) noteManifest(m *zpmanifest.Manifest, err error) {
+	if err != nil {
+		d.Log.Emit(zplog.ConfigRefused, zplog.Fields{"error": err.Error()})
+		return
+	}
+	d.Metrics.ConfigVersion.Set(float64(m.Version))
+	d.Log.Emit(zplog.ConfigApplied, zplog.Fields{"version": m.Version})
+}
+
+func (d *Daemon) noteReplaced() {
+	select {
+	case d.replaced <- struct{}{}:
+	default:
+	}
+}
+
+func (d *Daemon) countPlatform(call string, err error) {
+	d.Metrics.PlatformCalls.WithLabelValues(call, outcomeLabel(err)).Inc()
+}
+
+func (d *Daemon) countPeer(call string, err error) {
+	d.Metrics.PeerCalls.WithLabelValues(call, outcomeLabel(err)).Inc()
+	if err != nil {
+		d.Log.Emit(zplog.PeerFailed, zplog.Fields{"call": call, "error": err.Error()})
+	}
+}
+
+// listen opens all listeners or none.
+func (d *Daemon) listen() error {
+	var err error
+	if d.listeners.callers, err = d.front.Listen(); err != nil {
+		return err
+	}
+	if d.listeners.peers, err = zppeer.Listen(d.Settings.Peers.Listen, d.tls); err != nil {
+		return errors.Join(err, d.listeners.callers.Close())
+	}
+	if d.listeners.admin, err = net.Listen("tcp", d.Settings.Admin.Listen); err != nil {
+		return errors.Join(fmt.Errorf("listen for operators: %w", err), d.listeners.callers.Close(), d.listeners.peers.Close())
+	}
+	return nil
+}
+
+func outcomeLabel(err error) string {
+	if err != nil {
+		return "error"
+	}
+	return "ok"
+}
+
+func newID() string { return randomHex(idRandomBytes) }
+
+func randomHex(n int) string {
+	raw := make([]byte, n)
+	// Read of crypto/rand never fails; it ends the program instead.
+	_, _ = rand.Read(raw)
+	return hex.EncodeToString(raw)
+}
--- /dev/null
+++ b/internal/zpapp/run.go
@@ -0,0 +1,153 @@
+package zpapp
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/kataras/iris/v12"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
+	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zppeer"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpsettings"
+)
+
+const (
+	handOverTimeout = 10 * time.Second
+	handOverCheck   = 50 * time.Millisecond
+	leaveTimeout    = 3 * time.Second
+)
+
+// Run runs daemons by the settings until ctx ends: one instance, and a new one
+// each time another daemon has ended the lease of the last.
+func Run(ctx context.Context, s *zpsettings.Settings, log *zplog.Logger) error {
+	for {
+		d, err := NewDaemon(ctx, s, log)
+		if err != nil {
+			return err
+		}
+		if err := d.Run(ctx); err != nil || ctx.Err() != nil {
+			return err
+		}
+	}
+}
+
+// Run serves until ctx ends or the instance is replaced, then shuts down
+// gracefully: no open request is cut within drain.timeout_ms.
+func (d *Daemon) Run(ctx context.Context) error {
+	if err := d.listen(); err != nil {
+		return err
+	}
+	work, stopWork := context.WithCancel(context.Background())
+	defer stopWork()
+	var workers sync.WaitGroup
+	failed := make(chan error, 3)
+	workers.Go(func() { d.fleet.Run(work) })
+	workers.Go(func() { d.owner.Run(work) })
+	workers.Go(func() { d.servePeers(work, failed) })
+	admin := d.serveAdmin(&workers, failed)
+	workers.Go(func() { d.report(failed, d.front.Serve(d.listeners.callers)) })
+	d.Log.Emit(zplog.Started, zplog.Fields{"instance": d.fleet.Self.Instance, "callers": d.Settings.Callers.Listen})
+
+	var err error
+	select {
+	case <-ctx.Done():
+	case <-d.replaced:
+	case err = <-failed:
+	}
+	d.drain()
+	stopWork()
+	err = errors.Join(err, admin.Close())
+	workers.Wait()
+	d.close()
+	return err
+}
+
+// drain ends the daemon's work in an order that cuts nothing: first it stops
+// being sent new work, then open requests end, then its partitions go to other
+// daemons, and last its lease is given up.
+func (d *Daemon) drain() {
+	d.leaving.Store(true)
+	d.Log.Emit(zplog.Stopping, zplog.Fields{"open_requests": d.open.Load()})
+	d.setState(zpassign.MemberLeaving)
+	time.Sleep(d.Settings.Drain.Notice)
+	ctx, cancel := context.WithTimeout(context.Background(), d.Settings.Drain.Timeout)
+	defer cancel()
+	if err := d.front.Shutdown(ctx); err != nil {
+		d.Log.Emit(zplog.DrainTimedOut, zplog.Fields{"open_requests": d.open.Load()})
+	}
+	d.pipeline.Wait()
+	d.handOver()
+	leave, cancelLeave := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancelLeave()
+	if err := d.fleet.Leave(leave); err != nil {
+		d.Log.Emit(zplog.LeaseRenewFailed, zplog.Fields{"error": err.Error()})
+	}
+	d.Log.Emit(zplog.Stopped, zplog.Fields{"instance": d.fleet.Self.Instance})
+}
+
+func (d *Daemon) setState(state zpassign.MemberState) {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if err := d.fleet.SetState(ctx, state); err != nil {
+		d.Log.Emit(zplog.LeaseRenewFailed, zplog.Fields{"error": err.Error()})
+	}
+}
+
+// handOver waits until other daemons own this one's partitions. A daemon that
+// is alone, or without the platform, cannot hand over.
+func (d *Daemon) handOver() {
+	deadline := time.Now().Add(handOverTimeout)
+	for d.fleet.Owned() > 0 && d.fleet.Others() && time.Now().Before(deadline) && !d.fleet.Own.Ended() {
+		time.Sleep(handOverCheck)
+	}
+}
+
+func (d *Daemon) servePeers(ctx context.Context, failed chan<- error) {
+	h := &zppeer.Handler{Service: d.local, Region: d.Settings.Region, Clock: time.Now}
+	err := zppeer.Serve(ctx, d.listeners.peers, h)
+	if ctx.Err() == nil {
+		d.report(failed, err)
+	}
+}
+
+func (d *Daemon) serveAdmin(workers *sync.WaitGroup, failed chan<- error) *http.Server {
+	app := iris.New()
+	app.Logger().SetLevel("disable")
+	app.Get("/metrics", iris.FromStd(promhttp.HandlerFor(d.Metrics.Registry, promhttp.HandlerOpts{})))
+	server := &http.Server{Handler: app, ReadHeaderTimeout: d.Settings.Callers.HeaderTimeout}
+	workers.Go(func() {
+		if err := app.Build(); err != nil {
+			d.report(failed, err)
+			return
+		}
+		if err := server.Serve(d.listeners.admin); !errors.Is(err, http.ErrServerClosed) {
+			d.report(failed, err)
+		}
+	})
+	return server
+}
+
+func (d *Daemon) report(failed chan<- error, err error) {
+	if err == nil {
+		return
+	}
+	d.Log.Emit(zplog.ServerFailed, zplog.Fields{"error": err.Error()})
+	select {
+	case failed <- err:
+	default:
+	}
+}
+
+func (d *Daemon) close() {
+	d.engine.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	// What is lost here is at most a peer connection or the last spans.
+	_ = d.dialer.Close()
+	_ = d.tracing.Close(ctx)
+}
--- /dev/null
+++ b/internal/zpbench/standin.go
@@ -0,0 +1,119 @@
+package zpbench
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpstandin"
+)
+
+type (
+	listenFlag struct {
+		Listen string `required:"" help:"IP:PORT to listen on."`
+	}
+
+	platformCommand struct{ listenFlag }
+
+	serviceCommand struct {
+		listenFlag
+		Name   string `default:"service" help:"Name of the endpoint."`
+		WorkMS int    `default:"5" help:"Time of one request."`
+	}
+
+	storeCommand struct {
+		listenFlag
+		Region       string `help:"Region of the store."`
+		MemoryBlocks int    `default:"2000" help:"Blocks that fit into memory."`
+		DiskBlocks   int    `default:"20000" help:"Blocks that fit on disk."`
+	}
+
+	linkCommand struct {
+		listenFlag
+		BytesPerSecond int64 `default:"3750000" help:"Rate each way."`
+		LatencyMS      int   `default:"20" help:"Delay one way."`
+	}
+
+	runnerCommand struct {
+		listenFlag
+		Name         string   `default:"runner" help:"Name of the endpoint."`
+		Slots        int      `default:"8" help:"Requests decoded at once."`
+		Prefill      int      `default:"8000" help:"Tokens recomputed per second."`
+		DecodeMS     int      `default:"8" help:"Time per token."`
+		CacheBlocks  int      `default:"400" help:"Blocks of the prefix cache."`
+		ColdMS       int      `default:"2000" help:"Length of a cold start."`
+		ColdBearable int      `default:"2" help:"Requests that a cold engine bears."`
+		ColdFactor   int      `default:"4" help:"How much slower a cold engine is."`
+		StartCold    bool     `help:"Begin in a cold start."`
+		RestartMS    int      `default:"500" help:"Time without connections after a crash."`
+		ReportLagMS  int      `default:"300" help:"Lag of the load report."`
+		Versions     []string `default:"v1" help:"Weight versions held."`
+		Fencing      bool     `help:"Refuse orders with an old fencing number."`
+		BlockBytes   int      `default:"32768" help:"KV cache bytes of one block."`
+		Region       string   `help:"Region of the engine."`
+		Link         string   `help:"Base URL of the link stand-in."`
+	}
+)
+
+const headerTimeout = 5 * time.Second
+
+// Run serves the platform stand-in.
+func (c *platformCommand) Run() error { return serve(c.Listen, zpstandin.NewPlatform().Handler(), nil) }
+
+// Run serves the service stand-in.
+func (c *serviceCommand) Run() error {
+	s := zpstandin.NewService(c.Name, time.Duration(c.WorkMS)*time.Millisecond)
+	return serve(c.Listen, s.Handler(), nil)
+}
+
+// Run serves the store stand-in.
+func (c *storeCommand) Run() error {
+	s, err := zpstandin.NewStore(c.Region, c.MemoryBlocks, c.DiskBlocks)
+	if err != nil {
+		return err
+	}
+	return serve(c.Listen, s.Handler(), nil)
+}
+
+// Run serves the link stand-in.
+func (c *linkCommand) Run() error {
+	l := &zpstandin.Link{BytesPerSecond: c.BytesPerSecond, Latency: time.Duration(c.LatencyMS) * time.Millisecond}
+	return serve(c.Listen, l.Handler(), nil)
+}
+
+// Run serves the engine stand-in.
+func (c *runnerCommand) Run() error {
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	r, err := zpstandin.NewRunner(zpstandin.RunnerConfig{
+		Name: c.Name, Slots: c.Slots, PrefillTokens: c.Prefill, Decode: ms(c.DecodeMS), CacheBlocks: c.CacheBlocks,
+		ColdFor: ms(c.ColdMS), ColdBearable: c.ColdBearable, ColdFactor: c.ColdFactor, StartCold: c.StartCold,
+		RestartFor: ms(c.RestartMS), ReportLag: ms(c.ReportLagMS), Versions: c.Versions, Fencing: c.Fencing,
+		BlockBytes: c.BlockBytes, Region: c.Region, LinkAddress: c.Link,
+	})
+	if err != nil {
+		return err
+	}
+	return serve(c.Listen, r.Handler(), r.Run)
+}
+
+// serve answers until SIGTERM or SIGINT.
+func serve(listen string, h http.Handler, beside func(context.Context)) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if beside != nil {
+		go beside(ctx)
+	}
+	server := &http.Server{Addr: listen, Handler: h, ReadHeaderTimeout: headerTimeout}
+	go func() {
+		<-ctx.Done()
+		// Stand-ins need no graceful end.
+		_ = server.Close()
+	}()
+	if err := server.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/zpconfig/cache.go
@@ -0,0 +1,293 @@
+// Package zpconfig keeps the daemon's copy of what the fleet relays from the
+// platform (manifest, members, assignments), how fresh that copy is proved to
+// be, and what follows when the proof is old.
+package zpconfig
+
+import (
+	"fmt"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
+	"github.com/zinniapaddle/zinniapaddle/pkg/zpmanifest"
+	"github.com/zinniapaddle/zinniapaddle/pkg/zpobject"
+)
+
+type (
+	// Cache is the relayed state. It is safe for concurrent use.
+	Cache struct {
+		OnManifest func(m *zpmanifest.Manifest, err error)
+		OnChange   func()
+
+		mu       sync.RWMutex
+		objects  map[string]zpobject.Object // with tombstones
+		revision int64
+		freshAt  time.Time
+		manifest *zpmanifest.Manifest
+		members  []zpassign.Member
+		owners   map[int]zpassign.Owner
+		regions  []string
+		leaving  map[string]bool
+	}
+
+	// Delta is what one daemon passes on to another.
+	Delta struct {
+		Revision int64
+		Age      time.Duration // age of the sender's proof
+		Complete bool          // Objects hold the whole state, not only changes
+		Objects  []zpobject.Object
+	}
+)
+
+// Names of relayed objects.
+const (
+	RelayPrefix    = "relay/"
+	ManifestObject = "relay/manifest"
+	LeavingObject  = "relay/leaving"
+)
+
+// NewCache returns an empty cache.
+func NewCache() *Cache {
+	return &Cache{objects: map[string]zpobject.Object{}, owners: map[int]zpassign.Owner{}}
+}
+
+// Apply takes over the objects of a listing that are newer than the cache's
+// own and notes that the state was proved to be the newest at freshAt. An
+// object never goes back to an older revision. The caller guarantees that the
+// listing holds all changes since the cache's revision.
+func (c *Cache) Apply(objects []zpobject.Object, revision int64, freshAt time.Time) {
+	c.mu.Lock()
+	changed := false
+	var manifestErr error
+	manifestChanged := false
+	for _, o := range objects {
+		if o.Revision <= c.objects[o.Name].Revision {
+			continue
+		}
+		c.objects[o.Name] = o
+		changed = true
+		if o.Name == ManifestObject {
+			manifestChanged, manifestErr = c.adopt(o)
+		}
+	}
+	if revision > c.revision {
+		c.revision = revision
+	}
+	if revision >= c.revision && freshAt.After(c.freshAt) {
+		c.freshAt = freshAt
+	}
+	if changed {
+		c.rebuild()
+	}
+	m := c.manifest
+	c.mu.Unlock()
+	if c.OnManifest != nil && (manifestChanged || manifestErr != nil) {
+		c.OnManifest(m, manifestErr)
+	}
+	if changed && c.OnChange != nil {
+		c.OnChange()
+	}
+}
+
+// Replace applies a complete listing: what it does not name is gone.
+func (c *Cache) Replace(objects []zpobject.Object, revision int64, freshAt time.Time) {
+	named := map[string]bool{}
+	for _, o := range objects {
+		named[o.Name] = true
+	}
+	all := append([]zpobject.Object(nil), objects...)
+	c.mu.RLock()
+	for name, o := range c.objects {
+		if !named[name] && !o.Deleted && o.Revision < revision {
+			all = append(all, zpobject.Object{Name: name, Revision: revision, Deleted: true})
+		}
+	}
+	c.mu.RUnlock()
+	c.Apply(all, revision, freshAt)
+}
+
+// Since returns what has changed after a revision, for another daemon.
+func (c *Cache) Since(revision int64, now time.Time) Delta {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	d := Delta{Revision: c.revision, Age: c.age(now)}
+	if revision >= c.revision {
+		return d
+	}
+	for _, o := range c.objects {
+		if o.Revision > revision {
+			d.Objects = append(d.Objects, o)
+		}
+	}
+	return d
+}
+
+// Merge takes over what another daemon passed on. askedAt is when it was
+// asked, so that the proof never seems younger than it is.
+func (c *Cache) Merge(d Delta, askedAt time.Time) {
+	c.mu.RLock()
+	behind := d.Revision < c.revision
+	c.mu.RUnlock()
+	if behind || d.Revision == 0 {
+		return
+	}
+	c.Apply(d.Objects, d.Revision, askedAt.Add(-d.Age))
+}
+
+// Manifest returns the manifest in force, or nil before the first.
+func (c *Cache) Manifest() *zpmanifest.Manifest {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.manifest
+}
+
+// Members returns all known members.
+func (c *Cache) Members() []zpassign.Member {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.members
+}
+
+// View returns what planning needs; ok is false before the first manifest.
+func (c *Cache) View() (zpassign.View, bool) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	if c.manifest == nil {
+		return zpassign.View{}, false
+	}
+	return zpassign.View{
+		Partitions: c.manifest.Partitions,
+		Regions:    c.regions,
+		Members:    c.members,
+		Owners:     c.owners,
+	}, true
+}
+
+// InService reports whether an endpoint may receive new work: neither it nor
+// its failure domain is taken out, and the platform does not list its VM as
+// leaving.
+func (c *Cache) InService(e zpmanifest.Endpoint) bool {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.manifest != nil && c.manifest.InService(e) && !c.leaving[e.Name]
+}
+
+// Serving returns the endpoints of a pool that may receive new work.
+func (c *Cache) Serving(pool string) []zpmanifest.Endpoint {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	if c.manifest == nil {
+		return nil
+	}
+	var out []zpmanifest.Endpoint
+	for _, e := range c.manifest.Serving(pool) {
+		if !c.leaving[e.Name] {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// Object returns the cached object of that name.
+func (c *Cache) Object(name string) (zpobject.Object, bool) {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	o, ok := c.objects[name]
+	return o, ok && !o.Deleted
+}
+
+// Revision returns the revision up to which the cache is complete.
+func (c *Cache) Revision() int64 {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.revision
+}
+
+// Age returns the age of the proof of freshness.
+func (c *Cache) Age(now time.Time) time.Duration {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.age(now)
+}
+
+func (c *Cache) age(now time.Time) time.Duration {
+	if c.freshAt.IsZero() {
+		return neverFresh
+	}
+	return now.Sub(c.freshAt)
+}
+
+// adopt puts a manifest in force if it is valid and its version is higher.
+func (c *Cache) adopt(o zpobject.Object) (bool, error) {
+	if o.Deleted {
+		return false, fmt.Errorf("manifest was deleted at revision %d", o.Revision)
+	}
+	m, err := zpmanifest.Parse(o.Body)
+	if err != nil {
+		return false, err
+	}
+	if err := zpmanifest.FaultError(m.Validate()); err != nil {
+		return false, err
+	}
+	if err := zpmanifest.CheckChange(c.manifest, m); err != nil {
+		return false, err
+	}
+	if c.manifest != nil && m.Version <= c.manifest.Version {
+		return false, fmt.Errorf("manifest version %d is not above %d", m.Version, c.manifest.Version)
+	}
+	c.manifest = m
+	return true, nil
+}
+
+// rebuild derives members, owners and regions. It makes new values, so that
+// readers may keep the old ones.
+func (c *Cache) rebuild() {
+	c.members = nil
+	c.owners = map[int]zpassign.Owner{}
+	for name, o := range c.objects {
+		if o.Deleted {
+			continue
+		}
+		switch {
+		case strings.HasPrefix(name, zpassign.MemberPrefix):
+			if m, err := zpassign.DecodeMember(o.Body); err == nil {
+				c.members = append(c.members, m)
+			}
+		case strings.HasPrefix(name, zpassign.GroupPrefix):
+			if g, err := zpassign.DecodeGroup(o.Body); err == nil {
+				for p, owner := range g.Owners {
+					c.owners[p] = owner
+				}
+			}
+		}
+	}
+	c.regions = regionsOf(c.manifest)
+	c.leaving = DecodeLeaving(c.objects[LeavingObject].Body)
+}
+
+func regionsOf(m *zpmanifest.Manifest) []string {
+	if m == nil {
+		return nil
+	}
+	seen := map[string]bool{}
+	var out []string
+	for _, d := range m.Domains {
+		if !seen[d.Region] {
+			seen[d.Region] = true
+			out = append(out, d.Region)
+		}
+	}
+	sort.Strings(out)
+	return out
+}
+
+// Learn takes over one object that this daemon has just written, ahead of the
+// relay. It proves nothing of the rest.
+func (c *Cache) Learn(o zpobject.Object) {
+	c.mu.RLock()
+	revision := c.revision
+	c.mu.RUnlock()
+	c.Apply([]zpobject.Object{o}, revision, time.Time{})
+}
--- /dev/null
+++ b/internal/zpengine/client.go
@@ -0,0 +1,151 @@
+package zpengine
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpadmission"
+	"github.com/zinniapaddle/zinniapaddle/pkg/zpmanifest"
+)
+
+type (
+	// Client calls endpoints. Set the fields, then call Open.
+	Client struct {
+		ConnectTimeout time.Duration
+		Clock          func() time.Time
+
+		shared *http.Client // keeps connections
+		single *http.Client // a new connection for each request
+	}
+
+	wireReport struct {
+		Boot    string `json:"boot"`
+		Warm    bool   `json:"warm"`
+		Running int    `json:"running"`
+		AgeMS   int64  `json:"age_ms"`
+	}
+)
+
+// Headers of the endpoints' protocol.
+const (
+	HeaderBoot          = "X-Boot-Id"
+	HeaderWeightVersion = "X-Weight-Version"
+	HeaderSalt          = "X-Cache-Salt"
+	HeaderPriority      = "X-Priority"
+	HeaderRequestID     = "X-Request-Id"
+	HeaderResumeFrom    = "X-Resume-From"
+	HeaderImportFrom    = "X-Import-From"
+	HeaderImportBlocks  = "X-Import-Blocks"
+	HeaderWorkspace     = "X-Workspace"
+	HeaderNotStarted    = "X-Not-Started" // "true" on a refusal before any work
+)
+
+const (
+	idlePerHost     = 64
+	idleTimeout     = 30 * time.Second
+	reportTimeout   = 2 * time.Second
+	answerLimit     = 16 << 20
+	errorTextLimit  = 4 << 10
+	priorityUrgent  = "urgent"
+	priorityOther   = "other"
+	contentTypeJSON = "application/json"
+)
+
+// Open prepares the connections.
+func (c *Client) Open() {
+	c.shared = &http.Client{Transport: &http.Transport{
+		DialContext:         gatedDial(c.ConnectTimeout),
+		MaxIdleConnsPerHost: idlePerHost,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}}
+	c.single = &http.Client{Transport: &http.Transport{
+		DialContext:        gatedDial(c.ConnectTimeout),
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+	}}
+	for _, h := range []*http.Client{c.shared, c.single} {
+		h.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
+	}
+}
+
+// Close drops all idle connections.
+func (c *Client) Close() {
+	c.shared.CloseIdleConnections()
+	c.single.CloseIdleConnections()
+}
+
+// Report reads an endpoint's load report.
+func (c *Client) Report(ctx context.Context, e zpmanifest.Endpoint) (zpadmission.Report, error) {
+	ctx, cancel := context.WithTimeout(ctx, reportTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, e.Address+"/v1/report", nil)
+	if err != nil {
+		return zpadmission.Report{}, fmt.Errorf("report request: %w", err)
+	}
+	asked := c.Clock()
+	res, err := c.shared.Do(req)
+	if err != nil {
+		return zpadmission.Report{}, fmt.Errorf("read report: %w", err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	if res.StatusCode != http.StatusOK {
+		return zpadmission.Report{}, fmt.Errorf("read report: status %d", res.StatusCode)
+	}
+	var w wireReport
+	if err := json.NewDecoder(io.LimitReader(res.Body, answerLimit)).Decode(&w); err != nil {
+		return zpadmission.Report{}, fmt.Errorf("decode report: %w", err)
+	}
+	asOf := asked.Add(-time.Duration(w.AgeMS) * time.Millisecond)
+	return zpadmission.Report{Boot: w.Boot, Warm: w.Warm, Running: w.Running, AsOf: asOf}, nil
+}
+
+// post sends a body through a gate. The transport cannot send it twice: the
+// body has no GetBody.
+func post(ctx context.Context, h *http.Client, method, url string, body []byte, header http.Header, g *Gate) (*http.Response, error) {
+	reader := struct{ io.Reader }{bytes.NewReader(body)}
+	req, err := http.NewRequestWithContext(withGate(ctx, g), method, url, reader)
+	if err != nil {
+		return nil, err
+	}
+	req.ContentLength = int64(len(body))
+	if len(body) == 0 {
+		req.ContentLength = -1
+	}
+	for name, values := range header {
+		req.Header[name] = values
+	}
+	return h.Do(req)
+}
+
+// classify maps a failed exchange to an outcome.
+func classify(g *Gate, err error) Outcome {
+	o := Outcome{Sent: g.Sent(), Err: err}
+	switch {
+	case errors.Is(err, ErrDeadline):
+		o.Kind = zpadmission.OutcomeNotStarted
+	case errors.Is(err, context.Canceled) && !o.Sent:
+		o.Kind = zpadmission.OutcomeNotStarted
+	case errors.Is(err, context.Canceled):
+		o.Kind = zpadmission.OutcomeCancelled
+	case errors.Is(err, context.DeadlineExceeded):
+		o.Kind = zpadmission.OutcomeOverdue
+	case !o.Sent:
+		o.Kind = zpadmission.OutcomeRefused
+	default:
+		o.Kind = zpadmission.OutcomeBroken
+	}
+	return o
+}
+
+func setTrace(h http.Header, trace map[string]string) {
+	for name, value := range trace {
+		h.Set(name, value)
+	}
+}
--- /dev/null
+++ b/internal/zpengine/gate.go
@@ -0,0 +1,92 @@
+// Package zpengine is the narrow wrapper round model engines and plain
+// services. It knows exactly whether any byte of a request has been sent, and
+// so whether the request may have run.
+package zpengine
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http/httptrace"
+	"sync/atomic"
+	"time"
+)
+
+type (
+	// Gate guards the first byte of one request. It opens only before the
+	// deadline, and remembers whether it opened.
+	Gate struct {
+		Deadline time.Time
+		Clock    func() time.Time
+		OnSend   func() // called just before the deadline is checked and the first byte sent
+
+		sent atomic.Bool
+	}
+
+	// gatedConn asks the gate of the present request before the first byte.
+	gatedConn struct {
+		net.Conn
+		gate atomic.Pointer[Gate]
+	}
+)
+
+// ErrDeadline is returned by a write that would have come after the deadline.
+var ErrDeadline = errors.New("the reservation's deadline to start has passed")
+
+// Sent reports whether any byte may have been sent.
+func (g *Gate) Sent() bool { return g.sent.Load() }
+
+func (g *Gate) open() error {
+	if g.sent.Load() {
+		return nil
+	}
+	// The order matters: once OnSend has registered the start, an owner that
+	// asks counts it; an owner that asked before did so after the deadline of
+	// any reservation that it must not miss.
+	if g.OnSend != nil {
+		g.OnSend()
+	}
+	if !g.Clock().Before(g.Deadline) {
+		return ErrDeadline
+	}
+	g.sent.Store(true)
+	return nil
+}
+
+// Write sends bytes if the gate allows.
+func (c *gatedConn) Write(b []byte) (int, error) {
+	if g := c.gate.Load(); g != nil {
+		if err := g.open(); err != nil {
+			return 0, err
+		}
+	}
+	return c.Conn.Write(b)
+}
+
+// gatedDial makes connections that a gate can guard.
+func gatedDial(timeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		d := net.Dialer{Timeout: timeout}
+		conn, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		return &gatedConn{Conn: conn}, nil
+	}
+}
+
+// withGate arms each connection that the request is given with its gate.
+func withGate(ctx context.Context, g *Gate) context.Context {
+	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(info httptrace.GotConnInfo) {
+			conn := info.Conn
+			if secure, ok := conn.(*tls.Conn); ok {
+				conn = secure.NetConn()
+			}
+			if gated, ok := conn.(*gatedConn); ok {
+				gated.gate.Store(g)
+			}
+		},
+	})
+}
--- /dev/null
+++ b/internal/zpengine/service.go
@@ -0,0 +1,58 @@
+package zpengine
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpadmission"
+)
+
+const headerIdempotencyKey = "Idempotency-Key"
+
+// Call sends a request to a plain service, once.
+func (c *Client) Call(ctx context.Context, call ServiceCall, g *Gate) (ServiceAnswer, Outcome) {
+	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
+	defer cancel()
+	start := c.Clock()
+	h := c.single
+	if call.Idempotent {
+		h = c.shared
+	}
+	res, err := post(ctx, h, call.Method, call.Address+call.Path, call.Body, serviceHeader(call), g)
+	if err != nil {
+		return ServiceAnswer{}, c.finish(ctx, classify(g, err), start)
+	}
+	defer func() { _ = res.Body.Close() }()
+	o := Outcome{Sent: true, Boot: res.Header.Get(HeaderBoot)}
+	if res.Header.Get(HeaderNotStarted) == "true" {
+		return ServiceAnswer{}, c.finish(ctx, refusal(o, res), start)
+	}
+	body, err := io.ReadAll(io.LimitReader(res.Body, answerLimit+1))
+	if err != nil {
+		return ServiceAnswer{}, c.finish(ctx, broken(o, err), start)
+	}
+	if len(body) > answerLimit {
+		return ServiceAnswer{}, c.finish(ctx, broken(o, fmt.Errorf("answer is larger than %d bytes", answerLimit)), start)
+	}
+	o.Done, o.Kind = true, zpadmission.OutcomeOK
+	answer := ServiceAnswer{Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: body}
+	o = c.finish(ctx, o, start)
+	o.FirstToken = o.Total
+	return answer, o
+}
+
+func serviceHeader(call ServiceCall) http.Header {
+	h := http.Header{}
+	if call.ContentType != "" {
+		h.Set("Content-Type", call.ContentType)
+	}
+	if call.IdempotencyKey != "" {
+		h.Set(headerIdempotencyKey, call.IdempotencyKey)
+	}
+	h.Set(HeaderRequestID, call.RequestID)
+	h.Set(HeaderWorkspace, call.Workspace)
+	setTrace(h, call.Trace)
+	return h
+}
--- /dev/null
+++ b/internal/zpengine/types.go
@@ -0,0 +1,97 @@
+package zpengine
+
+import (
+	"time"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpadmission"
+	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
+)
+
+type (
+	// Generation is one run of a prompt on one engine.
+	Generation struct {
+		Address       string
+		Path          string // such as /v1/chat/completions
+		Body          []byte // OpenAI request that asks for a stream with usage
+		RequestID     string
+		Salt          string
+		WeightVersion string
+		Urgent        bool
+		ResumeFrom    int    // tokens that the caller already has
+		ImportFrom    string // store from which to import, "" for none
+		ImportBlocks  []ImportBlock
+		Trace         map[string]string // headers that carry the trace
+		FirstOverdue  time.Duration
+		Stall         time.Duration
+	}
+
+	// ImportBlock identifies one sealed block in a store.
+	ImportBlock struct {
+		Name       string
+		Generation int64
+	}
+
+	// Piece is one token of an answer.
+	Piece struct {
+		Text   string
+		Finish string // "" until the last
+	}
+
+	// Usage is what the engine counted.
+	Usage struct {
+		PromptTokens     int
+		CachedTokens     int
+		CompletionTokens int
+	}
+
+	// Outcome describes how a run ended.
+	Outcome struct {
+		Kind          zpadmission.Outcome
+		Sent          bool // any byte of the request may have reached the endpoint
+		Boot          string
+		WeightVersion string
+		Pieces        int // pieces received in this run
+		Done          bool
+		FirstToken    time.Duration
+		Total         time.Duration
+		Usage         Usage
+		Err           error
+	}
+
+	// ServiceCall is one call of a plain service.
+	ServiceCall struct {
+		Address        string
+		Method         string
+		Path           string
+		ContentType    string
+		Body           []byte
+		IdempotencyKey string
+		RequestID      string
+		Workspace      string
+		Trace          map[string]string
+		Timeout        time.Duration
+		Idempotent     bool
+	}
+
+	// ServiceAnswer is the answer of a plain service.
+	ServiceAnswer struct {
+		Status      int
+		ContentType string
+		Body        []byte
+	}
+)
+
+// RunState returns what is known of a request after one run ended this way. It
+// is the one place where that is decided.
+func (o Outcome) RunState() zperror.RunState {
+	switch {
+	case !o.Sent:
+		return zperror.RunStateNotRun
+	case o.Kind == zpadmission.OutcomeRefused:
+		return zperror.RunStateNotRun
+	case o.Done:
+		return zperror.RunStateRan
+	default:
+		return zperror.RunStateUnknown
+	}
+}
--- /dev/null
+++ b/internal/zpfleet/leaving.go
@@ -0,0 +1,33 @@
+package zpfleet
+
+import (
+	"bytes"
+	"context"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpconfig"
+)
+
+// publishLeaving reads the platform's list of VMs and relays the names of those
+// that leave. Only the owner of the first partition does so, so that the calls
+// do not grow with the fleet.
+func (f *Fleet) publishLeaving(ctx context.Context) {
+	owner, ok := f.OwnerOf(0)
+	if !ok || owner.Instance != f.Self.Instance || !f.Own.Valid(f.Clock()) {
+		return
+	}
+	vms, err := f.API.VMs(ctx)
+	if err != nil {
+		return
+	}
+	body, err := zpconfig.EncodeLeaving(vms)
+	if err != nil {
+		return
+	}
+	o, _ := f.Cache.Object(zpconfig.LeavingObject)
+	if bytes.Equal(o.Body, body) {
+		return
+	}
+	if written, err := f.API.Put(ctx, zpconfig.LeavingObject, body, o.Revision); err == nil {
+		f.Cache.Learn(written)
+	}
+}
--- /dev/null
+++ b/internal/zpfront/error.go
@@ -0,0 +1,59 @@
+package zpfront
+
+import (
+	"encoding/json"
+	"math"
+	"strconv"
+
+	"github.com/kataras/iris/v12"
+
+	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
+)
+
+type (
+	wireErrorBody struct {
+		Error wireError `json:"error"`
+	}
+	wireError struct {
+		Message   string  `json:"message"`
+		Type      string  `json:"type"`
+		Param     *string `json:"param"`
+		Code      string  `json:"code"`
+		Remedy    string  `json:"remedy"`
+		RunState  string  `json:"run_state"`
+		RequestID string  `json:"request_id,omitempty"`
+	}
+)
+
+const headerRequestID = "X-Request-Id"
+
+var errNoRoute = zperror.New(zperror.KindNotFound, "unknown_path",
+	"there is nothing at this path", "see the README for the paths that are served")
+
+// errorBody returns an error in the OpenAI form, with a remedy and run state.
+func errorBody(err error, requestID string) wireErrorBody {
+	e := zperror.Of(err)
+	return wireErrorBody{Error: wireError{
+		Message: e.Message, Type: e.Kind.WireType(), Code: e.Code, Remedy: e.Remedy,
+		RunState: e.RunState.String(), RequestID: requestID,
+	}}
+}
+
+// writeError answers with an error before any part of an answer was sent.
+func writeError(c iris.Context, err error, requestID string) {
+	e := zperror.Of(err)
+	if e.RetryAfter > 0 {
+		seconds := int(math.Ceil(e.RetryAfter.Seconds()))
+		c.Header("Retry-After", strconv.Itoa(max(seconds, 1)))
+	}
+	c.StatusCode(e.Kind.HTTPStatus())
+	c.ContentType("application/json")
+	text, marshalErr := json.Marshal(errorBody(err, requestID))
+	if marshalErr != nil {
+		return
+	}
+	// A caller that is gone cannot be told.
+	_, _ = c.Write(text)
+}
+
+func (f *Front) notFound(c iris.Context) { writeError(c, errNoRoute, "") }
--- /dev/null
+++ b/internal/zpfront/front.go
@@ -0,0 +1,116 @@
+// Package zpfront is the callers' side: HTTP through iris, in the OpenAI form
+// for prompts and as a plain pass-through for services.
+package zpfront
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/kataras/iris/v12"
+	"go.opentelemetry.io/otel/trace"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpconfig"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpfleet"
+	"github.com/zinniapaddle/zinniapaddle/internal/zppipeline"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpsettings"
+)
+
+type (
+	// Front serves callers. Set the exported fields before Run.
+	Front struct {
+		Settings zpsettings.Callers
+		Pipeline *zppipeline.Pipeline
+		Fleet    *zpfleet.Fleet
+		Tracer   trace.Tracer
+		Clock    func() time.Time
+		Leaving  func() bool // true once a graceful shutdown has begun
+
+		server *http.Server
+	}
+)
+
+// Listen opens the callers' listener.
+func (f *Front) Listen() (net.Listener, error) {
+	lis, err := net.Listen("tcp", f.Settings.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("listen for callers: %w", err)
+	}
+	if f.Settings.TLSCertFile == "" {
+		return lis, nil
+	}
+	cert, err := tls.LoadX509KeyPair(f.Settings.TLSCertFile, f.Settings.TLSKeyFile)
+	if err != nil {
+		return nil, fmt.Errorf("load callers' certificate: %w", err)
+	}
+	return tls.NewListener(lis, &tls.Config{MinVersion: tls.VersionTLS12, Certificates: []tls.Certificate{cert}}), nil
+}
+
+// Build prepares the server.
+func (f *Front) Build() error {
+	app := iris.New()
+	app.Logger().SetLevel("disable")
+	app.Post("/v1/chat/completions", f.chat)
+	app.Post("/v1/completions", f.completion)
+	app.Get("/v1/models", f.models)
+	app.Any("/v1/services/{service:string}", f.service)
+	app.Any("/v1/services/{service:string}/{rest:path}", f.service)
+	app.Get("/healthz", f.healthz)
+	app.Get("/readyz", f.readyz)
+	app.Any("/{any:path}", f.notFound)
+	app.Any("/", f.notFound)
+	// Answers of services pass unchanged, also errors without a body.
+	app.Configure(iris.WithoutAutoFireStatusCode)
+	if err := app.Build(); err != nil {
+		return fmt.Errorf("build HTTP routes: %w", err)
+	}
+	f.server = &http.Server{
+		Handler:           app,
+		ReadHeaderTimeout: f.Settings.HeaderTimeout,
+		MaxHeaderBytes:    int(f.Settings.MaxHeader),
+	}
+	return nil
+}
+
+// Serve answers callers on lis until Shutdown.
+func (f *Front) Serve(lis net.Listener) error {
+	if err := f.server.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
+		return fmt.Errorf("serve callers: %w", err)
+	}
+	return nil
+}
+
+// Shutdown stops taking connections and waits for open requests until ctx ends.
+func (f *Front) Shutdown(ctx context.Context) error { return f.server.Shutdown(ctx) }
+
+func (f *Front) healthz(c iris.Context) { c.StatusCode(http.StatusOK) }
+
+// readyz tells the balancer whether to send new work here.
+func (f *Front) readyz(c iris.Context) {
+	mode := f.Fleet.Mode(f.Clock())
+	switch {
+	case f.Leaving():
+		writeText(c, http.StatusServiceUnavailable, "leaving")
+	case !f.Fleet.Serves(f.Clock()):
+		writeText(c, http.StatusServiceUnavailable, string(mode))
+	default:
+		writeText(c, http.StatusOK, readyText(mode))
+	}
+}
+
+func readyText(m zpconfig.Mode) string {
+	if m == zpconfig.ModeFresh {
+		return "ready"
+	}
+	return string(m)
+}
+
+func writeText(c iris.Context, status int, text string) {
+	c.StatusCode(status)
+	// The connection is the balancer's; a failed write is its own sign.
+	_, _ = c.WriteString(text + "\n")
+}
--- /dev/null
+++ b/internal/zpfront/models.go
@@ -0,0 +1,53 @@
+package zpfront
+
+import (
+	"encoding/json"
+
+	"github.com/kataras/iris/v12"
+
+	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
+)
+
+type (
+	wireModels struct {
+		Object string      `json:"object"`
+		Data   []wireModel `json:"data"`
+	}
+	wireModel struct {
+		ID      string `json:"id"`
+		Object  string `json:"object"`
+		OwnedBy string `json:"owned_by"`
+	}
+)
+
+var (
+	errNotReady = zperror.New(zperror.KindUnavailable, "no_configuration",
+		"this daemon has no configuration yet", "send the request again")
+	errDenied = zperror.New(zperror.KindDenied, "unknown_api_key",
+		"the API key belongs to no workspace", "pass a key of the manifest as `Authorization: Bearer KEY`")
+)
+
+// models lists the models of the manifest.
+func (f *Front) models(c iris.Context) {
+	m := f.Fleet.Cache.Manifest()
+	if m == nil {
+		writeError(c, errNotReady, "")
+		return
+	}
+	if _, ok := m.WorkspaceByKey(apiKey(c)); !ok {
+		writeError(c, errDenied, "")
+		return
+	}
+	list := wireModels{Object: "list", Data: []wireModel{}}
+	for _, model := range m.Models {
+		list.Data = append(list.Data, wireModel{ID: model.Name, Object: "model", OwnedBy: "site"})
+	}
+	text, err := json.Marshal(list)
+	if err != nil {
+		writeError(c, err, "")
+		return
+	}
+	c.ContentType("application/json")
+	// A caller that is gone cannot be told.
+	_, _ = c.Write(text)
+}
--- /dev/null
+++ b/internal/zpmetric/metric.go
@@ -0,0 +1,68 @@
+// Package zpmetric holds the daemon's metrics.
+package zpmetric
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+)
+
+type (
+	// Metrics are all metrics of one daemon, in a registry of their own.
+	Metrics struct {
+		Registry      *prometheus.Registry
+		Requests      *prometheus.CounterVec   // by class, code, run_state
+		FirstToken    *prometheus.HistogramVec // seconds, by class
+		Open          prometheus.Gauge
+		PlatformCalls *prometheus.CounterVec // by call, result
+		PeerCalls     *prometheus.CounterVec // by call, result
+		Reservations  *prometheus.CounterVec // by result
+		ConfigVersion prometheus.Gauge
+		ConfigAge     prometheus.Gauge // seconds
+		Partitions    prometheus.Gauge
+		Retries       *prometheus.CounterVec // by reason
+		Quarantined   prometheus.Counter
+		LinkBytes     *prometheus.CounterVec // by link
+		ReusedTokens  prometheus.Counter
+		PromptTokens  prometheus.Counter
+	}
+)
+
+// New returns registered metrics.
+func New() *Metrics {
+	m := &Metrics{
+		Registry:      prometheus.NewRegistry(),
+		Requests:      counterVec("requests_total", "Requests ended.", "class", "code", "run_state"),
+		Open:          gauge("open_requests", "Requests now open."),
+		PlatformCalls: counterVec("platform_calls_total", "Calls to the platform.", "call", "result"),
+		PeerCalls:     counterVec("peer_calls_total", "Calls to other daemons.", "call", "result"),
+		Reservations:  counterVec("reservations_total", "Reservations decided as owner.", "result"),
+		ConfigVersion: gauge("config_version", "Version of the manifest in force here."),
+		ConfigAge:     gauge("config_age_seconds", "Age of the proof of freshness."),
+		Partitions:    gauge("partitions_owned", "Partitions owned."),
+		Retries:       counterVec("retries_total", "Requests sent again.", "reason"),
+		Quarantined:   counter("quarantined_total", "Fingerprints quarantined."),
+		LinkBytes:     counterVec("link_granted_bytes_total", "Bytes granted on an inter-region link.", "link"),
+		ReusedTokens:  counter("reused_tokens_total", "Prompt tokens found in a cache."),
+		PromptTokens:  counter("prompt_tokens_total", "Prompt tokens of ended requests."),
+	}
+	m.FirstToken = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Namespace: "zinniapaddle", Name: "first_token_seconds",
+		Help:    "Time from accept to the first token.",
+		Buckets: prometheus.ExponentialBuckets(0.002, 2, 14),
+	}, []string{"class"})
+	m.Registry.MustRegister(m.Requests, m.FirstToken, m.Open, m.PlatformCalls, m.PeerCalls,
+		m.Reservations, m.ConfigVersion, m.ConfigAge, m.Partitions, m.Retries, m.Quarantined,
+		m.LinkBytes, m.ReusedTokens, m.PromptTokens)
+	return m
+}
+
+func counterVec(name, help string, labels ...string) *prometheus.CounterVec {
+	return prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "zinniapaddle", Name: name, Help: help}, labels)
+}
+
+func counter(name, help string) prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Namespace: "zinniapaddle", Name: name, Help: help})
+}
+
+func gauge(name, help string) prometheus.Gauge {
+	return prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "zinniapaddle", Name: name, Help: help})
+}
--- /dev/null
+++ b/internal/zpoperator/status.go
@@ -0,0 +1,103 @@
+package zpoperator
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
+	"github.com/zinniapaddle/zinniapaddle/internal/zppeer"
+)
+
+type (
+	// DaemonStatus is one member with what it answered.
+	DaemonStatus struct {
+		Member zpassign.Member
+		Status zppeer.Status
+		Err    error // why it did not answer
+	}
+
+	// Confirmation says which daemons have a version in force.
+	Confirmation struct {
+		Version     int64
+		Confirmed   []string
+		Unconfirmed []string
+	}
+)
+
+const (
+	confirmEvery   = 100 * time.Millisecond
+	statusParallel = 64
+)
+
+// Status asks all present members.
+func (o *Operator) Status(ctx context.Context) ([]DaemonStatus, error) {
+	members, err := o.members(ctx)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]DaemonStatus, len(members))
+	slots := make(chan struct{}, statusParallel)
+	var wg sync.WaitGroup
+	for i, m := range members {
+		slots <- struct{}{}
+		wg.Go(func() {
+			defer func() { <-slots }()
+			s, err := o.Exchange.At(m.Address).Status(ctx)
+			out[i] = DaemonStatus{Member: m, Status: s, Err: err}
+		})
+	}
+	wg.Wait()
+	return out, nil
+}
+
+// Confirm asks all present members until each has the version in force, or
+// until ctx ends. A daemon that does not answer stays unconfirmed.
+func (o *Operator) Confirm(ctx context.Context, version int64) (Confirmation, error) {
+	for {
+		// The question itself may outlast ctx, so that the last state is told.
+		statuses, err := o.Status(context.WithoutCancel(ctx))
+		if err != nil {
+			return Confirmation{Version: version}, err
+		}
+		c := confirmation(version, statuses)
+		if len(c.Unconfirmed) == 0 || ctx.Err() != nil {
+			return c, nil
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(confirmEvery):
+		}
+	}
+}
+
+func (o *Operator) members(ctx context.Context) ([]zpassign.Member, error) {
+	l, err := o.API.List(ctx, zpassign.MemberPrefix)
+	if err != nil {
+		return nil, err
+	}
+	var members []zpassign.Member
+	for _, object := range l.Objects {
+		m, err := zpassign.DecodeMember(object.Body)
+		if err != nil {
+			return nil, err
+		}
+		members = append(members, m)
+	}
+	return zpassign.Live(members, zpassign.MemberServing, zpassign.MemberLeaving), nil
+}
+
+func confirmation(version int64, statuses []DaemonStatus) Confirmation {
+	c := Confirmation{Version: version}
+	for _, s := range statuses {
+		if s.Err == nil && s.Status.ManifestVersion >= version {
+			c.Confirmed = append(c.Confirmed, s.Member.Instance)
+		} else {
+			c.Unconfirmed = append(c.Unconfirmed, s.Member.Instance)
+		}
+	}
+	sort.Strings(c.Confirmed)
+	sort.Strings(c.Unconfirmed)
+	return c
+}
--- /dev/null
+++ b/internal/zppeer/client.go
@@ -0,0 +1,85 @@
+// Package zppeer carries the calls between daemons: drpc over TCP, with mutual
+// TLS unless the settings say otherwise.
+package zppeer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcpool"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zppeer/zppeerpb"
+	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
+)
+
+type (
+	// Dialer opens calls to other daemons through a pool of connections.
+	Dialer struct {
+		TLS     *tls.Config // nil: plain TCP
+		Timeout time.Duration
+		OnCall  func(call string, err error)
+
+		pool *drpcpool.Pool[string, drpcpool.Conn]
+	}
+
+	// Caller is a function that makes one call with a client.
+	Caller[T any] func(ctx context.Context, client zppeerpb.DRPCPeerClient) (T, error)
+)
+
+const (
+	poolCapacity    = 2048
+	poolKeyCapacity = 64
+	poolExpiration  = 30 * time.Second
+)
+
+// ErrPeer is the error of a call that did not succeed. What it asked for may
+// have taken effect at the other daemon.
+var ErrPeer = zperror.New(zperror.KindUnavailable, "peer_unavailable",
+	"another daemon could not be reached", "try again; the fleet assigns its work anew")
+
+// Open prepares the pool.
+func (d *Dialer) Open() {
+	d.pool = drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+		Expiration: poolExpiration, Capacity: poolCapacity, KeyCapacity: poolKeyCapacity,
+	})
+}
+
+// Close drops all idle connections.
+func (d *Dialer) Close() error { return d.pool.Close() }
+
+// Do makes one call to the daemon at address. Beside the dialer's timeout, the
+// call may take extra time that the other side was asked to wait.
+func Do[T any](ctx context.Context, d *Dialer, address, name string, extra time.Duration, call Caller[T]) (T, error) {
+	ctx, cancel := context.WithTimeout(ctx, d.Timeout+extra)
+	defer cancel()
+	conn := d.pool.Get(ctx, address, d.dial)
+	defer func() { _ = conn.Close() }()
+	out, err := call(ctx, zppeerpb.NewDRPCPeerClient(conn))
+	if d.OnCall != nil {
+		d.OnCall(name, err)
+	}
+	if err != nil {
+		return out, ErrPeer.WithCause(err)
+	}
+	return out, nil
+}
+
+func (d *Dialer) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
+	var nd net.Dialer
+	conn, err := nd.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	if d.TLS == nil {
+		return drpcconn.New(conn), nil
+	}
+	secure := tls.Client(conn, d.TLS)
+	if err := secure.HandshakeContext(ctx); err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return drpcconn.New(secure), nil
+}
--- /dev/null
+++ b/internal/zppeer/remote.go
@@ -0,0 +1,241 @@
+package zppeer
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpadmission"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpclaim"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpconfig"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpfleet"
+	"github.com/zinniapaddle/zinniapaddle/internal/zphint"
+	"github.com/zinniapaddle/zinniapaddle/internal/zplink"
+	"github.com/zinniapaddle/zinniapaddle/internal/zppeer/zppeerpb"
+	"github.com/zinniapaddle/zinniapaddle/pkg/zpobject"
+)
+
+// Remote is the Service of another daemon.
+type Remote struct {
+	Dialer  *Dialer
+	Address string
+	Self    string
+}
+
+// claimExtra is how much longer than other calls a claim may take: it waits
+// for the platform.
+const claimExtra = 6 * time.Second
+
+// Compare asks for what is newer there than revision.
+func (r *Remote) Compare(ctx context.Context, instance string, revision int64, askPromise bool) (zpfleet.Comparison, error) {
+	in := &zppeerpb.CompareRequest{Instance: instance, Revision: revision, AskPromise: askPromise}
+	out, err := Do(ctx, r.Dialer, r.Address, "compare", 0,
+		func(ctx context.Context, c zppeerpb.DRPCPeerClient) (*zppeerpb.CompareReply, error) {
+			return c.Compare(ctx, in)
+		})
+	if err != nil {
+		return zpfleet.Comparison{}, err
+	}
+	d := zpconfig.Delta{Revision: out.Revision, Age: milliseconds(out.AgeMs)}
+	for _, o := range out.Objects {
+		d.Objects = append(d.Objects, zpobject.Object{Name: o.Name, Revision: o.Revision, Body: o.Body, Deleted: o.Deleted})
+	}
+	return zpfleet.Comparison{Instance: out.Instance, Delta: d, Promised: out.Promised}, nil
+}
+
+// Quote asks for the load of endpoints.
+func (r *Remote) Quote(ctx context.Context, endpoints []string) (map[string]zpadmission.Quote, error) {
+	in := &zppeerpb.QuoteRequest{Endpoints: endpoints}
+	out, err := Do(ctx, r.Dialer, r.Address, "quote", 0,
+		func(ctx context.Context, c zppeerpb.DRPCPeerClient) (*zppeerpb.QuoteReply, error) {
+			return c.Quote(ctx, in)
+		})
+	if err != nil {
+		return nil, err
+	}
+	quotes := map[string]zpadmission.Quote{}
+	for _, q := range out.Quotes {
+		quotes[q.Endpoint] = zpadmission.Quote{
+			Limit: int(q.Limit), Running: int(q.Running),
+			WaitingUrgent: int(q.WaitingUrgent), WaitingOther: int(q.WaitingOther),
+			Service: milliseconds(q.ServiceMs), Cold: q.Cold,
+		}
+	}
+	return quotes, nil
+}
+
+// Reserve asks for a place on an endpoint.
+func (r *Remote) Reserve(ctx context.Context, endpoint string, q zpadmission.Request, slice time.Duration) (zpadmission.Decision, error) {
+	in := &zppeerpb.ReserveRequest{
+		Id: q.ID, Endpoint: endpoint, Holder: q.Holder, Workspace: q.Workspace, Weight: int32(q.Weight),
+		Urgent: q.Urgent, Cost: q.Cost, MaxWaitMs: q.MaxWait.Milliseconds(), SliceMs: slice.Milliseconds(),
+		Alone: q.Alone, Fingerprint: q.Fingerprint,
+	}
+	out, err := Do(ctx, r.Dialer, r.Address, "reserve", slice,
+		func(ctx context.Context, c zppeerpb.DRPCPeerClient) (*zppeerpb.ReserveReply, error) {
+			return c.Reserve(ctx, in)
+		})
+	if err != nil {
+		return zpadmission.Decision{}, err
+	}
+	return zpadmission.Decision{
+		ID: q.ID, Granted: out.Granted, Queued: out.Queued, Code: out.Code,
+		RetryAfter: milliseconds(out.RetryAfterMs), Epoch: out.Epoch, Boot: out.Boot,
+	}, nil
+}
+
+// Release ends a reservation.
+func (r *Remote) Release(ctx context.Context, endpoint string, q zpadmission.Result) error {
+	in := &zppeerpb.ReleaseRequest{
+		Id: q.ID, Endpoint: endpoint, Outcome: int32(q.Outcome), Boot: q.Boot,
+		FirstTokenMs: q.FirstToken.Milliseconds(), TotalMs: q.Total.Milliseconds(),
+	}
+	_, err := Do(ctx, r.Dialer, r.Address, "release", 0,
+		func(ctx context.Context, c zppeerpb.DRPCPeerClient) (*zppeerpb.ReleaseReply, error) {
+			return c.Release(ctx, in)
+		})
+	return err
+}
+
+// Held asks which reservations on the endpoints have been started there.
+func (r *Remote) Held(ctx context.Context, endpoints []string) ([]zpadmission.Holding, error) {
+	in := &zppeerpb.HeldRequest{Endpoints: endpoints}
+	out, err := Do(ctx, r.Dialer, r.Address, "held", 0,
+		func(ctx context.Context, c zppeerpb.DRPCPeerClient) (*zppeerpb.HeldReply, error) {
+			return c.Held(ctx, in)
+		})
+	if err != nil {
+		return nil, err
+	}
+	held := make([]zpadmission.Holding, 0, len(out.Held))
+	for _, h := range out.Held {
+		held = append(held, zpadmission.Holding{ID: h.Id, Endpoint: h.Endpoint, Holder: out.Instance})
+	}
+	return held, nil
+}
+
+// Locate asks where a conversation's blocks are.
+func (r *Remote) Locate(ctx context.Context, key zphint.Key) ([]zphint.Hint, error) {
+	asked := time.Now()
+	in := &zppeerpb.LocateRequest{Key: key[:]}
+	out, err := Do(ctx, r.Dialer, r.Address, "locate", 0,
+		func(ctx context.Context, c zppeerpb.DRPCPeerClient) (*zppeerpb.LocateReply, error) {
+			return c.Locate(ctx, in)
+		})
+	if err != nil {
+		return nil, err
+	}
+	hints := make([]zphint.Hint, 0, len(out.Hints))
+	for _, h := range out.Hints {
+		hints = append(hints, hintOf(h, asked))
+	}
+	return hints, nil
+}
+
+// Record tells where a conversation's blocks are, or are no longer.
+func (r *Remote) Record(ctx context.Context, key zphint.Key, h zphint.Hint, remove bool) error {
+	in := &zppeerpb.RecordRequest{Key: key[:], Hint: wireHint(h, h.At), Remove: remove}
+	_, err := Do(ctx, r.Dialer, r.Address, "record", 0,
+		func(ctx context.Context, c zppeerpb.DRPCPeerClient) (*zppeerpb.RecordReply, error) {
+			return c.Record(ctx, in)
+		})
+	return err
+}
+
+// Claim asks the writer of a shard for the right to run a request.
+func (r *Remote) Claim(ctx context.Context, shard int, a zpclaim.Ask) (zpclaim.Verdict, error) {
+	in := &zppeerpb.ClaimRequest{Shard: int32(shard), Key: a.Key, Token: a.Token, Holder: a.Holder, BodyHash: a.BodyHash}
+	out, err := Do(ctx, r.Dialer, r.Address, "claim", claimExtra,
+		func(ctx context.Context, c zppeerpb.DRPCPeerClient) (*zppeerpb.ClaimReply, error) {
+			return c.Claim(ctx, in)
+		})
+	if err != nil {
+		return zpclaim.Verdict{}, err
+	}
+	if out.Error != "" {
+		return zpclaim.Verdict{}, zpclaim.ErrNotConfirmed.WithCause(errors.New(out.Error))
+	}
+	return zpclaim.Verdict{Result: zpclaim.Result(out.Result), Claim: zpclaim.Claim{
+		State: zpclaim.State(out.State), Holder: out.Holder, Status: int(out.Status),
+		ContentType: out.ContentType, Answer: out.Answer,
+	}}, nil
+}
+
+// Settle records how a claimed request ended.
+func (r *Remote) Settle(ctx context.Context, shard int, s zpclaim.Settlement) error {
+	in := &zppeerpb.SettleRequest{
+		Shard: int32(shard), Key: s.Key, Token: s.Token, State: string(s.State),
+		Status: int32(s.Status), ContentType: s.ContentType, Answer: s.Answer,
+	}
+	out, err := Do(ctx, r.Dialer, r.Address, "settle", claimExtra,
+		func(ctx context.Context, c zppeerpb.DRPCPeerClient) (*zppeerpb.SettleReply, error) {
+			return c.Settle(ctx, in)
+		})
+	if err == nil && out.Error != "" {
+		err = zpclaim.ErrNotConfirmed.WithCause(errors.New(out.Error))
+	}
+	return err
+}
+
+// Suspect tells of crashes at which a fingerprint was present.
+func (r *Remote) Suspect(ctx context.Context, fingerprint string, crashes []string) error {
+	in := &zppeerpb.SuspectRequest{Fingerprint: fingerprint, Crashes: crashes}
+	_, err := Do(ctx, r.Dialer, r.Address, "suspect", 0,
+		func(ctx context.Context, c zppeerpb.DRPCPeerClient) (*zppeerpb.SuspectReply, error) {
+			return c.Suspect(ctx, in)
+		})
+	return err
+}
+
+// GrantBytes asks a link's owner for bytes.
+func (r *Remote) GrantBytes(ctx context.Context, link string, bytes int64, urgent bool) (zplink.Grant, error) {
+	in := &zppeerpb.GrantBytesRequest{Link: link, Bytes: bytes, Urgent: urgent}
+	out, err := Do(ctx, r.Dialer, r.Address, "grant_bytes", 0,
+		func(ctx context.Context, c zppeerpb.DRPCPeerClient) (*zppeerpb.GrantBytesReply, error) {
+			return c.GrantBytes(ctx, in)
+		})
+	if err != nil {
+		return zplink.Grant{}, err
+	}
+	return zplink.Grant{Bytes: out.Bytes, RetryAfter: milliseconds(out.RetryAfterMs)}, nil
+}
+
+// Status asks for the daemon's status.
+func (r *Remote) Status(ctx context.Context) (Status, error) {
+	out, err := Do(ctx, r.Dialer, r.Address, "status", 0,
+		func(ctx context.Context, c zppeerpb.DRPCPeerClient) (*zppeerpb.StatusReply, error) {
+			return c.Status(ctx, &zppeerpb.StatusRequest{})
+		})
+	if err != nil {
+		return Status{}, err
+	}
+	return Status{
+		Instance: out.Instance, Domain: out.FailureDomain, Region: out.Region,
+		ManifestVersion: out.ManifestVersion, Age: milliseconds(out.AgeMs), Mode: out.Mode,
+		OpenRequests: out.OpenRequests, Partitions: int(out.Partitions), LeaseValid: out.LeaseValid,
+	}, nil
+}
+
+func milliseconds(n int64) time.Duration {
+	if n > int64(maxAge/time.Millisecond) {
+		return maxAge
+	}
+	return time.Duration(n) * time.Millisecond
+}
+
+// maxAge bounds ages on the wire, so that "never" does not overflow.
+const maxAge = 365 * 24 * time.Hour
+
+func hintOf(h *zppeerpb.Hint, now time.Time) zphint.Hint {
+	return zphint.Hint{
+		Place: h.GetPlace(), Kind: zphint.Kind(h.GetKind()), Blocks: int(h.GetBlocks()),
+		Generation: h.GetGeneration(), At: now.Add(-milliseconds(h.GetAgeMs())),
+	}
+}
+
+func wireHint(h zphint.Hint, now time.Time) *zppeerpb.Hint {
+	return &zppeerpb.Hint{
+		Place: h.Place, Kind: int32(h.Kind), Blocks: int32(h.Blocks),
+		Generation: h.Generation, AgeMs: now.Sub(h.At).Milliseconds(),
+	}
+}
--- /dev/null
+++ b/internal/zppeer/server.go
@@ -0,0 +1,34 @@
+package zppeer
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zppeer/zppeerpb"
+)
+
+// Listen opens the listener for other daemons.
+func Listen(address string, config *tls.Config) (net.Listener, error) {
+	lis, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("listen for peers: %w", err)
+	}
+	if config != nil {
+		lis = tls.NewListener(lis, config)
+	}
+	return lis, nil
+}
+
+// Serve answers calls on lis until ctx ends.
+func Serve(ctx context.Context, lis net.Listener, impl zppeerpb.DRPCPeerServer) error {
+	mux := drpcmux.New()
+	if err := zppeerpb.DRPCRegisterPeer(mux, impl); err != nil {
+		return fmt.Errorf("register peer service: %w", err)
+	}
+	return drpcserver.New(mux).Serve(ctx, lis)
+}
--- /dev/null
+++ b/internal/zppeer/service.go
@@ -0,0 +1,80 @@
+package zppeer
+
+import (
+	"context"
+	"time"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpadmission"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpclaim"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpfleet"
+	"github.com/zinniapaddle/zinniapaddle/internal/zphint"
+	"github.com/zinniapaddle/zinniapaddle/internal/zplink"
+)
+
+type (
+	// Service is what one daemon does for another. Asking oneself goes through
+	// the same interface without a connection.
+	Service interface {
+		Compare(ctx context.Context, instance string, revision int64, askPromise bool) (zpfleet.Comparison, error)
+		Quote(ctx context.Context, endpoints []string) (map[string]zpadmission.Quote, error)
+		Reserve(ctx context.Context, endpoint string, r zpadmission.Request, slice time.Duration) (zpadmission.Decision, error)
+		Release(ctx context.Context, endpoint string, r zpadmission.Result) error
+		Held(ctx context.Context, endpoints []string) ([]zpadmission.Holding, error)
+		Locate(ctx context.Context, key zphint.Key) ([]zphint.Hint, error)
+		Record(ctx context.Context, key zphint.Key, h zphint.Hint, remove bool) error
+		Claim(ctx context.Context, shard int, a zpclaim.Ask) (zpclaim.Verdict, error)
+		Settle(ctx context.Context, shard int, s zpclaim.Settlement) error
+		Suspect(ctx context.Context, fingerprint string, crashes []string) error
+		GrantBytes(ctx context.Context, link string, bytes int64, urgent bool) (zplink.Grant, error)
+		Status(ctx context.Context) (Status, error)
+	}
+
+	// Status is what a daemon tells operators of itself.
+	Status struct {
+		Instance        string
+		Domain          string
+		Region          string
+		ManifestVersion int64
+		Age             time.Duration // of the proof of freshness
+		Mode            string
+		OpenRequests    int64
+		Partitions      int
+		LeaseValid      bool
+	}
+
+	// Exchange finds the Service of a member: this daemon's own, or a remote
+	// one.
+	Exchange struct {
+		Self        string // instance
+		SelfAddress string
+		Local       Service
+		Dialer      *Dialer
+	}
+)
+
+// To returns the Service of a member.
+func (x *Exchange) To(m zpassign.Member) Service {
+	if m.Instance == x.Self {
+		return x.Local
+	}
+	return x.At(m.Address)
+}
+
+// At returns the Service at an address.
+func (x *Exchange) At(address string) Service {
+	if address == x.SelfAddress {
+		return x.Local
+	}
+	return &Remote{Dialer: x.Dialer, Address: address, Self: x.Self}
+}
+
+// Compare asks the daemon at address for what is newer there.
+func (x *Exchange) Compare(ctx context.Context, address string, revision int64, askPromise bool) (zpfleet.Comparison, error) {
+	return x.At(address).Compare(ctx, x.Self, revision, askPromise)
+}
+
+// HeldBy asks the daemon at address which reservations it has started.
+func (x *Exchange) HeldBy(ctx context.Context, address string, endpoints []string) ([]zpadmission.Holding, error) {
+	return x.At(address).Held(ctx, endpoints)
+}
--- /dev/null
+++ b/internal/zppipeline/link.go
@@ -0,0 +1,18 @@
+package zppipeline
+
+import "context"
+
+// grantLink asks the owner of the inter-region link for bytes. Without an
+// answer nothing is granted.
+func (p *Pipeline) grantLink(ctx context.Context, j *Job, bytes int64) bool {
+	if len(j.Manifest.Links) == 0 {
+		return false
+	}
+	link := j.Manifest.Links[0]
+	owner, ok := p.Fleet.KeyOwner("link/"+link.Name, link.Regions[0])
+	if !ok {
+		return false
+	}
+	g, err := p.Exchange.To(owner).GrantBytes(ctx, link.Name, bytes, j.Urgent)
+	return err == nil && g.Bytes >= bytes
+}
--- /dev/null
+++ b/internal/zpqueue/queue.go
@@ -0,0 +1,207 @@
+// Package zpqueue is a weighted fair queue with two classes. Within a class,
+// flows share by cost over weight (start-time fair queueing); between classes,
+// the urgent one goes first, but every few turns the other has its own.
+package zpqueue
+
+import (
+	"container/heap"
+	"time"
+)
+
+type (
+	// Class separates requests that must be quick from those that may wait.
+	Class int
+
+	// Item is one waiting entry.
+	Item[T any] struct {
+		ID     string
+		Flow   string
+		Weight int
+		Cost   int64
+		Class  Class
+		Expiry time.Time
+		Value  T
+
+		start float64
+		order uint64
+	}
+
+	// Queue is a fair queue. It is not safe for concurrent use.
+	Queue[T any] struct {
+		lanes  [classes]lane[T]
+		order  uint64
+		passed int // urgent turns since the other class had one
+	}
+
+	lane[T any] struct {
+		items   itemHeap[T]
+		virtual float64
+		finish  map[string]float64
+	}
+
+	itemHeap[T any] []*Item[T]
+)
+
+// Classes.
+const (
+	ClassUrgent Class = iota
+	ClassOther
+
+	classes = 2
+)
+
+// UrgentTurnsPerOther is how many urgent items go ahead of a waiting item of
+// the other class.
+const UrgentTurnsPerOther = 8
+
+// Push adds an item.
+func (q *Queue[T]) Push(it *Item[T]) {
+	l := &q.lanes[it.Class]
+	if l.finish == nil {
+		l.finish = map[string]float64{}
+	}
+	weight := max(it.Weight, 1)
+	it.start = max(l.virtual, l.finish[it.Flow])
+	l.finish[it.Flow] = it.start + float64(max(it.Cost, 1))/float64(weight)
+	q.order++
+	it.order = q.order
+	heap.Push(&l.items, it)
+}
+
+// Pop takes the item whose turn it is among those that admit accepts. Expired
+// items must be removed with Expire first.
+func (q *Queue[T]) Pop(admit func(*Item[T]) bool) (*Item[T], bool) {
+	first, second := ClassUrgent, ClassOther
+	if q.passed >= UrgentTurnsPerOther {
+		first, second = ClassOther, ClassUrgent
+	}
+	for _, class := range []Class{first, second} {
+		it, ok := q.lanes[class].pop(admit)
+		if !ok {
+			continue
+		}
+		q.count(class)
+		return it, true
+	}
+	return nil, false
+}
+
+// Has reports whether an item with the given id waits.
+func (q *Queue[T]) Has(id string) bool {
+	for c := range q.lanes {
+		for _, it := range q.lanes[c].items {
+			if it.ID == id {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Remove drops the item with the given id.
+func (q *Queue[T]) Remove(id string) bool {
+	for c := range q.lanes {
+		for i, it := range q.lanes[c].items {
+			if it.ID == id {
+				heap.Remove(&q.lanes[c].items, i)
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// Expire removes and returns the items whose time is over at now.
+func (q *Queue[T]) Expire(now time.Time) []*Item[T] {
+	var out []*Item[T]
+	for c := range q.lanes {
+		for i := 0; i < len(q.lanes[c].items); {
+			if now.Before(q.lanes[c].items[i].Expiry) {
+				i++
+				continue
+			}
+			out = append(out, q.lanes[c].items[i])
+			heap.Remove(&q.lanes[c].items, i)
+		}
+	}
+	return out
+}
+
+// Drain removes and returns everything.
+func (q *Queue[T]) Drain() []*Item[T] {
+	var out []*Item[T]
+	for c := range q.lanes {
+		out = append(out, q.lanes[c].items...)
+		q.lanes[c] = lane[T]{}
+	}
+	return out
+}
+
+// Len returns how many items of a class wait.
+func (q *Queue[T]) Len(c Class) int { return len(q.lanes[c].items) }
+
+func (q *Queue[T]) count(c Class) {
+	if c == ClassOther {
+		q.passed = 0
+		return
+	}
+	if q.lanes[ClassOther].items.Len() > 0 {
+		q.passed++
+	}
+}
+
+func (l *lane[T]) pop(admit func(*Item[T]) bool) (*Item[T], bool) {
+	var kept []*Item[T]
+	var found *Item[T]
+	for l.items.Len() > 0 && found == nil {
+		it := heap.Pop(&l.items).(*Item[T])
+		if admit(it) {
+			found = it
+		} else {
+			kept = append(kept, it)
+		}
+	}
+	for _, it := range kept {
+		heap.Push(&l.items, it)
+	}
+	if found == nil {
+		return nil, false
+	}
+	l.virtual = max(l.virtual, found.start)
+	l.forget()
+	return found, true
+}
+
+// forget drops flows that have caught up, so that idle ones cost no memory.
+func (l *lane[T]) forget() {
+	if l.items.Len() > 0 {
+		return
+	}
+	for flow, finish := range l.finish {
+		if finish <= l.virtual {
+			delete(l.finish, flow)
+		}
+	}
+}
+
+func (h itemHeap[T]) Len() int { return len(h) }
+
+func (h itemHeap[T]) Less(i, j int) bool {
+	if h[i].start != h[j].start {
+		return h[i].start < h[j].start
+	}
+	return h[i].order < h[j].order
+}
+
+func (h itemHeap[T]) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *itemHeap[T]) Push(x any) { *h = append(*h, x.(*Item[T])) }
+
+// Pop implements heap.Interface.
+func (h *itemHeap[T]) Pop() any {
+	old := *h
+	it := old[len(old)-1]
+	*h = old[:len(old)-1]
+	return it
+}
--- /dev/null
+++ b/internal/zpsite/site.go
@@ -0,0 +1,242 @@
+package zpsite
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"time"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpconfig"
+	"github.com/zinniapaddle/zinniapaddle/pkg/zpmanifest"
+	"github.com/zinniapaddle/zinniapaddle/pkg/zpobject"
+)
+
+type (
+	// Config describes a site. Domains are a and b in region north, c in
+	// region south.
+	Config struct {
+		Number       int // 1 to 250; the second byte of all addresses
+		Dir          string
+		BinDir       string
+		Daemons      int
+		Runners      int
+		Services     int
+		Stores       bool
+		Workspaces   []string
+		Settings     map[string]string // extra settings of each daemon, by dotted key
+		RunnerFlags  []string
+		ServiceFlags []string
+		Slots        int
+		ColdSlots    int
+		RequireKey   bool
+	}
+
+	// Site is a running site.
+	Site struct {
+		Config   Config
+		Platform *Process
+		Link     *Process
+		Daemons  []*Process
+		Runners  []*Process
+		Services []*Process
+		Stores   []*Process
+		Manifest *zpmanifest.Manifest
+		API      *zpobject.Client
+	}
+)
+
+// Parts of the site.
+const (
+	ModelPool     = "assistant"
+	ServicePool   = "bookings"
+	WeightVersion = "v1"
+	StartTimeout  = 20 * time.Second
+
+	partitions  = 64
+	claimShards = 8
+	linkBytes   = 30_000_000 / 8
+)
+
+var domains = []zpmanifest.Domain{
+	{Name: "a", Region: "north"}, {Name: "b", Region: "north"}, {Name: "c", Region: "south"},
+}
+
+// Key returns the API key of a workspace of the site.
+func Key(workspace string) string { return "key-of-" + workspace }
+
+// Keys returns the API keys of all workspaces.
+func (s *Site) Keys() map[string]string {
+	keys := map[string]string{}
+	for _, w := range s.Config.Workspaces {
+		keys[w] = Key(w)
+	}
+	return keys
+}
+
+// New prepares a site; nothing runs yet.
+func New(c Config) (*Site, error) {
+	if err := os.MkdirAll(c.Dir, 0o700); err != nil {
+		return nil, fmt.Errorf("make site folder: %w", err)
+	}
+	s := &Site{Config: c, Manifest: manifestOf(c)}
+	standin := filepath.Join(c.BinDir, "zpstandin")
+	s.Platform = s.process("platform", standin, "platform", "--listen", s.platformAddress())
+	s.Link = s.process("link", standin, "link", "--listen", s.linkAddress())
+	for _, e := range s.Manifest.Endpoints {
+		listen := strings.TrimPrefix(e.Address, "http://")
+		region := s.Manifest.Region(e.Domain)
+		if e.Pool == ModelPool {
+			args := append([]string{
+				"runner", "--listen", listen, "--name", e.Name, "--slots", fmt.Sprint(e.Slots),
+				"--cold-bearable", fmt.Sprint(e.ColdSlots), "--region", region, "--link", "http://" + s.linkAddress(),
+			}, c.RunnerFlags...)
+			s.Runners = append(s.Runners, s.process(e.Name, standin, args...))
+			continue
+		}
+		args := append([]string{"service", "--listen", listen, "--name", e.Name}, c.ServiceFlags...)
+		s.Services = append(s.Services, s.process(e.Name, standin, args...))
+	}
+	for _, st := range s.Manifest.Stores {
+		s.Stores = append(s.Stores, s.process(st.Name, standin, "store", "--listen",
+			strings.TrimPrefix(st.Address, "http://"), "--region", s.Manifest.Region(st.Domain)))
+	}
+	for i := range c.Daemons {
+		if err := s.addDaemon(i); err != nil {
+			return nil, err
+		}
+	}
+	s.API = &zpobject.Client{BaseURL: "http://" + s.platformAddress(), HTTP: &http.Client{}, Timeout: 2 * time.Second}
+	return s, nil
+}
+
+// Start starts all parts, stores the manifest, and waits until every daemon is
+// ready.
+func (s *Site) Start(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, StartTimeout)
+	defer cancel()
+	first := append([]*Process{s.Platform, s.Link}, s.Runners...)
+	first = append(append(first, s.Services...), s.Stores...)
+	for _, p := range first {
+		if err := p.Start(); err != nil {
+			return err
+		}
+	}
+	if err := s.storeManifest(ctx); err != nil {
+		return err
+	}
+	for _, d := range s.Daemons {
+		if err := d.Start(); err != nil {
+			return err
+		}
+	}
+	return s.WaitReady(ctx)
+}
+
+// WaitReady waits until every running daemon is ready and every partition has
+// an owner that is running.
+func (s *Site) WaitReady(ctx context.Context) error {
+	for {
+		err := s.ready(ctx)
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("the site is not ready: %w", err)
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// Stop ends everything that runs, daemons first.
+func (s *Site) Stop() error {
+	var failures []error
+	for _, d := range s.Daemons {
+		d.Kill()
+	}
+	rest := append([]*Process{s.Platform, s.Link}, s.Runners...)
+	rest = append(append(rest, s.Services...), s.Stores...)
+	for _, p := range rest {
+		p.Kill()
+	}
+	return errors.Join(failures...)
+}
+
+// Targets returns the callers' URLs of all daemons.
+func (s *Site) Targets() []string {
+	out := make([]string, 0, len(s.Daemons))
+	for i := range s.Daemons {
+		out = append(out, s.Target(i))
+	}
+	return out
+}
+
+// Target returns the callers' URL of a daemon.
+func (s *Site) Target(i int) string { return "http://" + s.daemonIP(i) + ":8080" }
+
+// AdminURL returns the operators' URL of a daemon.
+func (s *Site) AdminURL(i int) string { return "http://" + s.daemonIP(i) + ":8082" }
+
+// SettingsFile returns the settings file of a daemon.
+func (s *Site) SettingsFile(i int) string {
+	return filepath.Join(s.Config.Dir, fmt.Sprintf("daemon-%d.yaml", i))
+}
+
+// LinkURL returns the URL of the link stand-in.
+func (s *Site) LinkURL() string { return "http://" + s.linkAddress() }
+
+// PlatformURL returns the URL of the platform stand-in.
+func (s *Site) PlatformURL() string { return "http://" + s.platformAddress() }
+
+func (s *Site) process(name, path string, args ...string) *Process {
+	return &Process{Name: name, Path: path, Args: args, Dir: s.Config.Dir}
+}
+
+func (s *Site) storeManifest(ctx context.Context) error {
+	text, err := zpmanifest.Format(s.Manifest)
+	if err != nil {
+		return err
+	}
+	for {
+		_, err := s.API.Put(ctx, zpconfig.ManifestObject, text, 0)
+		if err == nil || zpobject.IsConflict(err) {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("store the manifest: %w", err)
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+func (s *Site) ready(ctx context.Context) error {
+	for i, d := range s.Daemons {
+		if d.cmd == nil {
+			continue
+		}
+		if err := get(ctx, s.Target(i)+"/readyz"); err != nil {
+			return fmt.Errorf("daemon %d: %w", i, err)
+		}
+	}
+	return s.partitionsOwned(ctx)
+}
+
+func get(ctx context.Context, url string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return err
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return err
+	}
+	if res.StatusCode != http.StatusOK {
+		err = fmt.Errorf("status %d", res.StatusCode)
+	}
+	return errors.Join(err, res.Body.Close())
+}
--- /dev/null
+++ b/pkg/zperror/error.go
@@ -0,0 +1,174 @@
+// Package zperror defines the typed errors of zinniapaddle. Each error names
+// its kind, a stable code, the remedy, and whether the request it belongs to
+// has run.
+package zperror
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+)
+
+type (
+	// Kind classifies an error by what its receiver can do about it.
+	Kind int
+
+	// RunState tells a caller whether its request has run.
+	RunState int
+
+	// Error is the one error type that crosses package borders.
+	Error struct {
+		Kind       Kind
+		Code       string        // stable, snake case
+		Message    string        // what happened
+		Remedy     string        // what the receiver can do
+		RunState   RunState      // what is known of the request
+		RetryAfter time.Duration // zero: no advice
+		Cause      error
+	}
+)
+
+// Kinds of errors.
+const (
+	KindInternal    Kind = iota // a fault of the daemon itself
+	KindInvalid                 // the request or file is malformed
+	KindDenied                  // the key is unknown or lacks the right
+	KindNotFound                // the named thing does not exist
+	KindConflict                // another writer or request was first
+	KindOverloaded              // a limit is reached; later may succeed
+	KindUnavailable             // a needed part is out of reach
+	KindEndpoint                // the endpoint failed while the request ran
+)
+
+// Run states of a request.
+const (
+	RunStateNotRun RunState = iota
+	RunStateRan
+	RunStateUnknown
+)
+
+// Error formats the message and the remedy.
+func (e *Error) Error() string {
+	text := e.Message
+	if e.Remedy != "" {
+		text = fmt.Sprintf("%s; remedy: %s", text, e.Remedy)
+	}
+	if e.Cause != nil {
+		text = fmt.Sprintf("%s: %v", text, e.Cause)
+	}
+	return text
+}
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.Cause }
+
+// WithState returns a copy of e that carries the given run state.
+func (e *Error) WithState(state RunState) *Error {
+	c := *e
+	c.RunState = state
+	return &c
+}
+
+// WithCause returns a copy of e that wraps cause.
+func (e *Error) WithCause(cause error) *Error {
+	c := *e
+	c.Cause = cause
+	return &c
+}
+
+// WithRetryAfter returns a copy of e that advises to wait for d.
+func (e *Error) WithRetryAfter(d time.Duration) *Error {
+	c := *e
+	c.RetryAfter = d
+	return &c
+}
+
+// New returns an error of the given kind for a request that has not run.
+func New(kind Kind, code, message, remedy string) *Error {
+	return &Error{Kind: kind, Code: code, Message: message, Remedy: remedy}
+}
+
+// Of returns the *Error inside err, or wraps err as an internal error whose
+// run state is unknown.
+func Of(err error) *Error {
+	var e *Error
+	if errors.As(err, &e) {
+		return e
+	}
+	return &Error{
+		Kind:     KindInternal,
+		Code:     "internal",
+		Message:  "unexpected failure",
+		Remedy:   "report it with the trace id",
+		RunState: RunStateUnknown,
+		Cause:    err,
+	}
+}
+
+// Is reports whether err carries the given code.
+func Is(err error, code string) bool {
+	var e *Error
+	return errors.As(err, &e) && e.Code == code
+}
+
+// String returns the wire name of the run state.
+func (s RunState) String() string {
+	switch s {
+	case RunStateNotRun:
+		return "not_run"
+	case RunStateRan:
+		return "ran"
+	default:
+		return "unknown"
+	}
+}
+
+// ParseRunState maps a wire name to a run state; unknown names give
+// RunStateUnknown.
+func ParseRunState(name string) RunState {
+	switch name {
+	case "not_run":
+		return RunStateNotRun
+	case "ran":
+		return RunStateRan
+	default:
+		return RunStateUnknown
+	}
+}
+
+// HTTPStatus returns the HTTP status for the kind.
+func (k Kind) HTTPStatus() int {
+	switch k {
+	case KindInvalid:
+		return http.StatusBadRequest
+	case KindDenied:
+		return http.StatusUnauthorized
+	case KindNotFound:
+		return http.StatusNotFound
+	case KindConflict:
+		return http.StatusConflict
+	case KindOverloaded:
+		return http.StatusTooManyRequests
+	case KindUnavailable:
+		return http.StatusServiceUnavailable
+	case KindEndpoint:
+		return http.StatusBadGateway
+	default:
+		return http.StatusInternalServerError
+	}
+}
+
+// WireType returns the OpenAI error type for the kind.
+func (k Kind) WireType() string {
+	switch k {
+	case KindInvalid, KindNotFound, KindConflict:
+		return "invalid_request_error"
+	case KindDenied:
+		return "authentication_error"
+	case KindOverloaded:
+		return "rate_limit_error"
+	default:
+		return "server_error"
+	}
+}
--- /dev/null
+++ b/pkg/zpmanifest/manifest.go
@@ -0,0 +1,197 @@
+// Package zpmanifest holds the manifest: workspaces, models, pools, endpoints,
+// stores and failure domains, as the operators' build pipeline declares them.
+package zpmanifest
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+)
+
+type (
+	// Manifest is one accepted configuration.
+	Manifest struct {
+		Version     int64 // rises by one with each accepted change
+		Partitions  int   // number of ownership partitions
+		ClaimShards int   // number of claim shards
+		Domains     []Domain
+		Workspaces  []Workspace
+		Models      []Model
+		Pools       []Pool
+		Endpoints   []Endpoint
+		Stores      []Store
+		Links       []Link
+	}
+
+	// Domain is a failure domain.
+	Domain struct {
+		Name   string
+		Region string
+		Out    bool // taken out of service by an operator
+	}
+
+	// Workspace is one tenant.
+	Workspace struct {
+		Name      string
+		KeyHashes []string // hex SHA-256 of each API key
+		Weight    int      // share in the fair queue
+		CacheKey  string   // secret from which block names are keyed
+	}
+
+	// Model names a model and the weight version that new requests use.
+	Model struct {
+		Name          string
+		WeightVersion string
+		Pool          string
+	}
+
+	// Pool groups endpoints that serve the same work.
+	Pool struct {
+		Name       string
+		Kind       PoolKind
+		RequireKey bool // refuse non-idempotent requests without an Idempotency-Key
+		ReadOnly   bool // requests to this service may be repeated
+	}
+
+	// PoolKind tells model engines from plain services.
+	PoolKind string
+
+	// Endpoint is one runner or one application endpoint.
+	Endpoint struct {
+		Name      string
+		Address   string // base URL
+		Pool      string
+		Domain    string
+		Slots     int // requests that may run at once when warm
+		ColdSlots int // requests that may run at once in a cold start
+		Out       bool
+		Fencing   bool // refuses orders with an old fencing number
+	}
+
+	// Store is a KV cache store VM.
+	Store struct {
+		Name    string
+		Address string // base URL
+		Domain  string
+		Out     bool
+	}
+
+	// Link is the connection between two regions.
+	Link struct {
+		Name           string
+		Regions        [2]string
+		BytesPerSecond int64 // each way
+	}
+)
+
+// Kinds of pools.
+const (
+	PoolKindModel   PoolKind = "model"
+	PoolKindService PoolKind = "service"
+)
+
+// HashKey returns the form in which an API key is kept in the manifest.
+func HashKey(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
+
+// WorkspaceByKey returns the workspace of an API key. Every stored hash is
+// compared in constant time.
+func (m *Manifest) WorkspaceByKey(key string) (Workspace, bool) {
+	hash := []byte(HashKey(key))
+	found := -1
+	for i, w := range m.Workspaces {
+		for _, h := range w.KeyHashes {
+			if subtle.ConstantTimeCompare(hash, []byte(h)) == 1 {
+				found = i
+			}
+		}
+	}
+	if found < 0 {
+		return Workspace{}, false
+	}
+	return m.Workspaces[found], true
+}
+
+// WorkspaceByName returns the named workspace.
+func (m *Manifest) WorkspaceByName(name string) (Workspace, bool) {
+	return find(m.Workspaces, func(w Workspace) bool { return w.Name == name })
+}
+
+// ModelByName returns the named model.
+func (m *Manifest) ModelByName(name string) (Model, bool) {
+	return find(m.Models, func(x Model) bool { return x.Name == name })
+}
+
+// PoolByName returns the named pool.
+func (m *Manifest) PoolByName(name string) (Pool, bool) {
+	return find(m.Pools, func(p Pool) bool { return p.Name == name })
+}
+
+// EndpointByName returns the named endpoint.
+func (m *Manifest) EndpointByName(name string) (Endpoint, bool) {
+	return find(m.Endpoints, func(e Endpoint) bool { return e.Name == name })
+}
+
+// DomainByName returns the named failure domain.
+func (m *Manifest) DomainByName(name string) (Domain, bool) {
+	return find(m.Domains, func(d Domain) bool { return d.Name == name })
+}
+
+// StoreByName returns the named store.
+func (m *Manifest) StoreByName(name string) (Store, bool) {
+	return find(m.Stores, func(s Store) bool { return s.Name == name })
+}
+
+// Region returns the region of a failure domain, or "".
+func (m *Manifest) Region(domain string) string {
+	d, _ := m.DomainByName(domain)
+	return d.Region
+}
+
+// DomainOut reports whether a failure domain is out of service. An unknown
+// domain counts as out.
+func (m *Manifest) DomainOut(name string) bool {
+	d, ok := m.DomainByName(name)
+	return !ok || d.Out
+}
+
+// InService reports whether an endpoint may receive new work.
+func (m *Manifest) InService(e Endpoint) bool {
+	return !e.Out && !m.DomainOut(e.Domain)
+}
+
+// Serving returns the endpoints of a pool that may receive new work.
+func (m *Manifest) Serving(pool string) []Endpoint {
+	var out []Endpoint
+	for _, e := range m.Endpoints {
+		if e.Pool == pool && m.InService(e) {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// Clone returns a deep copy.
+func (m *Manifest) Clone() *Manifest {
+	c := *m
+	c.Domains = append([]Domain(nil), m.Domains...)
+	c.Workspaces = append([]Workspace(nil), m.Workspaces...)
+	c.Models = append([]Model(nil), m.Models...)
+	c.Pools = append([]Pool(nil), m.Pools...)
+	c.Endpoints = append([]Endpoint(nil), m.Endpoints...)
+	c.Stores = append([]Store(nil), m.Stores...)
+	c.Links = append([]Link(nil), m.Links...)
+	return &c
+}
+
+func find[T any](list []T, match func(T) bool) (T, bool) {
+	for _, v := range list {
+		if match(v) {
+			return v, true
+		}
+	}
+	var zero T
+	return zero, false
+}
