--- a/internal/zpadmission/evidence.go
+++ b/internal/zpadmission/evidence.go
@@ -62,6 +62,7 @@
 	case PhaseSuspect, PhaseCold:
 		l.phase, l.limit = PhaseRamp, l.ColdSlots
 	}
+	l.prove(r.AsOf)
 	l.promote()
 }
 
@@ -124,6 +125,7 @@
 		l.suspect(now)
 		return
 	}
+	l.prove(now)
 	l.service = smooth(l.service, r.Total)
 	l.first = smooth(l.first, r.FirstToken)
 	if l.phase == PhaseSuspect {
@@ -136,6 +138,12 @@
 	}
 }
 
+func (l *Ledger) prove(at time.Time) {
+	if at.After(l.provenAt) {
+		l.provenAt = at
+	}
+}
+
 func (l *Ledger) promote() {
 	if l.phase == PhaseRamp && l.limit >= l.Slots {
 		l.phase, l.limit = PhaseWarm, l.Slots
--- a/internal/zpadmission/ledger.go
+++ b/internal/zpadmission/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpqueue"
 )
 
@@ -20,10 +21,12 @@
 		boot      string
 		former    []string // boot identities already replaced
 		suspectAt time.Time
+		provenAt  time.Time // when the endpoint was last shown to be warm
 		running   map[string]*entry
 		foreign   int       // runs that a lost owner or holder may have left behind
 		foreignAt time.Time // when foreign was last raised
 		queue     zpqueue.Queue[Request]
+		alone     map[string]time.Time // waiting requests that must run alone
 		service   time.Duration
 		first     time.Duration
 		alarms    int
@@ -40,6 +43,14 @@
 	// for a probe request.
 	ProbeAfter = 2 * time.Second
 
+	// EvidenceAge is how long a sign that the endpoint is warm holds. Without a
+	// newer one, no more than a cold endpoint bears is granted.
+	EvidenceAge = 1500 * time.Millisecond
+
+	// AlonePatience is how long a request that must run alone waits for a gap
+	// before the endpoint is drained for it.
+	AlonePatience = 500 * time.Millisecond
+
 	// otherShare is the share of the slots that requests which may wait can
 	// fill, so that an urgent one finds a free slot.
 	otherSharePercent = 75
@@ -57,7 +68,7 @@
 func NewLedger(slots, coldSlots, queueLimit int, epoch int64) *Ledger {
 	return &Ledger{
 		Slots: slots, ColdSlots: coldSlots, QueueLimit: queueLimit, Epoch: epoch,
-		running: map[string]*entry{}, service: defaultService,
+		running: map[string]*entry{}, alone: map[string]time.Time{}, service: defaultService,
 	}
 }
 
@@ -69,6 +80,9 @@
 	if wait := l.estimate(r.Urgent); wait > r.MaxWait {
 		return l.refuse(r, CodeTooLate), false
 	}
+	if r.Alone {
+		l.alone[r.ID] = now
+	}
 	l.queue.Push(&zpqueue.Item[Request]{
 		ID: r.ID, Flow: r.Workspace, Weight: r.Weight, Cost: r.Cost,
 		Class: classOf(r.Urgent), Expiry: now.Add(r.MaxWait), Value: r,
@@ -89,7 +103,10 @@
 		out = append(out, l.refuse(it.Value, CodeExpired))
 	}
 	for {
-		it, ok := l.queue.Pop(func(it *zpqueue.Item[Request]) bool { return present(it.ID) && l.admits(it.Value, a, now) })
+		draining := l.drainsForAlone(now)
+		it, ok := l.queue.Pop(func(it *zpqueue.Item[Request]) bool {
+			return present(it.ID) && (it.Value.Alone || !draining) && l.admits(it.Value, a, now)
+		})
 		if !ok {
 			return out
 		}
@@ -175,6 +192,8 @@
 // allowed returns how many requests may run at now.
 func (l *Ledger) allowed(a Authority, now time.Time) int {
 	switch {
+	case zpmutant.Active(zpmutant.ColdLimit):
+		return l.Slots
 	case a == AuthorityNone || l.phase == PhaseUnknown:
 		return 0
 	case l.phase == PhaseSuspect:
@@ -184,6 +203,8 @@
 		return 0
 	case a == AuthorityCounting && l.phase == PhaseCold:
 		return 0
+	case now.Sub(l.provenAt) > EvidenceAge:
+		return min(l.limit, l.ColdSlots)
 	case a == AuthorityCounting:
 		return min(l.limit, l.Slots/2)
 	default:
@@ -202,6 +223,21 @@
 	return false
 }
 
+// drainsForAlone reports whether a request that must run alone has waited so
+// long that nothing else may start before it.
+func (l *Ledger) drainsForAlone(now time.Time) bool {
+	for id, since := range l.alone {
+		if !l.queue.Has(id) {
+			delete(l.alone, id)
+			continue
+		}
+		if now.Sub(since) >= AlonePatience {
+			return true
+		}
+	}
+	return false
+}
+
 func (l *Ledger) queued() int {
 	return l.queue.Len(zpqueue.ClassUrgent) + l.queue.Len(zpqueue.ClassOther)
 }
--- /dev/null
+++ b/internal/zpadmission/ledger_test.go
@@ -0,0 +1,265 @@
+package zpadmission_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpadmission"
+)
+
+const (
+	slots     = 8
+	coldSlots = 2
+	queueMax  = 100
+)
+
+var start = time.Unix(1000, 0)
+
+// everyone is the presence of askers that all wait.
+func everyone(string) bool { return true }
+
+func newLedger() *zpadmission.Ledger { return zpadmission.NewLedger(slots, coldSlots, queueMax, 1) }
+
+func report(warm bool, running int, at time.Time) zpadmission.Report {
+	return zpadmission.Report{Boot: "b1", Warm: warm, Running: running, AsOf: at}
+}
+
+func request(id string) zpadmission.Request {
+	return zpadmission.Request{ID: id, Holder: "h", Workspace: "w", Urgent: true, Cost: 10, MaxWait: time.Minute}
+}
+
+// ask queues n requests and returns the ids that are granted.
+func ask(l *zpadmission.Ledger, a zpadmission.Authority, prefix string, n int, now time.Time) []string {
+	for i := range n {
+		_, queued := l.Ask(request(fmt.Sprintf("%s%d", prefix, i)), now)
+		Expect(queued).To(BeTrue())
+	}
+	return grants(l.Next(a, everyone, now))
+}
+
+func grants(decisions []zpadmission.Decision) []string {
+	var out []string
+	for _, d := range decisions {
+		if d.Granted {
+			out = append(out, d.ID)
+		}
+	}
+	return out
+}
+
+// warmLedger returns a ledger whose endpoint is known to be warm.
+func warmLedger(now time.Time) *zpadmission.Ledger {
+	l := newLedger()
+	l.Report(report(true, 0, now))
+	for i := range slots {
+		id := fmt.Sprintf("warm%d", i)
+		Expect(ask(l, zpadmission.AuthorityFull, id, 1, now)).To(HaveLen(1))
+		l.End(zpadmission.Result{ID: id + "0", Outcome: zpadmission.OutcomeOK, Boot: "b1", Total: time.Second}, now)
+	}
+	Expect(l.Phase()).To(Equal(zpadmission.PhaseWarm))
+	return l
+}
+
+var _ = Describe("Ledger", func() {
+	It("grants nothing before it has heard of the endpoint", func() {
+		Expect(ask(newLedger(), zpadmission.AuthorityFull, "r", 3, start)).To(BeEmpty())
+	})
+
+	It("grants a cold endpoint no more than it bears", func() {
+		l := newLedger()
+		l.Report(report(false, 0, start))
+		Expect(ask(l, zpadmission.AuthorityFull, "r", 5, start)).To(HaveLen(coldSlots))
+	})
+
+	It("grants a warm endpoint its slots", func() {
+		l := warmLedger(start)
+		Expect(ask(l, zpadmission.AuthorityFull, "r", 20, start)).To(HaveLen(slots))
+	})
+
+	It("keeps a quarter of the slots free of requests that may wait", func() {
+		l := warmLedger(start)
+		for i := range 20 {
+			r := request(fmt.Sprintf("o%d", i))
+			r.Urgent = false
+			l.Ask(r, start)
+		}
+		Expect(grants(l.Next(zpadmission.AuthorityFull, everyone, start))).To(HaveLen(slots * 3 / 4))
+	})
+
+	It("grants only askers that are present", func() {
+		l := warmLedger(start)
+		l.Ask(request("away"), start)
+		Expect(grants(l.Next(zpadmission.AuthorityFull, func(string) bool { return false }, start))).To(BeEmpty())
+		Expect(l.Waits("away")).To(BeTrue())
+	})
+
+	It("lets a suspect run alone", func() {
+		l := warmLedger(start)
+		r := request("alone")
+		r.Alone = true
+		l.Ask(r, start)
+		Expect(grants(l.Next(zpadmission.AuthorityFull, everyone, start))).To(Equal([]string{"alone"}))
+		Expect(ask(l, zpadmission.AuthorityFull, "r", 3, start)).To(BeEmpty())
+	})
+
+	It("drains for a suspect that waits too long", func() {
+		l := warmLedger(start)
+		Expect(ask(l, zpadmission.AuthorityFull, "r", 2, start)).To(HaveLen(2))
+		alone := request("alone")
+		alone.Alone = true
+		l.Ask(alone, start)
+		later := start.Add(zpadmission.AlonePatience + time.Millisecond)
+		l.Report(report(true, 2, later))
+		Expect(ask(l, zpadmission.AuthorityFull, "late", 2, later)).To(BeEmpty())
+		for _, id := range []string{"r0", "r1"} {
+			l.End(zpadmission.Result{ID: id, Outcome: zpadmission.OutcomeOK, Boot: "b1", Total: time.Second}, later)
+		}
+		Expect(grants(l.Next(zpadmission.AuthorityFull, everyone, later))).To(Equal([]string{"alone"}))
+	})
+
+	It("refuses early what would wait too long", func() {
+		l := newLedger()
+		r := request("r")
+		r.MaxWait = time.Millisecond
+		for i := range 5 {
+			l.Ask(request(fmt.Sprintf("q%d", i)), start)
+		}
+		d, queued := l.Ask(r, start)
+		Expect(queued).To(BeFalse())
+		Expect(d.Code).To(Equal(zpadmission.CodeTooLate))
+		Expect(d.RetryAfter).To(BeNumerically(">", 0))
+	})
+
+	It("refuses what has waited too long", func() {
+		l := newLedger()
+		l.Ask(request("r"), start)
+		ds := l.Next(zpadmission.AuthorityFull, everyone, start.Add(2*time.Minute))
+		Expect(ds).To(HaveLen(1))
+		Expect(ds[0].Code).To(Equal(zpadmission.CodeExpired))
+	})
+})
+
+var _ = Describe("Authority", func() {
+	DescribeTable("bounds what is granted",
+		func(a zpadmission.Authority, warm bool, expected int) {
+			l := newLedger()
+			if warm {
+				l = warmLedger(start)
+			} else {
+				l.Report(report(false, 0, start))
+			}
+			Expect(ask(l, a, "r", 20, start)).To(HaveLen(expected))
+		},
+		Entry("none, warm", zpadmission.AuthorityNone, true, 0),
+		Entry("none, cold", zpadmission.AuthorityNone, false, 0),
+		Entry("counting, warm", zpadmission.AuthorityCounting, true, slots/2),
+		Entry("counting, cold", zpadmission.AuthorityCounting, false, 0),
+		Entry("full, warm", zpadmission.AuthorityFull, true, slots),
+		Entry("full, cold", zpadmission.AuthorityFull, false, coldSlots),
+	)
+
+	It("counts what a former owner's holders still run", func() {
+		l := newLedger()
+		l.Report(report(false, 1, start))
+		l.Adopt([]zpadmission.Holding{{ID: "x", Holder: "other"}}, start)
+		Expect(ask(l, zpadmission.AuthorityFull, "r", 3, start)).To(HaveLen(coldSlots - 1))
+	})
+
+	It("counts what a dead holder left until a later report shows its end", func() {
+		l := newLedger()
+		l.Report(report(false, 0, start))
+		Expect(ask(l, zpadmission.AuthorityFull, "r", coldSlots, start)).To(HaveLen(coldSlots))
+		l.HolderGone("h", start.Add(time.Second))
+		Expect(ask(l, zpadmission.AuthorityFull, "s", 1, start.Add(time.Second))).To(BeEmpty())
+		l.Report(report(false, 0, start.Add(500*time.Millisecond)))
+		Expect(grants(l.Next(zpadmission.AuthorityFull, everyone, start.Add(time.Second)))).To(BeEmpty())
+		l.Report(report(false, 0, start.Add(2*time.Second)))
+		Expect(grants(l.Next(zpadmission.AuthorityFull, everyone, start.Add(2*time.Second)))).To(HaveLen(1))
+	})
+
+	It("drops reservations that their holder does not know", func() {
+		l := newLedger()
+		l.Report(report(false, 0, start))
+		Expect(ask(l, zpadmission.AuthorityFull, "r", coldSlots, start)).To(HaveLen(coldSlots))
+		later := start.Add(10 * time.Second)
+		l.Reconcile("h", []zpadmission.Holding{{ID: "r0", Holder: "h"}}, later, later)
+		Expect(ask(l, zpadmission.AuthorityFull, "s", 3, later)).To(HaveLen(1))
+	})
+})
+
+var _ = Describe("Evidence", func() {
+	DescribeTable("of a fall stops new work at once",
+		func(o zpadmission.Outcome) {
+			l := warmLedger(start)
+			Expect(ask(l, zpadmission.AuthorityFull, "r", 1, start)).To(HaveLen(1))
+			l.End(zpadmission.Result{ID: "r0", Outcome: o}, start)
+			Expect(ask(l, zpadmission.AuthorityFull, "s", 3, start)).To(BeEmpty())
+		},
+		Entry("refused", zpadmission.OutcomeRefused),
+		Entry("broken", zpadmission.OutcomeBroken),
+		Entry("overdue", zpadmission.OutcomeOverdue),
+	)
+
+	It("of a new boot makes the endpoint cold", func() {
+		l := warmLedger(start)
+		Expect(ask(l, zpadmission.AuthorityFull, "r", 1, start)).To(HaveLen(1))
+		l.End(zpadmission.Result{ID: "r0", Outcome: zpadmission.OutcomeOK, Boot: "b2"}, start)
+		Expect(ask(l, zpadmission.AuthorityFull, "s", 5, start)).To(HaveLen(coldSlots))
+	})
+
+	It("of a former boot says nothing", func() {
+		l := warmLedger(start)
+		Expect(ask(l, zpadmission.AuthorityFull, "r", 2, start)).To(HaveLen(2))
+		l.End(zpadmission.Result{ID: "r0", Outcome: zpadmission.OutcomeOK, Boot: "b2"}, start)
+		l.End(zpadmission.Result{ID: "r1", Outcome: zpadmission.OutcomeBroken, Boot: "b1"}, start)
+		Expect(l.Phase()).To(Equal(zpadmission.PhaseCold))
+		l.Report(report(true, 0, start.Add(time.Second)))
+		Expect(l.Phase()).To(Equal(zpadmission.PhaseCold))
+	})
+
+	It("is not cleared by a report made before it", func() {
+		l := warmLedger(start)
+		l.Evidence("", start.Add(time.Second))
+		l.Report(report(true, 0, start.Add(900*time.Millisecond)))
+		Expect(l.Phase()).To(Equal(zpadmission.PhaseSuspect))
+		l.Report(report(true, 0, start.Add(1100*time.Millisecond)))
+		Expect(l.Phase()).To(Equal(zpadmission.PhaseRamp))
+	})
+
+	It("is looked for with one probe when no report comes", func() {
+		l := warmLedger(start)
+		l.Evidence("", start)
+		later := start.Add(zpadmission.ProbeAfter)
+		Expect(ask(l, zpadmission.AuthorityFull, "p", 4, later)).To(HaveLen(1))
+		l.End(zpadmission.Result{ID: "p0", Outcome: zpadmission.OutcomeOK, Boot: "b1", Total: time.Second}, later)
+		Expect(l.Phase()).To(Equal(zpadmission.PhaseCold))
+	})
+
+	It("that is old allows no more than a cold endpoint bears", func() {
+		l := warmLedger(start)
+		later := start.Add(zpadmission.EvidenceAge + time.Millisecond)
+		Expect(ask(l, zpadmission.AuthorityFull, "r", 20, later)).To(HaveLen(coldSlots))
+	})
+
+	It("of a slow answer makes a warm endpoint a suspect", func() {
+		l := warmLedger(start)
+		Expect(ask(l, zpadmission.AuthorityFull, "r", 2, start)).To(HaveLen(2))
+		l.End(zpadmission.Result{ID: "r0", Outcome: zpadmission.OutcomeOK, Boot: "b1", FirstToken: 20 * time.Millisecond, Total: time.Second}, start)
+		l.End(zpadmission.Result{ID: "r1", Outcome: zpadmission.OutcomeOK, Boot: "b1", FirstToken: 5 * time.Second, Total: 6 * time.Second}, start)
+		Expect(l.Phase()).To(Equal(zpadmission.PhaseSuspect))
+		Expect(l.Alarms()).To(Equal(1))
+	})
+
+	It("lets the limit grow with successes alone", func() {
+		l := newLedger()
+		l.Report(report(false, 0, start))
+		l.Report(report(true, 0, start.Add(time.Second)))
+		now := start.Add(time.Second)
+		Expect(ask(l, zpadmission.AuthorityFull, "r", 10, now)).To(HaveLen(coldSlots))
+		l.End(zpadmission.Result{ID: "r0", Outcome: zpadmission.OutcomeOK, Boot: "b1", Total: time.Second}, now)
+		Expect(grants(l.Next(zpadmission.AuthorityFull, everyone, now))).To(HaveLen(2))
+	})
+})
--- a/internal/zpadmission/types.go
+++ b/internal/zpadmission/types.go
@@ -47,6 +47,7 @@
 		Boot    string
 		Warm    bool
 		Running int
+		Version string    // weight version of new requests; "" for a plain service
 		AsOf    time.Time // when the endpoint made it, by the reader's clock
 	}
 
--- a/internal/zpapp/run.go
+++ b/internal/zpapp/run.go
@@ -12,6 +12,7 @@
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 	"github.com/zinniapaddle/zinniapaddle/internal/zppeer"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpsettings"
 )
@@ -74,6 +75,10 @@
 	d.leaving.Store(true)
 	d.Log.Emit(zplog.Stopping, zplog.Fields{"open_requests": d.open.Load()})
 	d.setState(zpassign.MemberLeaving)
+	if zpmutant.Active(zpmutant.Drain) {
+		_ = d.front.Close()
+		return
+	}
 	time.Sleep(d.Settings.Drain.Notice)
 	ctx, cancel := context.WithTimeout(context.Background(), d.Settings.Drain.Timeout)
 	defer cancel()
--- a/internal/zpbench/standin.go
+++ b/internal/zpbench/standin.go
@@ -39,22 +39,22 @@
 
 	runnerCommand struct {
 		listenFlag
-		Name         string   `default:"runner" help:"Name of the endpoint."`
-		Slots        int      `default:"8" help:"Requests decoded at once."`
-		Prefill      int      `default:"8000" help:"Tokens recomputed per second."`
-		DecodeMS     int      `default:"8" help:"Time per token."`
-		CacheBlocks  int      `default:"400" help:"Blocks of the prefix cache."`
-		ColdMS       int      `default:"2000" help:"Length of a cold start."`
-		ColdBearable int      `default:"2" help:"Requests that a cold engine bears."`
-		ColdFactor   int      `default:"4" help:"How much slower a cold engine is."`
-		StartCold    bool     `help:"Begin in a cold start."`
-		RestartMS    int      `default:"500" help:"Time without connections after a crash."`
-		ReportLagMS  int      `default:"300" help:"Lag of the load report."`
-		Versions     []string `default:"v1" help:"Weight versions held."`
-		Fencing      bool     `help:"Refuse orders with an old fencing number."`
-		BlockBytes   int      `default:"32768" help:"KV cache bytes of one block."`
-		Region       string   `help:"Region of the engine."`
-		Link         string   `help:"Base URL of the link stand-in."`
+		Name         string `default:"runner" help:"Name of the endpoint."`
+		Slots        int    `default:"8" help:"Requests decoded at once."`
+		Prefill      int    `default:"8000" help:"Tokens recomputed per second."`
+		DecodeMS     int    `default:"8" help:"Time per token."`
+		CacheBlocks  int    `default:"400" help:"Blocks of the prefix cache."`
+		ColdMS       int    `default:"2000" help:"Length of a cold start."`
+		ColdBearable int    `default:"2" help:"Requests that a cold engine bears."`
+		ColdFactor   int    `default:"4" help:"How much slower a cold engine is."`
+		StartCold    bool   `help:"Begin in a cold start."`
+		RestartMS    int    `default:"500" help:"Time without connections after a crash."`
+		ReportLagMS  int    `default:"300" help:"Lag of the load report."`
+		Version      string `default:"v1" help:"Weight version of new requests."`
+		Fencing      bool   `help:"Refuse orders with an old fencing number."`
+		BlockBytes   int    `default:"32768" help:"KV cache bytes of one block."`
+		Region       string `help:"Region of the engine."`
+		Link         string `help:"Base URL of the link stand-in."`
 	}
 )
 
@@ -90,7 +90,7 @@
 	r, err := zpstandin.NewRunner(zpstandin.RunnerConfig{
 		Name: c.Name, Slots: c.Slots, PrefillTokens: c.Prefill, Decode: ms(c.DecodeMS), CacheBlocks: c.CacheBlocks,
 		ColdFor: ms(c.ColdMS), ColdBearable: c.ColdBearable, ColdFactor: c.ColdFactor, StartCold: c.StartCold,
-		RestartFor: ms(c.RestartMS), ReportLag: ms(c.ReportLagMS), Versions: c.Versions, Fencing: c.Fencing,
+		RestartFor: ms(c.RestartMS), ReportLag: ms(c.ReportLagMS), Version: c.Version, Fencing: c.Fencing,
 		BlockBytes: c.BlockBytes, Region: c.Region, LinkAddress: c.Link,
 	})
 	if err != nil {
--- a/internal/zpclaim/writer.go
+++ b/internal/zpclaim/writer.go
@@ -198,3 +198,10 @@
 		delete(w.table.Pages, i)
 	}
 }
+
+// Pending returns how many calls wait for the next write.
+func (w *Writer) Pending() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return len(w.pending)
+}
--- a/internal/zpconfig/cache.go
+++ b/internal/zpconfig/cache.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zpmanifest"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zpobject"
 )
@@ -63,7 +64,7 @@
 	var manifestErr error
 	manifestChanged := false
 	for _, o := range objects {
-		if o.Revision <= c.objects[o.Name].Revision {
+		if o.Revision <= c.objects[o.Name].Revision && !zpmutant.Active(zpmutant.VersionOrder) {
 			continue
 		}
 		c.objects[o.Name] = o
@@ -171,7 +172,7 @@
 func (c *Cache) InService(e zpmanifest.Endpoint) bool {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	return c.manifest != nil && c.manifest.InService(e) && !c.leaving[e.Name]
+	return c.manifest != nil && (c.manifest.InService(e) && !c.leaving[e.Name] || zpmutant.Active(zpmutant.OutOfService))
 }
 
 // Serving returns the endpoints of a pool that may receive new work.
@@ -182,8 +183,9 @@
 		return nil
 	}
 	var out []zpmanifest.Endpoint
-	for _, e := range c.manifest.Serving(pool) {
-		if !c.leaving[e.Name] {
+	for _, e := range c.manifest.Endpoints {
+		in := c.manifest.InService(e) && !c.leaving[e.Name]
+		if e.Pool == pool && (in || zpmutant.Active(zpmutant.OutOfService)) {
 			out = append(out, e)
 		}
 	}
@@ -234,7 +236,7 @@
 	if err := zpmanifest.CheckChange(c.manifest, m); err != nil {
 		return false, err
 	}
-	if c.manifest != nil && m.Version <= c.manifest.Version {
+	if c.manifest != nil && m.Version <= c.manifest.Version && !zpmutant.Active(zpmutant.VersionOrder) {
 		return false, fmt.Errorf("manifest version %d is not above %d", m.Version, c.manifest.Version)
 	}
 	c.manifest = m
--- a/internal/zpengine/client.go
+++ b/internal/zpengine/client.go
@@ -28,6 +28,7 @@
 		Boot    string `json:"boot"`
 		Warm    bool   `json:"warm"`
 		Running int    `json:"running"`
+		Version string `json:"version"`
 		AgeMS   int64  `json:"age_ms"`
 	}
 )
@@ -103,7 +104,7 @@
 		return zpadmission.Report{}, fmt.Errorf("decode report: %w", err)
 	}
 	asOf := asked.Add(-time.Duration(w.AgeMS) * time.Millisecond)
-	return zpadmission.Report{Boot: w.Boot, Warm: w.Warm, Running: w.Running, AsOf: asOf}, nil
+	return zpadmission.Report{Boot: w.Boot, Warm: w.Warm, Running: w.Running, Version: w.Version, AsOf: asOf}, nil
 }
 
 // post sends a body through a gate. The transport cannot send it twice: the
--- a/internal/zpengine/generate.go
+++ b/internal/zpengine/generate.go
@@ -142,7 +142,12 @@
 	text, _ := io.ReadAll(io.LimitReader(res.Body, errorTextLimit))
 	o.Err = fmt.Errorf("endpoint answered %d: %s", res.StatusCode, strings.TrimSpace(string(text)))
 	o.Kind = zpadmission.OutcomeFailed
-	if res.Header.Get(HeaderNotStarted) == "true" {
+	switch {
+	case res.Header.Get(HeaderNotStarted) != "true":
+	case res.StatusCode == http.StatusConflict:
+		// Another weight version is loaded; that is no sign of a fall.
+		o.Kind = zpadmission.OutcomeNotStarted
+	default:
 		o.Kind = zpadmission.OutcomeRefused
 	}
 	return o
--- a/internal/zpengine/types.go
+++ b/internal/zpengine/types.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpadmission"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
 )
 
@@ -85,9 +86,11 @@
 // is the one place where that is decided.
 func (o Outcome) RunState() zperror.RunState {
 	switch {
+	case zpmutant.Active(zpmutant.NotRun):
+		return zperror.RunStateNotRun
 	case !o.Sent:
 		return zperror.RunStateNotRun
-	case o.Kind == zpadmission.OutcomeRefused:
+	case o.Kind == zpadmission.OutcomeRefused, o.Kind == zpadmission.OutcomeNotStarted:
 		return zperror.RunStateNotRun
 	case o.Done:
 		return zperror.RunStateRan
--- a/internal/zpfleet/view.go
+++ b/internal/zpfleet/view.go
@@ -34,7 +34,9 @@
 	for _, e := range m.Endpoints {
 		owner := v.Owners[EndpointPartition(m, v, e)]
 		if owner.Instance == f.Self.Instance && f.Cache.InService(e) {
-			out[e.Name] = zpowner.Assignment{Endpoint: e, Epoch: owner.Epoch, First: owner.Epoch == 1}
+			out[e.Name] = zpowner.Assignment{
+				Endpoint: e, Epoch: owner.Epoch, First: owner.Epoch == 1, Version: m.PoolVersion(e.Pool),
+			}
 		}
 	}
 	return out
--- a/internal/zpfront/front.go
+++ b/internal/zpfront/front.go
@@ -87,6 +87,9 @@
 // Shutdown stops taking connections and waits for open requests until ctx ends.
 func (f *Front) Shutdown(ctx context.Context) error { return f.server.Shutdown(ctx) }
 
+// Close cuts all connections.
+func (f *Front) Close() error { return f.server.Close() }
+
 func (f *Front) healthz(c iris.Context) { c.StatusCode(http.StatusOK) }
 
 // readyz tells the balancer whether to send new work here.
--- a/internal/zplog/event.go
+++ b/internal/zplog/event.go
@@ -49,6 +49,7 @@
 	RequestRetried    = Event{401, logrus.InfoLevel, "request sent again to another endpoint", "none"}
 	EndpointSuspect   = Event{500, logrus.WarnLevel, "endpoint shows signs of a cold start; new work is held", "none; check the endpoint if it persists"}
 	EndpointWarm      = Event{501, logrus.InfoLevel, "endpoint is warm", "none"}
+	OrderGiven        = Event{502, logrus.InfoLevel, "order given to an engine", "check the engine if it repeats"}
 	FingerprintBanned = Event{600, logrus.ErrorLevel, "request is quarantined after crashes of two endpoints", "see docs/operators/crashing_request.md"}
 	ClaimSettleFailed = Event{700, logrus.WarnLevel, "outcome of a claim could not be recorded yet", "check the platform if it persists"}
 	PeerFailed        = Event{800, logrus.DebugLevel, "call to another daemon failed", "none"}
@@ -62,7 +63,7 @@
 		LeaseRenewFailed, LeaseLost, LeaseLapsed, MemberEnded, PartitionTaken, PartitionLeft,
 		ConfigApplied, ConfigRefused, ConfigStale, ConfigFresh, WatchFailed,
 		RequestFailed, RequestRetried,
-		EndpointSuspect, EndpointWarm, FingerprintBanned, ClaimSettleFailed, PeerFailed, ServerFailed,
+		EndpointSuspect, EndpointWarm, OrderGiven, FingerprintBanned, ClaimSettleFailed, PeerFailed, ServerFailed,
 	}
 }
 
--- /dev/null
+++ b/internal/zpmutant/on.go
@@ -0,0 +1,11 @@
+//go:build zpmutant
+
+package zpmutant
+
+import "os"
+
+// Variable is the environment variable that names the mechanism to switch off.
+const Variable = "ZP_MUTANT"
+
+// Active reports whether a mechanism is switched off.
+func Active(n Name) bool { return os.Getenv(Variable) == string(n) }
--- a/internal/zpowner/owner.go
+++ b/internal/zpowner/owner.go
@@ -10,6 +10,7 @@
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpadmission"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zporder"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zpmanifest"
 )
 
@@ -19,6 +20,11 @@
 		Report(ctx context.Context, e zpmanifest.Endpoint) (zpadmission.Report, error)
 	}
 
+	// Orderer sends orders to engines.
+	Orderer interface {
+		Order(ctx context.Context, e zpmanifest.Endpoint, o zporder.Order) error
+	}
+
 	// HeldBy asks one member which reservations it holds on some endpoints.
 	HeldBy func(ctx context.Context, address string, endpoints []string) ([]zpadmission.Holding, error)
 
@@ -29,6 +35,7 @@
 		ReportEvery   time.Duration
 		QueueLimit    int
 		Reporter      Reporter
+		Orderer       Orderer
 		HeldBy        HeldBy
 		Fleet         Fleet
 		Log           *zplog.Logger
@@ -55,7 +62,8 @@
 	Assignment struct {
 		Endpoint zpmanifest.Endpoint
 		Epoch    int64
-		First    bool // no daemon owned the partition before
+		Version  string // weight version that new requests use; "" for a plain service
+		First    bool   // no daemon owned the partition before
 	}
 
 	// desk is one endpoint's ledger with the requests that wait on it.
@@ -68,6 +76,8 @@
 		takenAt   time.Time
 		answered  map[string]bool // peers that have reported what they hold
 		reporting bool
+		version   string // desired
+		orders    zporder.Keeper
 	}
 )
 
@@ -76,6 +86,7 @@
 	reconcileEvery = 2 * time.Second
 	reconcileAge   = 5 * time.Second
 	detachedLimit  = time.Second
+	orderSettle    = 500 * time.Millisecond
 )
 
 // Run keeps the ledgers until ctx ends.
@@ -134,7 +145,7 @@
 			delete(o.desks, name)
 			continue
 		}
-		d.endpoint = a.Endpoint
+		d.endpoint, d.version = a.Endpoint, a.Version
 		d.ledger.Slots, d.ledger.ColdSlots = a.Endpoint.Slots, a.Endpoint.ColdSlots
 	}
 	for name, a := range assigned {
@@ -270,6 +281,8 @@
 		counting: !a.First,
 		takenAt:  now,
 		answered: map[string]bool{},
+		version:  a.Version,
+		orders:   zporder.Keeper{Epoch: a.Epoch, Settle: orderSettle},
 	}
 }
 
--- a/internal/zpowner/recover.go
+++ b/internal/zpowner/recover.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpadmission"
+	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zporder"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zpmanifest"
 )
 
@@ -15,6 +17,9 @@
 		o.upkeep.Go(func() {
 			r, err := o.Reporter.Report(ctx, e)
 			o.takeReport(e.Name, r, err)
+			if err == nil {
+				o.giveOrder(ctx, e, r)
+			}
 		})
 	}
 }
@@ -54,6 +59,29 @@
 	o.advance(d, now)
 }
 
+// giveOrder sends the order that the engine needs, if any. A refused or lost
+// order shows in the next report, and is given again.
+func (o *Owner) giveOrder(ctx context.Context, e zpmanifest.Endpoint, r zpadmission.Report) {
+	now := o.Clock()
+	o.mu.Lock()
+	d := o.desks[e.Name]
+	if d == nil || !o.Fleet.HoldsLease(now) {
+		o.mu.Unlock()
+		return
+	}
+	order, due := d.orders.Next(d.version, zporder.Seen{Version: r.Version, AsOf: r.AsOf}, now)
+	o.mu.Unlock()
+	if !due {
+		return
+	}
+	err := o.Orderer.Order(ctx, e, order)
+	fields := zplog.Fields{"endpoint": e.Name, "version": order.Version, "epoch": order.Epoch}
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	o.Log.Emit(zplog.OrderGiven, fields)
+}
+
 // countAll asks peers what they hold of endpoints that were taken over, once
 // every reservation of the former owner has started or lapsed.
 func (o *Owner) countAll(ctx context.Context) {
--- a/internal/zppipeline/accept.go
+++ b/internal/zppipeline/accept.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpconfig"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
 )
 
@@ -24,7 +25,7 @@
 	if j.Manifest == nil {
 		return errNoConfig.WithRetryAfter(cutOffRetryAfter)
 	}
-	if !p.Fleet.Serves(p.Clock()) {
+	if !p.Fleet.Serves(p.Clock()) && !zpmutant.Active(zpmutant.Freshness) {
 		return errCutOff.WithRetryAfter(cutOffRetryAfter)
 	}
 	return nil
--- a/internal/zppipeline/generate.go
+++ b/internal/zppipeline/generate.go
@@ -10,6 +10,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpadmission"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
 )
 
@@ -46,13 +47,18 @@
 			j.Endpoint, j.Usage = r.Endpoint.Name, o.Usage
 			return nil
 		}
+		tried[r.Endpoint.Name] = true
+		if p.notStarted(ctx, j, o) {
+			attempt--
+			p.sleep(ctx, idleRound)
+			continue
+		}
 		if !p.mayRetry(ctx, j, o, attempt) || !budget.Take() {
 			return p.generateError(ctx, j, o)
 		}
 		if err := p.quarantine(ctx, j); err != nil {
 			return zperror.Of(err).WithState(j.RunState)
 		}
-		tried[r.Endpoint.Name] = true
 		p.Metrics.Retries.WithLabelValues("broken").Inc()
 		p.Log.Emit(zplog.RequestRetried, zplog.Fields{
 			"request": j.ID, "endpoint": r.Endpoint.Name, "delivered": j.Delivered, "error": fmt.Sprint(o.Err),
@@ -105,7 +111,7 @@
 	injectTrace(ctx, trace)
 	g := zpengine.Generation{
 		Address: r.Endpoint.Address, Path: j.Prompt.Path, Body: j.Prompt.Body, RequestID: r.ID,
-		Salt: j.Salt.String(), WeightVersion: j.Model.WeightVersion, Urgent: j.Urgent, ResumeFrom: j.Delivered,
+		Salt: j.Salt.String(), WeightVersion: j.Model.WeightVersion, Urgent: j.Urgent, ResumeFrom: j.resumeFrom(),
 		Trace: trace, FirstOverdue: p.Settings.Endpoint.FirstTokenOverdue, Stall: p.Settings.Endpoint.StallTimeout,
 	}
 	if s := r.Choice.Import; s != nil && p.mayImport(ctx, j, r) {
@@ -118,6 +124,13 @@
 	return g
 }
 
+func (j *Job) resumeFrom() int {
+	if zpmutant.Active(zpmutant.Resume) {
+		return 0
+	}
+	return j.Delivered
+}
+
 // mayImport asks the link's owner for the bytes that an import would send
 // between regions.
 func (p *Pipeline) mayImport(ctx context.Context, j *Job, r Reservation) bool {
@@ -137,6 +150,13 @@
 	return o
 }
 
+// notStarted reports whether the run was not begun for a reason that passes,
+// such as a late reservation or a swap of weights, and the job may still wait.
+func (p *Pipeline) notStarted(ctx context.Context, j *Job, o zpengine.Outcome) bool {
+	waited := p.Clock().Sub(j.AcceptedAt)
+	return o.Kind == zpadmission.OutcomeNotStarted && ctx.Err() == nil && waited < p.maxWait(j)
+}
+
 // mayRetry reports whether the run may be continued elsewhere.
 func (p *Pipeline) mayRetry(ctx context.Context, j *Job, o zpengine.Outcome, attempt int) bool {
 	if ctx.Err() != nil || errors.Is(o.Err, errSink) || errors.Is(o.Err, errOtherVersion) {
--- a/internal/zppipeline/job.go
+++ b/internal/zppipeline/job.go
@@ -78,6 +78,8 @@
 		Endpoint   string
 		Usage      zpengine.Usage
 		RunState   zperror.RunState // what is known from all runs so far
+
+		reservations int // asked for so far; numbers their ids
 	}
 
 	// Filter is one step of the pipeline.
--- a/internal/zppipeline/quarantine.go
+++ b/internal/zppipeline/quarantine.go
@@ -8,6 +8,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpadmission"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpquarantine"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zpmanifest"
@@ -40,7 +41,7 @@
 // tells every daemon before the request may run again. grantBoot is the boot
 // identity that the owner knew; with the endpoint's name it names the fall.
 func (p *Pipeline) noteCrash(ctx context.Context, j *Job, e zpmanifest.Endpoint, grantBoot string, o zpengine.Outcome) {
-	if o.Kind != zpadmission.OutcomeBroken {
+	if o.Kind != zpadmission.OutcomeBroken || zpmutant.Active(zpmutant.Quarantine) {
 		return
 	}
 	boot := o.Boot
--- a/internal/zppipeline/reserve.go
+++ b/internal/zppipeline/reserve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpadmission"
@@ -94,7 +95,8 @@
 	if !ok {
 		return Reservation{}, refused
 	}
-	r := Reservation{ID: p.NewID(), Endpoint: e, Owner: owner, Choice: c}
+	j.reservations++
+	r := Reservation{ID: fmt.Sprintf("%s-%d", j.ID, j.reservations), Endpoint: e, Owner: owner, Choice: c}
 	request := p.request(j, r.ID)
 	slice := time.Duration(float64(p.Settings.Reserve.StartDeadline) * pollShare)
 	for {
--- a/internal/zppipeline/service.go
+++ b/internal/zppipeline/service.go
@@ -10,6 +10,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpclaim"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
 )
 
@@ -48,7 +49,7 @@
 	}
 	// From here on the run must be recorded, whether or not its caller stays.
 	ctx = context.WithoutCancel(ctx)
-	if j.Service.IdempotencyKey == "" {
+	if j.Service.IdempotencyKey == "" || zpmutant.Active(zpmutant.Claim) {
 		return p.callOnce(ctx, j, answer)
 	}
 	return p.callClaimed(ctx, j, answer)
--- a/internal/zpprefix/prefix.go
+++ b/internal/zpprefix/prefix.go
@@ -7,6 +7,8 @@
 	"crypto/hmac"
 	"crypto/sha256"
 	"encoding/hex"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 )
 
 type (
@@ -30,6 +32,12 @@
 // NewSalt derives a salt from the workspace's secret.
 func NewSalt(cacheKey, workspace, model, weightVersion string) Salt {
 	mac := hmac.New(sha256.New, []byte(cacheKey))
+	if zpmutant.Active(zpmutant.SaltWorkspace) {
+		mac, workspace = hmac.New(sha256.New, nil), ""
+	}
+	if zpmutant.Active(zpmutant.SaltVersion) {
+		weightVersion = ""
+	}
 	for _, part := range []string{workspace, model, weightVersion} {
 		sum := sha256.Sum256([]byte(part))
 		mac.Write(sum[:])
--- a/internal/zpqueue/queue.go
+++ b/internal/zpqueue/queue.go
@@ -6,6 +6,8 @@
 import (
 	"container/heap"
 	"time"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 )
 
 type (
@@ -62,6 +64,9 @@
 	}
 	weight := max(it.Weight, 1)
 	it.start = max(l.virtual, l.finish[it.Flow])
+	if zpmutant.Active(zpmutant.FairQueue) {
+		it.start = 0
+	}
 	l.finish[it.Flow] = it.start + float64(max(it.Cost, 1))/float64(weight)
 	q.order++
 	it.order = q.order
@@ -172,16 +177,16 @@
 	return found, true
 }
 
-// forget drops flows that have caught up, so that idle ones cost no memory.
+// forget ends a busy period: with nothing waiting, all flows have caught up, and
+// what they used before counts no more.
 func (l *lane[T]) forget() {
 	if l.items.Len() > 0 {
 		return
 	}
-	for flow, finish := range l.finish {
-		if finish <= l.virtual {
-			delete(l.finish, flow)
-		}
+	for _, finish := range l.finish {
+		l.virtual = max(l.virtual, finish)
 	}
+	clear(l.finish)
 }
 
 func (h itemHeap[T]) Len() int { return len(h) }
--- /dev/null
+++ b/internal/zpretry/retry_test.go
@@ -0,0 +1,61 @@
+package zpretry_test
+
+import (
+	"math/rand/v2"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpretry"
+)
+
+var _ = Describe("Budget", func() {
+	It("does not amplify an overload", func() {
+		b := &zpretry.Budget{Ratio: 0.1, Burst: 10}
+		retries := 0
+		for range 1000 {
+			b.Attempt()
+			if b.Take() {
+				retries++
+			}
+		}
+		Expect(retries).To(BeNumerically("<=", 110))
+	})
+
+	It("allows a burst and then a share", func() {
+		b := &zpretry.Budget{Ratio: 0.5, Burst: 2}
+		Expect([]bool{b.Take(), b.Take(), b.Take()}).To(Equal([]bool{true, true, false}))
+		b.Attempt()
+		Expect(b.Take()).To(BeFalse())
+		b.Attempt()
+		Expect(b.Take()).To(BeTrue())
+	})
+
+	It("belongs to one workspace and pool", func() {
+		book := &zpretry.Book{Ratio: 0, Burst: 1}
+		Expect(book.Of("a", "p").Take()).To(BeTrue())
+		Expect(book.Of("a", "p").Take()).To(BeFalse())
+		Expect(book.Of("b", "p").Take()).To(BeTrue())
+	})
+})
+
+var _ = Describe("Backoff", func() {
+	DescribeTable("doubles its bound",
+		func(n int, bound time.Duration) {
+			random := rand.New(rand.NewPCG(1, 1))
+			longest := time.Duration(0)
+			for range 1000 {
+				longest = max(longest, zpretry.Backoff(50*time.Millisecond, n, random))
+			}
+			Expect(longest).To(And(BeNumerically("<", bound), BeNumerically(">", bound*9/10)))
+		},
+		Entry("first", 1, 50*time.Millisecond),
+		Entry("second", 2, 100*time.Millisecond),
+		Entry("fourth", 4, 400*time.Millisecond),
+	)
+
+	It("is zero for a base of zero", func() {
+		Expect(zpretry.Backoff(0, 1, rand.New(rand.NewPCG(1, 1)))).To(BeZero())
+	})
+})
--- a/internal/zpsite/process.go
+++ b/internal/zpsite/process.go
@@ -19,6 +19,9 @@
 	Path string
 	Args []string
 	Dir  string // for its log
+	Env  []string
+	// Ended is how the process last ended.
+	Ended error
 
 	cmd  *exec.Cmd
 	log  *os.File
@@ -34,6 +37,7 @@
 	p.log = log
 	p.cmd = exec.Command(p.Path, p.Args...)
 	p.cmd.Stdout, p.cmd.Stderr = log, log
+	p.cmd.Env = append(os.Environ(), p.Env...)
 	if err := p.cmd.Start(); err != nil {
 		return fmt.Errorf("start %s: %w", p.Name, err)
 	}
@@ -52,9 +56,7 @@
 	}
 	// A process that has ended cannot be killed again; that is no failure.
 	_ = p.cmd.Process.Kill()
-	// How a killed process ended is no news.
-	_ = <-p.done
-	p.end()
+	p.end(<-p.done)
 }
 
 // Stop asks the process to end and waits for it, up to the timeout.
@@ -69,7 +71,7 @@
 	defer cancel()
 	select {
 	case err := <-p.done:
-		p.end()
+		p.end(err)
 		return err
 	case <-ctx.Done():
 		p.Kill()
@@ -86,7 +88,11 @@
 	return string(text)
 }
 
-func (p *Process) end() {
+func (p *Process) end(err error) {
+	p.Ended = err
 	p.cmd = nil
 	_ = p.log.Close()
 }
+
+// Running reports whether the process was started and not ended by the site.
+func (p *Process) Running() bool { return p.cmd != nil }
--- a/internal/zpstandin/generate.go
+++ b/internal/zpstandin/generate.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -122,7 +121,7 @@
 	if r.draining {
 		return http.StatusServiceUnavailable
 	}
-	if !slices.Contains(r.Config.Versions, run.version) {
+	if r.Config.Version != run.version {
 		return http.StatusConflict
 	}
 	return 0
--- a/internal/zpstandin/runner.go
+++ b/internal/zpstandin/runner.go
@@ -29,7 +29,7 @@
 		StartCold     bool
 		RestartFor    time.Duration // connections are dropped for so long after a crash
 		ReportLag     time.Duration
-		Versions      []string // weight versions that it holds
+		Version       string // weight version of new requests
 		Fencing       bool
 		BlockBytes    int    // KV cache bytes of one block
 		Region        string // for imports over the link
@@ -69,6 +69,8 @@
 		Imported     int64     `json:"imported_blocks"`
 		BadImports   int64     `json:"refused_imports"`
 		Running      int       `json:"running"`
+		Version      string    `json:"version"`
+		Orders       []Order   `json:"orders,omitempty"`
 		Arrivals     []Arrival `json:"arrivals,omitempty"`
 	}
 
@@ -91,6 +93,7 @@
 		Boot    string `json:"boot"`
 		Warm    bool   `json:"warm"`
 		Running int    `json:"running"`
+		Version string `json:"version,omitempty"`
 		AgeMS   int64  `json:"age_ms"`
 
 		at time.Time
@@ -147,7 +150,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	s := r.stats
-	s.Boot, s.Running = r.boot, len(r.running)
+	s.Boot, s.Running, s.Version = r.boot, len(r.running), r.Config.Version
+	s.Orders = slices.Clone(r.orders)
 	s.Arrivals = slices.Clone(r.stats.Arrivals)
 	return s
 }
@@ -203,7 +207,7 @@
 func (r *Runner) snapshot(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.history = append(r.history, wireReport{Boot: r.boot, Warm: !r.cold(now), Running: len(r.running), at: now})
+	r.history = append(r.history, wireReport{Boot: r.boot, Warm: !r.cold(now), Running: len(r.running), Version: r.Config.Version, at: now})
 	for len(r.history) > 1 && now.Sub(r.history[1].at) > r.Config.ReportLag {
 		r.history = r.history[1:]
 	}
@@ -229,11 +233,11 @@
 
 func (r *Runner) control(w http.ResponseWriter, q *http.Request) {
 	var c struct {
-		Fall     bool     `json:"fall"`
-		Crash    bool     `json:"crash"`
-		Drain    *bool    `json:"drain"`
-		FreezeMS int64    `json:"freeze_ms"`
-		Versions []string `json:"versions"`
+		Fall     bool   `json:"fall"`
+		Crash    bool   `json:"crash"`
+		Drain    *bool  `json:"drain"`
+		FreezeMS int64  `json:"freeze_ms"`
+		Version  string `json:"version"`
 	}
 	if err := json.NewDecoder(q.Body).Decode(&c); err != nil {
 		w.WriteHeader(http.StatusBadRequest)
@@ -253,8 +257,8 @@
 	if c.FreezeMS > 0 {
 		r.frozen = time.Now().Add(time.Duration(c.FreezeMS) * time.Millisecond)
 	}
-	if c.Versions != nil {
-		r.Config.Versions = c.Versions
+	if c.Version != "" {
+		r.Config.Version = c.Version
 	}
 }
 
@@ -273,8 +277,8 @@
 	}
 	r.orderAt = max(r.orderAt, o.Epoch)
 	r.orders = append(r.orders, o)
-	if o.Kind == "load_version" && !slices.Contains(r.Config.Versions, o.Version) {
-		r.Config.Versions = append(r.Config.Versions, o.Version)
+	if o.Kind == "set_version" {
+		r.Config.Version = o.Version
 	}
 }
 
--- a/pkg/zpmanifest/manifest.go
+++ b/pkg/zpmanifest/manifest.go
@@ -124,6 +124,13 @@
 	return find(m.Models, func(x Model) bool { return x.Name == name })
 }
 
+// PoolVersion returns the weight version that new requests to a pool use, or ""
+// if no model uses the pool.
+func (m *Manifest) PoolVersion(pool string) string {
+	x, _ := find(m.Models, func(x Model) bool { return x.Pool == pool })
+	return x.WeightVersion
+}
+
 // PoolByName returns the named pool.
 func (m *Manifest) PoolByName(name string) (Pool, bool) {
 	return find(m.Pools, func(p Pool) bool { return p.Name == name })
--- a/pkg/zpmanifest/validate.go
+++ b/pkg/zpmanifest/validate.go
@@ -136,9 +136,14 @@
 
 func (f *faultList) validateModels(m *Manifest) {
 	seen := map[string]bool{}
+	pools := map[string]bool{}
 	for i, x := range m.Models {
 		path := fmt.Sprintf("models[%d]", i)
 		f.name(path, x.Name, seen)
+		if pools[x.Pool] {
+			f.add(path+".pool", fmt.Sprintf("pool %q serves another model already", x.Pool), "give each model a pool of its own")
+		}
+		pools[x.Pool] = true
 		if x.WeightVersion == "" {
 			f.add(path+".weight_version", "no weight version", "name the version that new requests use")
 		}
