Bad input, engine streams and platform answers under test; fuzz targets

Cause of a test that hung for ten minutes: its server did not read the request, so it never saw the client go; the test was wrong, the client had cancelled. All test runs now have a timeout.

--- a/Makefile
+++ b/Makefile
@@ -20,11 +20,11 @@
 
 # Unit tests, with fakes at the interfaces.
 unit:
-	go test ./pkg/... ./internal/... ./cmd/...
+	go test -timeout 120s ./pkg/... ./internal/... ./cmd/...
 
 # The same under the race detector.
 race:
-	go test -race ./pkg/... ./internal/...
+	go test -race -timeout 300s ./pkg/... ./internal/...
 
 # End-to-end tests with separate processes.
 e2e: build
--- /dev/null
+++ b/internal/zpengine/engine_test.go
@@ -0,0 +1,218 @@
+package zpengine_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpadmission"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
+	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
+)
+
+var ctx = context.Background()
+
+func newClient() *zpengine.Client {
+	c := &zpengine.Client{ConnectTimeout: time.Second, Clock: time.Now}
+	c.Open()
+	DeferCleanup(c.Close)
+	return c
+}
+
+func openGate() *zpengine.Gate {
+	return &zpengine.Gate{Deadline: time.Now().Add(time.Minute), Clock: time.Now}
+}
+
+func serve(h http.HandlerFunc) string {
+	s := httptest.NewServer(h)
+	DeferCleanup(s.Close)
+	return s.URL
+}
+
+func stream(events ...string) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(zpengine.HeaderBoot, "b1")
+		for _, e := range events {
+			_, _ = fmt.Fprintf(w, "data: %s\n\n", e)
+		}
+	}
+}
+
+func token(text string) string { return fmt.Sprintf(`{"choices":[{"delta":{"content":%q}}]}`, text) }
+
+// generate runs a prompt and returns the text that was taken.
+func generate(address string, g *zpengine.Gate, take func(zpengine.Piece) error) (string, zpengine.Outcome) {
+	var text strings.Builder
+	gen := zpengine.Generation{Address: address, Body: []byte("{}"), FirstOverdue: 300 * time.Millisecond, Stall: 300 * time.Millisecond}
+	o := newClient().Generate(ctx, gen, g, func(p zpengine.Piece) error {
+		text.WriteString(p.Text)
+		return take(p)
+	})
+	return text.String(), o
+}
+
+func keep(zpengine.Piece) error { return nil }
+
+func notStarted(code int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set(zpengine.HeaderNotStarted, "true")
+		w.WriteHeader(code)
+	}
+}
+
+// silent reads the request and never answers.
+func silent(_ http.ResponseWriter, r *http.Request) {
+	_, _ = io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+}
+
+func abort(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
+
+var _ = Describe("Generate", func() {
+	It("takes all pieces up to the end mark", func() {
+		usage := `{"choices":[],"usage":{"prompt_tokens":7,"completion_tokens":2,"prompt_tokens_details":{"cached_tokens":3}}}`
+		text, o := generate(serve(stream(token("a"), token("b"), usage, "[DONE]")), openGate(), keep)
+		Expect(text).To(Equal("ab"))
+		Expect(o.Done).To(BeTrue())
+		Expect(o.Boot).To(Equal("b1"))
+		Expect(o.Usage).To(Equal(zpengine.Usage{PromptTokens: 7, CachedTokens: 3, CompletionTokens: 2}))
+		Expect(o.RunState()).To(Equal(zperror.RunStateRan))
+	})
+
+	DescribeTable("knows how a run ended and whether it may have run",
+		func(h http.HandlerFunc, kind zpadmission.Outcome, state zperror.RunState) {
+			_, o := generate(serve(h), openGate(), keep)
+			Expect(o.Done).To(BeFalse())
+			Expect(o.Kind).To(Equal(kind))
+			Expect(o.RunState()).To(Equal(state))
+		},
+		Entry("torn stream", stream(token("a")), zpadmission.OutcomeBroken, zperror.RunStateUnknown),
+		Entry("broken connection", abort, zpadmission.OutcomeBroken, zperror.RunStateUnknown),
+		Entry("not JSON", stream("{"), zpadmission.OutcomeBroken, zperror.RunStateUnknown),
+		Entry("error event", stream(`{"error":{"message":"x"}}`), zpadmission.OutcomeBroken, zperror.RunStateUnknown),
+		Entry("error status", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(500) }, zpadmission.OutcomeFailed, zperror.RunStateUnknown),
+		Entry("refused before work", notStarted(503), zpadmission.OutcomeRefused, zperror.RunStateNotRun),
+		Entry("another weight version", notStarted(409), zpadmission.OutcomeNotStarted, zperror.RunStateNotRun),
+		Entry("no first token", silent, zpadmission.OutcomeOverdue, zperror.RunStateUnknown),
+	)
+
+	It("has not run when nothing listens", func() {
+		_, o := generate("http://127.0.0.1:1", openGate(), keep)
+		Expect(o.Kind).To(Equal(zpadmission.OutcomeRefused))
+		Expect(o.RunState()).To(Equal(zperror.RunStateNotRun))
+	})
+
+	It("sends nothing after the deadline", func() {
+		var calls atomic.Int64
+		address := serve(func(http.ResponseWriter, *http.Request) { calls.Add(1) })
+		g := &zpengine.Gate{Deadline: time.Now().Add(-time.Second), Clock: time.Now}
+		_, o := generate(address, g, keep)
+		Expect(o.Kind).To(Equal(zpadmission.OutcomeNotStarted))
+		Expect(o.RunState()).To(Equal(zperror.RunStateNotRun))
+		Expect(calls.Load()).To(BeZero())
+	})
+
+	It("registers the start before it looks at the deadline", func() {
+		order := []string{}
+		g := &zpengine.Gate{Deadline: time.Now().Add(time.Minute), OnSend: func() { order = append(order, "start") }}
+		g.Clock = func() time.Time {
+			order = append(order, "clock")
+			return time.Now()
+		}
+		generate(serve(stream("[DONE]")), g, keep)
+		Expect(order[:2]).To(Equal([]string{"start", "clock"}))
+	})
+
+	It("ends the run when the caller does not take the answer", func() {
+		gone := errors.New("gone")
+		_, o := generate(serve(stream(token("a"), token("b"), "[DONE]")), openGate(), func(zpengine.Piece) error { return gone })
+		Expect(o.Kind).To(Equal(zpadmission.OutcomeCancelled))
+		Expect(o.Err).To(MatchError(gone))
+	})
+})
+
+var _ = Describe("Call", func() {
+	call := func(address string, idempotent bool) zpengine.ServiceCall {
+		return zpengine.ServiceCall{
+			Address: address, Method: http.MethodPost, Path: "/x", Body: []byte("b"), IdempotencyKey: "k",
+			Timeout: time.Second, Idempotent: idempotent,
+		}
+	}
+
+	It("passes the answer on, whatever its status", func() {
+		a, o := newClient().Call(ctx, call(serve(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(418) }), false), openGate())
+		Expect(a.Status).To(Equal(418))
+		Expect(o.RunState()).To(Equal(zperror.RunStateRan))
+	})
+
+	DescribeTable("sends a request at most once, although it carries an Idempotency-Key",
+		func(body string) {
+			// The server accepts, reads, and closes without an answer, which is
+			// what makes a transport send again.
+			var calls atomic.Int64
+			lis, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			DeferCleanup(lis.Close)
+			go func() {
+				for {
+					conn, err := lis.Accept()
+					if err != nil {
+						return
+					}
+					buffer := make([]byte, 4096)
+					if n, _ := conn.Read(buffer); n > 0 {
+						calls.Add(1)
+					}
+					_ = conn.Close()
+				}
+			}()
+			c := call("http://"+lis.Addr().String(), false)
+			c.Body = []byte(body)
+			_, o := newClient().Call(ctx, c, openGate())
+			Expect(o.RunState()).To(Equal(zperror.RunStateUnknown))
+			Consistently(calls.Load, "50ms").Should(BeEquivalentTo(1))
+		},
+		Entry("with a body", "b"),
+		Entry("without a body", ""),
+	)
+
+	It("does not follow redirects", func() {
+		var calls atomic.Int64
+		address := serve(func(w http.ResponseWriter, r *http.Request) {
+			calls.Add(1)
+			http.Redirect(w, r, "/again", http.StatusTemporaryRedirect)
+		})
+		a, _ := newClient().Call(ctx, call(address, false), openGate())
+		Expect(a.Status).To(Equal(http.StatusTemporaryRedirect))
+		Expect(calls.Load()).To(BeEquivalentTo(1))
+	})
+})
+
+func FuzzStream(f *testing.F) {
+	f.Add([]byte("data: " + token("a") + "\n\ndata: [DONE]\n\n"))
+	f.Add([]byte("data: {\"choices\":[{}]}\n\n"))
+	f.Add([]byte(": comment\nid: 3\ndata\n\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(text) }))
+		defer s.Close()
+		c := &zpengine.Client{ConnectTimeout: time.Second, Clock: time.Now}
+		c.Open()
+		defer c.Close()
+		gen := zpengine.Generation{Address: s.URL, Body: []byte("{}"), FirstOverdue: time.Second, Stall: time.Second}
+		o := c.Generate(context.Background(), gen, openGate(), keep)
+		if o.Done && !strings.Contains(string(text), "[DONE]") {
+			t.Fatalf("done without an end mark: %q", text)
+		}
+	})
+}
--- a/internal/zpfront/suite_test.go
+++ b/internal/zpfront/suite_test.go
@@ -1,4 +1,4 @@
-package zpfront_test
+package zpfront
 
 import (
 	"testing"
--- /dev/null
+++ b/internal/zplog/event_test.go
@@ -0,0 +1,42 @@
+package zplog_test
+
+import (
+	"bytes"
+	"encoding/json"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+)
+
+var _ = Describe("Catalogue", func() {
+	It("numbers events in order, each with a text and an action", func() {
+		last := 0
+		for _, e := range zplog.Catalogue() {
+			Expect(e.Number).To(BeNumerically(">", last))
+			Expect(e.Text).NotTo(BeEmpty())
+			Expect(e.Action).NotTo(BeEmpty())
+			last = e.Number
+		}
+	})
+})
+
+var _ = Describe("Logger", func() {
+	It("writes the number and the fields", func() {
+		var out bytes.Buffer
+		l, err := zplog.New(&out, "info", "json")
+		Expect(err).NotTo(HaveOccurred())
+		l.Emit(zplog.Started, zplog.Fields{"instance": "x"})
+		l.Emit(zplog.PeerFailed, nil)
+		var line map[string]any
+		Expect(json.Unmarshal(out.Bytes(), &line)).To(Succeed())
+		Expect(line).To(HaveKeyWithValue("event", BeEquivalentTo(100)))
+		Expect(line).To(HaveKeyWithValue("instance", "x"))
+	})
+
+	It("refuses an unknown level", func() {
+		_, err := zplog.New(&bytes.Buffer{}, "loud", "json")
+		Expect(err).To(HaveOccurred())
+	})
+})
