--- a/internal/zproute/route.go
+++ b/internal/zproute/route.go
@@ -125,9 +125,27 @@
 			choice = option
 		}
 	}
+	if choice.Import == nil {
+		choice.Import = spare(c, sources, r)
+	}
 	return choice
 }
 
+// spare returns a store of the candidate's own region that holds blocks of the
+// prompt. The engine imports only what it lacks, so naming it costs nothing if
+// the hint of what the engine holds is right, and saves a recompute if not.
+func spare(c Candidate, sources []Source, r Rates) *Source {
+	for i := range sources {
+		s := &sources[i]
+		tokens := s.Blocks * blockTokens
+		cheap := transfer(int64(tokens)*r.BytesPerToken, s.Bandwidth) < recompute(tokens, r)
+		if s.Region == c.Region && s.Blocks > 0 && cheap {
+			return s
+		}
+	}
+	return nil
+}
+
 func imported(p Prompt, c Candidate, s *Source, r Rates) (Choice, bool) {
 	blocks := min(s.Blocks, p.Blocks)
 	if blocks <= c.Cached {
--- a/internal/zproute/route_test.go
+++ b/internal/zproute/route_test.go
@@ -43,7 +43,9 @@
 	}
 
 	DescribeTable("chooses the cheapest endpoint",
-		func(a, b zproute.Candidate) { Expect(first([]zproute.Candidate{b, a}, nil).Endpoint).To(Equal(a.Endpoint)) },
+		func(a, b zproute.Candidate) {
+			Expect(first([]zproute.Candidate{b, a}, nil).Endpoint).To(Equal(a.Endpoint))
+		},
 		Entry("with the blocks", near("a", 60, free(8)), near("b", 0, free(8))),
 		Entry("with the blocks, though far", far("a", 60, free(8)), near("b", 0, free(8))),
 		Entry("near, with equal blocks", near("a", 60, free(8)), far("b", 60, free(8))),
@@ -67,6 +69,13 @@
 		Entry("nothing that is cached", zproute.Source{Store: "s", Region: "north", Blocks: 0, Bandwidth: 200 << 20}, false),
 	)
 
+	It("names a near store also when the engine is thought to hold the blocks", func() {
+		s := zproute.Source{Store: "s", Region: "north", Blocks: 60, Bandwidth: 200 << 20}
+		Expect(first([]zproute.Candidate{near("a", 60, free(8))}, []zproute.Source{s}).Import).NotTo(BeNil())
+		s.Region = "south"
+		Expect(first([]zproute.Candidate{near("a", 60, free(8))}, []zproute.Source{s}).Import).To(BeNil())
+	})
+
 	It("gives the bytes that cross the link", func() {
 		s := zproute.Source{Store: "s", Region: "south", Blocks: 60, Bandwidth: 200 << 20, LinkRate: 3_750_000, LinkBytes: 3_750_000}
 		Expect(first([]zproute.Candidate{near("a", 0, free(8))}, []zproute.Source{s}).LinkBytes).To(BeEquivalentTo(60 * 64 * 512))
