Bench of routing against the baseline at today's size; prompts that cross regions are priced

Cause: the cost of an endpoint in another region left out the bytes of the prompt and its answer on the paid link. Change: routing prices them like imported bytes.

--- /dev/null
+++ b/internal/zpbench/bench.go
@@ -0,0 +1,207 @@
+package zpbench
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"syscall"
+	"time"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpload"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpsettings"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpsite"
+)
+
+type (
+	benchCommand struct {
+		Bin      string        `default:"bin" help:"Folder of the programs."`
+		Mix      []string      `default:"oberland,etikettwerk" help:"Mixes to run."`
+		Seeds    []uint64      `default:"1,2,3" help:"Seeds of the plan."`
+		Rate     float64       `default:"100" help:"Requests per second."`
+		Duration time.Duration `default:"12s" help:"Length of one run."`
+		Number   int           `default:"200" help:"Second byte of the loopback addresses."`
+		Case     []string      `default:"steady,out,dies" help:"steady, out (a domain is taken out and back), dies (a domain dies without notice)."`
+	}
+
+	// sample is what one run measured.
+	sample struct {
+		urgentP95  time.Duration
+		recomputed float64 // share of prompt tokens
+		linkBytes  float64
+		completed  float64 // share of requests
+		bad        int     // broken, wrong, failed or unknown
+		doubles    int
+	}
+
+	// bench is one combination of mix, policy and case.
+	bench struct {
+		mix    zpload.Mix
+		policy string
+		name   string
+	}
+)
+
+// Sizes of today's deployment.
+const (
+	todayDaemons  = 9
+	todayRunners  = 12
+	todayServices = 3
+	slots         = 8
+	coldSlots     = 2
+	warmUp        = 3 * time.Second
+)
+
+// Run measures each mix with the product's routing and with the baseline, and
+// prints a table of medians and spreads.
+func (c *benchCommand) Run(out *console) error {
+	_, _ = fmt.Fprintf(out.out, "%d daemons, %d runners, %d services, 2 stores, 3 domains; %.0f requests/s for %s; seeds %v; median (least to most)\n\n",
+		todayDaemons, todayRunners, todayServices, c.Rate, c.Duration, c.Seeds)
+	_, _ = fmt.Fprintln(out.out, "| mix | case | policy | urgent first token p95 ms | recomputed share | link MB | completed | cut, wrong or unknown | doubles |")
+	_, _ = fmt.Fprintln(out.out, "|---|---|---|---|---|---|---|---|---|")
+	for _, name := range c.Mix {
+		mix, err := zpload.MixByName(name)
+		if err != nil {
+			return err
+		}
+		for _, kase := range c.Case {
+			for _, policy := range []string{zpsettings.PolicyLeastLoaded, zpsettings.PolicyCost} {
+				if err := c.measure(out, bench{mix, policy, kase}); err != nil {
+					return err
+				}
+			}
+		}
+	}
+	return nil
+}
+
+func (c *benchCommand) measure(out *console, b bench) error {
+	var samples []sample
+	for _, seed := range c.Seeds {
+		s, err := c.sample(b, seed)
+		if err != nil {
+			return fmt.Errorf("%s %s %s seed %d: %w", b.mix.Name, b.name, b.policy, seed, err)
+		}
+		samples = append(samples, s)
+	}
+	bad, doubles := 0, 0
+	for _, s := range samples {
+		bad += s.bad
+		doubles += s.doubles
+	}
+	_, _ = fmt.Fprintf(out.out, "| %s | %s | %s | %s | %s | %s | %s | %d | %d |\n", b.mix.Name, b.name, b.policy,
+		spread(samples, "%.0f", func(s sample) float64 { return float64(s.urgentP95.Microseconds()) / 1000 }),
+		spread(samples, "%.2f", func(s sample) float64 { return s.recomputed }),
+		spread(samples, "%.1f", func(s sample) float64 { return s.linkBytes / (1 << 20) }),
+		spread(samples, "%.3f", func(s sample) float64 { return s.completed }), bad, doubles)
+	return nil
+}
+
+func (c *benchCommand) sample(b bench, seed uint64) (sample, error) {
+	dir, err := os.MkdirTemp("", "zinniapaddle-bench-")
+	if err != nil {
+		return sample{}, err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	site, err := zpsite.New(zpsite.Config{
+		Number: c.Number, Dir: dir, BinDir: c.Bin, Daemons: todayDaemons, Runners: todayRunners, Services: todayServices,
+		Stores: true, Workspaces: b.mix.Workspaces, Slots: slots, ColdSlots: coldSlots,
+		Settings: map[string]string{"routing.policy": b.policy, "log.level": "warning"},
+	})
+	if err != nil {
+		return sample{}, err
+	}
+	defer func() { _ = site.Stop() }()
+	if err := site.Start(context.Background()); err != nil {
+		return sample{}, err
+	}
+	load := &zpload.Load{
+		Targets: site.Targets(), Keys: site.Keys(), Mix: b.mix, Rate: c.Rate, Duration: c.Duration, Seed: seed,
+		WeightVersion: zpsite.WeightVersion,
+	}
+	warm := *load
+	warm.Duration, warm.Seed = warmUp, seed+1000
+	warm.Run(context.Background())
+	before, err := counters(site)
+	if err != nil {
+		return sample{}, err
+	}
+	reports := make(chan []zpload.Report, 1)
+	go func() { reports <- load.Run(context.Background()) }()
+	if err := runCase(site, b.name, c.Duration); err != nil {
+		return sample{}, err
+	}
+	result := <-reports
+	after, err := counters(site)
+	if err != nil {
+		return sample{}, err
+	}
+	return sampleOf(b.mix, result, before, after), nil
+}
+
+// runCase does to the site what the case says while load runs.
+func runCase(site *zpsite.Site, name string, d time.Duration) error {
+	switch name {
+	case "out":
+		time.Sleep(d / 3)
+		if err := setDomain(site, "b", true); err != nil {
+			return err
+		}
+		time.Sleep(d / 3)
+		return setDomain(site, "b", false)
+	case "dies":
+		time.Sleep(d / 3)
+		return domainDies(site, "b")
+	}
+	return nil
+}
+
+// domainDies ends all daemons of a domain, and drops all streams of its
+// engines, which stay away for the rest of the run.
+func domainDies(site *zpsite.Site, domain string) error {
+	for i, e := range site.Manifest.Endpoints {
+		if e.Domain == domain && e.Pool == zpsite.ModelPool {
+			if err := site.Runners[i].Signal(syscall.SIGKILL); err != nil {
+				return err
+			}
+		}
+	}
+	for i, d := range site.Daemons {
+		if i%3 == 1 {
+			d.Kill()
+		}
+	}
+	return nil
+}
+
+func sampleOf(mix zpload.Mix, reports []zpload.Report, before, after siteCounters) sample {
+	total := zpload.Find(reports, "total")
+	urgent := zpload.Find(reports, mix.Shares[0].Name)
+	prompt := after.promptTokens - before.promptTokens
+	cached := after.cachedTokens - before.cachedTokens
+	repeats := 0
+	for _, r := range reports {
+		if r.Name != "total" {
+			repeats += r.Codes["in_progress"]
+		}
+	}
+	return sample{
+		urgentP95:  urgent.FirstP95,
+		recomputed: 1 - cached/max(prompt, 1),
+		linkBytes:  after.linkBytes - before.linkBytes,
+		completed:  float64(total.Completed+repeats) / float64(max(total.Sent, 1)),
+		bad:        total.Broken + total.Wrong + total.Failed + total.Unknown - repeats,
+		doubles:    after.doubles,
+	}
+}
+
+// spread formats the median of a value with its least and most.
+func spread(samples []sample, format string, value func(sample) float64) string {
+	var values []float64
+	for _, s := range samples {
+		values = append(values, value(s))
+	}
+	slices.Sort(values)
+	return fmt.Sprintf(strings.ReplaceAll("F (F to F)", "F", format), values[len(values)/2], values[0], values[len(values)-1])
+}
--- a/internal/zpbench/main.go
+++ b/internal/zpbench/main.go
@@ -18,6 +18,7 @@
 		Link     linkCommand     `cmd:"" help:"Stand in for the inter-region link."`
 		Load     loadCommand     `cmd:"" help:"Send the load of a deployment to running daemons."`
 		Demo     demoCommand     `cmd:"" help:"Run a small site, show what it does, and stop."`
+		Bench    benchCommand    `cmd:"" help:"Measure routing against the baseline at today's size."`
 		Prove    proveCommand    `cmd:"" help:"Run the proofs of the promises."`
 	}
 
--- a/internal/zpmetric/metric.go
+++ b/internal/zpmetric/metric.go
@@ -21,6 +21,7 @@
 		Retries       *prometheus.CounterVec // by reason
 		Quarantined   prometheus.Counter
 		LinkBytes     *prometheus.CounterVec // by link
+		CrossRegion   prometheus.Counter     // bytes of requests and answers
 		ReusedTokens  prometheus.Counter
 		PromptTokens  prometheus.Counter
 	}
@@ -41,6 +42,7 @@
 		Retries:       counterVec("retries_total", "Requests sent again.", "reason"),
 		Quarantined:   counter("quarantined_total", "Fingerprints quarantined."),
 		LinkBytes:     counterVec("link_granted_bytes_total", "Bytes granted on an inter-region link.", "link"),
+		CrossRegion:   counter("cross_region_bytes_total", "Bytes of requests and answers sent to endpoints of another region."),
 		ReusedTokens:  counter("reused_tokens_total", "Prompt tokens found in a cache."),
 		PromptTokens:  counter("prompt_tokens_total", "Prompt tokens of ended requests."),
 	}
@@ -51,7 +53,7 @@
 	}, []string{"class"})
 	m.Registry.MustRegister(m.Requests, m.FirstToken, m.Open, m.PlatformCalls, m.PeerCalls,
 		m.Reservations, m.ConfigVersion, m.ConfigAge, m.Partitions, m.Retries, m.Quarantined,
-		m.LinkBytes, m.ReusedTokens, m.PromptTokens)
+		m.LinkBytes, m.CrossRegion, m.ReusedTokens, m.PromptTokens)
 	return m
 }
 
--- a/internal/zppipeline/generate.go
+++ b/internal/zppipeline/generate.go
@@ -88,9 +88,20 @@
 	if !started {
 		firstToken.End()
 	}
+	p.countCrossing(r, o.Sent, len(j.Prompt.Body)+o.Pieces*pieceBytes)
 	return p.checkVersion(j, o)
 }
 
+// countCrossing counts bytes that went to another region.
+func (p *Pipeline) countCrossing(r Reservation, sent bool, bytes int) {
+	if sent && p.Fleet.Cache.Manifest().Region(r.Endpoint.Domain) != p.Fleet.Self.Region {
+		p.Metrics.CrossRegion.Add(float64(bytes))
+	}
+}
+
+// pieceBytes is the usual size of one piece of a stream on the wire.
+const pieceBytes = 80
+
 func (p *Pipeline) deliver(j *Job, piece zpengine.Piece, sink Sink) error {
 	if j.FirstPiece.IsZero() {
 		j.FirstPiece = p.Clock()
--- a/internal/zppipeline/record.go
+++ b/internal/zppipeline/record.go
@@ -5,6 +5,7 @@
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zphint"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpprefix"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpsettings"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zpmanifest"
 )
 
@@ -45,7 +46,7 @@
 // export orders the engine to write the prompt's blocks to a store of its
 // region, if the context is long enough to be worth keeping.
 func (p *Pipeline) export(ctx context.Context, j *Job, key zphint.Key) {
-	if int64(len(j.Blocks)*zpprefix.BlockTokens) < p.Settings.Routing.ExportMinTokens {
+	if p.Settings.Routing.Policy == zpsettings.PolicyLeastLoaded || int64(len(j.Blocks)*zpprefix.BlockTokens) < p.Settings.Routing.ExportMinTokens {
 		return
 	}
 	e, ok := j.Manifest.EndpointByName(j.Endpoint)
--- a/internal/zppipeline/route.go
+++ b/internal/zppipeline/route.go
@@ -30,7 +30,8 @@
 	random := rand.New(rand.NewPCG(rand.Uint64(), 0))
 	picked := zproute.Pick(p.places(serving), hinted(hints), j.routeKey(), p.Fleet.Self.Region,
 		p.Settings.Routing.CandidatesPerTurn, tried, random)
-	prompt := zproute.Prompt{Tokens: j.Tokens, Blocks: len(j.Blocks), Urgent: j.Urgent, Region: p.Fleet.Self.Region}
+	prompt := zproute.Prompt{Tokens: j.Tokens, Blocks: len(j.Blocks), Urgent: j.Urgent, Region: p.Fleet.Self.Region,
+		Bytes: len(j.Prompt.Body) + j.Prompt.MaxTokens*pieceBytes}
 	return zproute.Rank(prompt, p.candidates(ctx, serving, picked, cached), p.sources(j, hints), p.rates())
 }
 
--- a/internal/zproute/route.go
+++ b/internal/zproute/route.go
@@ -23,6 +23,7 @@
 	Prompt struct {
 		Tokens int
 		Blocks int // whole blocks in the prompt
+		Bytes  int // of the request and the usual answer
 		Urgent bool
 		Region string // of the daemon
 	}
@@ -114,7 +115,7 @@
 		base += coldPenalty
 	}
 	if c.Region != p.Region {
-		base += 2 * r.RegionLatency
+		base += 2*r.RegionLatency + price(int64(p.Bytes), r)
 	}
 	missing := p.Tokens - min(c.Cached, p.Blocks)*blockTokens
 	choice := Choice{Endpoint: c.Endpoint, Cost: base + recompute(missing, r)}
@@ -159,7 +160,7 @@
 			return Choice{}, false
 		}
 		cost += transfer(bytes, s.LinkRate) + 2*r.RegionLatency
-		cost += time.Duration(float64(r.LinkPrice) * float64(bytes) / megabyte)
+		cost += price(bytes, r)
 		choice.LinkBytes = bytes
 	}
 	choice.Cost = cost + recompute(p.Tokens-blocks*blockTokens, r)
@@ -173,6 +174,11 @@
 	return time.Duration(int64(tokens) * int64(time.Second) / r.PrefillTokens)
 }
 
+// price returns what bytes on the inter-region link cost.
+func price(bytes int64, r Rates) time.Duration {
+	return time.Duration(float64(r.LinkPrice) * float64(bytes) / megabyte)
+}
+
 func transfer(bytes, rate int64) time.Duration {
 	if rate <= 0 {
 		return 0
--- a/internal/zproute/route_test.go
+++ b/internal/zproute/route_test.go
@@ -81,6 +81,14 @@
 		Expect(first([]zproute.Candidate{near("a", 0, free(8))}, []zproute.Source{s}).LinkBytes).To(BeEquivalentTo(60 * 64 * 512))
 	})
 
+	It("lets the price of the link decide against sending the prompt across", func() {
+		dear, long := rates, prompt
+		dear.LinkPrice, long.Bytes = 100*time.Second, 16000
+		candidates := []zproute.Candidate{far("a", 60, free(8)), near("b", 0, free(8))}
+		Expect(zproute.Rank(long, candidates, nil, rates)[0].Endpoint).To(Equal("a"))
+		Expect(zproute.Rank(long, candidates, nil, dear)[0].Endpoint).To(Equal("b"))
+	})
+
 	It("lets the price of the link decide against an import", func() {
 		dear := rates
 		dear.LinkPrice = time.Second
