--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: all build mutants demo test unit race e2e spec lint fmt docs docs-check proto prove bench slopes soak fuzz system clean
+.PHONY: all build overhead mutants demo test unit race e2e spec lint fmt docs docs-check proto prove bench slopes soak fuzz system clean
 
 BIN := bin
 PACKAGES := ./...
@@ -39,6 +39,18 @@
 soak: build
 	$(BIN)/zpstandin prove --bin $(BIN) --no-mutants --seeds 2,3,4,5,6,7,8,9
 
+# Routing against the baseline at today's size; about twelve minutes.
+bench: build
+	$(BIN)/zpstandin bench --bin $(BIN)
+
+# How each role's cost grows, for docs/CAPACITY.md.
+slopes: build
+	$(BIN)/zpstandin slopes
+
+# What a daemon adds to a request.
+overhead: build
+	$(BIN)/zpstandin overhead --bin $(BIN)
+
 # Short fuzzing of whatever reads foreign bytes.
 fuzz:
 	go test -run XXX -fuzz FuzzParse -fuzztime 10s ./internal/zpsettings
--- a/internal/zpadmission/evidence.go
+++ b/internal/zpadmission/evidence.go
@@ -165,6 +165,7 @@
 	l.boot = boot
 	l.foreign = 0
 	l.phase, l.limit = PhaseCold, l.ColdSlots
+	l.computed = time.Time{}
 }
 
 // formerBoot reports whether an answer comes from before a restart that is
--- a/internal/zpadmission/ledger.go
+++ b/internal/zpadmission/ledger.go
@@ -28,6 +28,7 @@
 		queue     zpqueue.Queue[Request]
 		alone     map[string]time.Time // waiting requests that must run alone
 		service   time.Duration
+		computed  time.Time // expected end of computing all granted contexts
 		first     time.Duration
 		alarms    int
 	}
@@ -111,6 +112,7 @@
 			return out
 		}
 		l.running[it.ID] = &entry{request: it.Value, grantedAt: now}
+		l.addBacklog(it.Value.Prefill, now)
 		if l.phase == PhaseSuspect {
 			l.suspectAt = now // one probe at a time
 		}
@@ -142,6 +144,7 @@
 		WaitingUrgent: l.queue.Len(zpqueue.ClassUrgent),
 		WaitingOther:  l.queue.Len(zpqueue.ClassOther),
 		Service:       l.service,
+		Backlog:       max(l.computed.Sub(now), 0),
 		Cold:          l.phase != PhaseWarm && l.phase != PhaseRamp,
 	}
 }
@@ -212,6 +215,14 @@
 	}
 }
 
+// addBacklog adds a context that the engine computes after those before it.
+func (l *Ledger) addBacklog(d time.Duration, now time.Time) {
+	if l.computed.Before(now) {
+		l.computed = now
+	}
+	l.computed = l.computed.Add(d)
+}
+
 func (l *Ledger) occupied() int { return len(l.running) + l.foreign }
 
 func (l *Ledger) loneRunner() bool {
--- a/internal/zpadmission/ledger_test.go
+++ b/internal/zpadmission/ledger_test.go
@@ -96,6 +96,19 @@
 		Expect(l.Waits("away")).To(BeTrue())
 	})
 
+	It("tells how long granted contexts take to compute, one after the other", func() {
+		l := warmLedger(start)
+		for _, id := range []string{"a", "b"} {
+			r := request(id)
+			r.Prefill = 300 * time.Millisecond
+			l.Ask(r, start)
+		}
+		l.Next(zpadmission.AuthorityFull, everyone, start)
+		Expect(l.Quote(zpadmission.AuthorityFull, start).Backlog).To(Equal(600 * time.Millisecond))
+		Expect(l.Quote(zpadmission.AuthorityFull, start.Add(500*time.Millisecond)).Backlog).To(Equal(100 * time.Millisecond))
+		Expect(l.Quote(zpadmission.AuthorityFull, start.Add(time.Second)).Backlog).To(BeZero())
+	})
+
 	It("lets a suspect run alone", func() {
 		l := warmLedger(start)
 		r := request("alone")
--- a/internal/zpadmission/types.go
+++ b/internal/zpadmission/types.go
@@ -13,7 +13,8 @@
 		Workspace   string
 		Weight      int
 		Urgent      bool
-		Cost        int64 // tokens
+		Cost        int64         // tokens
+		Prefill     time.Duration // expected time to compute the context
 		MaxWait     time.Duration
 		Alone       bool   // run with nothing beside it
 		Fingerprint string // keyed hash of the request's content
@@ -64,6 +65,7 @@
 		WaitingUrgent int
 		WaitingOther  int
 		Service       time.Duration // usual time of one request
+		Backlog       time.Duration // expected time until all granted contexts are computed
 		Cold          bool
 	}
 
--- a/internal/zpassign/monitor.go
+++ b/internal/zpassign/monitor.go
@@ -10,38 +10,45 @@
 // MonitorsPerLease is how many instances may end a lease.
 const MonitorsPerLease = 2
 
-// MonitorsOf chooses the instances that may end the lease of self: those with
-// the highest rendezvous scores, each in a failure domain of its own and
-// outside self's, as far as there are enough domains.
-func MonitorsOf(self Member, members []Member) []string {
-	ranked := rank(self, members)
-	used := map[string]bool{self.Domain: true}
+// MonitorsOf chooses the instances that may end the lease of self among the
+// serving members: those with the highest rendezvous scores, each in a failure
+// domain of its own and outside self's, as far as there are enough domains.
+func MonitorsOf(self Member, serving []Member) []string {
+	seed := xxh3.HashString(self.Instance)
+	used := []string{self.Domain}
 	var out []string
-	for _, m := range ranked {
-		if len(out) < MonitorsPerLease && !used[m.Domain] {
-			used[m.Domain] = true
-			out = append(out, m.Instance)
+	for len(out) < MonitorsPerLease {
+		best := bestMonitor(self, serving, seed, out, used)
+		if best < 0 && len(used) > 0 {
+			used = nil // too few domains: any other member will do
+			continue
 		}
-	}
-	for _, m := range ranked {
-		if len(out) < MonitorsPerLease && !slices.Contains(out, m.Instance) {
-			out = append(out, m.Instance)
+		if best < 0 {
+			break
+		}
+		out = append(out, serving[best].Instance)
+		if used != nil {
+			used = append(used, serving[best].Domain)
 		}
 	}
 	sort.Strings(out)
 	return out
 }
 
-func rank(self Member, members []Member) []Member {
-	var out []Member
-	for _, m := range Live(members, MemberServing) {
-		if m.Instance != self.Instance {
-			out = append(out, m)
+// bestMonitor returns the index of the member with the highest score that is
+// not chosen yet and not in a used domain, or -1.
+func bestMonitor(self Member, serving []Member, seed uint64, chosen, used []string) int {
+	best, top := -1, uint64(0)
+	for i := range serving {
+		m := &serving[i]
+		score := xxh3.HashStringSeed(m.Instance, seed)
+		if (best >= 0 && score <= top) || m.Instance == self.Instance {
+			continue
 		}
+		if slices.Contains(used, m.Domain) || slices.Contains(chosen, m.Instance) {
+			continue
+		}
+		best, top = i, score
 	}
-	seed := xxh3.HashString(self.Instance)
-	sort.SliceStable(out, func(i, j int) bool {
-		return xxh3.HashStringSeed(out[i].Instance, seed) > xxh3.HashStringSeed(out[j].Instance, seed)
-	})
-	return out
+	return best
 }
--- a/internal/zpbench/main.go
+++ b/internal/zpbench/main.go
@@ -19,6 +19,8 @@
 		Load     loadCommand     `cmd:"" help:"Send the load of a deployment to running daemons."`
 		Demo     demoCommand     `cmd:"" help:"Run a small site, show what it does, and stop."`
 		Bench    benchCommand    `cmd:"" help:"Measure routing against the baseline at today's size."`
+		Slopes   slopesCommand   `cmd:"" help:"Measure how each role's cost grows."`
+		Overhead overheadCommand `cmd:"" help:"Measure what a daemon adds to a request."`
 		Prove    proveCommand    `cmd:"" help:"Run the proofs of the promises."`
 	}
 
--- /dev/null
+++ b/internal/zpbench/slopes.go
@@ -0,0 +1,339 @@
+package zpbench
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"gonum.org/v1/gonum/stat"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpadmission"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpclaim"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpconfig"
+	"github.com/zinniapaddle/zinniapaddle/internal/zphint"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpprefix"
+	"github.com/zinniapaddle/zinniapaddle/internal/zproute"
+	"github.com/zinniapaddle/zinniapaddle/pkg/zpmanifest"
+	"github.com/zinniapaddle/zinniapaddle/pkg/zpobject"
+)
+
+type (
+	slopesCommand struct{}
+
+	// slope is one cost measured over growing sizes.
+	slope struct {
+		role    string
+		what    string
+		unit    string
+		sizes   []int
+		measure func(n int) float64
+		target  int // size to come
+	}
+)
+
+var slopeStart = time.Unix(1_000_000, 0)
+
+// Run measures each slope at three sizes or more, fits a line, and prints what
+// it gives at the size to come.
+func (*slopesCommand) Run(out *console) error {
+	_, _ = fmt.Fprintln(out.out, "| role | cost | sizes n | measured | fit | at the size to come |")
+	_, _ = fmt.Fprintln(out.out, "|---|---|---|---|---|---|")
+	for _, s := range slopes() {
+		var xs, ys []float64
+		var sizes, values []string
+		for _, n := range s.sizes {
+			y := s.measure(n)
+			xs, ys = append(xs, float64(n)), append(ys, y)
+			sizes, values = append(sizes, fmt.Sprint(n)), append(values, fmt.Sprintf("%.3g", y))
+		}
+		alpha, beta := stat.LinearRegression(xs, ys, nil, false)
+		r2 := stat.RSquared(xs, ys, nil, alpha, beta)
+		_, _ = fmt.Fprintf(out.out, "| %s | %s, %s | %s | %s | %.3g + %.3g n (R² %.3f) | n = %d: %.3g %s |\n", s.role, s.what, s.unit,
+			strings.Join(sizes, ", "), strings.Join(values, ", "), alpha, beta, r2, s.target, alpha+beta*float64(s.target), s.unit)
+	}
+	return nil
+}
+
+func slopes() []slope {
+	fleet := []int{9, 100, 400, 1200}
+	return []slope{
+		{"configuration", "apply one change of an endpoint, n endpoints", "µs", []int{120, 1200, 6000, 12000}, applyChange, 12000},
+		{"configuration", "bytes of that change to a peer, n endpoints", "B", []int{120, 1200, 6000, 12000}, changeBytes, 12000},
+		{"configuration", "memory of the relayed state, n endpoints", "KB", []int{120, 1200, 6000, 12000}, cacheMemory, 12000},
+		{"relay", "answer a comparison without news, n members", "µs", fleet, compareIdle, 1200},
+		{"relay", "bytes of one member's change, n members", "B", fleet, memberBytes, 1200},
+		{"membership", "choose whom to monitor after a change, n members", "µs", fleet, chooseMonitors, 1200},
+		{"membership", "plan partitions after a change, n members and 4 n partitions", "µs", fleet, planPartitions, 1200},
+		{"owner", "one reservation from ask to end, n waiting", "µs", []int{1, 16, 64, 256}, reserveCost, 64},
+		{"claims", "one claim, n kept in the newest page", "µs", []int{10, 50, 100, 200}, claimCost, 200},
+		{"claims", "bytes of one write, n claims in the page", "B", []int{10, 50, 100, 200}, claimBytes, 200},
+		{"hints", "memory, n conversations", "KB", []int{1000, 10000, 50000}, hintMemory, 1667},
+		{"caller side", "name a prompt's blocks, n tokens", "µs", []int{250, 1000, 4000}, nameBlocks, 4000},
+		{"caller side", "pick and rank, n endpoints of the pool", "µs", []int{12, 100, 500}, rankCost, 500},
+		{"caller side", "find the workspace of a key, n workspaces", "µs", []int{10, 100, 430}, findWorkspace, 430},
+	}
+}
+
+// micros benchmarks f and returns the time of one run in microseconds.
+func micros(f func()) float64 {
+	r := testing.Benchmark(func(b *testing.B) {
+		for range b.N {
+			f()
+		}
+	})
+	return float64(r.T.Nanoseconds()) / float64(r.N) / 1000
+}
+
+// kilobytes returns how much memory keep holds on to.
+func kilobytes(keep func() any) float64 {
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	held := keep()
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(held)
+	return float64(int64(after.HeapAlloc)-int64(before.HeapAlloc)) / 1024
+}
+
+func bigManifest(n int) *zpmanifest.Manifest {
+	m := &zpmanifest.Manifest{Version: 1, Partitions: 64, ClaimShards: 8, Domains: []zpmanifest.Domain{{Name: "a", Region: "north"}}}
+	m.Pools = []zpmanifest.Pool{{Name: "p", Kind: zpmanifest.PoolKindModel}}
+	for i := range n {
+		m.Endpoints = append(m.Endpoints, zpmanifest.Endpoint{
+			Name: fmt.Sprintf("runner-%d", i), Address: fmt.Sprintf("http://10.%d.%d.%d:9000", i/62500, i/250%250, i%250),
+			Pool: "p", Domain: "a", Slots: 8, ColdSlots: 2,
+		})
+	}
+	return m
+}
+
+func storedObjects(m *zpmanifest.Manifest, revision int64) []zpobject.Object {
+	head, parts, err := zpmanifest.Split(m)
+	if err != nil {
+		panic(err)
+	}
+	var out []zpobject.Object
+	for _, p := range parts {
+		out = append(out, zpobject.Object{Name: zpconfig.PartPrefix + p.Name, Revision: revision, Body: p.Body})
+	}
+	body, err := zpmanifest.EncodeHead(head)
+	if err != nil {
+		panic(err)
+	}
+	return append(out, zpobject.Object{Name: zpconfig.ManifestObject, Revision: revision, Body: body})
+}
+
+// changed returns the objects that a change of one endpoint writes.
+func changed(m *zpmanifest.Manifest, version int64) []zpobject.Object {
+	before := map[string]bool{}
+	for _, o := range storedObjects(m, 1) {
+		before[o.Name] = true
+	}
+	next := m.Clone()
+	next.Version = version
+	next.Endpoints[0].Slots = 8 + int(version%8)
+	next.Endpoints[0].ColdSlots = 1 + int(version/8%8)
+	var out []zpobject.Object
+	for _, o := range storedObjects(next, version) {
+		if !before[o.Name] || o.Name == zpconfig.ManifestObject {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+func applyChange(n int) float64 {
+	m := bigManifest(n)
+	c := zpconfig.NewCache()
+	c.Apply(storedObjects(m, 1), 1, slopeStart)
+	const prepared = 64
+	var deltas [prepared][]zpobject.Object
+	for i := range deltas {
+		deltas[i] = changed(m, int64(i+2))
+	}
+	total := time.Duration(0)
+	for i, d := range deltas {
+		start := time.Now()
+		c.Apply(d, int64(i+2), slopeStart)
+		total += time.Since(start)
+	}
+	return float64(total.Microseconds()) / prepared
+}
+
+func changeBytes(n int) float64 {
+	sum := 0
+	for _, o := range changed(bigManifest(n), 2) {
+		sum += len(o.Name) + len(o.Body)
+	}
+	return float64(sum)
+}
+
+func cacheMemory(n int) float64 {
+	return kilobytes(func() any {
+		c := zpconfig.NewCache()
+		c.Apply(storedObjects(bigManifest(n), 1), 1, slopeStart)
+		return c
+	})
+}
+
+func fleetMembers(n int) []zpassign.Member {
+	out := make([]zpassign.Member, 0, n)
+	for i := range n {
+		d := i % 9
+		out = append(out, zpassign.Member{
+			Instance: fmt.Sprintf("entry-%d.abcdef01", i), Name: fmt.Sprintf("entry-%d", i), Address: fmt.Sprintf("10.0.%d.%d:8081", i/250, i%250),
+			Domain: fmt.Sprintf("d%d", d), Region: fmt.Sprintf("r%d", d/3), State: zpassign.MemberServing,
+		})
+	}
+	return out
+}
+
+func fleetCache(n int) *zpconfig.Cache {
+	var objects []zpobject.Object
+	for i, m := range fleetMembers(n) {
+		body, err := zpassign.EncodeMember(m)
+		if err != nil {
+			panic(err)
+		}
+		objects = append(objects, zpobject.Object{Name: zpassign.MemberObject(m.Instance), Revision: int64(i + 1), Body: body})
+	}
+	c := zpconfig.NewCache()
+	c.Apply(objects, int64(n), slopeStart)
+	return c
+}
+
+func compareIdle(n int) float64 {
+	c := fleetCache(n)
+	return micros(func() { c.Since(int64(n), slopeStart) })
+}
+
+func memberBytes(n int) float64 {
+	d := fleetCache(n).Since(int64(n-1), slopeStart)
+	return float64(len(d.Objects[0].Name) + len(d.Objects[0].Body))
+}
+
+func chooseMonitors(n int) float64 {
+	members := fleetMembers(n)
+	return micros(func() {
+		for _, m := range members {
+			zpassign.MonitorsOf(m, members)
+		}
+	})
+}
+
+func planPartitions(n int) float64 {
+	v := zpassign.View{Partitions: 4 * n, Regions: []string{"r0", "r1", "r2"}, Members: fleetMembers(n), Owners: map[int]zpassign.Owner{}}
+	return micros(func() { zpassign.Plan(v, "entry-0.abcdef01") })
+}
+
+func reserveCost(n int) float64 {
+	l := zpadmission.NewLedger(8, 2, 2*n+10, 1)
+	l.Report(zpadmission.Report{Boot: "b", Warm: true, AsOf: slopeStart})
+	ask := func(id string) {
+		l.Ask(zpadmission.Request{ID: id, Holder: "h", Workspace: "w" + id[len(id)-1:], Urgent: true, Cost: 100, MaxWait: time.Hour}, slopeStart)
+	}
+	for i := range n {
+		ask(fmt.Sprintf("waiting-%d", i))
+	}
+	i := 0
+	everyone := func(string) bool { return true }
+	return micros(func() {
+		i++
+		ask(fmt.Sprintf("r%d", i))
+		for _, d := range l.Next(zpadmission.AuthorityFull, everyone, slopeStart) {
+			l.End(zpadmission.Result{ID: d.ID, Outcome: zpadmission.OutcomeOK, Boot: "b", Total: time.Second}, slopeStart)
+		}
+	})
+}
+
+func claimTable(n int) *zpclaim.Table {
+	t, err := zpclaim.NewTable(0, nil)
+	if err != nil {
+		panic(err)
+	}
+	for i := range n {
+		t.Ask(zpclaim.Ask{Key: fmt.Sprintf("%032d", i), Token: fmt.Sprintf("%024d", i), Holder: "entry-0.abcdef01", BodyHash: strings.Repeat("b", 32)}, slopeStart)
+	}
+	return t
+}
+
+func claimCost(n int) float64 {
+	w := &zpclaim.Writer{
+		API: zpobject.NewMemory(), Retention: time.Hour, NewID: func() string { return "id" }, Clock: func() time.Time { return slopeStart },
+	}
+	ctx := context.Background()
+	for i := range n {
+		if _, err := w.Ask(ctx, zpclaim.Ask{Key: fmt.Sprintf("%032d", i), Token: fmt.Sprint(i)}); err != nil {
+			panic(err)
+		}
+	}
+	return micros(func() {
+		if _, err := w.Ask(ctx, zpclaim.Ask{Key: "k", Token: "t"}); err != nil {
+			panic(err)
+		}
+		if err := w.Settle(ctx, zpclaim.Settlement{Key: "k", Token: "t", State: zpclaim.StateReleased}); err != nil {
+			panic(err)
+		}
+	}) / 2
+}
+
+func claimBytes(n int) float64 {
+	body, err := claimTable(n).Newest().Encode()
+	if err != nil {
+		panic(err)
+	}
+	return float64(len(body))
+}
+
+func hintMemory(n int) float64 {
+	return kilobytes(func() any {
+		t, err := zphint.NewTable(n)
+		if err != nil {
+			panic(err)
+		}
+		for i := range n {
+			var k zphint.Key
+			k[0], k[1], k[2] = byte(i), byte(i>>8), byte(i>>16)
+			t.Put(k, zphint.Hint{Place: "runner-1", Blocks: 40})
+			t.Put(k, zphint.Hint{Place: "store-1", Kind: zphint.KindStore, Blocks: 40})
+		}
+		return t
+	})
+}
+
+func nameBlocks(n int) float64 {
+	text := strings.Repeat("abcd", n)
+	salt := zpprefix.NewSalt("s", "w", "m", "v")
+	return micros(func() { zpprefix.Blocks(salt, text) })
+}
+
+func rankCost(n int) float64 {
+	places := make([]zproute.Place, 0, n)
+	for i := range n {
+		places = append(places, zproute.Place{Endpoint: fmt.Sprintf("runner-%d", i), Region: fmt.Sprintf("r%d", i%3)})
+	}
+	random := rand.New(rand.NewPCG(1, 1))
+	rates := zproute.Rates{PrefillTokens: 4000, BytesPerToken: 512}
+	prompt := zproute.Prompt{Tokens: 1000, Blocks: 15, Region: "r0"}
+	return micros(func() {
+		var candidates []zproute.Candidate
+		for _, name := range zproute.Pick(places, []string{"runner-1"}, "key", "r0", 3, nil, random) {
+			candidates = append(candidates, zproute.Candidate{Endpoint: name, Region: "r0", Quote: zpadmission.Quote{Limit: 8}})
+		}
+		zproute.Rank(prompt, candidates, nil, rates)
+	})
+}
+
+func findWorkspace(n int) float64 {
+	m := &zpmanifest.Manifest{}
+	for i := range n {
+		m.Workspaces = append(m.Workspaces, zpmanifest.Workspace{Name: fmt.Sprint(i), KeyHashes: []string{zpmanifest.HashKey(fmt.Sprint(i))}})
+	}
+	return micros(func() { m.WorkspaceByKey("7") })
+}
--- a/internal/zpconfig/cache.go
+++ b/internal/zpconfig/cache.go
@@ -31,6 +31,10 @@
 		owners   map[int]zpassign.Owner
 		regions  []string
 		leaving  map[string]bool
+		parts    map[string]*zpmanifest.Manifest  // parsed parts of the manifest in force
+		serving  map[string][]zpmanifest.Endpoint // by pool
+
+		generation int64 // counts changes
 	}
 
 	// Delta is what one daemon passes on to another.
@@ -47,8 +51,11 @@
 	RelayPrefix    = "relay/"
 	ManifestObject = "relay/manifest"
 	LeavingObject  = "relay/leaving"
+	PartPrefix     = "relay/parts/"
 )
 
+const maxTombstones = 4096
+
 // NewCache returns an empty cache.
 func NewCache() *Cache {
 	return &Cache{objects: map[string]zpobject.Object{}, owners: map[int]zpassign.Owner{}}
@@ -60,9 +67,18 @@
 // listing holds all changes since the cache's revision.
 func (c *Cache) Apply(objects []zpobject.Object, revision int64, freshAt time.Time) {
 	c.mu.Lock()
+	if revision < c.revision && !zpmutant.Active(zpmutant.VersionOrder) {
+		c.mu.Unlock()
+		return // older than what is known; it may hold objects deleted since
+	}
+	c.apply(objects, revision, freshAt)
+}
+
+// apply does the work of Apply; it unlocks the cache.
+func (c *Cache) apply(objects []zpobject.Object, revision int64, freshAt time.Time) {
 	changed := false
 	var manifestErr error
-	manifestChanged := false
+	manifestChanged, headChanged := false, false
 	for _, o := range objects {
 		if o.Revision <= c.objects[o.Name].Revision && !zpmutant.Active(zpmutant.VersionOrder) {
 			continue
@@ -70,9 +86,12 @@
 		c.objects[o.Name] = o
 		changed = true
 		if o.Name == ManifestObject {
-			manifestChanged, manifestErr = c.adopt(o)
+			headChanged = true
 		}
 	}
+	if headChanged {
+		manifestChanged, manifestErr = c.adopt(c.objects[ManifestObject])
+	}
 	if revision > c.revision {
 		c.revision = revision
 	}
@@ -80,6 +99,8 @@
 		c.freshAt = freshAt
 	}
 	if changed {
+		c.generation++
+		c.forgetDeleted()
 		c.rebuild()
 	}
 	m := c.manifest
@@ -175,21 +196,12 @@
 	return c.manifest != nil && (c.manifest.InService(e) && !c.leaving[e.Name] || zpmutant.Active(zpmutant.OutOfService))
 }
 
-// Serving returns the endpoints of a pool that may receive new work.
+// Serving returns the endpoints of a pool that may receive new work. The
+// result must not be changed.
 func (c *Cache) Serving(pool string) []zpmanifest.Endpoint {
 	c.mu.RLock()
 	defer c.mu.RUnlock()
-	if c.manifest == nil {
-		return nil
-	}
-	var out []zpmanifest.Endpoint
-	for _, e := range c.manifest.Endpoints {
-		in := c.manifest.InService(e) && !c.leaving[e.Name]
-		if e.Pool == pool && (in || zpmutant.Active(zpmutant.OutOfService)) {
-			out = append(out, e)
-		}
-	}
-	return out
+	return c.serving[pool]
 }
 
 // Object returns the cached object of that name.
@@ -200,6 +212,27 @@
 	return o, ok && !o.Deleted
 }
 
+// Generation returns a number that changes with each change of the cache.
+func (c *Cache) Generation() int64 {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.generation
+}
+
+// SpareParts returns the parts that the manifest in force does not name.
+func (c *Cache) SpareParts() []zpobject.Object {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	var out []zpobject.Object
+	for name, o := range c.objects {
+		part, ok := strings.CutPrefix(name, PartPrefix)
+		if ok && !o.Deleted && c.parts[part] == nil {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
 // Revision returns the revision up to which the cache is complete.
 func (c *Cache) Revision() int64 {
 	c.mu.RLock()
@@ -221,12 +254,24 @@
 	return now.Sub(c.freshAt)
 }
 
-// adopt puts a manifest in force if it is valid and its version is higher.
+// adopt puts a manifest in force if it is whole, valid and its version is
+// higher. Only parts that are new are parsed.
 func (c *Cache) adopt(o zpobject.Object) (bool, error) {
 	if o.Deleted {
 		return false, fmt.Errorf("manifest was deleted at revision %d", o.Revision)
 	}
-	m, err := zpmanifest.Parse(o.Body)
+	h, err := zpmanifest.DecodeHead(o.Body)
+	if err != nil {
+		return false, err
+	}
+	if c.manifest != nil && h.Version <= c.manifest.Version && !zpmutant.Active(zpmutant.VersionOrder) {
+		return false, fmt.Errorf("manifest version %d is not above %d", h.Version, c.manifest.Version)
+	}
+	parts, err := c.parseParts(h)
+	if err != nil {
+		return false, err
+	}
+	m, err := zpmanifest.Join(h, parts)
 	if err != nil {
 		return false, err
 	}
@@ -236,13 +281,31 @@
 	if err := zpmanifest.CheckChange(c.manifest, m); err != nil {
 		return false, err
 	}
-	if c.manifest != nil && m.Version <= c.manifest.Version && !zpmutant.Active(zpmutant.VersionOrder) {
-		return false, fmt.Errorf("manifest version %d is not above %d", m.Version, c.manifest.Version)
-	}
-	c.manifest = m
+	m.BuildIndex()
+	c.manifest, c.parts = m, parts
 	return true, nil
 }
 
+func (c *Cache) parseParts(h zpmanifest.Head) (map[string]*zpmanifest.Manifest, error) {
+	parts := map[string]*zpmanifest.Manifest{}
+	for _, name := range h.Parts {
+		if p := c.parts[name]; p != nil {
+			parts[name] = p
+			continue
+		}
+		o, ok := c.objects[PartPrefix+name]
+		if !ok || o.Deleted {
+			continue // Join reports it
+		}
+		p, err := zpmanifest.ParsePart(o.Body)
+		if err != nil {
+			return nil, err
+		}
+		parts[name] = p
+	}
+	return parts, nil
+}
+
 // rebuild derives members, owners and regions. It makes new values, so that
 // readers may keep the old ones.
 func (c *Cache) rebuild() {
@@ -267,6 +330,16 @@
 	}
 	c.regions = regionsOf(c.manifest)
 	c.leaving = DecodeLeaving(c.objects[LeavingObject].Body)
+	c.serving = map[string][]zpmanifest.Endpoint{}
+	if c.manifest == nil {
+		return
+	}
+	for _, e := range c.manifest.Endpoints {
+		in := c.manifest.InService(e) && !c.leaving[e.Name]
+		if in || zpmutant.Active(zpmutant.OutOfService) {
+			c.serving[e.Pool] = append(c.serving[e.Pool], e)
+		}
+	}
 }
 
 func regionsOf(m *zpmanifest.Manifest) []string {
@@ -288,8 +361,25 @@
 // Learn takes over one object that this daemon has just written, ahead of the
 // relay. It proves nothing of the rest.
 func (c *Cache) Learn(o zpobject.Object) {
-	c.mu.RLock()
-	revision := c.revision
-	c.mu.RUnlock()
-	c.Apply([]zpobject.Object{o}, revision, time.Time{})
+	c.mu.Lock()
+	c.apply([]zpobject.Object{o}, 0, time.Time{})
+}
+
+// forgetDeleted drops the oldest tombstones. Only members are ever deleted, and
+// only long after they have gone, so that a peer that misses a tombstone keeps
+// a record without effect.
+func (c *Cache) forgetDeleted() {
+	var deleted []zpobject.Object
+	for _, o := range c.objects {
+		if o.Deleted {
+			deleted = append(deleted, o)
+		}
+	}
+	if len(deleted) <= maxTombstones {
+		return
+	}
+	sort.Slice(deleted, func(i, j int) bool { return deleted[i].Revision < deleted[j].Revision })
+	for _, o := range deleted[:len(deleted)/2] {
+		delete(c.objects, o.Name)
+	}
 }
--- a/internal/zpfleet/compare.go
+++ b/internal/zpfleet/compare.go
@@ -17,7 +17,7 @@
 func (f *Fleet) runCompare(ctx context.Context) {
 	// A source of its own: Random belongs to the watch.
 	random := rand.New(rand.NewPCG(f.Random.Uint64(), 0))
-	every(ctx, f.Intervals.Compare, func(ctx context.Context) {
+	f.every(ctx, f.compareInterval, func(ctx context.Context) {
 		for _, address := range f.chooseAddresses(random) {
 			f.workers.Go(func() { f.compare(ctx, address, false) })
 		}
--- a/internal/zpfleet/fleet.go
+++ b/internal/zpfleet/fleet.go
@@ -14,6 +14,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zplease"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpmetric"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpowner"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zpobject"
 )
 
@@ -57,7 +58,14 @@
 		memberRev    int64
 		state        zpassign.MemberState
 		mode         zpconfig.Mode
-		observations map[string]*zplease.Observation
+		observations map[string]*zplease.Observation // used by monitor alone
+		watchedAt    int64                           // generation of the cache at the last choice
+		watchedNow   []zpassign.Member
+		assignedAt   int64 // generation of the cache at the last Assigned
+		assigned     map[string]zpowner.Assignment
+		plannedAt    int64                // generation of the cache for which nothing is left to plan
+		goneSince    map[string]time.Time // used by collect alone
+		spareSince   map[int64]time.Time  // by revision of a part; used by collect alone
 		workers      sync.WaitGroup
 	}
 
@@ -85,24 +93,33 @@
 func (f *Fleet) Run(ctx context.Context) {
 	f.workers.Go(func() { f.runWatch(ctx) })
 	f.workers.Go(func() { f.runCompare(ctx) })
-	f.workers.Go(func() { every(ctx, f.Renew, f.renew) })
-	f.workers.Go(func() { every(ctx, f.Renew, f.askPromises) })
-	f.workers.Go(func() { every(ctx, f.Renew, f.monitor) })
-	f.workers.Go(func() { every(ctx, f.Renew/2, f.plan) })
-	f.workers.Go(func() { every(ctx, f.Renew, f.publishLeaving) })
+	f.workers.Go(func() { f.every(ctx, f.stretched, f.renew) })
+	f.workers.Go(func() { f.every(ctx, f.unstretched, f.askPromises) })
+	f.workers.Go(func() { f.every(ctx, f.stretched, f.monitor) })
+	f.workers.Go(func() { f.every(ctx, f.planInterval, f.plan) })
+	f.workers.Go(func() { f.every(ctx, f.unstretched, f.publishLeaving) })
+	f.workers.Go(func() { f.every(ctx, f.collectInterval, f.collect) })
 	f.workers.Wait()
 }
 
-// every calls act at once and then at each interval, until ctx ends.
-func every(ctx context.Context, interval time.Duration, act func(context.Context)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
+// every calls act at once and then after each interval, until ctx ends.
+func (f *Fleet) every(ctx context.Context, interval func() time.Duration, act func(context.Context)) {
+	for ctx.Err() == nil {
 		act(ctx)
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-		}
+		pause(ctx, interval())
 	}
 }
+
+// stretched is the interval of calls to the platform that each daemon makes: it
+// grows with the fleet.
+func (f *Fleet) stretched() time.Duration {
+	return f.Renew * zplease.Stretch(len(zpassign.Live(f.Cache.Members(), zpassign.MemberServing)))
+}
+
+func (f *Fleet) unstretched() time.Duration { return f.Renew }
+
+func (f *Fleet) collectInterval() time.Duration { return collectEvery }
+
+func (f *Fleet) planInterval() time.Duration { return f.Renew / 2 }
+
+func (f *Fleet) compareInterval() time.Duration { return f.Intervals.Compare }
--- a/internal/zpfleet/monitor.go
+++ b/internal/zpfleet/monitor.go
@@ -13,40 +13,41 @@
 // monitor reads the leases that this daemon may have to end, and ends those
 // that have lapsed.
 func (f *Fleet) monitor(ctx context.Context) {
+	for _, m := range f.watched() {
+		f.watchLease(ctx, m)
+	}
+}
+
+// watched returns the members whose leases this daemon monitors. The choice is
+// made anew only when the members have changed.
+func (f *Fleet) watched() []zpassign.Member {
+	generation := f.Cache.Generation()
+	if generation == f.watchedAt {
+		return f.watchedNow
+	}
 	members := f.Cache.Members()
-	var absent map[string]bool
+	serving := zpassign.Live(members, zpassign.MemberServing)
+	f.watchedNow = nil
 	for _, m := range zpassign.Live(members, zpassign.MemberServing, zpassign.MemberLeaving) {
-		if m.Instance == f.Self.Instance {
-			continue
-		}
-		if slices.Contains(zpassign.MonitorsOf(m, members), f.Self.Instance) {
-			if absent == nil {
-				absent = f.absentVMs(ctx, members)
-			}
-			f.watchLease(ctx, m, absent[m.Name])
+		if m.Instance != f.Self.Instance && slices.Contains(zpassign.MonitorsOf(m, serving), f.Self.Instance) {
+			f.watchedNow = append(f.watchedNow, m)
 		}
 	}
+	f.watchedAt = generation
+	return f.watchedNow
 }
 
-// absentVMs returns the names of members that the platform's list of VMs does
-// not hold. An empty or unreadable list says nothing.
-func (f *Fleet) absentVMs(ctx context.Context, members []zpassign.Member) map[string]bool {
-	absent := map[string]bool{}
+// vmAbsent reports whether the platform's list of VMs lacks a member's VM. An
+// empty or unreadable list says nothing.
+func (f *Fleet) vmAbsent(ctx context.Context, m zpassign.Member) bool {
 	vms, err := f.API.VMs(ctx)
 	if err != nil || len(vms) == 0 {
-		return absent
-	}
-	listed := map[string]bool{}
-	for _, v := range vms {
-		listed[v.Name] = true
-	}
-	for _, m := range members {
-		absent[m.Name] = !listed[m.Name]
+		return false
 	}
-	return absent
+	return !slices.ContainsFunc(vms, func(v zpobject.VM) bool { return v.Name == m.Name })
 }
 
-func (f *Fleet) watchLease(ctx context.Context, m zpassign.Member, vmAbsent bool) {
+func (f *Fleet) watchLease(ctx context.Context, m zpassign.Member) {
 	o, err := f.API.Get(ctx, zplease.ObjectName(m.Instance))
 	if err != nil {
 		return
@@ -58,16 +59,21 @@
 	now := f.Clock()
 	seen := f.observations[m.Instance]
 	if seen == nil {
-		seen = &zplease.Observation{Timing: f.Timing}
+		seen = &zplease.Observation{Margin: f.Timing.Margin}
 		f.observations[m.Instance] = seen
 	}
-	seen.Observe(o.Revision, now)
+	seen.Observe(o.Revision, record.Duration, now)
 	if record.State == zplease.StateEnded {
 		f.markGone(ctx, m)
 		return
 	}
-	mayEnd := slices.Contains(record.Monitors, f.Self.Instance) || vmAbsent
-	if mayEnd && seen.Lapsed(now) && f.Promises.BeginEnd(m.Instance, now) {
+	if !seen.Lapsed(now) {
+		return
+	}
+	// A daemon that is not on record as a monitor ends the lease only of a VM
+	// that the platform no longer lists.
+	mayEnd := slices.Contains(record.Monitors, f.Self.Instance) || f.vmAbsent(ctx, m)
+	if mayEnd && f.Promises.BeginEnd(m.Instance, now) {
 		f.endLease(ctx, m, record, o.Revision)
 	}
 }
--- a/internal/zpfleet/plan.go
+++ b/internal/zpfleet/plan.go
@@ -18,12 +18,17 @@
 	if !f.Own.Valid(now) {
 		return
 	}
+	generation := f.Cache.Generation()
 	v, ok := f.Cache.View()
-	if !ok {
+	if !ok || generation == f.plannedAt {
 		return
 	}
+	steps := zpassign.Plan(v, f.Self.Instance)
+	if len(steps) == 0 {
+		f.plannedAt = generation
+	}
 	groups := map[int][]zpassign.Step{}
-	for _, s := range zpassign.Plan(v, f.Self.Instance) {
+	for _, s := range steps {
 		g := zpassign.GroupOf(s.Partition)
 		if len(groups[g]) < stepsPerGroup {
 			groups[g] = append(groups[g], s)
--- a/internal/zpfleet/renew.go
+++ b/internal/zpfleet/renew.go
@@ -29,10 +29,13 @@
 }
 
 func (f *Fleet) putLease(ctx context.Context, state zplease.State) error {
-	monitors := zpassign.MonitorsOf(f.Self, f.Cache.Members())
+	serving := zpassign.Live(f.Cache.Members(), zpassign.MemberServing)
+	monitors := zpassign.MonitorsOf(f.Self, serving)
+	duration := f.Timing.Duration * zplease.Stretch(len(serving))
 	f.mu.Lock()
 	f.renewal++
-	record := zplease.Record{Instance: f.Self.Instance, State: state, Renewal: f.renewal, Monitors: monitors}
+	record := zplease.Record{Instance: f.Self.Instance, State: state, Renewal: f.renewal,
+		Monitors: monitors, Duration: duration}
 	revision := f.leaseRev
 	f.mu.Unlock()
 	body, err := zplease.Encode(record)
@@ -49,7 +52,7 @@
 	f.leaseRev = o.Revision
 	f.mu.Unlock()
 	if state == zplease.StateHeld {
-		f.Own.Renewed(start, monitors)
+		f.Own.Renewed(start, duration, monitors)
 	}
 	return nil
 }
--- a/internal/zpfleet/view.go
+++ b/internal/zpfleet/view.go
@@ -23,8 +23,20 @@
 func (f *Fleet) HoldsLease(now time.Time) bool { return f.Own.Valid(now) }
 
 // Assigned returns the endpoints in service of the partitions assigned to this
-// daemon.
+// daemon. It is worked out anew only when the cache has changed; the result
+// must not be changed.
 func (f *Fleet) Assigned() map[string]zpowner.Assignment {
+	generation := f.Cache.Generation()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if generation != f.assignedAt {
+		f.assigned = f.assignedNow()
+		f.assignedAt = generation
+	}
+	return f.assigned
+}
+
+func (f *Fleet) assignedNow() map[string]zpowner.Assignment {
 	out := map[string]zpowner.Assignment{}
 	v, ok := f.Cache.View()
 	m := f.Cache.Manifest()
--- a/internal/zplease/lease.go
+++ b/internal/zplease/lease.go
@@ -20,6 +20,7 @@
 		State    State
 		Renewal  int64    // counts renewals, so that each changes the object
 		Monitors []string // the only instances that may end the lease
+		Duration time.Duration
 	}
 
 	// Timing holds the times that all daemons agree on.
@@ -43,8 +44,9 @@
 
 	// Observation follows another daemon's lease.
 	Observation struct {
-		Timing   Timing
+		Margin   time.Duration
 		revision int64
+		duration time.Duration
 		since    time.Time
 	}
 
@@ -53,6 +55,7 @@
 		State    string   `json:"state"`
 		Renewal  int64    `json:"renewal"`
 		Monitors []string `json:"monitors"`
+		Duration int64    `json:"duration_ms"`
 	}
 )
 
@@ -62,12 +65,23 @@
 	StateEnded State = "ended" // given up, or ended by another daemon after it lapsed
 )
 
+// Stretch returns by which factor all lease times grow in a fleet of so many
+// daemons, so that the platform's calls do not grow with it.
+func Stretch(daemons int) time.Duration {
+	return time.Duration(1 + max(daemons-1, 0)/RenewalsPerInterval)
+}
+
+// RenewalsPerInterval is how many renewals the platform gets in one renewal
+// interval; a larger fleet renews less often.
+const RenewalsPerInterval = 100
+
 // ObjectName returns the name of an instance's lease object.
 func ObjectName(instance string) string { return "leases/" + instance }
 
 // Encode writes a record.
 func Encode(r Record) ([]byte, error) {
-	return json.Marshal(wireRecord{Instance: r.Instance, State: string(r.State), Renewal: r.Renewal, Monitors: r.Monitors})
+	return json.Marshal(wireRecord{Instance: r.Instance, State: string(r.State), Renewal: r.Renewal,
+		Monitors: r.Monitors, Duration: r.Duration.Milliseconds()})
 }
 
 // Decode reads a record.
@@ -76,7 +90,8 @@
 	if err := json.Unmarshal(text, &w); err != nil {
 		return Record{}, fmt.Errorf("decode lease: %w", err)
 	}
-	return Record{Instance: w.Instance, State: State(w.State), Renewal: w.Renewal, Monitors: w.Monitors}, nil
+	return Record{Instance: w.Instance, State: State(w.State), Renewal: w.Renewal,
+		Monitors: w.Monitors, Duration: time.Duration(w.Duration) * time.Millisecond}, nil
 }
 
 // Proposed notes that a renewal which names these monitors is being sent. Until
@@ -92,16 +107,17 @@
 	}
 }
 
-// Renewed notes a confirmed renewal that began at start. Validity counts from
-// the start, because the platform may have applied it at any time since.
-func (o *Own) Renewed(start time.Time, monitors []string) {
+// Renewed notes a confirmed renewal for a duration, which began at start.
+// Validity counts from the start, because the platform may have applied it at
+// any time since.
+func (o *Own) Renewed(start time.Time, d time.Duration, monitors []string) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.monitors = map[string]bool{}
 	for _, m := range monitors {
 		o.monitors[m] = true
 	}
-	until := start.Add(o.Timing.Duration)
+	until := start.Add(d)
 	if until.After(o.validUntil) {
 		o.validUntil = until
 	}
@@ -163,10 +179,11 @@
 	return true
 }
 
-// Observe notes the revision that a read returned at now.
-func (o *Observation) Observe(revision int64, now time.Time) {
+// Observe notes the revision and the duration that a read returned at now.
+func (o *Observation) Observe(revision int64, d time.Duration, now time.Time) {
 	if revision != o.revision || o.since.IsZero() {
 		o.revision = revision
+		o.duration = d
 		o.since = now
 	}
 }
@@ -174,7 +191,7 @@
 // Lapsed reports whether the observed revision has stood unchanged for so long
 // that its holder no longer counts itself as holding it.
 func (o *Observation) Lapsed(now time.Time) bool {
-	return !o.since.IsZero() && now.Sub(o.since) > o.Timing.Duration+o.Timing.Margin
+	return !o.since.IsZero() && now.Sub(o.since) > o.duration+o.Margin
 }
 
 // Revision returns the revision last observed.
--- a/internal/zplease/lease_test.go
+++ b/internal/zplease/lease_test.go
@@ -19,23 +19,23 @@
 		o := &zplease.Own{Timing: timing}
 		Expect(o.Valid(start)).To(BeFalse())
 		o.Proposed([]string{"m"})
-		o.Renewed(start, []string{"m"})
+		o.Renewed(start, timing.Duration, []string{"m"})
 		Expect(o.Valid(start.Add(3999 * time.Millisecond))).To(BeTrue())
 		Expect(o.Valid(start.Add(4 * time.Second))).To(BeFalse())
 	})
 
 	It("ends for good", func() {
 		o := &zplease.Own{Timing: timing}
-		o.Renewed(start, nil)
+		o.Renewed(start, timing.Duration, nil)
 		o.End()
-		o.Renewed(start, nil)
+		o.Renewed(start, timing.Duration, nil)
 		Expect(o.Valid(start)).To(BeFalse())
 	})
 
 	DescribeTable("outlasts an outage by the promises of all its monitors",
 		func(promised []string, proposed []string, valid bool) {
 			o := &zplease.Own{Timing: timing}
-			o.Renewed(start, []string{"m1", "m2"})
+			o.Renewed(start, timing.Duration, []string{"m1", "m2"})
 			if proposed != nil {
 				o.Proposed(proposed)
 			}
@@ -53,7 +53,7 @@
 
 	It("is not prolonged by a promise that has run out", func() {
 		o := &zplease.Own{Timing: timing}
-		o.Renewed(start, []string{"m1"})
+		o.Renewed(start, timing.Duration, []string{"m1"})
 		o.Promised("m1", start.Add(time.Minute))
 		Expect(o.Valid(start.Add(time.Minute + timing.Duration))).To(BeFalse())
 	})
@@ -61,28 +61,35 @@
 
 var _ = Describe("Another's lease", func() {
 	It("lapses only after its duration and the margin without a change", func() {
-		v := &zplease.Observation{Timing: timing}
-		v.Observe(1, start)
-		v.Observe(1, start.Add(4*time.Second))
+		v := &zplease.Observation{Margin: timing.Margin}
+		v.Observe(1, timing.Duration, start)
+		v.Observe(1, timing.Duration, start.Add(4*time.Second))
 		Expect(v.Lapsed(start.Add(4500 * time.Millisecond))).To(BeFalse())
 		Expect(v.Lapsed(start.Add(4501 * time.Millisecond))).To(BeTrue())
-		v.Observe(2, start.Add(4600*time.Millisecond))
+		v.Observe(2, timing.Duration, start.Add(4600*time.Millisecond))
 		Expect(v.Lapsed(start.Add(8 * time.Second))).To(BeFalse())
 	})
 
 	It("is never lapsed before its holder's own view has ended", func() {
 		// The holder renews at the moment the observer reads, at the latest.
 		o := &zplease.Own{Timing: timing}
-		v := &zplease.Observation{Timing: timing}
-		o.Renewed(start, nil)
+		v := &zplease.Observation{Margin: timing.Margin}
+		o.Renewed(start, timing.Duration, nil)
 		o.Proposed([]string{"v"})
-		v.Observe(7, start)
+		v.Observe(7, timing.Duration, start)
 		for at := start; at.Before(start.Add(10 * time.Second)); at = at.Add(10 * time.Millisecond) {
 			Expect(o.Valid(at) && v.Lapsed(at)).To(BeFalse())
 		}
 	})
 })
 
+var _ = Describe("Stretch", func() {
+	DescribeTable("keeps the platform's renewals in bounds",
+		func(daemons, factor int) { Expect(zplease.Stretch(daemons)).To(BeEquivalentTo(factor)) },
+		Entry("none", 0, 1), Entry("today", 9, 1), Entry("a hundred", 100, 1), Entry("one more", 101, 2), Entry("the size to come", 1200, 12),
+	)
+})
+
 var _ = Describe("Promises", func() {
 	It("keep a monitor from ending a lease", func() {
 		p := &zplease.Promises{Timing: timing}
--- a/internal/zpoperator/operator.go
+++ b/internal/zpoperator/operator.go
@@ -6,6 +6,7 @@
 	"bytes"
 	"context"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpconfig"
@@ -48,18 +49,33 @@
 
 // Get reads the manifest from the platform.
 func (o *Operator) Get(ctx context.Context) (Stored, error) {
-	object, err := o.API.Get(ctx, zpconfig.ManifestObject)
-	if zpobject.IsNotFound(err) {
-		return Stored{}, nil
-	}
+	l, err := o.API.List(ctx, zpconfig.RelayPrefix)
 	if err != nil {
 		return Stored{}, err
 	}
-	m, err := zpmanifest.Parse(object.Body)
+	parts := map[string]*zpmanifest.Manifest{}
+	var head zpobject.Object
+	for _, object := range l.Objects {
+		if object.Name == zpconfig.ManifestObject {
+			head = object
+		}
+		name, isPart := strings.CutPrefix(object.Name, zpconfig.PartPrefix)
+		if !isPart {
+			continue
+		}
+		if parts[name], err = zpmanifest.ParsePart(object.Body); err != nil {
+			return Stored{}, err
+		}
+	}
+	if head.Revision == 0 {
+		return Stored{}, nil
+	}
+	h, err := zpmanifest.DecodeHead(head.Body)
 	if err != nil {
 		return Stored{}, err
 	}
-	return Stored{Manifest: m, Revision: object.Revision}, nil
+	m, err := zpmanifest.Join(h, parts)
+	return Stored{Manifest: m, Revision: head.Revision}, err
 }
 
 // Apply stores a manifest as the next version. The manifest's own version must
@@ -114,7 +130,9 @@
 	return 0, errRace
 }
 
-// put stores a checked manifest. After a lost answer it reads back what stands.
+// put stores a checked manifest: first its parts, which no one reads before the
+// head names them, then the head by conditional update. After a lost answer it
+// reads back what stands.
 func (o *Operator) put(ctx context.Context, stored Stored, next *zpmanifest.Manifest) error {
 	if err := zpmanifest.FaultError(next.Validate()); err != nil {
 		return err
@@ -122,7 +140,14 @@
 	if err := zpmanifest.CheckChange(stored.Manifest, next); err != nil {
 		return err
 	}
-	body, err := zpmanifest.Format(next)
+	head, parts, err := zpmanifest.Split(next)
+	if err != nil {
+		return err
+	}
+	if err := o.putParts(ctx, stored, parts); err != nil {
+		return err
+	}
+	body, err := zpmanifest.EncodeHead(head)
 	if err != nil {
 		return err
 	}
@@ -140,3 +165,44 @@
 		return zpobject.ErrConflict
 	}
 }
+
+// putParts stores the parts that the stored manifest does not have. A part that
+// exists, left over from an older manifest, is written again, so that it is not
+// collected before the head names it.
+func (o *Operator) putParts(ctx context.Context, stored Stored, parts []zpmanifest.Part) error {
+	present := map[string]bool{}
+	if stored.Manifest != nil {
+		head, _, err := zpmanifest.Split(stored.Manifest)
+		if err != nil {
+			return err
+		}
+		for _, name := range head.Parts {
+			present[name] = true
+		}
+	}
+	for _, p := range parts {
+		if present[p.Name] {
+			continue
+		}
+		if err := o.putPart(ctx, p); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (o *Operator) putPart(ctx context.Context, p zpmanifest.Part) error {
+	name := zpconfig.PartPrefix + p.Name
+	_, err := o.API.Put(ctx, name, p.Body, 0)
+	for range editTries {
+		if !zpobject.IsConflict(err) && !zpobject.IsOutcomeUnknown(err) {
+			return err
+		}
+		object, readErr := o.API.Get(ctx, name)
+		if readErr != nil {
+			return readErr
+		}
+		_, err = o.API.Put(ctx, name, p.Body, object.Revision)
+	}
+	return err
+}
--- a/internal/zppeer/handler.go
+++ b/internal/zppeer/handler.go
@@ -50,7 +50,7 @@
 		out.Quotes = append(out.Quotes, &zppeerpb.Quote{
 			Endpoint: name, Limit: int32(q.Limit), Running: int32(q.Running),
 			WaitingUrgent: int32(q.WaitingUrgent), WaitingOther: int32(q.WaitingOther),
-			ServiceMs: q.Service.Milliseconds(), Cold: q.Cold,
+			ServiceMs: q.Service.Milliseconds(), Cold: q.Cold, BacklogMs: q.Backlog.Milliseconds(),
 		})
 	}
 	return out, nil
@@ -61,6 +61,7 @@
 	d, err := h.Service.Reserve(ctx, in.Endpoint, zpadmission.Request{
 		ID: in.Id, Holder: in.Holder, Workspace: in.Workspace, Weight: int(in.Weight), Urgent: in.Urgent,
 		Cost: in.Cost, MaxWait: milliseconds(in.MaxWaitMs), Alone: in.Alone, Fingerprint: in.Fingerprint,
+		Prefill: milliseconds(in.PrefillMs),
 	}, milliseconds(in.SliceMs))
 	if err != nil {
 		return nil, err
--- a/internal/zppeer/remote.go
+++ b/internal/zppeer/remote.go
@@ -58,7 +58,7 @@
 		quotes[q.Endpoint] = zpadmission.Quote{
 			Limit: int(q.Limit), Running: int(q.Running),
 			WaitingUrgent: int(q.WaitingUrgent), WaitingOther: int(q.WaitingOther),
-			Service: milliseconds(q.ServiceMs), Cold: q.Cold,
+			Service: milliseconds(q.ServiceMs), Cold: q.Cold, Backlog: milliseconds(q.BacklogMs),
 		}
 	}
 	return quotes, nil
@@ -69,7 +69,7 @@
 	in := &zppeerpb.ReserveRequest{
 		Id: q.ID, Endpoint: endpoint, Holder: q.Holder, Workspace: q.Workspace, Weight: int32(q.Weight),
 		Urgent: q.Urgent, Cost: q.Cost, MaxWaitMs: q.MaxWait.Milliseconds(), SliceMs: slice.Milliseconds(),
-		Alone: q.Alone, Fingerprint: q.Fingerprint,
+		Alone: q.Alone, Fingerprint: q.Fingerprint, PrefillMs: q.Prefill.Milliseconds(),
 	}
 	out, err := Do(ctx, r.Dialer, r.Address, "reserve", slice,
 		func(ctx context.Context, c zppeerpb.DRPCPeerClient) (*zppeerpb.ReserveReply, error) {
--- a/internal/zppipeline/reserve.go
+++ b/internal/zppipeline/reserve.go
@@ -98,6 +98,7 @@
 	j.reservations++
 	r := Reservation{ID: fmt.Sprintf("%s-%d", j.ID, j.reservations), Endpoint: e, Owner: owner, Choice: c}
 	request := p.request(j, r.ID)
+	request.Prefill = c.Prefill
 	slice := time.Duration(float64(p.Settings.Reserve.StartDeadline) * pollShare)
 	for {
 		asked := p.Clock()
--- a/internal/zproute/route.go
+++ b/internal/zproute/route.go
@@ -52,6 +52,7 @@
 		Endpoint  string
 		Import    *Source // nil: recompute what is missing
 		Cost      time.Duration
+		Prefill   time.Duration // part of the cost: computing or importing the context
 		LinkBytes int64
 	}
 )
@@ -110,7 +111,7 @@
 }
 
 func best(p Prompt, c Candidate, sources []Source, r Rates) Choice {
-	base := Wait(c.Quote, p.Urgent)
+	base := Wait(c.Quote, p.Urgent) + c.Quote.Backlog
 	if c.Quote.Cold {
 		base += coldPenalty
 	}
@@ -118,7 +119,7 @@
 		base += 2*r.RegionLatency + price(int64(p.Bytes), r)
 	}
 	missing := p.Tokens - min(c.Cached, p.Blocks)*blockTokens
-	choice := Choice{Endpoint: c.Endpoint, Cost: base + recompute(missing, r)}
+	choice := Choice{Endpoint: c.Endpoint, Cost: base + recompute(missing, r), Prefill: recompute(missing, r)}
 	for i := range sources {
 		option, ok := imported(p, c, &sources[i], r)
 		if ok && base+option.Cost < choice.Cost {
@@ -164,6 +165,7 @@
 		choice.LinkBytes = bytes
 	}
 	choice.Cost = cost + recompute(p.Tokens-blocks*blockTokens, r)
+	choice.Prefill = choice.Cost
 	return choice, true
 }
 
--- a/internal/zproute/route_test.go
+++ b/internal/zproute/route_test.go
@@ -51,6 +51,7 @@
 		Entry("near, with equal blocks", near("a", 60, free(8)), far("b", 60, free(8))),
 		Entry("free, when the one with the blocks has a long queue", near("a", 0, free(8)), near("b", 60, full(40))),
 		Entry("with the blocks, though it must wait a little", near("a", 60, full(1)), near("b", 0, free(8))),
+		Entry("with the shorter backlog of contexts", near("a", 0, free(8)), near("b", 0, zpadmission.Quote{Limit: 8, Backlog: 400 * time.Millisecond})),
 		Entry("warm", near("a", 0, free(8)), near("b", 0, zpadmission.Quote{Limit: 2, Cold: true})),
 		Entry("that grants anything", near("a", 0, free(8)), near("b", 0, zpadmission.Quote{})),
 	)
--- a/internal/zpsite/process.go
+++ b/internal/zpsite/process.go
@@ -94,5 +94,8 @@
 	_ = p.log.Close()
 }
 
+// PID returns the process id while the process runs.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Running reports whether the process was started and not ended by the site.
 func (p *Process) Running() bool { return p.cmd != nil }
--- a/internal/zpsite/site.go
+++ b/internal/zpsite/site.go
@@ -10,7 +10,7 @@
 	"strings"
 	"time"
 
-	"github.com/zinniapaddle/zinniapaddle/internal/zpconfig"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpoperator"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zpmanifest"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zpobject"
 )
@@ -197,13 +197,12 @@
 }
 
 func (s *Site) storeManifest(ctx context.Context) error {
-	text, err := zpmanifest.Format(s.Manifest)
-	if err != nil {
-		return err
-	}
+	o := &zpoperator.Operator{API: s.API, Clock: time.Now}
+	first := s.Manifest.Clone()
+	first.Version = 0
 	for {
-		_, err := s.API.Put(ctx, zpconfig.ManifestObject, text, 0)
-		if err == nil || zpobject.IsConflict(err) {
+		_, err := o.Apply(ctx, first)
+		if err == nil {
 			return nil
 		}
 		select {
--- a/pkg/zpmanifest/manifest.go
+++ b/pkg/zpmanifest/manifest.go
@@ -21,6 +21,8 @@
 		Endpoints   []Endpoint
 		Stores      []Store
 		Links       []Link
+
+		index *index
 	}
 
 	// Domain is a failure domain.
@@ -138,11 +140,25 @@
 
 // EndpointByName returns the named endpoint.
 func (m *Manifest) EndpointByName(name string) (Endpoint, bool) {
+	if m.index != nil {
+		i, ok := m.index.endpoints[name]
+		if !ok {
+			return Endpoint{}, false
+		}
+		return m.Endpoints[i], true
+	}
 	return find(m.Endpoints, func(e Endpoint) bool { return e.Name == name })
 }
 
 // DomainByName returns the named failure domain.
 func (m *Manifest) DomainByName(name string) (Domain, bool) {
+	if m.index != nil {
+		i, ok := m.index.domains[name]
+		if !ok {
+			return Domain{}, false
+		}
+		return m.Domains[i], true
+	}
 	return find(m.Domains, func(d Domain) bool { return d.Name == name })
 }
 
@@ -172,8 +188,8 @@
 // Serving returns the endpoints of a pool that may receive new work.
 func (m *Manifest) Serving(pool string) []Endpoint {
 	var out []Endpoint
-	for _, e := range m.Endpoints {
-		if e.Pool == pool && m.InService(e) {
+	for _, e := range m.PoolEndpoints(pool) {
+		if m.InService(e) {
 			out = append(out, e)
 		}
 	}
@@ -183,6 +199,7 @@
 // Clone returns a deep copy.
 func (m *Manifest) Clone() *Manifest {
 	c := *m
+	c.index = nil
 	c.Domains = append([]Domain(nil), m.Domains...)
 	c.Workspaces = append([]Workspace(nil), m.Workspaces...)
 	c.Models = append([]Model(nil), m.Models...)
--- a/pkg/zpmanifest/manifest_test.go
+++ b/pkg/zpmanifest/manifest_test.go
@@ -1,6 +1,8 @@
 package zpmanifest_test
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -42,6 +44,74 @@
 	})
 })
 
+var _ = Describe("Parts", func() {
+	join := func(m *zpmanifest.Manifest) *zpmanifest.Manifest {
+		GinkgoHelper()
+		head, parts, err := zpmanifest.Split(m)
+		Expect(err).NotTo(HaveOccurred())
+		text, err := zpmanifest.EncodeHead(head)
+		Expect(err).NotTo(HaveOccurred())
+		head, err = zpmanifest.DecodeHead(text)
+		Expect(err).NotTo(HaveOccurred())
+		parsed := map[string]*zpmanifest.Manifest{}
+		for _, p := range parts {
+			parsed[p.Name], err = zpmanifest.ParsePart(p.Body)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		out, err := zpmanifest.Join(head, parsed)
+		Expect(err).NotTo(HaveOccurred())
+		return out
+	}
+
+	It("give back the manifest", func() { Expect(join(sample())).To(Equal(sample())) })
+
+	It("change one by one, and stay small at the size to come", func() {
+		m := sample()
+		for i := range 12000 {
+			m.Endpoints = append(m.Endpoints, zpmanifest.Endpoint{
+				Name: fmt.Sprintf("runner-%d", i), Address: fmt.Sprintf("http://10.0.%d.%d:9000", i/250, i%250), Pool: "p", Domain: "a", Slots: 8, ColdSlots: 2,
+			})
+		}
+		before, parts, err := zpmanifest.Split(m)
+		Expect(err).NotTo(HaveOccurred())
+		for _, p := range parts {
+			Expect(len(p.Body)).To(BeNumerically("<", 16<<10))
+		}
+		m.Endpoints[5000].Out = true
+		after, _, err := zpmanifest.Split(m)
+		Expect(err).NotTo(HaveOccurred())
+		changed := 0
+		for i := range after.Parts {
+			if !slices.Contains(before.Parts, after.Parts[i]) {
+				changed++
+			}
+		}
+		Expect(changed).To(Equal(1))
+	})
+
+	It("are all needed", func() {
+		head, _, err := zpmanifest.Split(sample())
+		Expect(err).NotTo(HaveOccurred())
+		_, err = zpmanifest.Join(head, nil)
+		Expect(err).To(MatchError(ContainSubstring("missing")))
+	})
+})
+
+var _ = Describe("Index", func() {
+	It("finds the same as a search", func() {
+		m := sample()
+		m.BuildIndex()
+		for _, name := range []string{"e1", "e3", "none"} {
+			a, okA := sample().EndpointByName(name)
+			b, okB := m.EndpointByName(name)
+			Expect(b).To(Equal(a))
+			Expect(okB).To(Equal(okA))
+		}
+		Expect(m.Serving("p")).To(Equal(sample().Serving("p")))
+		Expect(m.Region("b")).To(Equal("south"))
+	})
+})
+
 var _ = Describe("Validate", func() {
 	It("accepts a good manifest", func() { Expect(sample().Validate()).To(BeEmpty()) })
 
--- a/pkg/zpmanifest/validate.go
+++ b/pkg/zpmanifest/validate.go
@@ -32,6 +32,8 @@
 
 // Validate lists every fault of the manifest; none means it may be accepted.
 func (m *Manifest) Validate() []Fault {
+	m = m.Clone()
+	m.BuildIndex()
 	f := &faultList{}
 	f.validateSizes(m)
 	f.validateDomains(m)
