--- a/internal/zpassign/assign.go
+++ b/internal/zpassign/assign.go
@@ -130,14 +130,15 @@
 	}
 	var steps []Step
 	for p := 0; p < v.Partitions; p++ {
+		owner := v.Owners[p]
+		if owner.Instance != self && present[owner.Instance] {
+			continue // another's to keep or to give
+		}
 		best, ok := Preferred(p, serving, v.Regions)
 		if !ok {
 			continue
 		}
-		owner := v.Owners[p]
-		take := best.Instance == self && !present[owner.Instance]
-		give := owner.Instance == self && best.Instance != self
-		if take || give {
+		if (best.Instance == self) != (owner.Instance == self) {
 			to := Owner{Instance: best.Instance, Epoch: owner.Epoch + 1}
 			steps = append(steps, Step{Partition: p, From: owner, To: to})
 		}
--- a/internal/zpconfig/cache.go
+++ b/internal/zpconfig/cache.go
@@ -5,6 +5,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -20,7 +21,6 @@
 	// Cache is the relayed state. It is safe for concurrent use.
 	Cache struct {
 		OnManifest func(m *zpmanifest.Manifest, err error)
-		OnChange   func()
 
 		mu       sync.RWMutex
 		objects  map[string]zpobject.Object // with tombstones
@@ -34,7 +34,13 @@
 		parts    map[string]*zpmanifest.Manifest  // parsed parts of the manifest in force
 		serving  map[string][]zpmanifest.Endpoint // by pool
 
-		generation int64 // counts changes
+		generation      int64 // counts changes
+		fleetGeneration int64 // counts changes of members, owners and regions
+	}
+
+	// changes tells which kinds of objects have changed.
+	changes struct {
+		any, head, leaving, members, owners bool
 	}
 
 	// Delta is what one daemon passes on to another.
@@ -76,21 +82,17 @@
 
 // apply does the work of Apply; it unlocks the cache.
 func (c *Cache) apply(objects []zpobject.Object, revision int64, freshAt time.Time) {
-	changed := false
-	var manifestErr error
-	manifestChanged, headChanged := false, false
+	var seen changes
 	for _, o := range objects {
 		if o.Revision <= c.objects[o.Name].Revision && !zpmutant.Active(zpmutant.VersionOrder) {
 			continue
 		}
 		c.objects[o.Name] = o
-		changed = true
-		if o.Name == ManifestObject {
-			headChanged = true
-		}
+		seen.note(o.Name)
 	}
-	if headChanged {
-		manifestChanged, manifestErr = c.adopt(c.objects[ManifestObject])
+	adopted, refused := false, error(nil)
+	if seen.head {
+		adopted, refused = c.adopt(c.objects[ManifestObject])
 	}
 	if revision > c.revision {
 		c.revision = revision
@@ -98,21 +100,23 @@
 	if revision >= c.revision && freshAt.After(c.freshAt) {
 		c.freshAt = freshAt
 	}
-	if changed {
-		c.generation++
-		c.forgetDeleted()
-		c.rebuild()
-	}
+	c.rebuild(seen)
 	m := c.manifest
 	c.mu.Unlock()
-	if c.OnManifest != nil && (manifestChanged || manifestErr != nil) {
-		c.OnManifest(m, manifestErr)
-	}
-	if changed && c.OnChange != nil {
-		c.OnChange()
+	if c.OnManifest != nil && (adopted || refused != nil) {
+		c.OnManifest(m, refused)
 	}
 }
 
+// note records what kind of object has changed.
+func (s *changes) note(name string) {
+	s.any = true
+	s.head = s.head || name == ManifestObject
+	s.leaving = s.leaving || name == LeavingObject
+	s.members = s.members || strings.HasPrefix(name, zpassign.MemberPrefix)
+	s.owners = s.owners || strings.HasPrefix(name, zpassign.GroupPrefix)
+}
+
 // Replace applies a complete listing: what it does not name is gone.
 func (c *Cache) Replace(objects []zpobject.Object, revision int64, freshAt time.Time) {
 	named := map[string]bool{}
@@ -212,6 +216,14 @@
 	return o, ok && !o.Deleted
 }
 
+// FleetGeneration returns a number that changes with each change of members,
+// owners, or what the manifest says of regions and partitions.
+func (c *Cache) FleetGeneration() int64 {
+	c.mu.RLock()
+	defer c.mu.RUnlock()
+	return c.fleetGeneration
+}
+
 // Generation returns a number that changes with each change of the cache.
 func (c *Cache) Generation() int64 {
 	c.mu.RLock()
@@ -306,30 +318,60 @@
 	return parts, nil
 }
 
-// rebuild derives members, owners and regions. It makes new values, so that
-// readers may keep the old ones.
-func (c *Cache) rebuild() {
+// rebuild derives what the changed objects bear on. It makes new values, so
+// that readers may keep the old ones.
+func (c *Cache) rebuild(seen changes) {
+	if !seen.any {
+		return
+	}
+	c.generation++
+	if seen.members {
+		c.forgetDeleted()
+		c.rebuildMembers()
+	}
+	if seen.owners {
+		c.rebuildOwners()
+	}
+	regions := c.regions
+	if seen.head || seen.leaving {
+		c.regions = regionsOf(c.manifest)
+		c.leaving = DecodeLeaving(c.objects[LeavingObject].Body)
+		c.rebuildServing()
+	}
+	if seen.members || seen.owners || !slices.Equal(regions, c.regions) {
+		c.fleetGeneration++
+	}
+}
+
+func (c *Cache) rebuildMembers() {
 	c.members = nil
+	for name, o := range c.objects {
+		if o.Deleted || !strings.HasPrefix(name, zpassign.MemberPrefix) {
+			continue
+		}
+		if m, err := zpassign.DecodeMember(o.Body); err == nil {
+			c.members = append(c.members, m)
+		}
+	}
+}
+
+func (c *Cache) rebuildOwners() {
 	c.owners = map[int]zpassign.Owner{}
 	for name, o := range c.objects {
-		if o.Deleted {
+		if o.Deleted || !strings.HasPrefix(name, zpassign.GroupPrefix) {
+			continue
+		}
+		g, err := zpassign.DecodeGroup(o.Body)
+		if err != nil {
 			continue
 		}
-		switch {
-		case strings.HasPrefix(name, zpassign.MemberPrefix):
-			if m, err := zpassign.DecodeMember(o.Body); err == nil {
-				c.members = append(c.members, m)
-			}
-		case strings.HasPrefix(name, zpassign.GroupPrefix):
-			if g, err := zpassign.DecodeGroup(o.Body); err == nil {
-				for p, owner := range g.Owners {
-					c.owners[p] = owner
-				}
-			}
+		for p, owner := range g.Owners {
+			c.owners[p] = owner
 		}
 	}
-	c.regions = regionsOf(c.manifest)
-	c.leaving = DecodeLeaving(c.objects[LeavingObject].Body)
+}
+
+func (c *Cache) rebuildServing() {
 	c.serving = map[string][]zpmanifest.Endpoint{}
 	if c.manifest == nil {
 		return
--- a/internal/zpfleet/monitor.go
+++ b/internal/zpfleet/monitor.go
@@ -21,7 +21,7 @@
 // watched returns the members whose leases this daemon monitors. The choice is
 // made anew only when the members have changed.
 func (f *Fleet) watched() []zpassign.Member {
-	generation := f.Cache.Generation()
+	generation := f.Cache.FleetGeneration()
 	if generation == f.watchedAt {
 		return f.watchedNow
 	}
--- a/internal/zpfleet/plan.go
+++ b/internal/zpfleet/plan.go
@@ -18,7 +18,7 @@
 	if !f.Own.Valid(now) {
 		return
 	}
-	generation := f.Cache.Generation()
+	generation := f.Cache.FleetGeneration()
 	v, ok := f.Cache.View()
 	if !ok || generation == f.plannedAt {
 		return
--- a/internal/zpsite/layout.go
+++ b/internal/zpsite/layout.go
@@ -68,7 +68,7 @@
 		"name": fmt.Sprintf("entry-%d", i), "region": d.Region, "failure_domain": d.Name,
 		"callers.listen": ip + ":8080", "peers.listen": ip + ":8081", "admin.listen": ip + ":8082",
 		"peers.insecure": "true", "platform.address": s.PlatformURL(), "platform.region": "north",
-		"drain.notice_ms": "500",
+		"drain.notice_ms": "500", "routing.prefill_tokens_per_second": "8000",
 	}
 	for k, v := range s.Config.Settings {
 		values[k] = v
