Fair refusals under a flood; freshness by sample; a daemon starts in an outage

Cause: the owner's queue limit and its estimate of the wait counted all that waited, so a flood of one workspace had another's first request refused as queue_full or too late. Ruled out: the fair queue itself, which gave the quiet one its turn once it was in. Change: estimates count of each flow no more than the asker's own would have, and a full queue still takes what is below its share. Before: zpadmission 'does not refuse a quiet workspace for the queue of a flood' fails; after: passes. New proof: isolation.

Cause: a majority of the platform's region cannot be asked within 2 s at 800 members, so a large fleet would have refused all in an outage. Change: a random sample of more than three, a majority of those asked.

--- a/e2e/operators_test.go
+++ b/e2e/operators_test.go
@@ -11,6 +11,7 @@
 	"math/big"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -108,6 +109,20 @@
 		Expect(code).To(Equal(0), out)
 	})
 
+	It("find no fault in the examples", func() {
+		files, err := filepath.Glob("../examples/*.yaml")
+		Expect(err).NotTo(HaveOccurred())
+		Expect(files).To(HaveLen(4))
+		for _, file := range files {
+			flag := "--manifest"
+			if strings.HasSuffix(file, "settings.yaml") {
+				flag = "--settings"
+			}
+			code, out := command("check", flag, file)
+			Expect(code).To(Equal(0), out)
+		}
+	})
+
 	DescribeTable("get an exit code and a remedy",
 		func(args []string, code int, text string) {
 			for i, a := range args {
--- a/internal/zpadmission/evidence.go
+++ b/internal/zpadmission/evidence.go
@@ -23,19 +23,6 @@
 	}
 }
 
-// Evidence notes a fall seen by a daemon on a running stream, before the
-// stream's reservation ends.
-func (l *Ledger) Evidence(boot string, now time.Time) {
-	if l.formerBoot(boot) {
-		return
-	}
-	if boot != "" && boot != l.boot {
-		l.restart(boot)
-		return
-	}
-	l.suspect(now)
-}
-
 // Report takes over an endpoint's report. A report made before the last sign
 // of a fall, or of a boot identity already replaced, cannot clear that sign.
 func (l *Ledger) Report(r Report) {
--- a/internal/zpadmission/ledger.go
+++ b/internal/zpadmission/ledger.go
@@ -75,10 +75,10 @@
 
 // Ask queues a request or refuses it. A queued request is decided by Next.
 func (l *Ledger) Ask(r Request, now time.Time) (Decision, bool) {
-	if l.queued() >= l.QueueLimit {
+	if l.full(r.Workspace) {
 		return l.refuse(r, CodeQueueFull), false
 	}
-	if wait := l.estimate(r.Urgent); wait > r.MaxWait {
+	if wait := l.estimate(r); wait > r.MaxWait {
 		return l.refuse(r, CodeTooLate), false
 	}
 	if r.Alone {
@@ -253,18 +253,29 @@
 	return l.queue.Len(zpqueue.ClassUrgent) + l.queue.Len(zpqueue.ClassOther)
 }
 
+// full reports whether a workspace may not queue another request. When the
+// queue is full, a workspace that has less than its share still may, up to
+// twice the limit in all.
+func (l *Ledger) full(workspace string) bool {
+	n := l.queued()
+	if n < l.QueueLimit {
+		return false
+	}
+	share := l.QueueLimit / (l.queue.Flows() + 1)
+	return n >= 2*l.QueueLimit || l.queue.FlowLen(workspace) >= share
+}
+
 // estimate returns how long a new request would wait.
-func (l *Ledger) estimate(urgent bool) time.Duration {
-	ahead := l.queue.Len(zpqueue.ClassUrgent)
-	if !urgent {
-		ahead += l.queue.Len(zpqueue.ClassOther)
+func (l *Ledger) estimate(r Request) time.Duration {
+	ahead := l.queue.Ahead(r.Workspace, zpqueue.ClassUrgent)
+	if !r.Urgent {
+		ahead += l.queue.Ahead(r.Workspace, zpqueue.ClassOther)
 	}
-	limit := max(l.limit, 1)
-	return l.service * time.Duration(ahead) / time.Duration(limit)
+	return l.service * time.Duration(ahead) / time.Duration(max(l.limit, 1))
 }
 
 func (l *Ledger) refuse(r Request, code string) Decision {
-	retry := max(l.estimate(r.Urgent)/refusedRetryStep, minRetryAfter)
+	retry := max(l.estimate(r)/refusedRetryStep, minRetryAfter)
 	return Decision{ID: r.ID, Code: code, RetryAfter: retry}
 }
 
--- a/internal/zpadmission/ledger_test.go
+++ b/internal/zpadmission/ledger_test.go
@@ -146,6 +146,25 @@
 		Expect(d.RetryAfter).To(BeNumerically(">", 0))
 	})
 
+	It("does not refuse a quiet workspace for the queue of a flood", func() {
+		l := zpadmission.NewLedger(slots, coldSlots, 20, 1)
+		flooded := 0
+		for i := range 100 {
+			r := request(fmt.Sprintf("f%d", i))
+			r.Workspace, r.MaxWait = "flood", 2*time.Second
+			if _, queued := l.Ask(r, start); queued {
+				flooded++
+			}
+		}
+		Expect(flooded).To(BeNumerically("<=", 20))
+		quiet := request("quiet")
+		quiet.Workspace, quiet.MaxWait = "quiet", 2*time.Second
+		_, queued := l.Ask(quiet, start)
+		Expect(queued).To(BeTrue())
+		l.Report(report(true, 0, start))
+		Expect(grants(l.Next(zpadmission.AuthorityFull, everyone, start))).To(ContainElement("quiet"))
+	})
+
 	It("refuses what has waited too long", func() {
 		l := newLedger()
 		l.Ask(request("r"), start)
@@ -235,7 +254,7 @@
 
 	It("is not cleared by a report made before it", func() {
 		l := warmLedger(start)
-		l.Evidence("", start.Add(time.Second))
+		l.End(zpadmission.Result{Outcome: zpadmission.OutcomeBroken}, start.Add(time.Second))
 		l.Report(report(true, 0, start.Add(900*time.Millisecond)))
 		Expect(l.Phase()).To(Equal(zpadmission.PhaseSuspect))
 		l.Report(report(true, 0, start.Add(1100*time.Millisecond)))
@@ -244,7 +263,7 @@
 
 	It("is looked for with one probe when no report comes", func() {
 		l := warmLedger(start)
-		l.Evidence("", start)
+		l.End(zpadmission.Result{Outcome: zpadmission.OutcomeBroken}, start)
 		later := start.Add(zpadmission.ProbeAfter)
 		Expect(ask(l, zpadmission.AuthorityFull, "p", 4, later)).To(HaveLen(1))
 		l.End(zpadmission.Result{ID: "p0", Outcome: zpadmission.OutcomeOK, Boot: "b1", Total: time.Second}, later)
--- a/internal/zpadmission/types.go
+++ b/internal/zpadmission/types.go
@@ -8,16 +8,15 @@
 type (
 	// Request asks for a place on the endpoint.
 	Request struct {
-		ID          string // made by the asker, unique
-		Holder      string // instance that will send the request
-		Workspace   string
-		Weight      int
-		Urgent      bool
-		Cost        int64         // tokens
-		Prefill     time.Duration // expected time to compute the context
-		MaxWait     time.Duration
-		Alone       bool   // run with nothing beside it
-		Fingerprint string // keyed hash of the request's content
+		ID        string // made by the asker, unique
+		Holder    string // instance that will send the request
+		Workspace string
+		Weight    int
+		Urgent    bool
+		Cost      int64         // tokens
+		Prefill   time.Duration // expected time to compute the context
+		MaxWait   time.Duration
+		Alone     bool // run with nothing beside it
 	}
 
 	// Decision answers a Request.
@@ -110,5 +109,4 @@
 	CodeQueueFull = "queue_full"
 	CodeTooLate   = "would_wait_too_long"
 	CodeExpired   = "waited_too_long"
-	CodeOut       = "endpoint_out"
 )
--- a/internal/zpapp/daemon.go
+++ b/internal/zpapp/daemon.go
@@ -117,7 +117,7 @@
 	}
 	d.buildFleet(self, api)
 	d.owner = &zpowner.Owner{
-		Self: self.Instance, StartDeadline: s.Reserve.StartDeadline, ReportEvery: s.Endpoint.Report,
+		StartDeadline: s.Reserve.StartDeadline, ReportEvery: s.Endpoint.Report,
 		QueueLimit: s.Reserve.QueueLimit, Reporter: d.engine, Orderer: d.engine, HeldBy: d.exchange.HeldBy,
 		Fleet: d.fleet, Log: d.Log, Clock: time.Now,
 	}
--- a/internal/zpapp/run.go
+++ b/internal/zpapp/run.go
@@ -113,7 +113,7 @@
 }
 
 func (d *Daemon) servePeers(ctx context.Context, failed chan<- error) {
-	h := &zppeer.Handler{Service: d.local, Region: d.Settings.Region, Clock: time.Now}
+	h := &zppeer.Handler{Service: d.local, Clock: time.Now}
 	err := zppeer.Serve(ctx, d.listeners.peers, h)
 	if ctx.Err() == nil {
 		d.report(failed, err)
--- a/internal/zpbench/bench.go
+++ b/internal/zpbench/bench.go
@@ -112,7 +112,7 @@
 	if err != nil {
 		return sample{}, err
 	}
-	defer func() { _ = site.Stop() }()
+	defer site.Stop()
 	if err := site.Start(context.Background()); err != nil {
 		return sample{}, err
 	}
--- a/internal/zpbench/counters.go
+++ b/internal/zpbench/counters.go
@@ -84,7 +84,7 @@
 	dialer := &zppeer.Dialer{Timeout: time.Second}
 	dialer.Open()
 	o := &zpoperator.Operator{
-		API: site.API, Clock: time.Now,
+		API:      site.API,
 		Exchange: &zppeer.Exchange{Self: "operator", SelfAddress: "none", Dialer: dialer},
 	}
 	_, err := o.Change(context.Background(), zpoperator.SetDomainOut(name, out))
--- a/internal/zpbench/demo.go
+++ b/internal/zpbench/demo.go
@@ -52,7 +52,7 @@
 	if err != nil {
 		return err
 	}
-	defer func() { _ = site.Stop() }()
+	defer site.Stop()
 	d := &demo{site: site, out: out.out}
 	d.say("starting a platform, a link, 4 model engines, 1 service, 2 cache stores and 3 daemons")
 	if err := site.Start(context.Background()); err != nil {
--- a/internal/zpbench/overhead.go
+++ b/internal/zpbench/overhead.go
@@ -51,7 +51,7 @@
 	if err != nil {
 		return err
 	}
-	defer func() { _ = site.Stop() }()
+	defer site.Stop()
 	if err := site.Start(context.Background()); err != nil {
 		return err
 	}
--- a/internal/zpcommand/operator.go
+++ b/internal/zpcommand/operator.go
@@ -48,7 +48,6 @@
 	return &zpoperator.Operator{
 		API:      &zpobject.Client{BaseURL: s.Platform.Address, HTTP: &http.Client{}, Timeout: s.Platform.Timeout},
 		Exchange: &zppeer.Exchange{Self: "operator", SelfAddress: "none", Dialer: dialer},
-		Clock:    time.Now,
 	}, nil
 }
 
--- a/internal/zpconfig/cache.go
+++ b/internal/zpconfig/cache.go
@@ -47,7 +47,6 @@
 	Delta struct {
 		Revision int64
 		Age      time.Duration // age of the sender's proof
-		Complete bool          // Objects hold the whole state, not only changes
 		Objects  []zpobject.Object
 	}
 )
--- a/internal/zpconfig/freshness.go
+++ b/internal/zpconfig/freshness.go
@@ -11,10 +11,11 @@
 	// Mode says whether new work may be taken.
 	Mode string
 
-	// Contact is the last successful comparison with one peer.
+	// Contact is the last comparison with one peer.
 	Contact struct {
-		At  time.Time     // when the peer was asked
-		Age time.Duration // age of the peer's proof then
+		At       time.Time // when the peer was asked
+		Answered bool
+		Age      time.Duration // age of the peer's proof then
 	}
 
 	// Contacts remembers the last contact with each peer. It is safe for
@@ -41,15 +42,24 @@
 	ModeCutOff       Mode = "cut_off"       // this daemon cannot know
 )
 
-const neverFresh = time.Duration(1<<63 - 1)
+const (
+	neverFresh = time.Duration(1<<63 - 1)
+
+	// enoughReached is how many members, this one not counted, speak for a
+	// region that is too large to ask a majority of.
+	enoughReached = 3
+)
 
 // NewContacts returns an empty memory of contacts.
 func NewContacts() *Contacts { return &Contacts{last: map[string]Contact{}} }
 
-// Note records a comparison with a peer.
+// Note records a comparison with a peer, unless a later one is known.
 func (c *Contacts) Note(instance string, contact Contact) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if contact.At.Before(c.last[instance].At) {
+		return
+	}
 	c.last[instance] = contact
 }
 
@@ -63,8 +73,10 @@
 
 // Decide returns the mode at now, from the age of the own proof and the last
 // contacts with the members of the platform's region. The platform counts as
-// down only if a majority of those members, this daemon included, was reached
-// lately and each was as stale as this daemon.
+// down only if a majority of those that were asked lately answered, this daemon
+// included, if each of these was as stale as this daemon, and if they are a
+// majority of the region's members or at least enoughReached. Members are asked
+// at random, so that a sample speaks for a large region.
 func (j Judge) Decide(age time.Duration, members []zpassign.Member, contacts *Contacts, now time.Time) Mode {
 	if age <= j.MaxAge {
 		return ModeFresh
@@ -72,17 +84,25 @@
 	if age == neverFresh {
 		return ModeCutOff
 	}
-	total, reached := 0, 0
+	total, asked, reached := 0, 1, 1 // this daemon reaches itself
 	for _, m := range zpassign.Live(members, zpassign.MemberServing, zpassign.MemberLeaving) {
 		if m.Region != j.PlatformRegion {
 			continue
 		}
 		total++
-		if m.Instance == j.Self || j.staleLately(m.Instance, contacts, now) {
+		contact, ok := contacts.Last(m.Instance)
+		if m.Instance == j.Self || !ok || now.Sub(contact.At) > j.ContactWindow {
+			continue
+		}
+		asked++
+		if contact.Answered && contact.Age > j.MaxAge {
 			reached++
 		}
 	}
-	if total > 0 && reached*2 > total && (total > 1 || j.ServeLast) {
+	if total < 2 && !j.ServeLast {
+		return ModeCutOff
+	}
+	if reached*2 > asked && (reached > total/2 || reached > enoughReached) {
 		return ModePlatformDown
 	}
 	return ModeCutOff
@@ -90,11 +110,3 @@
 
 // Serves reports whether new work is taken in a mode.
 func (j Judge) Serves(m Mode) bool { return m != ModeCutOff || j.ServeLast }
-
-func (j Judge) staleLately(instance string, contacts *Contacts, now time.Time) bool {
-	contact, ok := contacts.Last(instance)
-	if !ok || now.Sub(contact.At) > j.ContactWindow {
-		return false
-	}
-	return contact.Age > j.MaxAge
-}
--- a/internal/zpfleet/compare.go
+++ b/internal/zpfleet/compare.go
@@ -18,30 +18,30 @@
 	// A source of its own: Random belongs to the watch.
 	random := rand.New(rand.NewPCG(f.Random.Uint64(), 0))
 	f.every(ctx, f.compareInterval, func(ctx context.Context) {
-		for _, address := range f.chooseAddresses(random) {
-			f.workers.Go(func() { f.compare(ctx, address, false) })
+		for _, m := range f.choosePeers(random) {
+			f.workers.Go(func() { f.compare(ctx, m, false) })
 		}
 	})
 }
 
-func (f *Fleet) chooseAddresses(random *rand.Rand) []string {
-	var near, platform []string
+func (f *Fleet) choosePeers(random *rand.Rand) []zpassign.Member {
+	var near, platform []zpassign.Member
 	for _, m := range zpassign.Live(f.Cache.Members(), zpassign.MemberServing, zpassign.MemberLeaving) {
 		if m.Instance == f.Self.Instance {
 			continue
 		}
 		if m.Domain == f.Self.Domain {
-			near = append(near, m.Address)
+			near = append(near, m)
 		}
 		if m.Region == f.Judge.PlatformRegion {
-			platform = append(platform, m.Address)
+			platform = append(platform, m)
 		}
 	}
 	if len(near)+len(platform) == 0 {
-		platform = f.Seeds
+		platform = f.seedMembers()
 	}
-	out := make([]string, 0, peersPerRound)
-	for _, list := range [][]string{near, platform} {
+	out := make([]zpassign.Member, 0, peersPerRound)
+	for _, list := range [][]zpassign.Member{near, platform} {
 		if len(list) > 0 {
 			out = append(out, list[random.IntN(len(list))])
 		}
@@ -49,14 +49,24 @@
 	return out
 }
 
+// seedMembers returns the seeds as members of which only the address is known.
+func (f *Fleet) seedMembers() []zpassign.Member {
+	out := make([]zpassign.Member, 0, len(f.Seeds))
+	for _, address := range f.Seeds {
+		out = append(out, zpassign.Member{Instance: address, Address: address})
+	}
+	return out
+}
+
 // compare asks one peer for what is newer there, and how fresh its proof is.
-func (f *Fleet) compare(ctx context.Context, address string, askPromise bool) {
+func (f *Fleet) compare(ctx context.Context, m zpassign.Member, askPromise bool) {
 	asked := f.Clock()
-	c, err := f.Calls.Compare(ctx, address, f.Cache.Revision(), askPromise)
+	c, err := f.Calls.Compare(ctx, m.Address, f.Cache.Revision(), askPromise)
 	if err != nil {
+		f.Contacts.Note(m.Instance, zpconfig.Contact{At: asked})
 		return
 	}
-	f.Contacts.Note(c.Instance, zpconfig.Contact{At: asked, Age: c.Delta.Age})
+	f.Contacts.Note(c.Instance, zpconfig.Contact{At: asked, Answered: true, Age: c.Delta.Age})
 	f.Cache.Merge(c.Delta, asked)
 	if c.Promised {
 		f.Own.Promised(c.Instance, asked)
--- a/internal/zpfleet/monitor.go
+++ b/internal/zpfleet/monitor.go
@@ -117,15 +117,10 @@
 // askPromises asks the monitors on record not to end the lease for a while, so
 // that it outlasts an outage of the platform.
 func (f *Fleet) askPromises(ctx context.Context) {
-	addresses := map[string]string{}
+	monitors := f.Own.Monitors()
 	for _, m := range f.Cache.Members() {
-		addresses[m.Instance] = m.Address
-	}
-	for _, monitor := range f.Own.Monitors() {
-		address, ok := addresses[monitor]
-		if !ok {
-			continue
+		if slices.Contains(monitors, m.Instance) {
+			f.workers.Go(func() { f.compare(ctx, m, true) })
 		}
-		f.workers.Go(func() { f.compare(ctx, address, true) })
 	}
 }
--- a/internal/zpfront/models.go
+++ b/internal/zpfront/models.go
@@ -5,7 +5,7 @@
 
 	"github.com/kataras/iris/v12"
 
-	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
+	"github.com/zinniapaddle/zinniapaddle/internal/zppipeline"
 )
 
 type (
@@ -20,22 +20,15 @@
 	}
 )
 
-var (
-	errNotReady = zperror.New(zperror.KindUnavailable, "no_configuration",
-		"this daemon has no configuration yet", "send the request again")
-	errDenied = zperror.New(zperror.KindDenied, "unknown_api_key",
-		"the API key belongs to no workspace", "pass a key of the manifest as `Authorization: Bearer KEY`")
-)
-
 // models lists the models of the manifest.
 func (f *Front) models(c iris.Context) {
 	m := f.Fleet.Cache.Manifest()
 	if m == nil {
-		writeError(c, errNotReady, "")
+		writeError(c, zppipeline.ErrNoConfig, "")
 		return
 	}
 	if _, ok := m.WorkspaceByKey(apiKey(c)); !ok {
-		writeError(c, errDenied, "")
+		writeError(c, zppipeline.ErrUnknownKey, "")
 		return
 	}
 	list := wireModels{Object: "list", Data: []wireModel{}}
--- a/internal/zpoperator/operator.go
+++ b/internal/zpoperator/operator.go
@@ -7,7 +7,6 @@
 	"context"
 	"fmt"
 	"strings"
-	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpconfig"
 	"github.com/zinniapaddle/zinniapaddle/internal/zppeer"
@@ -21,7 +20,6 @@
 	Operator struct {
 		API      zpobject.API
 		Exchange *zppeer.Exchange
-		Clock    func() time.Time
 	}
 
 	// Stored is the manifest as the platform holds it.
--- a/internal/zpowner/owner.go
+++ b/internal/zpowner/owner.go
@@ -30,7 +30,6 @@
 
 	// Owner holds the ledgers. Set the exported fields before Run.
 	Owner struct {
-		Self          string
 		StartDeadline time.Duration
 		ReportEvery   time.Duration
 		QueueLimit    int
--- a/internal/zppeer/handler.go
+++ b/internal/zppeer/handler.go
@@ -14,7 +14,6 @@
 // Handler answers the calls of other daemons with a Service.
 type Handler struct {
 	Service Service
-	Region  string
 	Clock   func() time.Time
 }
 
@@ -28,7 +27,7 @@
 		return nil, err
 	}
 	out := &zppeerpb.CompareReply{
-		Instance: c.Instance, Region: h.Region, Revision: c.Delta.Revision,
+		Instance: c.Instance, Revision: c.Delta.Revision,
 		AgeMs: roundUp(c.Delta.Age), Promised: c.Promised,
 	}
 	for _, o := range c.Delta.Objects {
@@ -60,7 +59,7 @@
 func (h *Handler) Reserve(ctx context.Context, in *zppeerpb.ReserveRequest) (*zppeerpb.ReserveReply, error) {
 	d, err := h.Service.Reserve(ctx, in.Endpoint, zpadmission.Request{
 		ID: in.Id, Holder: in.Holder, Workspace: in.Workspace, Weight: int(in.Weight), Urgent: in.Urgent,
-		Cost: in.Cost, MaxWait: milliseconds(in.MaxWaitMs), Alone: in.Alone, Fingerprint: in.Fingerprint,
+		Cost: in.Cost, MaxWait: milliseconds(in.MaxWaitMs), Alone: in.Alone,
 		Prefill: milliseconds(in.PrefillMs),
 	}, milliseconds(in.SliceMs))
 	if err != nil {
--- a/internal/zppipeline/accept.go
+++ b/internal/zppipeline/accept.go
@@ -12,7 +12,8 @@
 const cutOffRetryAfter = 2 * time.Second
 
 var (
-	errNoConfig = zperror.New(zperror.KindUnavailable, "no_configuration",
+	// ErrNoConfig is the error of a daemon that has no configuration.
+	ErrNoConfig = zperror.New(zperror.KindUnavailable, "no_configuration",
 		"this daemon has no configuration yet", "send the request again; the balancer should skip daemons whose /readyz fails")
 	errCutOff = zperror.New(zperror.KindUnavailable, "configuration_stale",
 		"this daemon cannot prove that its configuration is the newest",
@@ -23,7 +24,7 @@
 func (p *Pipeline) accept(_ context.Context, j *Job) error {
 	j.Manifest = p.Fleet.Cache.Manifest()
 	if j.Manifest == nil {
-		return errNoConfig.WithRetryAfter(cutOffRetryAfter)
+		return ErrNoConfig.WithRetryAfter(cutOffRetryAfter)
 	}
 	if !p.Fleet.Serves(p.Clock()) && !zpmutant.Active(zpmutant.Freshness) {
 		return errCutOff.WithRetryAfter(cutOffRetryAfter)
--- a/internal/zppipeline/generate.go
+++ b/internal/zppipeline/generate.go
@@ -4,7 +4,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"maps"
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpadmission"
@@ -40,8 +39,8 @@
 		}
 		o := p.dispatch(ctx, j, r, sink)
 		j.note(o)
-		p.noteCrash(ctx, j, r.Endpoint, r.Boot, o)
 		p.release(ctx, r, o)
+		p.noteCrash(ctx, j, r.Endpoint, r.Boot, o)
 		if o.Done {
 			p.acquit(j)
 			j.Endpoint, j.Usage = r.Endpoint.Name, o.Usage
@@ -71,14 +70,9 @@
 func (p *Pipeline) dispatch(ctx context.Context, j *Job, r Reservation, sink Sink) zpengine.Outcome {
 	ctx, span := p.Tracer.Start(ctx, "dispatch")
 	defer span.End()
-	gate := &zpengine.Gate{
-		Deadline: r.Deadline,
-		Clock:    p.Clock,
-		OnSend:   func() { p.Holdings.Start(r.ID, r.Endpoint.Name) },
-	}
 	ctx, firstToken := p.Tracer.Start(ctx, "first token")
 	started := false
-	o := p.Engine.Generate(ctx, p.generation(ctx, j, r), gate, func(piece zpengine.Piece) error {
+	o := p.Engine.Generate(ctx, p.generation(ctx, j, r), p.gate(r), func(piece zpengine.Piece) error {
 		if !started {
 			started = true
 			firstToken.End()
@@ -115,15 +109,10 @@
 }
 
 func (p *Pipeline) generation(ctx context.Context, j *Job, r Reservation) zpengine.Generation {
-	trace := maps.Clone(j.Prompt.Trace)
-	if trace == nil {
-		trace = map[string]string{}
-	}
-	injectTrace(ctx, trace)
 	g := zpengine.Generation{
 		Address: r.Endpoint.Address, Path: j.Prompt.Path, Body: j.Prompt.Body, RequestID: r.ID,
 		Salt: j.Salt.String(), WeightVersion: j.Model.WeightVersion, Urgent: j.Urgent, ResumeFrom: j.resumeFrom(),
-		Trace: trace, FirstOverdue: p.Settings.Endpoint.FirstTokenOverdue, Stall: p.Settings.Endpoint.StallTimeout,
+		Trace: traceHeaders(ctx), FirstOverdue: p.Settings.Endpoint.FirstTokenOverdue, Stall: p.Settings.Endpoint.StallTimeout,
 	}
 	if s := r.Choice.Import; s != nil && p.mayImport(ctx, j, r) {
 		store, _ := j.Manifest.StoreByName(s.Store)
--- a/internal/zppipeline/identify.go
+++ b/internal/zppipeline/identify.go
@@ -6,7 +6,8 @@
 	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
 )
 
-var errUnknownKey = zperror.New(zperror.KindDenied, "unknown_api_key",
+// ErrUnknownKey is the error of a caller without a valid API key.
+var ErrUnknownKey = zperror.New(zperror.KindDenied, "unknown_api_key",
 	"the API key belongs to no workspace", "pass a key of the manifest as `Authorization: Bearer KEY`")
 
 // identify finds the workspace of the caller's API key.
@@ -14,7 +15,7 @@
 	return func(_ context.Context, j *Job) error {
 		w, ok := j.Manifest.WorkspaceByKey(key)
 		if key == "" || !ok {
-			return errUnknownKey
+			return ErrUnknownKey
 		}
 		j.Workspace = w
 		return nil
--- a/internal/zppipeline/job.go
+++ b/internal/zppipeline/job.go
@@ -23,7 +23,6 @@
 		MaxTokens int
 		Urgency   Urgency
 		Body      []byte // for the engine
-		Trace     map[string]string
 	}
 
 	// ServiceRequest is a caller's call of a plain service.
@@ -35,7 +34,6 @@
 		ContentType    string
 		Body           []byte
 		IdempotencyKey string
-		Trace          map[string]string
 	}
 
 	// ServiceAnswer is what the caller of a service gets.
--- a/internal/zppipeline/reserve.go
+++ b/internal/zppipeline/reserve.go
@@ -122,7 +122,16 @@
 func (p *Pipeline) request(j *Job, id string) zpadmission.Request {
 	return zpadmission.Request{
 		ID: id, Holder: p.Fleet.Self.Instance, Workspace: j.Workspace.Name, Weight: j.Workspace.Weight,
-		Urgent: j.Urgent, Cost: j.Cost(), Alone: j.Suspect, Fingerprint: j.Fingerprint,
+		Urgent: j.Urgent, Cost: j.Cost(), Alone: j.Suspect,
+	}
+}
+
+// gate returns the gate before the first byte of a reserved request.
+func (p *Pipeline) gate(r Reservation) *zpengine.Gate {
+	return &zpengine.Gate{
+		Deadline: r.Deadline,
+		Clock:    p.Clock,
+		OnSend:   func() { p.Holdings.Start(r.ID, r.Endpoint.Name) },
 	}
 }
 
--- a/internal/zppipeline/service.go
+++ b/internal/zppipeline/service.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpadmission"
@@ -107,22 +106,12 @@
 func (p *Pipeline) sendService(ctx context.Context, j *Job, r Reservation) (zpengine.ServiceAnswer, zpengine.Outcome) {
 	ctx, span := p.Tracer.Start(ctx, "dispatch")
 	defer span.End()
-	gate := &zpengine.Gate{
-		Deadline: r.Deadline,
-		Clock:    p.Clock,
-		OnSend:   func() { p.Holdings.Start(r.ID, r.Endpoint.Name) },
-	}
-	trace := maps.Clone(j.Service.Trace)
-	if trace == nil {
-		trace = map[string]string{}
-	}
-	injectTrace(ctx, trace)
 	return p.Engine.Call(ctx, zpengine.ServiceCall{
 		Address: r.Endpoint.Address, Method: j.Service.Method, Path: j.Service.Path,
 		ContentType: j.Service.ContentType, Body: j.Service.Body, IdempotencyKey: j.Service.IdempotencyKey,
-		RequestID: r.ID, Workspace: j.Workspace.Name, Trace: trace,
+		RequestID: r.ID, Workspace: j.Workspace.Name, Trace: traceHeaders(ctx),
 		Timeout: p.Settings.Endpoint.ServiceTimeout, Idempotent: j.Idempotent,
-	}, gate)
+	}, p.gate(r))
 }
 
 // repeat answers a request whose key another attempt has claimed.
--- a/internal/zppipeline/trace.go
+++ b/internal/zppipeline/trace.go
@@ -6,7 +6,10 @@
 	"go.opentelemetry.io/otel/propagation"
 )
 
-// injectTrace writes the present span's identity into headers, in the W3C form.
-func injectTrace(ctx context.Context, headers map[string]string) {
+// traceHeaders returns headers that carry the present span's identity in the
+// W3C form.
+func traceHeaders(ctx context.Context) map[string]string {
+	headers := map[string]string{}
 	propagation.TraceContext{}.Inject(ctx, propagation.MapCarrier(headers))
+	return headers
 }
--- a/internal/zpproof/answers.go
+++ b/internal/zpproof/answers.go
@@ -221,10 +221,27 @@
 	return nil
 }
 
-// platformOutage takes the platform away under load, kills a daemon in it, and
-// brings the platform back.
+// startInOutage starts a daemon that learns the configuration from its peers.
+func (e *Env) startInOutage(ctx context.Context, i int) error {
+	if err := e.fault(e.Site.Daemons[i].Start()); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(ctx, zpsite.StartTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		a := e.prompt(ctx, i, "shop-a", "through a daemon started in the outage", 4)
+		if a.status == 200 {
+			return nil
+		}
+		pause(ctx, 100*time.Millisecond)
+	}
+	return fmt.Errorf("a daemon started in the outage serves nothing")
+}
+
+// platformOutage takes the platform away under load, starts a daemon in the
+// outage, and brings the platform back.
 func platformOutage(ctx context.Context, e *Env) error {
-	if err := e.start(ctx, zpsite.Config{Daemons: 5, Runners: 4, Services: 1, RequireKey: true}); err != nil {
+	if err := e.start(ctx, zpsite.Config{Daemons: 6, Spare: 1, Runners: 4, Services: 1, RequireKey: true}); err != nil {
 		return err
 	}
 	var mu sync.Mutex
@@ -243,7 +260,8 @@
 	}
 	reports, err := e.under(ctx, e.load(promptMix(10), 25, 24*time.Second),
 		func() error { return e.platform(zpstandin.PlatformMode{Down: true}) },
-		func() error { return nil }, func() error { return nil },
+		func() error { return nil },
+		func() error { return e.startInOutage(ctx, 5) },
 		during,
 		func() error { return nil },
 		func() error { return e.platform(zpstandin.PlatformMode{}) },
--- a/internal/zpproof/proof.go
+++ b/internal/zpproof/proof.go
@@ -74,6 +74,7 @@
 			[]zpmutant.Name{zpmutant.SaltWorkspace, zpmutant.SaltVersion}, cacheBlocks},
 		{"whole-answers", "every caller gets its whole answer", []zpmutant.Name{zpmutant.Resume}, wholeAnswers},
 		{"graceful-stop", "a planned stop cuts no request", []zpmutant.Name{zpmutant.Drain}, gracefulStop},
+		{"isolation", "a flood of one workspace costs another no answer", []zpmutant.Name{zpmutant.FairQueue}, isolation},
 		{"crashing-request", "a request that crashes endpoints costs at most two", []zpmutant.Name{zpmutant.Quarantine}, crashingRequest},
 		{"orders", "engines end in the newest ordered state", []zpmutant.Name{zpmutant.Fencing}, orders},
 		{"platform-outage", "an outage of the platform does not stop prompts, and bookings are refused as not run", nil, platformOutage},
@@ -91,7 +92,7 @@
 	e.random = rand.New(rand.NewPCG(e.Seed, 3))
 	err = p.Run(ctx, e)
 	if e.Site != nil {
-		err = errors.Join(err, e.Site.Stop())
+		e.Site.Stop()
 	}
 	if err == nil || os.Getenv("ZP_KEEP") == "" {
 		return errors.Join(err, os.RemoveAll(dir))
@@ -152,7 +153,7 @@
 	dialer := &zppeer.Dialer{Timeout: time.Second}
 	dialer.Open()
 	return &zpoperator.Operator{
-		API: e.Site.API, Clock: time.Now,
+		API:      e.Site.API,
 		Exchange: &zppeer.Exchange{Self: "operator", SelfAddress: "none", Dialer: dialer},
 	}
 }
--- a/internal/zpqueue/queue.go
+++ b/internal/zpqueue/queue.go
@@ -39,6 +39,7 @@
 		items   itemHeap[T]
 		virtual float64
 		finish  map[string]float64
+		counts  map[string]int // waiting items by flow
 	}
 
 	itemHeap[T any] []*Item[T]
@@ -70,7 +71,7 @@
 	l.finish[it.Flow] = it.start + float64(max(it.Cost, 1))/float64(weight)
 	q.order++
 	it.order = q.order
-	heap.Push(&l.items, it)
+	l.add(it)
 }
 
 // Pop takes the item whose turn it is among those that admit accepts. Expired
@@ -108,7 +109,7 @@
 	for c := range q.lanes {
 		for i, it := range q.lanes[c].items {
 			if it.ID == id {
-				heap.Remove(&q.lanes[c].items, i)
+				q.lanes[c].remove(i)
 				return true
 			}
 		}
@@ -126,7 +127,7 @@
 				continue
 			}
 			out = append(out, q.lanes[c].items[i])
-			heap.Remove(&q.lanes[c].items, i)
+			q.lanes[c].remove(i)
 		}
 	}
 	return out
@@ -145,6 +146,42 @@
 // Len returns how many items of a class wait.
 func (q *Queue[T]) Len(c Class) int { return len(q.lanes[c].items) }
 
+// Ahead returns how many items of a class a new item of the flow would wait
+// for: of each flow no more than the new item's own flow has, as they take turns.
+func (q *Queue[T]) Ahead(flow string, c Class) int {
+	l := &q.lanes[c]
+	own := l.counts[flow] + 1
+	ahead := 0
+	for f, n := range l.counts {
+		if f == flow {
+			ahead += n
+		} else {
+			ahead += min(n, own)
+		}
+	}
+	return ahead
+}
+
+// FlowLen returns how many items of a flow wait, in all classes.
+func (q *Queue[T]) FlowLen(flow string) int {
+	n := 0
+	for c := range q.lanes {
+		n += q.lanes[c].counts[flow]
+	}
+	return n
+}
+
+// Flows returns how many flows have waiting items.
+func (q *Queue[T]) Flows() int {
+	seen := map[string]bool{}
+	for c := range q.lanes {
+		for f := range q.lanes[c].counts {
+			seen[f] = true
+		}
+	}
+	return len(seen)
+}
+
 func (q *Queue[T]) count(c Class) {
 	if c == ClassOther {
 		q.passed = 0
@@ -159,7 +196,7 @@
 	var kept []*Item[T]
 	var found *Item[T]
 	for l.items.Len() > 0 && found == nil {
-		it := heap.Pop(&l.items).(*Item[T])
+		it := l.remove(0)
 		if admit(it) {
 			found = it
 		} else {
@@ -167,7 +204,7 @@
 		}
 	}
 	for _, it := range kept {
-		heap.Push(&l.items, it)
+		l.add(it)
 	}
 	if found == nil {
 		return nil, false
@@ -177,6 +214,23 @@
 	return found, true
 }
 
+func (l *lane[T]) add(it *Item[T]) {
+	if l.counts == nil {
+		l.counts = map[string]int{}
+	}
+	l.counts[it.Flow]++
+	heap.Push(&l.items, it)
+}
+
+func (l *lane[T]) remove(i int) *Item[T] {
+	it := heap.Remove(&l.items, i).(*Item[T])
+	l.counts[it.Flow]--
+	if l.counts[it.Flow] == 0 {
+		delete(l.counts, it.Flow)
+	}
+	return it
+}
+
 // forget ends a busy period: with nothing waiting, all flows have caught up, and
 // what they used before counts no more.
 func (l *lane[T]) forget() {
--- a/internal/zpsite/layout.go
+++ b/internal/zpsite/layout.go
@@ -68,7 +68,7 @@
 		"name": fmt.Sprintf("entry-%d", i), "region": d.Region, "failure_domain": d.Name,
 		"callers.listen": ip + ":8080", "peers.listen": ip + ":8081", "admin.listen": ip + ":8082",
 		"peers.insecure": "true", "platform.address": s.PlatformURL(), "platform.region": "north",
-		"drain.notice_ms": "500", "routing.prefill_tokens_per_second": "8000",
+		"peers.seeds": s.seeds(), "drain.notice_ms": "500", "routing.prefill_tokens_per_second": "8000",
 	}
 	for k, v := range s.Config.Settings {
 		values[k] = v
@@ -81,6 +81,15 @@
 	return nil
 }
 
+// seeds returns the peers' addresses of the first daemons.
+func (s *Site) seeds() string {
+	var out []string
+	for i := range min(s.Config.Daemons, len(domains)) {
+		out = append(out, s.daemonIP(i)+":8081")
+	}
+	return strings.Join(out, ",")
+}
+
 // yamlOf writes dotted keys of at most two levels as YAML.
 func yamlOf(values map[string]string) string {
 	keys := make([]string, 0, len(values))
--- a/internal/zpsite/site.go
+++ b/internal/zpsite/site.go
@@ -23,6 +23,7 @@
 		Dir          string
 		BinDir       string
 		Daemons      int
+		Spare        int // of the daemons, how many are not started with the rest
 		Runners      int
 		Services     int
 		Stores       bool
@@ -128,7 +129,7 @@
 	if err := s.storeManifest(ctx); err != nil {
 		return err
 	}
-	for _, d := range s.Daemons {
+	for _, d := range s.Daemons[:len(s.Daemons)-s.Config.Spare] {
 		if err := d.Start(); err != nil {
 			return err
 		}
@@ -153,8 +154,7 @@
 }
 
 // Stop ends everything that runs, daemons first.
-func (s *Site) Stop() error {
-	var failures []error
+func (s *Site) Stop() {
 	for _, d := range s.Daemons {
 		d.Kill()
 	}
@@ -163,7 +163,6 @@
 	for _, p := range rest {
 		p.Kill()
 	}
-	return errors.Join(failures...)
 }
 
 // Targets returns the callers' URLs of all daemons.
@@ -197,7 +196,7 @@
 }
 
 func (s *Site) storeManifest(ctx context.Context) error {
-	o := &zpoperator.Operator{API: s.API, Clock: time.Now}
+	o := &zpoperator.Operator{API: s.API}
 	first := s.Manifest.Clone()
 	first.Version = 0
 	for {
