A crashing request sent at once through all daemons costs at most two engines

Cause: each daemon ran the request before any knew of a crash. Ruled out: spreading the reports, which is done before a retry. Change: equal requests that are not proved go one after the other per region, and a suspect takes the flights of all regions and looks again.

--- a/internal/zpapp/daemon.go
+++ b/internal/zpapp/daemon.go
@@ -123,7 +123,7 @@
 	}
 	d.local = &zpnode.Local{
 		Fleet: d.fleet, Owner: d.owner, Holdings: holdings, Hints: hints, Quarantine: quarantine,
-		API: api, Retention: s.Claims.Retention, NewID: newID, Metrics: d.Metrics, Log: d.Log,
+		Flights: zpquarantine.NewFlights(), API: api, Retention: s.Claims.Retention, NewID: newID, Metrics: d.Metrics, Log: d.Log,
 		Clock: time.Now, Open: &d.open,
 	}
 	d.exchange.Local = d.local
--- a/internal/zpconfig/cache.go
+++ b/internal/zpconfig/cache.go
@@ -4,9 +4,6 @@
 package zpconfig
 
 import (
-	"fmt"
-	"slices"
-	"sort"
 	"strings"
 	"sync"
 	"time"
@@ -59,8 +56,6 @@
 	PartPrefix     = "relay/parts/"
 )
 
-const maxTombstones = 4096
-
 // NewCache returns an empty cache.
 func NewCache() *Cache {
 	return &Cache{objects: map[string]zpobject.Object{}, owners: map[int]zpassign.Owner{}}
@@ -265,162 +260,9 @@
 	return now.Sub(c.freshAt)
 }
 
-// adopt puts a manifest in force if it is whole, valid and its version is
-// higher. Only parts that are new are parsed.
-func (c *Cache) adopt(o zpobject.Object) (bool, error) {
-	if o.Deleted {
-		return false, fmt.Errorf("manifest was deleted at revision %d", o.Revision)
-	}
-	h, err := zpmanifest.DecodeHead(o.Body)
-	if err != nil {
-		return false, err
-	}
-	if c.manifest != nil && h.Version <= c.manifest.Version && !zpmutant.Active(zpmutant.VersionOrder) {
-		return false, fmt.Errorf("manifest version %d is not above %d", h.Version, c.manifest.Version)
-	}
-	parts, err := c.parseParts(h)
-	if err != nil {
-		return false, err
-	}
-	m, err := zpmanifest.Join(h, parts)
-	if err != nil {
-		return false, err
-	}
-	if err := zpmanifest.FaultError(m.Validate()); err != nil {
-		return false, err
-	}
-	if err := zpmanifest.CheckChange(c.manifest, m); err != nil {
-		return false, err
-	}
-	m.BuildIndex()
-	c.manifest, c.parts = m, parts
-	return true, nil
-}
-
-func (c *Cache) parseParts(h zpmanifest.Head) (map[string]*zpmanifest.Manifest, error) {
-	parts := map[string]*zpmanifest.Manifest{}
-	for _, name := range h.Parts {
-		if p := c.parts[name]; p != nil {
-			parts[name] = p
-			continue
-		}
-		o, ok := c.objects[PartPrefix+name]
-		if !ok || o.Deleted {
-			continue // Join reports it
-		}
-		p, err := zpmanifest.ParsePart(o.Body)
-		if err != nil {
-			return nil, err
-		}
-		parts[name] = p
-	}
-	return parts, nil
-}
-
-// rebuild derives what the changed objects bear on. It makes new values, so
-// that readers may keep the old ones.
-func (c *Cache) rebuild(seen changes) {
-	if !seen.any {
-		return
-	}
-	c.generation++
-	if seen.members {
-		c.forgetDeleted()
-		c.rebuildMembers()
-	}
-	if seen.owners {
-		c.rebuildOwners()
-	}
-	regions := c.regions
-	if seen.head || seen.leaving {
-		c.regions = regionsOf(c.manifest)
-		c.leaving = DecodeLeaving(c.objects[LeavingObject].Body)
-		c.rebuildServing()
-	}
-	if seen.members || seen.owners || !slices.Equal(regions, c.regions) {
-		c.fleetGeneration++
-	}
-}
-
-func (c *Cache) rebuildMembers() {
-	c.members = nil
-	for name, o := range c.objects {
-		if o.Deleted || !strings.HasPrefix(name, zpassign.MemberPrefix) {
-			continue
-		}
-		if m, err := zpassign.DecodeMember(o.Body); err == nil {
-			c.members = append(c.members, m)
-		}
-	}
-}
-
-func (c *Cache) rebuildOwners() {
-	c.owners = map[int]zpassign.Owner{}
-	for name, o := range c.objects {
-		if o.Deleted || !strings.HasPrefix(name, zpassign.GroupPrefix) {
-			continue
-		}
-		g, err := zpassign.DecodeGroup(o.Body)
-		if err != nil {
-			continue
-		}
-		for p, owner := range g.Owners {
-			c.owners[p] = owner
-		}
-	}
-}
-
-func (c *Cache) rebuildServing() {
-	c.serving = map[string][]zpmanifest.Endpoint{}
-	if c.manifest == nil {
-		return
-	}
-	for _, e := range c.manifest.Endpoints {
-		in := c.manifest.InService(e) && !c.leaving[e.Name]
-		if in || zpmutant.Active(zpmutant.OutOfService) {
-			c.serving[e.Pool] = append(c.serving[e.Pool], e)
-		}
-	}
-}
-
-func regionsOf(m *zpmanifest.Manifest) []string {
-	if m == nil {
-		return nil
-	}
-	seen := map[string]bool{}
-	var out []string
-	for _, d := range m.Domains {
-		if !seen[d.Region] {
-			seen[d.Region] = true
-			out = append(out, d.Region)
-		}
-	}
-	sort.Strings(out)
-	return out
-}
-
 // Learn takes over one object that this daemon has just written, ahead of the
 // relay. It proves nothing of the rest.
 func (c *Cache) Learn(o zpobject.Object) {
 	c.mu.Lock()
 	c.apply([]zpobject.Object{o}, 0, time.Time{})
 }
-
-// forgetDeleted drops the oldest tombstones. Only members are ever deleted, and
-// only long after they have gone, so that a peer that misses a tombstone keeps
-// a record without effect.
-func (c *Cache) forgetDeleted() {
-	var deleted []zpobject.Object
-	for _, o := range c.objects {
-		if o.Deleted {
-			deleted = append(deleted, o)
-		}
-	}
-	if len(deleted) <= maxTombstones {
-		return
-	}
-	sort.Slice(deleted, func(i, j int) bool { return deleted[i].Revision < deleted[j].Revision })
-	for _, o := range deleted[:len(deleted)/2] {
-		delete(c.objects, o.Name)
-	}
-}
--- a/internal/zpnode/local.go
+++ b/internal/zpnode/local.go
@@ -30,6 +30,7 @@
 	Holdings   *zpholding.Registry
 	Hints      *zphint.Table
 	Quarantine *zpquarantine.List
+	Flights    *zpquarantine.Flights
 	API        zpobject.API
 	Retention  time.Duration // of claims
 	NewID      func() string
@@ -113,6 +114,17 @@
 	return nil
 }
 
+// StartFlight reports whether an unproven request may run now.
+func (l *Local) StartFlight(_ context.Context, fingerprint, id string) (bool, error) {
+	return l.Flights.Start(fingerprint, id, l.Clock()), nil
+}
+
+// EndFlight notes that a request has ended.
+func (l *Local) EndFlight(_ context.Context, fingerprint, id string, whole bool) error {
+	l.Flights.End(fingerprint, id, whole)
+	return nil
+}
+
 // GrantBytes grants bytes of a link owned here.
 func (l *Local) GrantBytes(_ context.Context, link string, bytes int64, urgent bool) (zplink.Grant, error) {
 	now := l.Clock()
--- a/internal/zppeer/handler.go
+++ b/internal/zppeer/handler.go
@@ -152,6 +152,17 @@
 	return &zppeerpb.SuspectReply{}, h.Service.Suspect(ctx, in.Fingerprint, in.Crashes)
 }
 
+// StartFlight implements the drpc service.
+func (h *Handler) StartFlight(ctx context.Context, in *zppeerpb.StartFlightRequest) (*zppeerpb.StartFlightReply, error) {
+	mayRun, err := h.Service.StartFlight(ctx, in.Fingerprint, in.Id)
+	return &zppeerpb.StartFlightReply{MayRun: mayRun}, err
+}
+
+// EndFlight implements the drpc service.
+func (h *Handler) EndFlight(ctx context.Context, in *zppeerpb.EndFlightRequest) (*zppeerpb.EndFlightReply, error) {
+	return &zppeerpb.EndFlightReply{}, h.Service.EndFlight(ctx, in.Fingerprint, in.Id, in.Whole)
+}
+
 // GrantBytes implements the drpc service.
 func (h *Handler) GrantBytes(ctx context.Context, in *zppeerpb.GrantBytesRequest) (*zppeerpb.GrantBytesReply, error) {
 	g, err := h.Service.GrantBytes(ctx, in.Link, in.Bytes, in.Urgent)
--- a/internal/zppeer/remote.go
+++ b/internal/zppeer/remote.go
@@ -187,6 +187,26 @@
 	return err
 }
 
+// StartFlight asks whether an unproven request may run now.
+func (r *Remote) StartFlight(ctx context.Context, fingerprint, id string) (bool, error) {
+	in := &zppeerpb.StartFlightRequest{Fingerprint: fingerprint, Id: id}
+	out, err := Do(ctx, r.Dialer, r.Address, "start_flight", 0,
+		func(ctx context.Context, c zppeerpb.DRPCPeerClient) (*zppeerpb.StartFlightReply, error) {
+			return c.StartFlight(ctx, in)
+		})
+	return out.GetMayRun(), err
+}
+
+// EndFlight tells that a request has ended.
+func (r *Remote) EndFlight(ctx context.Context, fingerprint, id string, whole bool) error {
+	in := &zppeerpb.EndFlightRequest{Fingerprint: fingerprint, Id: id, Whole: whole}
+	_, err := Do(ctx, r.Dialer, r.Address, "end_flight", 0,
+		func(ctx context.Context, c zppeerpb.DRPCPeerClient) (*zppeerpb.EndFlightReply, error) {
+			return c.EndFlight(ctx, in)
+		})
+	return err
+}
+
 // GrantBytes asks a link's owner for bytes.
 func (r *Remote) GrantBytes(ctx context.Context, link string, bytes int64, urgent bool) (zplink.Grant, error) {
 	in := &zppeerpb.GrantBytesRequest{Link: link, Bytes: bytes, Urgent: urgent}
--- a/internal/zppeer/service.go
+++ b/internal/zppeer/service.go
@@ -26,6 +26,8 @@
 		Claim(ctx context.Context, shard int, a zpclaim.Ask) (zpclaim.Verdict, error)
 		Settle(ctx context.Context, shard int, s zpclaim.Settlement) error
 		Suspect(ctx context.Context, fingerprint string, crashes []string) error
+		StartFlight(ctx context.Context, fingerprint, id string) (bool, error)
+		EndFlight(ctx context.Context, fingerprint, id string, whole bool) error
 		GrantBytes(ctx context.Context, link string, bytes int64, urgent bool) (zplink.Grant, error)
 		Status(ctx context.Context) (Status, error)
 	}
--- a/internal/zppipeline/generate.go
+++ b/internal/zppipeline/generate.go
@@ -31,9 +31,11 @@
 func (p *Pipeline) generate(ctx context.Context, j *Job, sink Sink) error {
 	budget := p.Retries.Of(j.Workspace.Name, j.Pool.Name)
 	budget.Attempt()
+	defer func() { p.endFlights(ctx, j, j.Endpoint != "") }()
 	tried := map[string]bool{}
+	reserve := p.reserveFirst
 	for attempt := 1; ; attempt++ {
-		r, err := p.reserve(ctx, j, tried)
+		r, err := reserve(ctx, j, tried)
 		if err != nil {
 			return afterDelivery(j, err)
 		}
@@ -58,6 +60,10 @@
 		if err := p.quarantine(ctx, j); err != nil {
 			return zperror.Of(err).WithState(j.RunState)
 		}
+		reserve = p.reserve
+		if j.Suspect {
+			reserve = p.reserveSuspect
+		}
 		p.Metrics.Retries.WithLabelValues("broken").Inc()
 		p.Log.Emit(zplog.RequestRetried, zplog.Fields{
 			"request": j.ID, "endpoint": r.Endpoint.Name, "delivered": j.Delivered, "error": fmt.Sprint(o.Err),
--- a/internal/zppipeline/job.go
+++ b/internal/zppipeline/job.go
@@ -77,6 +77,8 @@
 		Usage      zpengine.Usage
 		RunState   zperror.RunState // what is known from all runs so far
 
+		flights      []string // regions that hold equal requests back for this one
+		flightRound  int
 		reservations int // asked for so far; numbers their ids
 	}
 
--- a/internal/zppipeline/reserve.go
+++ b/internal/zppipeline/reserve.go
@@ -8,6 +8,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpadmission"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 	"github.com/zinniapaddle/zinniapaddle/internal/zproute"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zpmanifest"
@@ -108,6 +109,10 @@
 			p.release(ctx, r, zpengine.Outcome{Kind: zpadmission.OutcomeNotStarted})
 			return Reservation{}, refused
 		}
+		if d.Granted && !p.mayStart(e) {
+			p.release(ctx, r, zpengine.Outcome{Kind: zpadmission.OutcomeNotStarted})
+			return Reservation{}, refused
+		}
 		if d.Granted {
 			r.Boot = d.Boot
 			r.Deadline = asked.Add(p.Settings.Reserve.StartDeadline)
@@ -119,6 +124,12 @@
 	}
 }
 
+// mayStart looks once more, after the wait, whether the endpoint may receive
+// new work and whether this daemon can know.
+func (p *Pipeline) mayStart(e zpmanifest.Endpoint) bool {
+	return p.Fleet.Cache.InService(e) && (p.Fleet.Serves(p.Clock()) || zpmutant.Active(zpmutant.Freshness))
+}
+
 func (p *Pipeline) request(j *Job, id string) zpadmission.Request {
 	return zpadmission.Request{
 		ID: id, Holder: p.Fleet.Self.Instance, Workspace: j.Workspace.Name, Weight: j.Workspace.Weight,
--- a/internal/zpproof/answers.go
+++ b/internal/zpproof/answers.go
@@ -68,13 +68,7 @@
 	mix.Workspaces = []string{"shop-b"}
 	attempts := make([]func() error, 9)
 	for i := range attempts {
-		attempts[i] = func() error {
-			a := e.prompt(ctx, i%3, "shop-a", "please "+zpstandin.CrashMark, 4)
-			if a.status == 200 {
-				return fmt.Errorf("the crashing prompt was answered")
-			}
-			return e.fault(nil)
-		}
+		attempts[i] = func() error { return e.crashThroughAll(ctx) }
 	}
 	reports, err := e.under(ctx, e.load(mix, 15, 9*time.Second), attempts...)
 	if err != nil {
@@ -94,6 +88,22 @@
 	return nothingCut(zpload.Find(reports, "total"))
 }
 
+// crashThroughAll sends the crashing prompt through all daemons at once.
+func (e *Env) crashThroughAll(ctx context.Context) error {
+	var wg sync.WaitGroup
+	answers := make([]answer, len(e.Site.Daemons))
+	for i := range answers {
+		wg.Go(func() { answers[i] = e.prompt(ctx, i, "shop-a", "please "+zpstandin.CrashMark, 4) })
+	}
+	wg.Wait()
+	for _, a := range answers {
+		if a.status == 200 {
+			return fmt.Errorf("the crashing prompt was answered")
+		}
+	}
+	return e.fault(nil)
+}
+
 // cacheBlocks sends the same prompt from two workspaces and under two weight
 // versions, and damages, wipes and fills the store.
 func cacheBlocks(ctx context.Context, e *Env) error {
--- a/internal/zpquarantine/quarantine_test.go
+++ b/internal/zpquarantine/quarantine_test.go
@@ -52,3 +52,28 @@
 		Expect(l.Standing("f", start.Add(2*time.Hour))).To(Equal(zpquarantine.StandingClear))
 	})
 })
+
+var _ = Describe("Flights", func() {
+	start := time.Unix(1000, 0)
+
+	It("let equal requests go one after the other until one has run to its end", func() {
+		f := zpquarantine.NewFlights()
+		Expect(f.Start("f", "a", start)).To(BeTrue())
+		Expect(f.Start("f", "a", start)).To(BeTrue())
+		Expect(f.Start("f", "b", start)).To(BeFalse())
+		Expect(f.Start("g", "b", start)).To(BeTrue())
+		f.End("f", "b", false)
+		Expect(f.Start("f", "b", start)).To(BeFalse())
+		f.End("f", "a", false)
+		Expect(f.Start("f", "b", start)).To(BeTrue())
+		f.End("f", "b", true)
+		Expect(f.Start("f", "c", start)).To(BeTrue())
+		Expect(f.Start("f", "d", start)).To(BeTrue())
+	})
+
+	It("do not wait for ever for an end that is not told", func() {
+		f := zpquarantine.NewFlights()
+		Expect(f.Start("f", "a", start)).To(BeTrue())
+		Expect(f.Start("f", "b", start.Add(zpquarantine.FlightLimit))).To(BeTrue())
+	})
+})
--- a/internal/zpsettings/field.go
+++ b/internal/zpsettings/field.go
@@ -62,9 +62,9 @@
 		textField("platform.address", "base URL of the object API", &s.Platform.Address),
 		textField("platform.region", "region in which the platform stands", &s.Platform.Region),
 		durationField("platform.timeout_ms", "bound of a call to the platform", &s.Platform.Timeout),
-		durationField("lease.duration_ms", "how long a renewed lease is valid", &s.Lease.Duration),
+		durationField("lease.duration_ms", "how long a renewed lease is valid; the same on all daemons", &s.Lease.Duration),
 		durationField("lease.renew_ms", "time between renewals", &s.Lease.Renew),
-		durationField("lease.margin_ms", "how much longer than a lease a successor waits", &s.Lease.Margin),
+		durationField("lease.margin_ms", "how much longer than a lease a successor waits; the same on all daemons", &s.Lease.Margin),
 		plainIntField("config.watchers_per_domain", "daemons of each failure domain that watch the platform", &s.Config.WatchersPerDomain),
 		durationField("config.watch_wait_ms", "how long one watch call waits; bounds the age of a watcher's proof", &s.Config.WatchWait),
 		durationField("config.compare_ms", "time between comparisons with a random peer", &s.Config.Compare),
@@ -75,7 +75,7 @@
 
 func workFields(s *Settings) []Field {
 	return []Field{
-		durationField("reserve.start_deadline_ms", "time from asking for a reservation to the first byte sent", &s.Reserve.StartDeadline),
+		durationField("reserve.start_deadline_ms", "time from asking for a reservation to the first byte sent; the same on all daemons", &s.Reserve.StartDeadline),
 		durationField("reserve.urgent_wait_ms", "longest wait of an urgent request in a queue", &s.Reserve.UrgentWait),
 		durationField("reserve.other_wait_ms", "longest wait of any other request in a queue", &s.Reserve.OtherWait),
 		plainIntField("reserve.queue_limit", "requests that may wait for one endpoint", &s.Reserve.QueueLimit),
--- a/internal/zpsettings/settings.go
+++ b/internal/zpsettings/settings.go
@@ -193,7 +193,7 @@
 			Policy:            PolicyCost,
 			PrefillTokens:     4000,
 			BytesPerToken:     512,
-			LinkPriceMSPerMB:  25_000,
+			LinkPriceMSPerMB:  22_000,
 			RegionLatency:     20 * time.Millisecond,
 			ExportMinTokens:   256,
 			CandidatesPerTurn: 3,
