--- a/internal/zpapp/daemon.go
+++ b/internal/zpapp/daemon.go
@@ -104,7 +104,7 @@
 		BaseURL: s.Platform.Address, HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}},
 		Timeout: s.Platform.Timeout, OnCall: d.countPlatform,
 	}
-	d.dialer = &zppeer.Dialer{TLS: d.tls, Timeout: s.Peers.CallTimeout, OnCall: d.countPeer}
+	d.dialer = &zppeer.Dialer{TLS: d.tls, Timeout: s.Peers.CallTimeout, OnCall: d.countPeer, Tracer: d.tracing.Tracer}
 	d.dialer.Open()
 	d.exchange = &zppeer.Exchange{Self: self.Instance, Dialer: d.dialer}
 	d.engine = &zpengine.Client{ConnectTimeout: s.Endpoint.ConnectTimeout, Clock: time.Now}
--- a/internal/zpbench/bench.go
+++ b/internal/zpbench/bench.go
@@ -180,12 +180,7 @@
 	urgent := zpload.Find(reports, mix.Shares[0].Name)
 	prompt := after.promptTokens - before.promptTokens
 	cached := after.cachedTokens - before.cachedTokens
-	repeats := 0
-	for _, r := range reports {
-		if r.Name != "total" {
-			repeats += r.Codes["in_progress"]
-		}
-	}
+	repeats := total.Codes["in_progress"]
 	return sample{
 		urgentP95:  urgent.FirstP95,
 		recomputed: 1 - cached/max(prompt, 1),
--- a/internal/zpload/load.go
+++ b/internal/zpload/load.go
@@ -68,7 +68,7 @@
 		}
 		for range copies {
 			target := l.ready.pick(random)
-			wg.Go(func() { l.ledger.add(r.Share.Name, l.send(context.WithoutCancel(ctx), target, r)) })
+			wg.Go(func() { l.ledger.add(r.Share.Name, r.Workspace, l.send(context.WithoutCancel(ctx), target, r)) })
 		}
 	}
 	wg.Wait()
--- a/internal/zpload/report.go
+++ b/internal/zpload/report.go
@@ -81,14 +81,17 @@
 	maxFirst     = int64(time.Minute / time.Microsecond)
 	significance = 3
 	totalName    = "total"
+
+	// workspacePrefix begins the names of the rows of single workspaces.
+	workspacePrefix = "workspace "
 )
 
 func newLedger() *ledger { return &ledger{kinds: map[string]*kind{}} }
 
-func (l *ledger) add(name string, r result) {
+func (l *ledger) add(name, workspace string, r result) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for _, n := range []string{name, totalName} {
+	for _, n := range []string{name, workspacePrefix + workspace, totalName} {
 		k := l.kinds[n]
 		if k == nil {
 			k = &kind{report: Report{Name: n, Codes: map[string]int{}}, first: hdrhistogram.New(1, maxFirst, significance)}
--- a/internal/zppeer/client.go
+++ b/internal/zppeer/client.go
@@ -8,6 +8,9 @@
 	"net"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+	"go.opentelemetry.io/otel/trace/noop"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
 
@@ -21,6 +24,7 @@
 		TLS     *tls.Config // nil: plain TCP
 		Timeout time.Duration
 		OnCall  func(call string, err error)
+		Tracer  trace.Tracer // nil: no spans
 
 		pool *drpcpool.Pool[string, drpcpool.Conn]
 	}
@@ -55,6 +59,8 @@
 func Do[T any](ctx context.Context, d *Dialer, address, name string, extra time.Duration, call Caller[T]) (T, error) {
 	ctx, cancel := context.WithTimeout(ctx, d.Timeout+extra)
 	defer cancel()
+	ctx, span := d.startSpan(ctx, name)
+	defer span.End()
 	conn := d.pool.Get(ctx, address, d.dial)
 	defer func() { _ = conn.Close() }()
 	out, err := call(ctx, zppeerpb.NewDRPCPeerClient(conn))
@@ -67,6 +73,16 @@
 	return out, nil
 }
 
+// startSpan starts a span for a call that belongs to a request; the fleet's own
+// calls leave none.
+func (d *Dialer) startSpan(ctx context.Context, name string) (context.Context, trace.Span) {
+	parent := trace.SpanFromContext(ctx)
+	if d.Tracer == nil || !parent.SpanContext().IsValid() {
+		return ctx, noop.Span{}
+	}
+	return d.Tracer.Start(ctx, "peer call", trace.WithAttributes(attribute.String("call", name)))
+}
+
 func (d *Dialer) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
 	var nd net.Dialer
 	conn, err := nd.DialContext(ctx, "tcp", address)
--- a/internal/zppipeline/generate.go
+++ b/internal/zppipeline/generate.go
@@ -6,6 +6,9 @@
 	"fmt"
 	"time"
 
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
 	"github.com/zinniapaddle/zinniapaddle/internal/zpadmission"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
@@ -121,6 +124,9 @@
 		Trace: traceHeaders(ctx), FirstOverdue: p.Settings.Endpoint.FirstTokenOverdue, Stall: p.Settings.Endpoint.StallTimeout,
 	}
 	if s := r.Choice.Import; s != nil && p.mayImport(ctx, j, r) {
+		_, span := p.Tracer.Start(ctx, "import", trace.WithAttributes(
+			attribute.String("store", s.Store), attribute.Int("blocks", s.Blocks), attribute.Int64("link_bytes", r.Choice.LinkBytes)))
+		defer span.End()
 		store, _ := j.Manifest.StoreByName(s.Store)
 		g.ImportFrom = store.Address
 		for _, name := range j.Blocks[:min(s.Blocks, len(j.Blocks))] {
--- a/internal/zpproof/configuration.go
+++ b/internal/zpproof/configuration.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"github.com/zinniapaddle/zinniapaddle/internal/zpload"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpoperator"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpsite"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpstandin"
@@ -46,7 +47,7 @@
 	if err != nil {
 		return err
 	}
-	if err := nothingCut(reports[len(reports)-1]); err != nil {
+	if err := nothingCut(zpload.Find(reports, "total")); err != nil {
 		return err
 	}
 	// A confirmed change leaves only reservations that were granted before.
--- a/internal/zpstandin/platform.go
+++ b/internal/zpstandin/platform.go
@@ -12,6 +12,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/zinniapaddle/zinniapaddle/pkg/zpobject"
 )
 
@@ -24,6 +26,7 @@
 		mode   PlatformMode
 		calls  map[string]int64
 		losses int64
+		limit  *rate.Limiter // nil: no limit
 	}
 
 	// PlatformMode is how the platform fails now.
@@ -31,6 +34,7 @@
 		Down      bool  `json:"down"`       // refuse every call
 		DownPuts  bool  `json:"down_puts"`  // refuse writes only
 		DelayMS   int64 `json:"delay_ms"`   // before each answer
+		CallRate  int64 `json:"call_rate"`  // refuse calls beyond so many a second; 0: no limit
 		LoseEvery int64 `json:"lose_every"` // lose the answer of each n-th write, after its effect
 		LoseNext  int64 `json:"lose_next"`  // lose the answers of the next n writes
 	}
@@ -63,6 +67,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.mode = m
+	p.limit = nil
+	if m.CallRate > 0 {
+		p.limit = rate.NewLimiter(rate.Limit(m.CallRate), int(m.CallRate))
+	}
 }
 
 // guard counts a call and makes it fail as the mode says.
@@ -71,10 +79,15 @@
 		p.mu.Lock()
 		p.calls[call]++
 		mode := p.mode
+		limited := p.limit != nil && !p.limit.Allow()
 		write := call == "put" || call == "delete"
 		lose := write && p.loses()
 		p.mu.Unlock()
 		time.Sleep(time.Duration(mode.DelayMS) * time.Millisecond)
+		if limited {
+			w.WriteHeader(http.StatusTooManyRequests)
+			return
+		}
 		if mode.Down || (write && mode.DownPuts) {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
