--- a/internal/zpbench/slopes.go
+++ b/internal/zpbench/slopes.go
@@ -23,7 +23,9 @@
 )
 
 type (
-	slopesCommand struct{}
+	slopesCommand struct {
+		Only string `help:"Part of the cost's name; all if empty."`
+	}
 
 	// slope is one cost measured over growing sizes.
 	slope struct {
@@ -40,10 +42,13 @@
 
 // Run measures each slope at three sizes or more, fits a line, and prints what
 // it gives at the size to come.
-func (*slopesCommand) Run(out *console) error {
+func (c *slopesCommand) Run(out *console) error {
 	_, _ = fmt.Fprintln(out.out, "| role | cost | sizes n | measured | fit | at the size to come |")
 	_, _ = fmt.Fprintln(out.out, "|---|---|---|---|---|---|")
 	for _, s := range slopes() {
+		if !strings.Contains(s.what, c.Only) {
+			continue
+		}
 		var xs, ys []float64
 		var sizes, values []string
 		for _, n := range s.sizes {
@@ -68,7 +73,8 @@
 		{"relay", "answer a comparison without news, n members", "µs", fleet, compareIdle, 1200},
 		{"relay", "bytes of one member's change, n members", "B", fleet, memberBytes, 1200},
 		{"membership", "choose whom to monitor after a change, n members", "µs", fleet, chooseMonitors, 1200},
-		{"membership", "plan partitions after a change, n members and 4 n partitions", "µs", fleet, planPartitions, 1200},
+		{"membership", "plan partitions when none has an owner, n members and 4 n partitions", "µs", fleet, planUnowned, 1200},
+		{"membership", "plan partitions when each has an owner, n members and 4 n partitions", "µs", fleet, planOwned, 1200},
 		{"owner", "one reservation from ask to end, n waiting", "µs", []int{1, 16, 64, 256}, reserveCost, 64},
 		{"claims", "one claim, n kept in the newest page", "µs", []int{10, 50, 100, 200}, claimCost, 200},
 		{"claims", "bytes of one write, n claims in the page", "B", []int{10, 50, 100, 200}, claimBytes, 200},
@@ -227,9 +233,23 @@
 	})
 }
 
-func planPartitions(n int) float64 {
-	v := zpassign.View{Partitions: 4 * n, Regions: []string{"r0", "r1", "r2"}, Members: fleetMembers(n), Owners: map[int]zpassign.Owner{}}
-	return micros(func() { zpassign.Plan(v, "entry-0.abcdef01") })
+func planUnowned(n int) float64 {
+	v := fleetView(n)
+	return micros(func() { zpassign.Plan(v, v.Members[0].Instance) })
+}
+
+func planOwned(n int) float64 {
+	v := fleetView(n)
+	for p := range v.Partitions {
+		v.Owners[p] = zpassign.Owner{Instance: v.Members[p%n].Instance, Epoch: 1}
+	}
+	return micros(func() { zpassign.Plan(v, v.Members[0].Instance) })
+}
+
+func fleetView(n int) zpassign.View {
+	return zpassign.View{
+		Partitions: 4 * n, Regions: []string{"r0", "r1", "r2"}, Members: fleetMembers(n), Owners: map[int]zpassign.Owner{},
+	}
 }
 
 func reserveCost(n int) float64 {
