--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: all build overhead mutants demo test unit race e2e spec lint fmt docs docs-check proto prove bench slopes soak fuzz system clean
+.PHONY: all build site overhead mutants demo test unit race e2e spec lint fmt docs docs-check proto prove bench slopes soak fuzz system clean
 
 BIN := bin
 PACKAGES := ./...
@@ -15,6 +15,10 @@
 demo: build
 	$(BIN)/zpstandin demo --bin $(BIN)
 
+# Runs the same small site until Ctrl-C, to try requests by hand.
+site: build
+	$(BIN)/zpstandin site --bin $(BIN)
+
 # Every test, the model check and the linters.
 test: lint docs-check unit race spec e2e
 
--- a/internal/zpbench/demo.go
+++ b/internal/zpbench/demo.go
@@ -45,10 +45,7 @@
 		return err
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
-	site, err := zpsite.New(zpsite.Config{
-		Number: c.Number, Dir: dir, BinDir: c.Bin, Daemons: 3, Runners: 4, Services: 1, Stores: true,
-		Workspaces: zpload.Oberland().Workspaces, Slots: 8, ColdSlots: 2,
-	})
+	site, err := smallSite(c.Number, dir, c.Bin)
 	if err != nil {
 		return err
 	}
--- a/internal/zpbench/main.go
+++ b/internal/zpbench/main.go
@@ -21,6 +21,7 @@
 		Bench    benchCommand    `cmd:"" help:"Measure routing against the baseline at today's size."`
 		Slopes   slopesCommand   `cmd:"" help:"Measure how each role's cost grows."`
 		Overhead overheadCommand `cmd:"" help:"Measure what a daemon adds to a request."`
+		Site     siteCommand     `cmd:"" help:"Run a small site until Ctrl-C, to try requests by hand."`
 		Prove    proveCommand    `cmd:"" help:"Run the proofs of the promises."`
 	}
 
--- /dev/null
+++ b/internal/zpbench/site.go
@@ -0,0 +1,58 @@
+package zpbench
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpload"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpsite"
+)
+
+type siteCommand struct {
+	Bin    string `default:"bin" help:"Folder of the programs."`
+	Number int    `default:"91" help:"Second byte of the loopback addresses."`
+}
+
+// Run keeps a small site until SIGINT or SIGTERM, to try requests by hand.
+func (c *siteCommand) Run(out *console) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	dir, err := os.MkdirTemp("", "zinniapaddle-site-")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	site, err := smallSite(c.Number, dir, c.Bin)
+	if err != nil {
+		return err
+	}
+	defer site.Stop()
+	if err := site.Start(ctx); err != nil {
+		return err
+	}
+	_, _ = fmt.Fprintf(out.out, `a small site is running; end it with Ctrl-C
+
+daemons:   %v
+settings:  %s
+
+curl -N %s/v1/chat/completions -H 'Authorization: Bearer %s' \
+  -d '{"model":"assistant","stream":true,"max_tokens":8,"messages":[{"role":"user","content":"hello"}]}'
+curl %s/v1/services/bookings/bench -H 'Authorization: Bearer %s' -H 'Idempotency-Key: 1' -d '{"bench":3}'
+%s/zinniapaddle take-out --settings %s --failure-domain b
+%s/zinniapaddle bring-back --settings %s --failure-domain b
+`, site.Targets(), site.SettingsFile(0), site.Target(0), zpsite.Key(demoWorkspace), site.Target(1), zpsite.Key(demoWorkspace),
+		c.Bin, site.SettingsFile(0), c.Bin, site.SettingsFile(0))
+	<-ctx.Done()
+	return nil
+}
+
+// smallSite is the site of the demo.
+func smallSite(number int, dir, bin string) (*zpsite.Site, error) {
+	return zpsite.New(zpsite.Config{
+		Number: number, Dir: dir, BinDir: bin, Daemons: 3, Runners: 4, Services: 1, Stores: true,
+		Workspaces: zpload.Oberland().Workspaces, Slots: slots, ColdSlots: coldSlots,
+	})
+}
