One start of the small site for the demo and for trying by hand

Cause: both commands made the folder, the site and its start by themselves. Change: one function, which also ends the site if its start fails. No behaviour is changed.

--- a/internal/zpbench/demo.go
+++ b/internal/zpbench/demo.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net/http"
-	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
@@ -40,21 +39,13 @@
 // Run shows the whole path on a small site. It fails if anything is not as
 // promised.
 func (c *demoCommand) Run(out *console) error {
-	dir, err := os.MkdirTemp("", "zinniapaddle-demo-")
+	_, _ = fmt.Fprintln(out.out, "starting a platform, a link, 4 model engines, 1 service, 2 cache stores and 3 daemons")
+	site, stop, err := startSmallSite(context.Background(), c.Number, c.Bin)
 	if err != nil {
 		return err
 	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	site, err := smallSite(c.Number, dir, c.Bin)
-	if err != nil {
-		return err
-	}
-	defer site.Stop()
+	defer stop()
 	d := &demo{site: site, out: out.out}
-	d.say("starting a platform, a link, 4 model engines, 1 service, 2 cache stores and 3 daemons")
-	if err := site.Start(context.Background()); err != nil {
-		return err
-	}
 	for _, step := range []func() error{d.prompt, d.booking, d.status, d.domainOutAndBack} {
 		if err := step(); err != nil {
 			return err
--- a/internal/zpbench/site.go
+++ b/internal/zpbench/site.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
@@ -20,19 +21,11 @@
 func (c *siteCommand) Run(out *console) error {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
-	dir, err := os.MkdirTemp("", "zinniapaddle-site-")
-	if err != nil {
-		return err
-	}
-	defer func() { _ = os.RemoveAll(dir) }()
-	site, err := smallSite(c.Number, dir, c.Bin)
+	site, stopSite, err := startSmallSite(ctx, c.Number, c.Bin)
 	if err != nil {
 		return err
 	}
-	defer site.Stop()
-	if err := site.Start(ctx); err != nil {
-		return err
-	}
+	defer stopSite()
 	_, _ = fmt.Fprintf(out.out, `a small site is running; end it with Ctrl-C
 
 daemons:   %v
@@ -49,10 +42,27 @@
 	return nil
 }
 
-// smallSite is the site of the demo.
-func smallSite(number int, dir, bin string) (*zpsite.Site, error) {
-	return zpsite.New(zpsite.Config{
+// startSmallSite starts the site of the demo. The returned function ends it and
+// removes its files.
+func startSmallSite(ctx context.Context, number int, bin string) (*zpsite.Site, func(), error) {
+	dir, err := os.MkdirTemp("", "zinniapaddle-site-")
+	if err != nil {
+		return nil, nil, err
+	}
+	site, err := zpsite.New(zpsite.Config{
 		Number: number, Dir: dir, BinDir: bin, Daemons: 3, Runners: 4, Services: 1, Stores: true,
 		Workspaces: zpload.Oberland().Workspaces, Slots: slots, ColdSlots: coldSlots,
 	})
+	if err != nil {
+		return nil, nil, errors.Join(err, os.RemoveAll(dir))
+	}
+	stop := func() {
+		site.Stop()
+		_ = os.RemoveAll(dir)
+	}
+	if err := site.Start(ctx); err != nil {
+		stop()
+		return nil, nil, err
+	}
+	return site, stop, nil
 }
