--- /dev/null
+++ b/internal/zpapp/gateway.go
@@ -0,0 +1,212 @@
+package zpapp
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpclock"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpgateway"
+	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmetric"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpnet"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpparts"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpplace"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpquarantine"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpregistry"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpretry"
+	"github.com/zinniapaddle/zinniapaddle/internal/zprollout"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpusage"
+	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
+	zpplatform "github.com/zinniapaddle/zinniapaddle/platform"
+)
+
+// GatewayDaemon is one daemon on the users' platform.
+type GatewayDaemon struct {
+	Node    *zpplatform.Node
+	Log     *zplog.Logger
+	Metrics *zpmetric.Metrics
+
+	self     zpassign.Member
+	store    *zpplatform.Store
+	catalog  atomic.Pointer[zpcatalog.Catalog]
+	registry *zpregistry.Registry
+	weights  *zprollout.Board
+	members  *members
+	watches  *watches
+	gateway  *zpgateway.Gateway
+	leaving  atomic.Bool
+	callers  *http.Server
+	ready    *http.Server
+	admin    *http.Server
+}
+
+const (
+	storeTimeout     = 1500 * time.Millisecond // of a call to the store; slow answers take a third of it
+	lapseGrace       = 2 * time.Second         // within which lapsed entries are back after an outage
+	usageMaxAge      = 2 * time.Second         // of the load that peers report
+	partsPerHolder   = 4096
+	crashRetention   = 5 * time.Minute
+	retryShare       = 0.5 // of the fleet's budget that is used, so that views may differ
+	retryBurst       = 3   // repeats that a daemon saves up
+	stopNotice       = 2500 * time.Millisecond
+	stopReserve      = 300 * time.Millisecond // before SIGKILL
+	defaultBodyLimit = 4 << 20
+	defaultHeader    = 3 * time.Second
+	defaultIdle      = 15 * time.Second
+	headerBytes      = 16 << 10
+)
+
+// NewGatewayDaemon builds a daemon. Nothing runs yet.
+func NewGatewayDaemon(n *zpplatform.Node, log *zplog.Logger) *GatewayDaemon {
+	s := n.Settings
+	d := &GatewayDaemon{
+		Node: n, Log: log, Metrics: zpmetric.New(),
+		self: zpassign.Member{
+			Instance: s.Name + "." + randomHex(instanceRandomBytes), Name: s.Name, Address: s.Peers.Listen,
+			Callers: s.Callers.Listen, Region: s.Region, Domain: s.Domain, State: zpassign.MemberServing,
+		},
+		registry: zpregistry.New(lapseGrace), weights: zprollout.NewBoard(), members: newMembers(s.Name),
+	}
+	d.store = &zpplatform.Store{BaseURL: s.Platform.Address, Timeout: storeTimeout, OnCall: d.countStore}
+	d.store.Open()
+	d.gateway = &zpgateway.Gateway{
+		Domain: s.Domain, Region: s.Region, RegionOf: n.RegionOf, Catalog: d.catalog.Load, Registry: d.registry,
+		Weights: d.weights, Usage: zpusage.NewTracker(usageMaxAge), Parts: zpparts.NewDirectory(partsPerHolder),
+		Suspects: zpgateway.NewSuspects(), Cold: &zpplace.ColdGate{Self: s.Name}, Daemons: d.members.Names,
+		Quarantine: zpquarantine.NewList(crashRetention), NoteCrash: func(string, string) {},
+		Retries: &zpretry.Book{Ratio: n.Bounds.RetryRatio * retryShare, Burst: retryBurst},
+		Runner:  &zpplatform.Runner{Sender: zpplatform.DefaultSender()}, Rates: zpplace.DefaultRates(),
+		Log: log, Metrics: d.Metrics, Clock: zpclock.Now, Random: rand.Float64, Leaving: d.leaving.Load,
+	}
+	d.registry.OnGone = d.endpointGone
+	d.watches = newWatches(d)
+	d.buildServers()
+	return d
+}
+
+func (d *GatewayDaemon) buildServers() {
+	d.callers = &http.Server{
+		Handler: &zpplatform.Ingress{
+			Gateway: d.gateway, BodyLimit: d.bodyLimit, BodyTimeout: d.bodyTimeout, Clock: zpclock.Now, Leaving: d.leaving.Load,
+		},
+		ReadHeaderTimeout: defaultHeader, IdleTimeout: defaultIdle, MaxHeaderBytes: headerBytes,
+	}
+	d.ready = &http.Server{Handler: http.HandlerFunc(d.answerReady), ReadHeaderTimeout: defaultHeader}
+	metrics := promhttp.HandlerFor(d.Metrics.Registry, promhttp.HandlerOpts{})
+	d.admin = &http.Server{Handler: metrics, ReadHeaderTimeout: defaultHeader}
+}
+
+// Run serves until ctx ends, then shuts down gracefully.
+func (d *GatewayDaemon) Run(ctx context.Context) error {
+	work, stopWork := context.WithCancel(context.Background())
+	defer stopWork()
+	failed := make(chan error, 4)
+	if err := d.listen(failed); err != nil {
+		return err
+	}
+	var workers sync.WaitGroup
+	d.watches.start(work, &workers)
+	workers.Go(func() { d.join(work) })
+	d.Log.Emit(zplog.Started, zplog.Fields{"instance": d.self.Instance, "callers": d.Node.Settings.Callers.Listen})
+	var err error
+	select {
+	case <-ctx.Done():
+	case err = <-failed:
+	}
+	d.stop()
+	stopWork()
+	workers.Wait()
+	d.Log.Emit(zplog.Stopped, zplog.Fields{"instance": d.self.Instance})
+	return err
+}
+
+// stop ends the daemon's work without cutting a request: the balancer and
+// callers are told to go elsewhere, then connections close as they fall idle.
+func (d *GatewayDaemon) stop() {
+	begun := time.Now()
+	d.leaving.Store(true)
+	d.Log.Emit(zplog.Stopping, zplog.Fields{"open_requests": d.gateway.Open.Load()})
+	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(d.Node.Bounds.StopGrace-stopReserve))
+	defer cancel()
+	d.leave(ctx)
+	time.Sleep(max(stopNotice-time.Since(begun), 0))
+	if err := d.callers.Shutdown(ctx); err != nil {
+		d.Log.Emit(zplog.DrainTimedOut, zplog.Fields{"open_requests": d.gateway.Open.Load()})
+	}
+	// The servers hold nothing that is worth waiting for.
+	_ = d.ready.Close()
+	_ = d.admin.Close()
+}
+
+func (d *GatewayDaemon) listen(failed chan<- error) error {
+	addresses := map[*http.Server]string{d.callers: d.Node.Settings.Callers.Listen, d.admin: d.Node.Settings.Admin.Listen}
+	if d.Node.ReadyListen != "" {
+		addresses[d.ready] = d.Node.ReadyListen
+	}
+	for server, address := range addresses {
+		lis, err := zpnet.NewListenConfig().Listen(context.Background(), "tcp", address)
+		if err != nil {
+			return fmt.Errorf("listen on %s: %w", address, err)
+		}
+		go d.serve(server, lis, failed)
+	}
+	return nil
+}
+
+func (d *GatewayDaemon) serve(server *http.Server, lis net.Listener, failed chan<- error) {
+	if err := server.Serve(lis); !errors.Is(err, http.ErrServerClosed) {
+		d.Log.Emit(zplog.ServerFailed, zplog.Fields{"error": err.Error()})
+		failed <- err
+	}
+}
+
+// answerReady tells the balancer whether to send new connections here.
+func (d *GatewayDaemon) answerReady(w http.ResponseWriter, _ *http.Request) {
+	if d.leaving.Load() || d.catalog.Load() == nil || !d.registry.Listed() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+func (d *GatewayDaemon) bodyLimit() int64 {
+	if c := d.catalog.Load(); c != nil && c.Limits.BodyBytes > 0 {
+		return c.Limits.BodyBytes
+	}
+	return defaultBodyLimit
+}
+
+func (d *GatewayDaemon) bodyTimeout() time.Duration {
+	if c := d.catalog.Load(); c != nil && c.Limits.IdleTimeout > 0 {
+		return c.Limits.IdleTimeout
+	}
+	return defaultIdle
+}
+
+func (d *GatewayDaemon) countStore(call string, err error) {
+	d.Metrics.PlatformCalls.WithLabelValues(call, outcomeLabel(err)).Inc()
+}
+
+func (d *GatewayDaemon) endpointGone(e zpregistry.Endpoint) {
+	d.Log.Emit(zplog.EndpointGone, zplog.Fields{"endpoint": e.ID, "address": e.Address})
+	d.gateway.EndpointGone(e)
+}
+
+// Reload reads the settings file again. The addresses of a running process do
+// not change, so only a file that cannot be read is of interest.
+func (d *GatewayDaemon) Reload(path string) {
+	if _, err := zpplatform.LoadNode(path); err != nil {
+		d.Log.Emit(zplog.ReloadFailed, zplog.Fields{"error": zperror.Of(err).Error()})
+		return
+	}
+	d.Log.Emit(zplog.Reloaded, zplog.Fields{"path": path})
+}
--- /dev/null
+++ b/internal/zpapp/gateway_members.go
@@ -0,0 +1,135 @@
+package zpapp
+
+import (
+	"context"
+	"sort"
+	"sync"
+	"time"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
+	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+	"github.com/zinniapaddle/zinniapaddle/pkg/zpobject"
+)
+
+// members are the daemons that have registered in the store, by name. It is
+// safe for concurrent use.
+type members struct {
+	self string
+
+	mu   sync.Mutex
+	byID map[string]zpassign.Member
+	list []string
+}
+
+const (
+	memberPrefix = "members/"
+	joinRetry    = 300 * time.Millisecond
+)
+
+func newMembers(self string) *members {
+	m := &members{self: self, byID: map[string]zpassign.Member{}}
+	m.rebuild()
+	return m
+}
+
+// Names returns the names of all daemons, this one too. The result is shared.
+func (m *members) Names() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.list
+}
+
+// Others returns the other daemons.
+func (m *members) Others() []zpassign.Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []zpassign.Member
+	for _, name := range m.list {
+		if x, ok := m.byID[name]; ok && name != m.self {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+func (m *members) replace(list []zpassign.Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.byID = map[string]zpassign.Member{}
+	for _, x := range list {
+		m.byID[x.Name] = x
+	}
+	m.rebuild()
+}
+
+func (m *members) put(x zpassign.Member) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.byID[x.Name] = x
+	m.rebuild()
+}
+
+func (m *members) remove(name string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.byID, name)
+	m.rebuild()
+}
+
+func (m *members) rebuild() {
+	m.list = []string{m.self}
+	for name := range m.byID {
+		if name != m.self {
+			m.list = append(m.list, name)
+		}
+	}
+	sort.Strings(m.list)
+}
+
+// join registers this daemon in the store, again and again until it is there.
+func (d *GatewayDaemon) join(ctx context.Context) {
+	body, err := zpassign.EncodeMember(d.self)
+	if err != nil {
+		d.Log.Emit(zplog.LeaseRenewFailed, zplog.Fields{"error": err.Error()})
+		return
+	}
+	for ctx.Err() == nil {
+		if d.register(ctx, body) {
+			return
+		}
+		select {
+		case <-time.After(joinRetry):
+		case <-ctx.Done():
+		}
+	}
+}
+
+// register reports whether the store holds this instance's record.
+func (d *GatewayDaemon) register(ctx context.Context, body []byte) bool {
+	name := memberPrefix + d.self.Name
+	o, err := d.store.Get(ctx, name)
+	switch {
+	case err == nil:
+		if m, decodeErr := zpassign.DecodeMember(o.Body); decodeErr == nil && m.Instance == d.self.Instance {
+			return true
+		}
+	case !zpobject.IsNotFound(err):
+		return false
+	}
+	_, err = d.store.Put(ctx, name, body, o.Revision)
+	return err == nil
+}
+
+// leave removes this daemon's record, so that others stop counting on it.
+func (d *GatewayDaemon) leave(ctx context.Context) {
+	name := memberPrefix + d.self.Name
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	o, err := d.store.Get(ctx, name)
+	if err == nil {
+		err = d.store.Delete(ctx, name, o.Revision)
+	}
+	if err != nil {
+		d.Log.Emit(zplog.LeaseRenewFailed, zplog.Fields{"error": err.Error()})
+	}
+}
--- /dev/null
+++ b/internal/zpapp/gateway_watches.go
@@ -0,0 +1,204 @@
+package zpapp
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpclock"
+	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmirror"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpregistry"
+	"github.com/zinniapaddle/zinniapaddle/pkg/zpobject"
+	zpplatform "github.com/zinniapaddle/zinniapaddle/platform"
+)
+
+// watches follow the kinds of the store that this daemon needs. The watch of
+// the configuration is short and tells whether the store answers; the others
+// are long, and start anew when the store has returned.
+type watches struct {
+	daemon    *GatewayDaemon
+	config    *zpmirror.Mirror
+	others    []*zpmirror.Mirror
+	away      atomic.Bool
+	evacuated map[string]bool // used by one mirror alone
+}
+
+const (
+	// configWait bounds how long a silent store goes unnoticed.
+	configWait = 2 * time.Second
+	// otherWait is nearly the longest watch that the store allows.
+	otherWait = 25 * time.Second
+)
+
+func newWatches(d *GatewayDaemon) *watches {
+	w := &watches{daemon: d, evacuated: map[string]bool{}}
+	w.config = &zpmirror.Mirror{
+		API: d.store, Prefix: zpplatform.ConfigPrefix, Wait: configWait,
+		OnList: each(w.configChanged), OnChange: w.configChanged, OnAway: w.storeAway, OnBack: w.storeBack,
+	}
+	w.others = []*zpmirror.Mirror{
+		{API: d.store, Prefix: zpplatform.EndpointPrefix, Wait: otherWait, OnList: w.endpointsListed, OnChange: w.endpointChanged},
+		{API: d.store, Prefix: zpplatform.EvacuationPrefix, Wait: otherWait, OnList: w.evacuationsListed, OnChange: w.evacuationChanged},
+		{API: d.store, Prefix: zpplatform.WeightPrefix, Wait: otherWait, OnList: each(w.weightsChanged), OnChange: w.weightsChanged},
+		{API: d.store, Prefix: memberPrefix, Wait: otherWait, OnList: w.membersListed, OnChange: w.memberChanged},
+	}
+	return w
+}
+
+func (w *watches) start(ctx context.Context, workers *sync.WaitGroup) {
+	workers.Go(func() { w.config.Run(ctx) })
+	for _, m := range w.others {
+		workers.Go(func() { m.Run(ctx) })
+	}
+}
+
+func (w *watches) storeAway(err error) {
+	w.away.Store(true)
+	w.daemon.Log.Emit(zplog.StoreAway, zplog.Fields{"error": err.Error(), "catalog": w.daemon.catalogVersion()})
+}
+
+func (w *watches) storeBack() {
+	w.away.Store(false)
+	w.daemon.Log.Emit(zplog.StoreBack, zplog.Fields{"catalog": w.daemon.catalogVersion()})
+	w.daemon.registry.StoreReturned(zpclock.Now())
+	for _, m := range w.others {
+		m.Restart()
+	}
+}
+
+func (w *watches) configChanged(o zpobject.Object) {
+	d := w.daemon
+	if o.Name != zpplatform.ConfigName || o.Deleted {
+		return
+	}
+	c, err := zpplatform.DecodeCatalog(o.Body)
+	if err != nil {
+		d.Log.Emit(zplog.ConfigRefused, zplog.Fields{"error": err.Error(), "revision": o.Revision})
+		return
+	}
+	if c.Version <= d.catalogVersion() {
+		return
+	}
+	d.catalog.Store(c)
+	d.Metrics.ConfigVersion.Set(float64(c.Version))
+	d.Log.Emit(zplog.ConfigApplied, zplog.Fields{"version": c.Version, "revision": o.Revision, "routes": len(c.Routes)})
+}
+
+func (w *watches) endpointsListed(objects []zpobject.Object) {
+	now := zpclock.Now()
+	var list []zpregistry.Endpoint
+	for _, o := range objects {
+		if e, ok := w.decodeEndpoint(o, now); ok {
+			list = append(list, e)
+		}
+	}
+	w.daemon.registry.Replace(list, now)
+}
+
+func (w *watches) endpointChanged(o zpobject.Object) {
+	now := zpclock.Now()
+	if o.Deleted {
+		w.daemon.registry.Remove(zpplatform.NameOf(o), now)
+		return
+	}
+	if e, ok := w.decodeEndpoint(o, now); ok {
+		w.daemon.registry.Put(e)
+		w.daemon.Log.Emit(zplog.EndpointChanged, zplog.Fields{
+			"endpoint": e.ID, "pool": e.Pool, "address": e.Address, "draining": e.State == zpregistry.StateDraining,
+			"cold_ms": max(e.ColdUntil.Sub(now), 0).Milliseconds(), "weights": e.Weights, "born": e.Born, "revision": o.Revision,
+		})
+	}
+}
+
+func (w *watches) decodeEndpoint(o zpobject.Object, now time.Time) (zpregistry.Endpoint, bool) {
+	e, err := zpplatform.DecodeEndpoint(o, w.daemon.Node.RegionOf, now)
+	if err != nil {
+		w.daemon.Log.Emit(zplog.EntryIgnored, zplog.Fields{"object": o.Name, "revision": o.Revision, "error": err.Error()})
+	}
+	return e, err == nil
+}
+
+func (w *watches) evacuationsListed(objects []zpobject.Object) {
+	w.evacuated = map[string]bool{}
+	for _, o := range objects {
+		w.evacuated[zpplatform.NameOf(o)] = true
+	}
+	w.applyEvacuations()
+}
+
+func (w *watches) evacuationChanged(o zpobject.Object) {
+	w.evacuated[zpplatform.NameOf(o)] = !o.Deleted
+	w.applyEvacuations()
+}
+
+func (w *watches) applyEvacuations() {
+	var domains []string
+	for domain, out := range w.evacuated {
+		if out {
+			domains = append(domains, domain)
+		}
+	}
+	w.daemon.registry.SetEvacuated(domains)
+	w.daemon.Log.Emit(zplog.EvacuationChanged, zplog.Fields{"failure_domains": domains})
+}
+
+func (w *watches) weightsChanged(o zpobject.Object) {
+	if o.Deleted {
+		return
+	}
+	model, version, err := zpplatform.DecodeWeights(o)
+	if err != nil {
+		w.daemon.Log.Emit(zplog.EntryIgnored, zplog.Fields{"object": o.Name, "revision": o.Revision, "error": err.Error()})
+		return
+	}
+	if w.daemon.weights.Name(model, version, zpclock.Now()) {
+		w.daemon.Log.Emit(zplog.WeightsNamed, zplog.Fields{"model": model, "version": version, "revision": o.Revision})
+	}
+}
+
+func (w *watches) membersListed(objects []zpobject.Object) {
+	var list []zpassign.Member
+	for _, o := range objects {
+		if m, ok := w.decodeMember(o); ok {
+			list = append(list, m)
+		}
+	}
+	w.daemon.members.replace(list)
+}
+
+func (w *watches) memberChanged(o zpobject.Object) {
+	if o.Deleted {
+		w.daemon.members.remove(zpplatform.NameOf(o))
+		return
+	}
+	if m, ok := w.decodeMember(o); ok {
+		w.daemon.members.put(m)
+	}
+}
+
+func (w *watches) decodeMember(o zpobject.Object) (zpassign.Member, bool) {
+	m, err := zpassign.DecodeMember(o.Body)
+	if err != nil {
+		w.daemon.Log.Emit(zplog.EntryIgnored, zplog.Fields{"object": o.Name, "revision": o.Revision, "error": err.Error()})
+	}
+	return m, err == nil
+}
+
+func (d *GatewayDaemon) catalogVersion() int64 {
+	if c := d.catalog.Load(); c != nil {
+		return c.Version
+	}
+	return 0
+}
+
+// each applies a function for one object to a list.
+func each(change func(zpobject.Object)) func([]zpobject.Object) {
+	return func(objects []zpobject.Object) {
+		for _, o := range objects {
+			change(o)
+		}
+	}
+}
--- /dev/null
+++ b/internal/zpcatalog/region.go
@@ -0,0 +1,16 @@
+package zpcatalog
+
+import "slices"
+
+// RegionFilter limits a request to the regions that its route and its
+// workspace both allow. An empty list allows all.
+type RegionFilter struct {
+	Route     []string
+	Workspace []string
+}
+
+// Allows reports whether a region is allowed.
+func (f RegionFilter) Allows(region string) bool {
+	return (len(f.Route) == 0 || slices.Contains(f.Route, region)) &&
+		(len(f.Workspace) == 0 || slices.Contains(f.Workspace, region))
+}
--- a/internal/zpcommand/serve.go
+++ b/internal/zpcommand/serve.go
@@ -16,11 +16,17 @@
 }
 
 type serveCommand struct {
-	settingsFlag
+	Settings string `xor:"settings" required:"" type:"path" help:"Settings file of the daemon." placeholder:"FILE"`
+	Node     string `xor:"settings" required:"" type:"path" env:"ZINNIAPADDLE_NODE_FILE" help:"Settings file that the users' platform writes; serves routed requests there." placeholder:"FILE"`
 }
 
 // Run runs the daemon.
 func (c *serveCommand) Run(out *console) error {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if c.Node != "" && c.Settings == "" {
+		return zpapp.RunGateway(ctx, c.Node, out.out)
+	}
 	s, err := zpsettings.Load(c.Settings)
 	if err != nil {
 		return err
@@ -29,7 +35,5 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	defer stop()
 	return zpapp.Run(ctx, s, log)
 }
--- a/internal/zpengine/client.go
+++ b/internal/zpengine/client.go
@@ -20,8 +20,7 @@
 		ConnectTimeout time.Duration
 		Clock          func() time.Time
 
-		shared *http.Client // keeps connections
-		single *http.Client // a new connection for each request
+		sender Sender
 	}
 
 	wireReport struct {
@@ -50,6 +49,7 @@
 const (
 	idlePerHost     = 64
 	idleTimeout     = 30 * time.Second
+	silence         = 15 * time.Second
 	reportTimeout   = 2 * time.Second
 	answerLimit     = 16 << 20
 	errorTextLimit  = 4 << 10
@@ -60,27 +60,12 @@
 
 // Open prepares the connections.
 func (c *Client) Open() {
-	c.shared = &http.Client{Transport: &http.Transport{
-		DialContext:         gatedDial(c.ConnectTimeout),
-		MaxIdleConnsPerHost: idlePerHost,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-	}}
-	c.single = &http.Client{Transport: &http.Transport{
-		DialContext:        gatedDial(c.ConnectTimeout),
-		DisableKeepAlives:  true,
-		DisableCompression: true,
-	}}
-	for _, h := range []*http.Client{c.shared, c.single} {
-		h.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
-	}
+	c.sender = Sender{ConnectTimeout: c.ConnectTimeout, Silence: silence, IdleTimeout: idleTimeout}
+	c.sender.Open()
 }
 
 // Close drops all idle connections.
-func (c *Client) Close() {
-	c.shared.CloseIdleConnections()
-	c.single.CloseIdleConnections()
-}
+func (c *Client) Close() { c.sender.Close() }
 
 // Report reads an endpoint's load report.
 func (c *Client) Report(ctx context.Context, e zpmanifest.Endpoint) (zpadmission.Report, error) {
@@ -91,7 +76,7 @@
 		return zpadmission.Report{}, fmt.Errorf("report request: %w", err)
 	}
 	asked := c.Clock()
-	res, err := c.shared.Do(req)
+	res, err := c.sender.Do(req)
 	if err != nil {
 		return zpadmission.Report{}, fmt.Errorf("read report: %w", err)
 	}
@@ -109,9 +94,9 @@
 
 // post sends a body through a gate. The transport cannot send it twice: the
 // body has no GetBody.
-func post(ctx context.Context, h *http.Client, method, url string, body []byte, header http.Header, g *Gate) (*http.Response, error) {
+func (c *Client) post(ctx context.Context, kept bool, method, url string, body []byte, header http.Header, g *Gate) (*http.Response, error) {
 	reader := struct{ io.Reader }{bytes.NewReader(body)}
-	req, err := http.NewRequestWithContext(withGate(ctx, g), method, url, reader)
+	req, err := http.NewRequestWithContext(ctx, method, url, reader)
 	if err != nil {
 		return nil, err
 	}
@@ -122,7 +107,7 @@
 	for name, values := range header {
 		req.Header[name] = values
 	}
-	return h.Do(req)
+	return c.sender.Send(ctx, req, kept, g)
 }
 
 // classify maps a failed exchange to an outcome.
--- a/internal/zpengine/export.go
+++ b/internal/zpengine/export.go
@@ -38,7 +38,7 @@
 		return Stored{}, fmt.Errorf("export order: %w", err)
 	}
 	req.Header.Set("Content-Type", contentTypeJSON)
-	res, err := c.shared.Do(req)
+	res, err := c.sender.Do(req)
 	if err != nil {
 		return Stored{}, fmt.Errorf("export order: %w", err)
 	}
--- a/internal/zpengine/gate.go
+++ b/internal/zpengine/gate.go
@@ -64,19 +64,12 @@
 	return c.Conn.Write(b)
 }
 
-// gatedDial makes connections that a gate can guard.
-func gatedDial(timeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		d := net.Dialer{Timeout: timeout}
-		conn, err := d.DialContext(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return &gatedConn{Conn: conn}, nil
-	}
-}
+// closedGate refuses every byte.
+var closedGate = &Gate{Clock: time.Now}
 
-// withGate arms each connection that the request is given with its gate.
+// withGate arms the connections that the request is given with its gate. Once
+// any byte has been sent, a further connection, on which the transport would
+// repeat the request, gets a closed gate.
 func withGate(ctx context.Context, g *Gate) context.Context {
 	return httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
 		GotConn: func(info httptrace.GotConnInfo) {
@@ -85,7 +78,11 @@
 				conn = secure.NetConn()
 			}
 			if gated, ok := conn.(*gatedConn); ok {
-				gated.gate.Store(g)
+				next := g
+				if g.Sent() {
+					next = closedGate
+				}
+				gated.gate.Store(next)
 			}
 		},
 	})
--- a/internal/zpengine/generate.go
+++ b/internal/zpengine/generate.go
@@ -69,7 +69,7 @@
 	dog.timer = time.AfterFunc(gen.FirstOverdue, func() { cancel(errStalled) })
 	defer dog.timer.Stop()
 
-	res, err := post(ctx, c.shared, http.MethodPost, gen.Address+gen.Path, gen.Body, generationHeader(gen), g)
+	res, err := c.post(ctx, true, http.MethodPost, gen.Address+gen.Path, gen.Body, generationHeader(gen), g)
 	if err != nil {
 		return c.finish(ctx, classify(g, err), start)
 	}
--- a/internal/zpengine/order.go
+++ b/internal/zpengine/order.go
@@ -37,7 +37,7 @@
 	}
 	req.GetBody = nil
 	req.Header.Set("Content-Type", contentTypeJSON)
-	res, err := c.shared.Do(req)
+	res, err := c.sender.Do(req)
 	if err != nil {
 		return fmt.Errorf("order: %w", err)
 	}
--- a/internal/zpengine/service.go
+++ b/internal/zpengine/service.go
@@ -16,11 +16,7 @@
 	ctx, cancel := context.WithTimeout(ctx, call.Timeout)
 	defer cancel()
 	start := c.Clock()
-	h := c.single
-	if call.Idempotent {
-		h = c.shared
-	}
-	res, err := post(ctx, h, call.Method, call.Address+call.Path, call.Body, serviceHeader(call), g)
+	res, err := c.post(ctx, call.Idempotent, call.Method, call.Address+call.Path, call.Body, serviceHeader(call), g)
 	if err != nil {
 		return ServiceAnswer{}, c.finish(ctx, classify(g, err), start)
 	}
--- /dev/null
+++ b/internal/zpgateway/suspects.go
@@ -0,0 +1,96 @@
+package zpgateway
+
+import (
+	"sync"
+	"time"
+)
+
+type (
+	// Failure is a way in which an endpoint failed.
+	Failure int
+
+	// Suspects remembers endpoints that failed lately. It is safe for concurrent
+	// use.
+	Suspects struct {
+		mu      sync.Mutex
+		records map[string]*suspect
+	}
+
+	suspect struct {
+		until    time.Time
+		inARow   int
+		failures float64 // moving average: 1 is a failure, 0 a success
+	}
+)
+
+// Failures.
+const (
+	FailureConnect Failure = iota // no connection
+	FailureBroken                 // the answer broke off
+	FailureSilence                // no answer in time
+	FailureRefusal                // not run
+	FailureOther                  // another endpoint has the address
+	FailureAnswer                 // an error of the endpoint itself
+)
+
+const (
+	failureWeight = 0.2 // of the newest request in the moving average
+	// failureShare is the share of failures over which an endpoint is avoided. It
+	// is above the share of errors that sound services return.
+	failureShare = 0.35
+
+	firstAvoidance = 300 * time.Millisecond // doubles with each failure in a row
+	maxAvoidance   = 4 * time.Second
+)
+
+// NewSuspects returns an empty list.
+func NewSuspects() *Suspects { return &Suspects{records: map[string]*suspect{}} }
+
+// Failed notes a failure.
+func (s *Suspects) Failed(endpoint string, f Failure, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.record(endpoint)
+	r.inARow++
+	r.failures += failureWeight * (1 - r.failures)
+	if f == FailureAnswer && r.failures < failureShare {
+		return
+	}
+	r.until = now.Add(min(firstAvoidance<<min(r.inARow-1, 8), maxAvoidance))
+}
+
+// Succeeded notes a whole answer.
+func (s *Suspects) Succeeded(endpoint string, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.record(endpoint)
+	r.inARow = 0
+	r.failures -= failureWeight * r.failures
+	if r.failures < failureShare && now.Before(r.until) {
+		r.until = now
+	}
+}
+
+// Suspect reports whether an endpoint should be avoided.
+func (s *Suspects) Suspect(endpoint string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.records[endpoint]
+	return ok && now.Before(r.until)
+}
+
+// Forget drops what is known of an endpoint that is gone.
+func (s *Suspects) Forget(endpoint string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.records, endpoint)
+}
+
+func (s *Suspects) record(endpoint string) *suspect {
+	r, ok := s.records[endpoint]
+	if !ok {
+		r = &suspect{}
+		s.records[endpoint] = r
+	}
+	return r
+}
--- a/internal/zplog/event.go
+++ b/internal/zplog/event.go
@@ -47,23 +47,39 @@
 	WatchFailed       = Event{304, logrus.WarnLevel, "watch of the platform failed", "check the platform if it persists"}
 	RequestFailed     = Event{400, logrus.WarnLevel, "request failed", "look up the code in docs/operators/errors.md"}
 	RequestRetried    = Event{401, logrus.InfoLevel, "request sent again to another endpoint", "none"}
+	RequestPlaced     = Event{402, logrus.InfoLevel, "request sent to an endpoint", "none"}
+	CrashNoted        = Event{403, logrus.WarnLevel, "request was present at the fall of an endpoint", "see docs/operators/crashing_request.md"}
 	EndpointSuspect   = Event{500, logrus.WarnLevel, "endpoint shows signs of a cold start; new work is held", "none; check the endpoint if it persists"}
 	EndpointWarm      = Event{501, logrus.InfoLevel, "endpoint is warm", "none"}
 	OrderGiven        = Event{502, logrus.InfoLevel, "order given to an engine", "check the engine if it repeats"}
 	FingerprintBanned = Event{600, logrus.ErrorLevel, "request is quarantined after crashes of two endpoints", "see docs/operators/crashing_request.md"}
 	ClaimSettleFailed = Event{700, logrus.WarnLevel, "outcome of a claim could not be recorded yet", "check the platform if it persists"}
 	PeerFailed        = Event{800, logrus.DebugLevel, "call to another daemon failed", "none"}
+	PeerLost          = Event{801, logrus.WarnLevel, "another daemon does not answer", "none; check the VM if it persists"}
+	PeerBack          = Event{802, logrus.InfoLevel, "another daemon answers again", "none"}
+	LinesDropped      = Event{901, logrus.WarnLevel, "log lines were dropped because the destination is slow", "lower log.level"}
+	Reloaded          = Event{104, logrus.InfoLevel, "settings file read again", "none"}
+	ReloadFailed      = Event{105, logrus.ErrorLevel, "settings file is not valid; the last good settings stay", "correct the file"}
+	StoreAway         = Event{305, logrus.WarnLevel, "the store does not answer; the last known state is used", "see docs/operators/platform_outage.md"}
+	StoreBack         = Event{306, logrus.InfoLevel, "the store answers again", "none"}
+	EntryIgnored      = Event{307, logrus.WarnLevel, "an object of the store cannot be used", "find its writer"}
+	EvacuationChanged = Event{308, logrus.InfoLevel, "failure domains out of service changed", "none"}
+	EndpointChanged   = Event{503, logrus.InfoLevel, "endpoint registered or changed", "none"}
+	EndpointGone      = Event{504, logrus.InfoLevel, "endpoint left", "none"}
+	WeightsNamed      = Event{505, logrus.InfoLevel, "new weights are named", "none"}
 	ServerFailed      = Event{900, logrus.ErrorLevel, "a listener failed", "check that the address is free"}
 )
 
 // Catalogue returns all events in order of their numbers.
 func Catalogue() []Event {
 	return []Event{
-		Started, Stopping, Stopped, DrainTimedOut,
+		Started, Stopping, Stopped, DrainTimedOut, Reloaded, ReloadFailed,
 		LeaseRenewFailed, LeaseLost, LeaseLapsed, MemberEnded, PartitionTaken, PartitionLeft,
 		ConfigApplied, ConfigRefused, ConfigStale, ConfigFresh, WatchFailed,
-		RequestFailed, RequestRetried,
-		EndpointSuspect, EndpointWarm, OrderGiven, FingerprintBanned, ClaimSettleFailed, PeerFailed, ServerFailed,
+		StoreAway, StoreBack, EntryIgnored, EvacuationChanged,
+		RequestFailed, RequestRetried, RequestPlaced, CrashNoted,
+		EndpointSuspect, EndpointWarm, OrderGiven, EndpointChanged, EndpointGone, WeightsNamed,
+		FingerprintBanned, ClaimSettleFailed, PeerFailed, PeerLost, PeerBack, ServerFailed, LinesDropped,
 	}
 }
 
--- /dev/null
+++ b/internal/zpparts/directory.go
@@ -0,0 +1,164 @@
+// Package zpparts remembers which engine or store of KV cache holds which parts
+// of prompts. Entries for engines are hints: a part that is no longer there is
+// read again. Entries for stores are exact: a part is listed only while it is
+// whole and will not be freed.
+package zpparts
+
+import (
+	"sync"
+)
+
+type (
+	// Key names a part under the salt with which it was made.
+	Key struct {
+		Salt string
+		Part string
+	}
+
+	// Change is news about one part at one holder; no tokens mean that it is gone.
+	Change struct {
+		Holder string // id of an engine, or name of a store
+		Key    Key
+		Tokens int
+	}
+
+	// Directory maps parts to holders. It is safe for concurrent use.
+	Directory struct {
+		Limit int // entries kept for each holder
+
+		mu      sync.Mutex
+		parts   map[Key]map[string]int // tokens by holder
+		holders map[string]*holder
+	}
+
+	holder struct {
+		keys  map[Key]uint64 // last use
+		clock uint64
+	}
+)
+
+// NewDirectory returns an empty directory.
+func NewDirectory(limit int) *Directory {
+	return &Directory{Limit: limit, parts: map[Key]map[string]int{}, holders: map[string]*holder{}}
+}
+
+// Apply takes over one change and reports whether it was news.
+func (d *Directory) Apply(c Change) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if c.Tokens <= 0 {
+		return d.remove(c.Holder, c.Key)
+	}
+	return d.add(c)
+}
+
+// Forget drops everything that a holder held.
+func (d *Directory) Forget(name string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h, ok := d.holders[name]
+	if !ok {
+		return
+	}
+	for key := range h.keys {
+		d.unlink(name, key)
+	}
+	delete(d.holders, name)
+}
+
+// Tokens returns how much of a part a holder has.
+func (d *Directory) Tokens(name string, key Key) int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.parts[key][name]
+}
+
+// Holders returns the tokens of a part by holder.
+func (d *Directory) Holders(key Key) map[string]int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make(map[string]int, len(d.parts[key]))
+	for name, n := range d.parts[key] {
+		out[name] = n
+	}
+	return out
+}
+
+// HeldBy lists what a holder has.
+func (d *Directory) HeldBy(name string) []Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h, ok := d.holders[name]
+	if !ok {
+		return nil
+	}
+	out := make([]Change, 0, len(h.keys))
+	for key := range h.keys {
+		out = append(out, Change{Holder: name, Key: key, Tokens: d.parts[key][name]})
+	}
+	return out
+}
+
+// Len returns the number of entries.
+func (d *Directory) Len() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	n := 0
+	for _, h := range d.holders {
+		n += len(h.keys)
+	}
+	return n
+}
+
+func (d *Directory) add(c Change) bool {
+	h, ok := d.holders[c.Holder]
+	if !ok {
+		h = &holder{keys: map[Key]uint64{}}
+		d.holders[c.Holder] = h
+	}
+	h.clock++
+	h.keys[c.Key] = h.clock
+	by, ok := d.parts[c.Key]
+	if !ok {
+		by = map[string]int{}
+		d.parts[c.Key] = by
+	}
+	news := by[c.Holder] != c.Tokens
+	by[c.Holder] = c.Tokens
+	if d.Limit > 0 && len(h.keys) > d.Limit {
+		d.evict(c.Holder, h)
+	}
+	return news
+}
+
+// evict drops the least recently used eighth of a holder's entries.
+func (d *Directory) evict(name string, h *holder) {
+	threshold := h.clock - uint64(d.Limit-d.Limit/8)
+	for key, used := range h.keys {
+		if used <= threshold {
+			delete(h.keys, key)
+			d.unlink(name, key)
+		}
+	}
+}
+
+func (d *Directory) remove(name string, key Key) bool {
+	h, ok := d.holders[name]
+	if !ok {
+		return false
+	}
+	if _, ok := h.keys[key]; !ok {
+		return false
+	}
+	delete(h.keys, key)
+	d.unlink(name, key)
+	return true
+}
+
+func (d *Directory) unlink(name string, key Key) {
+	by := d.parts[key]
+	delete(by, name)
+	if len(by) == 0 {
+		delete(d.parts, key)
+	}
+}
--- a/pkg/zperror/error.go
+++ b/pkg/zperror/error.go
@@ -39,8 +39,16 @@
 	KindOverloaded              // a limit is reached; later may succeed
 	KindUnavailable             // a needed part is out of reach
 	KindEndpoint                // the endpoint failed while the request ran
+	KindTimeout                 // the endpoint did not answer in time
+	KindCancelled               // the caller gave up
+	KindTooLarge                // the request is larger than allowed
+	KindSlowCaller              // the request did not arrive in time
 )
 
+// statusClientClosedRequest is customary for a request whose caller closed the
+// connection; no caller receives it.
+const statusClientClosedRequest = 499
+
 // Run states of a request.
 const (
 	RunStateNotRun RunState = iota
@@ -154,6 +162,14 @@
 		return http.StatusServiceUnavailable
 	case KindEndpoint:
 		return http.StatusBadGateway
+	case KindTimeout:
+		return http.StatusGatewayTimeout
+	case KindTooLarge:
+		return http.StatusRequestEntityTooLarge
+	case KindSlowCaller:
+		return http.StatusRequestTimeout
+	case KindCancelled:
+		return statusClientClosedRequest
 	default:
 		return http.StatusInternalServerError
 	}
