One daemon at a time brings engines to the named weights

Change: zpduty takes a lease in the store only while there is work; zprollout orders a third of the engines at a time with the lease's revision as fence and the engine's own count of orders as condition.

--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -16,6 +16,8 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpclock"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpduty"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpgateway"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpmetric"
@@ -39,12 +41,14 @@
 
 	self     zpassign.Member
 	store    *zpplatform.Store
+	sender   *zpengine.Sender
 	catalog  atomic.Pointer[zpcatalog.Catalog]
 	registry *zpregistry.Registry
 	weights  *zprollout.Board
 	members  *members
 	watches  *watches
 	gateway  *zpgateway.Gateway
+	rollout  *zprollout.Rollout
 	leaving  atomic.Bool
 	callers  *http.Server
 	ready    *http.Server
@@ -65,6 +69,13 @@
 	defaultHeader    = 3 * time.Second
 	defaultIdle      = 15 * time.Second
 	headerBytes      = 16 << 10
+
+	weightDuty   = "duties/weights"
+	dutyValidity = time.Second            // of the duty; a successor waits for it and a turn
+	dutyRenew    = 300 * time.Millisecond // so that two lost renewals do no harm
+	dutyMargin   = 500 * time.Millisecond // for orders that are on the way
+	orderPoll    = 200 * time.Millisecond // reports lag by as much
+	orderAgain   = 3 * time.Second        // running requests end and weights load within it
 )
 
 // NewGatewayDaemon builds a daemon. Nothing runs yet.
@@ -80,16 +91,18 @@
 	}
 	d.store = &zpplatform.Store{BaseURL: s.Platform.Address, Timeout: storeTimeout, OnCall: d.countStore}
 	d.store.Open()
+	d.sender = zpplatform.DefaultSender()
 	d.gateway = &zpgateway.Gateway{
 		Domain: s.Domain, Region: s.Region, RegionOf: n.RegionOf, Catalog: d.catalog.Load, Registry: d.registry,
 		Weights: d.weights, Usage: zpusage.NewTracker(usageMaxAge), Parts: zpparts.NewDirectory(partsPerHolder),
 		Suspects: zpgateway.NewSuspects(), Cold: &zpplace.ColdGate{Self: s.Name}, Daemons: d.members.Names,
 		Quarantine: zpquarantine.NewList(crashRetention), NoteCrash: func(string, string) {},
 		Retries: &zpretry.Book{Ratio: n.Bounds.RetryRatio * retryShare, Burst: retryBurst},
-		Runner:  &zpplatform.Runner{Sender: zpplatform.DefaultSender()}, Rates: zpplace.DefaultRates(),
+		Runner:  &zpplatform.Runner{Sender: d.sender}, Rates: zpplace.DefaultRates(),
 		Log: log, Metrics: d.Metrics, Clock: zpclock.Now, Random: rand.Float64, Leaving: d.leaving.Load,
 	}
 	d.registry.OnGone = d.endpointGone
+	d.buildRollout()
 	d.watches = newWatches(d)
 	d.buildServers()
 	return d
@@ -118,12 +131,16 @@
 	var workers sync.WaitGroup
 	d.watches.start(work, &workers)
 	workers.Go(func() { d.join(work) })
+	duties, stopDuties := context.WithCancel(work)
+	defer stopDuties()
+	workers.Go(func() { d.rollout.Run(duties) })
 	d.Log.Emit(zplog.Started, zplog.Fields{"instance": d.self.Instance, "callers": d.Node.Settings.Callers.Listen})
 	var err error
 	select {
 	case <-ctx.Done():
 	case err = <-failed:
 	}
+	stopDuties()
 	d.stop()
 	stopWork()
 	workers.Wait()
@@ -192,6 +209,45 @@
 	return defaultIdle
 }
 
+// buildRollout prepares the duty of bringing engines to the named weights.
+func (d *GatewayDaemon) buildRollout() {
+	holder := d.self.Name + "@" + d.self.Address
+	timing := zpduty.Timing{Validity: dutyValidity, Renew: dutyRenew, Turn: d.Node.Bounds.OrderTurn + dutyMargin}
+	d.rollout = &zprollout.Rollout{
+		Self: holder, Keeper: zpduty.NewKeeper(weightDuty, holder, timing, d.store, d.Log, zpclock.Now),
+		Board: d.weights, Engines: d.engines, Models: d.models,
+		Load: func(endpoint string, now time.Time) int { return d.gateway.Usage.Total(endpoint, now).Requests },
+		Seen: d.registry.SetWeights, Orderer: &zpplatform.Orderer{Sender: d.sender, Clock: zpclock.Now},
+		Rank:   func() int { return zpplace.Rank(d.self.Name, weightDuty, d.members.Names()) },
+		Timing: zprollout.Timing{Poll: orderPoll, Again: orderAgain}, Log: d.Log, Clock: zpclock.Now,
+	}
+}
+
+// engines returns the endpoints of all pools of engines that may receive work.
+func (d *GatewayDaemon) engines(now time.Time) []zpregistry.Endpoint {
+	c := d.catalog.Load()
+	if c == nil {
+		return nil
+	}
+	var out []zpregistry.Endpoint
+	for _, p := range c.Pools {
+		if p.Engine != nil {
+			out = append(out, d.registry.Serving(p.Name, now)...)
+		}
+	}
+	return out
+}
+
+// models returns the models that the engines of a pool serve.
+func (d *GatewayDaemon) models(pool string) []string {
+	if c := d.catalog.Load(); c != nil {
+		if p, ok := c.PoolOf(pool); ok && p.Engine != nil {
+			return p.Engine.Models
+		}
+	}
+	return nil
+}
+
 func (d *GatewayDaemon) countStore(call string, err error) {
 	d.Metrics.PlatformCalls.WithLabelValues(call, outcomeLabel(err)).Inc()
 }
--- a/internal/zplog/event.go
+++ b/internal/zplog/event.go
@@ -67,6 +67,10 @@
 	EndpointChanged   = Event{503, logrus.InfoLevel, "endpoint registered or changed", "none"}
 	EndpointGone      = Event{504, logrus.InfoLevel, "endpoint left", "none"}
 	WeightsNamed      = Event{505, logrus.InfoLevel, "new weights are named", "none"}
+	WeightsLoaded     = Event{506, logrus.InfoLevel, "engine has the named weights", "none"}
+	OrderFailed       = Event{507, logrus.WarnLevel, "order or report of an engine failed; it is tried again", "check the engine if it persists"}
+	DutyTaken         = Event{220, logrus.InfoLevel, "exclusive duty taken", "none"}
+	DutyLeft          = Event{221, logrus.InfoLevel, "exclusive duty given up", "none"}
 	ServerFailed      = Event{900, logrus.ErrorLevel, "a listener failed", "check that the address is free"}
 )
 
@@ -74,11 +78,11 @@
 func Catalogue() []Event {
 	return []Event{
 		Started, Stopping, Stopped, DrainTimedOut, Reloaded, ReloadFailed,
-		LeaseRenewFailed, LeaseLost, LeaseLapsed, MemberEnded, PartitionTaken, PartitionLeft,
+		LeaseRenewFailed, LeaseLost, LeaseLapsed, MemberEnded, PartitionTaken, PartitionLeft, DutyTaken, DutyLeft,
 		ConfigApplied, ConfigRefused, ConfigStale, ConfigFresh, WatchFailed,
 		StoreAway, StoreBack, EntryIgnored, EvacuationChanged,
 		RequestFailed, RequestRetried, RequestPlaced, CrashNoted,
-		EndpointSuspect, EndpointWarm, OrderGiven, EndpointChanged, EndpointGone, WeightsNamed,
+		EndpointSuspect, EndpointWarm, OrderGiven, EndpointChanged, EndpointGone, WeightsNamed, WeightsLoaded, OrderFailed,
 		FingerprintBanned, ClaimSettleFailed, PeerFailed, PeerLost, PeerBack, ServerFailed, LinesDropped,
 	}
 }
