Share loads and parts of prompts between daemons; fetch and save KV cache

Change: zpshare sends each daemon's loads and news to all others over drpc, often within a failure domain and seldom beyond; zpparts holds which engine or store has which part; the gateway places with fetches from engines and stores in the cost, and names a store for parts that none holds. Parts of a store count only while its follower's word is fresh.

--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -23,11 +23,13 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpmetric"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpnet"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpparts"
+	"github.com/zinniapaddle/zinniapaddle/internal/zppeer"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpplace"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpquarantine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpregistry"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpretry"
 	"github.com/zinniapaddle/zinniapaddle/internal/zprollout"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpshare"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpusage"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
 	zpplatform "github.com/zinniapaddle/zinniapaddle/platform"
@@ -49,6 +51,9 @@
 	watches  *watches
 	gateway  *zpgateway.Gateway
 	rollout  *zprollout.Rollout
+	dialer   *zppeer.Dialer
+	sharer   *zpshare.Sharer
+	caches   *caches
 	leaving  atomic.Bool
 	callers  *http.Server
 	ready    *http.Server
@@ -59,7 +64,9 @@
 	storeTimeout     = 1500 * time.Millisecond // of a call to the store; slow answers take a third of it
 	lapseGrace       = 2 * time.Second         // within which lapsed entries are back after an outage
 	usageMaxAge      = 2 * time.Second         // of the load that peers report
-	partsPerHolder   = 4096
+	partsPerHolder   = 1024
+	storeStateAge    = 2 * time.Second // freshness of what followers tell of stores
+	storeSettle      = 3 * time.Second // longer than any daemon uses an older state
 	crashRetention   = 5 * time.Minute
 	retryShare       = 0.5 // of the fleet's budget that is used, so that views may differ
 	retryBurst       = 3   // repeats that a daemon saves up
@@ -95,13 +102,15 @@
 	d.gateway = &zpgateway.Gateway{
 		Domain: s.Domain, Region: s.Region, RegionOf: n.RegionOf, Catalog: d.catalog.Load, Registry: d.registry,
 		Weights: d.weights, Usage: zpusage.NewTracker(usageMaxAge), Parts: zpparts.NewDirectory(partsPerHolder),
+		Stores: zpparts.NewStores(storeStateAge, storeSettle), Announce: d.announceParts,
 		Suspects: zpgateway.NewSuspects(), Cold: &zpplace.ColdGate{Self: s.Name}, Daemons: d.members.Names,
-		Quarantine: zpquarantine.NewList(crashRetention), NoteCrash: func(string, string) {},
+		Quarantine: zpquarantine.NewList(crashRetention), NoteCrash: d.announceCrash,
 		Retries: &zpretry.Book{Ratio: n.Bounds.RetryRatio * retryShare, Burst: retryBurst},
 		Runner:  &zpplatform.Runner{Sender: d.sender}, Rates: zpplace.DefaultRates(),
 		Log: log, Metrics: d.Metrics, Clock: zpclock.Now, Random: rand.Float64, Leaving: d.leaving.Load,
 	}
 	d.registry.OnGone = d.endpointGone
+	d.buildSharing()
 	d.buildRollout()
 	d.watches = newWatches(d)
 	d.buildServers()
@@ -131,6 +140,9 @@
 	var workers sync.WaitGroup
 	d.watches.start(work, &workers)
 	workers.Go(func() { d.join(work) })
+	workers.Go(func() { d.sharer.Run(work) })
+	workers.Go(func() { d.servePeers(work, failed) })
+	workers.Go(func() { d.caches.run(work) })
 	duties, stopDuties := context.WithCancel(work)
 	defer stopDuties()
 	workers.Go(func() { d.rollout.Run(duties) })
@@ -217,7 +229,7 @@
 		Self: holder, Keeper: zpduty.NewKeeper(weightDuty, holder, timing, d.store, d.Log, zpclock.Now),
 		Board: d.weights, Engines: d.engines, Models: d.models,
 		Load: func(endpoint string, now time.Time) int { return d.gateway.Usage.Total(endpoint, now).Requests },
-		Seen: d.registry.SetWeights, Orderer: &zpplatform.Orderer{Sender: d.sender, Clock: zpclock.Now},
+		Seen: d.registry.SetWeights, Tell: d.announceChange, Orderer: &zpplatform.Orderer{Sender: d.sender, Clock: zpclock.Now},
 		Rank:   func() int { return zpplace.Rank(d.self.Name, weightDuty, d.members.Names()) },
 		Timing: zprollout.Timing{Poll: orderPoll, Again: orderAgain}, Log: d.Log, Clock: zpclock.Now,
 	}
--- a/internal/zpgateway/gateway.go
+++ b/internal/zpgateway/gateway.go
@@ -29,6 +29,8 @@
 	Weights    *zprollout.Board
 	Usage      *zpusage.Tracker
 	Parts      *zpparts.Directory
+	Stores     *zpparts.Stores
+	Announce   func(news []zpparts.Change) // tells other daemons what engines have read
 	Suspects   *Suspects
 	Cold       *zpplace.ColdGate
 	Daemons    func() []string // names of all daemons, this one too
--- a/internal/zpgateway/place.go
+++ b/internal/zpgateway/place.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
@@ -21,8 +20,7 @@
 	salt      string
 	fetch     []Transfer
 	save      []Transfer
-	until     time.Time // for the fetch, on the engines' clock
-	among     int       // candidates
+	among     int // candidates
 }
 
 const (
@@ -72,7 +70,7 @@
 			continue
 		}
 		c.cost, c.among = cost, len(candidates)
-		g.chooseSaves(j, &c)
+		g.chooseSaves(j, &c, now)
 		return c, true
 	}
 	return choice{}, false
@@ -113,10 +111,11 @@
 		// Parts of unknown weights must not be found by any other request.
 		return "once-" + j.request.ID
 	}
+	isolated := ""
 	if j.workspace != nil && j.workspace.Isolated {
-		return fmt.Sprintf("v%d-%s", weights, j.workspace.Name)
+		isolated = j.workspace.Name
 	}
-	return fmt.Sprintf("v%d", weights)
+	return saltOf(j.request.Prompt.Model, weights, isolated)
 }
 
 // tokens returns what the run reads before its first piece, and what it holds
@@ -130,7 +129,7 @@
 	return Run{
 		Request: j.request, Endpoint: c.endpoint, Workspace: j.workspaceName(), Left: left,
 		Priority: j.priority(), Salt: c.salt, WeightVersion: c.weights, Fetch: c.fetch, Save: c.save,
-		FetchUntil: c.until, ResumeAfter: j.lastEvent, Repeatable: j.route.Kind == zpcatalog.KindIdempotent,
+		ResumeAfter: j.lastEvent, Repeatable: j.route.Kind == zpcatalog.KindIdempotent,
 	}
 }
 
@@ -139,6 +138,7 @@
 		"endpoint": c.endpoint.ID, "cost_ms": c.cost.Milliseconds(), "candidates": c.among,
 		"running": c.candidate.Use.Requests, "prefill": c.candidate.Use.PrefillTokens, "memory": c.candidate.Use.MemoryTokens,
 		"prompt": c.ask.PromptTokens, "cached": c.candidate.CachedTokens, "fetch": c.candidate.FetchTokens,
+		"fetch_ms": c.candidate.FetchTime.Milliseconds(), "save": len(c.save) > 0,
 		"weights": c.weights, "cold": c.candidate.Cold, "suspect": c.candidate.Suspect,
 	}
 }
--- a/internal/zpgateway/types.go
+++ b/internal/zpgateway/types.go
@@ -57,7 +57,6 @@
 		WeightVersion int64         // that the engine must have; zero: any
 		Fetch         []Transfer    // by part; empty: none
 		Save          []Transfer    // by part; empty: none
-		FetchUntil    time.Time     // on the engines' clock; zero: no bound
 		ResumeAfter   string        // event after which the stream goes on; empty: from the start
 		Repeatable    bool          // a kept connection may be used
 	}
--- /dev/null
+++ b/internal/zpparts/follower.go
@@ -0,0 +1,196 @@
+package zpparts
+
+import (
+	"context"
+	"time"
+)
+
+type (
+	// Batch is what a holder tells of its parts.
+	Batch struct {
+		Epoch   int64 // of the holder's life
+		Next    int64 // where to go on
+		Lost    bool  // events before these are missing
+		Changes []Change
+	}
+
+	// Content is all that a store holds.
+	Content struct {
+		Epoch  int64
+		Next   int64
+		Whole  []Change
+		Broken []Key // parts whose saving broke off or goes on
+	}
+
+	// Source asks holders for their parts.
+	Source interface {
+		Events(ctx context.Context, address string, since int64, wait time.Duration) (Batch, error)
+		List(ctx context.Context, address string) (Content, error)
+		Free(ctx context.Context, address string, epoch int64, keys []Key) error
+		Room(ctx context.Context, address string) (free int, err error)
+	}
+
+	// Follower follows one holder. Set the exported fields before Run.
+	Follower struct {
+		Holder  string
+		Address string
+		IsStore bool
+		Source  Source
+		// Apply takes over changes; reset means that they are all that the holder
+		// has.
+		Apply func(changes []Change, reset bool)
+		// State takes over the state of a store.
+		State func(s Store)
+		// IsStale reports whether no engine has the weights that a part belongs to.
+		IsStale func(k Key) bool
+		Clock   func() time.Time
+
+		epoch    int64
+		next     int64
+		ready    bool
+		failures int
+		held     map[Key]int // of a store
+		retired  map[Key]time.Time
+		free     int
+		roomAt   time.Time
+	}
+)
+
+const (
+	// eventWait is the longest wait of one call for events.
+	eventWait = 900 * time.Millisecond
+	// eventPause is the pause between calls, so that events come in batches.
+	eventPause = 200 * time.Millisecond
+	// failurePause is the pause after a call that failed.
+	failurePause = 300 * time.Millisecond
+	callTimeout  = 1500 * time.Millisecond
+	// roomPause is the pause between questions for the room in a store.
+	roomPause = 2 * time.Second
+	// failuresAway is how many calls in a row must fail until a store counts as
+	// away.
+	failuresAway = 2
+	// FreeDelay is how long after the news that a part is gone it is freed. No
+	// daemon reads from a store on older news, and fetches end within seconds.
+	FreeDelay = 6 * time.Second
+	// freeBatch bounds the parts that one call frees.
+	freeBatch = 200
+)
+
+// Run follows the holder until ctx ends.
+func (f *Follower) Run(ctx context.Context) {
+	f.held, f.retired = map[Key]int{}, map[Key]time.Time{}
+	for ctx.Err() == nil {
+		pause := eventPause
+		if err := f.step(ctx); err != nil {
+			f.failures++
+			pause = failurePause
+		} else {
+			f.failures = 0
+		}
+		if f.IsStore {
+			f.tell()
+		}
+		select {
+		case <-time.After(pause):
+		case <-ctx.Done():
+		}
+	}
+}
+
+func (f *Follower) step(ctx context.Context) error {
+	if f.IsStore && !f.ready {
+		return f.list(ctx)
+	}
+	ctxCall, cancel := context.WithTimeout(ctx, eventWait+callTimeout)
+	defer cancel()
+	b, err := f.Source.Events(ctxCall, f.Address, f.next, eventWait)
+	if err != nil {
+		return err
+	}
+	restarted := f.ready && b.Epoch != f.epoch
+	if f.IsStore && (restarted || b.Lost) {
+		f.ready = false
+		return f.list(ctx)
+	}
+	f.epoch, f.next, f.ready = b.Epoch, b.Next, true
+	f.Apply(b.Changes, restarted || b.Lost)
+	if f.IsStore {
+		f.remember(b.Changes)
+		return f.tidy(ctx)
+	}
+	return nil
+}
+
+// list reads all that a store holds.
+func (f *Follower) list(ctx context.Context) error {
+	ctxCall, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	c, err := f.Source.List(ctxCall, f.Address)
+	if err != nil {
+		return err
+	}
+	f.epoch, f.next, f.ready = c.Epoch, c.Next, true
+	f.held, f.retired = map[Key]int{}, map[Key]time.Time{}
+	f.remember(c.Whole)
+	f.Apply(c.Whole, true)
+	return nil
+}
+
+func (f *Follower) remember(changes []Change) {
+	for _, c := range changes {
+		if c.Tokens > 0 {
+			f.held[c.Key] = c.Tokens
+		} else {
+			delete(f.held, c.Key)
+			delete(f.retired, c.Key)
+		}
+	}
+}
+
+// tidy asks for the room in a store and frees parts of weights that no engine
+// has any more.
+func (f *Follower) tidy(ctx context.Context) error {
+	now := f.Clock()
+	if now.Sub(f.roomAt) < roomPause {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	free, err := f.Source.Room(ctx, f.Address)
+	if err != nil {
+		return err
+	}
+	f.roomAt, f.free = now, free
+	var gone []Change
+	var due []Key
+	for key := range f.held {
+		at, retired := f.retired[key]
+		switch {
+		case retired && now.Sub(at) >= FreeDelay && len(due) < freeBatch:
+			due = append(due, key)
+		case !retired && f.IsStale(key):
+			f.retired[key] = now
+			gone = append(gone, Change{Holder: f.Holder, Key: key})
+		}
+	}
+	if len(gone) > 0 {
+		f.Apply(gone, false)
+	}
+	if len(due) == 0 {
+		return nil
+	}
+	if err := f.Source.Free(ctx, f.Address, f.epoch, due); err != nil {
+		return err
+	}
+	for _, key := range due {
+		delete(f.held, key)
+		delete(f.retired, key)
+	}
+	return nil
+}
+
+func (f *Follower) tell() {
+	f.State(Store{
+		Name: f.Holder, Epoch: f.epoch, Readable: f.ready && f.failures < failuresAway, Free: f.free,
+	})
+}
--- a/internal/zppeer/client.go
+++ b/internal/zppeer/client.go
@@ -5,15 +5,16 @@
 import (
 	"context"
 	"crypto/tls"
-	"net"
 	"time"
 
 	"go.opentelemetry.io/otel/attribute"
 	"go.opentelemetry.io/otel/trace"
 	"go.opentelemetry.io/otel/trace/noop"
+	"storj.io/drpc"
 	"storj.io/drpc/drpcconn"
 	"storj.io/drpc/drpcpool"
 
+	"github.com/zinniapaddle/zinniapaddle/internal/zpnet"
 	"github.com/zinniapaddle/zinniapaddle/internal/zppeer/zppeerpb"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
 )
@@ -31,12 +32,16 @@
 
 	// Caller is a function that makes one call with a client.
 	Caller[T any] func(ctx context.Context, client zppeerpb.DRPCPeerClient) (T, error)
+
+	// Conn is a connection to another daemon.
+	Conn = drpc.Conn
 )
 
 const (
 	poolCapacity    = 2048
 	poolKeyCapacity = 64
 	poolExpiration  = 30 * time.Second
+	silence         = 2 * time.Second // of a peer that has lost power
 )
 
 // ErrPeer is the error of a call that did not succeed. What it asked for may
@@ -54,16 +59,23 @@
 // Close drops all idle connections.
 func (d *Dialer) Close() error { return d.pool.Close() }
 
-// Do makes one call to the daemon at address. Beside the dialer's timeout, the
-// call may take extra time that the other side was asked to wait.
+// Do makes one call of the peer service to the daemon at address. Beside the
+// dialer's timeout, the call may take extra time that the other side was asked
+// to wait.
 func Do[T any](ctx context.Context, d *Dialer, address, name string, extra time.Duration, call Caller[T]) (T, error) {
+	return do(ctx, d, address, name, extra, func(ctx context.Context, conn Conn) (T, error) {
+		return call(ctx, zppeerpb.NewDRPCPeerClient(conn))
+	})
+}
+
+func do[T any](ctx context.Context, d *Dialer, address, name string, extra time.Duration, call func(ctx context.Context, conn Conn) (T, error)) (T, error) {
 	ctx, cancel := context.WithTimeout(ctx, d.Timeout+extra)
 	defer cancel()
 	ctx, span := d.startSpan(ctx, name)
 	defer span.End()
 	conn := d.pool.Get(ctx, address, d.dial)
 	defer func() { _ = conn.Close() }()
-	out, err := call(ctx, zppeerpb.NewDRPCPeerClient(conn))
+	out, err := call(ctx, conn)
 	if d.OnCall != nil {
 		d.OnCall(name, err)
 	}
@@ -84,8 +96,7 @@
 }
 
 func (d *Dialer) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
-	var nd net.Dialer
-	conn, err := nd.DialContext(ctx, "tcp", address)
+	conn, err := zpnet.NewDialer(d.Timeout, silence).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/zprollout/rollout.go
+++ b/internal/zprollout/rollout.go
@@ -48,6 +48,7 @@
 		Models  func(pool string) []string
 		Load    func(endpoint string, now time.Time) int
 		Seen    func(endpoint, model string, version int64)
+		Tell    func(endpoint string, left time.Duration) // that an engine is changing; zero: no longer
 		Orderer Orderer
 		Rank    func() int // place of this daemon among those that could take the duty
 		Timing  Timing
@@ -143,6 +144,7 @@
 			r.Log.Emit(zplog.WeightsLoaded, zplog.Fields{"endpoint": e.ID, "version": e.Weights, "accepted": c.Accepted})
 			delete(r.changes, e.ID)
 			r.Board.SetChanging(e.ID, time.Time{})
+			r.Tell(e.ID, 0)
 		}
 	}
 	for id := range r.changes {
@@ -154,6 +156,7 @@
 	for _, e := range Pick(engines, targets, r.changes) {
 		r.changes[e.ID] = &Change{Target: targets[e.Model], NextAt: now.Add(announceLead)}
 		r.Board.SetChanging(e.ID, now.Add(changeLimit))
+		r.Tell(e.ID, changeLimit)
 	}
 	var due sync.WaitGroup
 	for id, c := range r.changes {
--- /dev/null
+++ b/internal/zpshare/sharer.go
@@ -0,0 +1,187 @@
+package zpshare
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
+	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpusage"
+)
+
+type (
+	// Sharer sends this daemon's news to all others. Set the exported fields
+	// before Run.
+	Sharer struct {
+		Self     string // instance
+		Domain   string // failure domain
+		Usage    *zpusage.Tracker
+		Others   func() []zpassign.Member
+		Send     func(ctx context.Context, address string, m Message) (instance string, err error)
+		Snapshot func() Message // news for a daemon that knows nothing yet
+		Log      *zplog.Logger
+		Clock    func() time.Time
+
+		mu    sync.Mutex
+		peers map[string]*peer // by address
+	}
+
+	// peer is another daemon as the sharer sees it.
+	peer struct {
+		instance string // that answered last
+		pending  Message
+		usage    uint64 // change number of the uses sent last
+		sentAt   time.Time
+		retryAt  time.Time
+		failures int
+		busy     bool
+		fresh    bool // it has got a snapshot
+	}
+)
+
+const (
+	// interval is the pause between two looks for news; nearPause and farPause are
+	// those between two messages to one daemon. Bytes that leave a failure domain
+	// are paid, and loads matter most to the daemons beside the endpoints.
+	interval  = 30 * time.Millisecond
+	nearPause = 0
+	farPause  = 200 * time.Millisecond
+	// repeat is the pause after which uses are sent again although they are the
+	// same, so that they do not grow old.
+	repeat = 700 * time.Millisecond
+	// pendingLimit bounds the news that wait for a daemon; beyond it the daemon
+	// gets a snapshot instead.
+	pendingLimit = 4096
+
+	// aliveFor is how long after its last answer a daemon counts as alive.
+	aliveFor = 2 * repeat
+
+	firstRetry = 100 * time.Millisecond
+	lastRetry  = time.Second
+)
+
+// Add queues news for all other daemons.
+func (s *Sharer) Add(m Message) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, p := range s.peers {
+		if !p.fresh {
+			continue
+		}
+		p.pending.append(m)
+		if len(p.pending.Parts) > pendingLimit {
+			p.pending, p.fresh = Message{}, false
+		}
+	}
+}
+
+// Run sends until ctx ends.
+func (s *Sharer) Run(ctx context.Context) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+			s.tick(ctx)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *Sharer) tick(ctx context.Context) {
+	now := s.Clock()
+	uses, changed := s.Usage.Own()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.peers == nil {
+		s.peers = map[string]*peer{}
+	}
+	known := map[string]bool{}
+	for _, m := range s.Others() {
+		known[m.Address] = true
+		p, ok := s.peers[m.Address]
+		if !ok {
+			p = &peer{}
+			s.peers[m.Address] = p
+		}
+		if p.busy || now.Before(p.retryAt) || !p.due(changed, now, s.pauseTo(m)) {
+			continue
+		}
+		s.start(ctx, m.Address, p, uses, changed, now)
+	}
+	for address := range s.peers {
+		if !known[address] {
+			delete(s.peers, address)
+		}
+	}
+}
+
+func (s *Sharer) pauseTo(m zpassign.Member) time.Duration {
+	if m.Domain == s.Domain {
+		return nearPause
+	}
+	return farPause
+}
+
+func (p *peer) due(changed uint64, now time.Time, pause time.Duration) bool {
+	if now.Sub(p.sentAt) < pause {
+		return false
+	}
+	return !p.fresh || !p.pending.IsEmpty() || changed != p.usage || now.Sub(p.sentAt) >= repeat
+}
+
+// start sends what is new to one daemon, in the background.
+func (s *Sharer) start(ctx context.Context, address string, p *peer, uses map[string]zpusage.Use, changed uint64, now time.Time) {
+	m := p.pending
+	if !p.fresh {
+		m = s.Snapshot()
+	}
+	m.Instance, m.Uses = s.Self, uses
+	p.pending, p.busy, p.fresh = Message{}, true, true
+	go func() {
+		instance, err := s.Send(ctx, address, m)
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		p.busy = false
+		if err != nil {
+			s.failed(address, p, err, now)
+			return
+		}
+		if p.failures > 0 {
+			s.Log.Emit(zplog.PeerBack, zplog.Fields{"address": address, "failures": p.failures})
+		}
+		p.failures, p.usage, p.sentAt = 0, changed, now
+		if p.instance != instance {
+			// Another life of the daemon has not got what was sent before.
+			p.fresh = p.instance == ""
+			p.instance = instance
+		}
+	}()
+}
+
+// Alive returns the names of the daemons that answered lately.
+func (s *Sharer) Alive() map[string]bool {
+	now := s.Clock()
+	out := map[string]bool{}
+	others := s.Others()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, m := range others {
+		if p, ok := s.peers[m.Address]; ok && p.instance != "" && now.Sub(p.sentAt) < aliveFor {
+			out[m.Name] = true
+		}
+	}
+	return out
+}
+
+// failed has the daemon get a snapshot next, as what was sent may be lost.
+func (s *Sharer) failed(address string, p *peer, err error, now time.Time) {
+	if p.failures == 0 {
+		s.Log.Emit(zplog.PeerLost, zplog.Fields{"address": address, "error": err.Error()})
+	}
+	p.failures++
+	p.fresh, p.pending = false, Message{}
+	p.retryAt = now.Add(min(firstRetry<<min(p.failures-1, 8), lastRetry))
+}
