--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -77,10 +77,13 @@
 	defaultIdle      = 15 * time.Second
 	headerBytes      = 16 << 10
 
+	// oldWeightsShare leaves time for requests that wait at an engine.
+	oldWeightsShare = 0.8
+
 	weightDuty   = "duties/weights"
-	dutyValidity = time.Second            // of the duty; a successor waits for it and a turn
-	dutyRenew    = 300 * time.Millisecond // so that two lost renewals do no harm
-	dutyMargin   = 500 * time.Millisecond // for orders that are on the way
+	dutyValidity = 800 * time.Millisecond // of the duty; a successor waits for it and a turn
+	dutyRenew    = 250 * time.Millisecond // so that two lost renewals do no harm
+	dutyMargin   = 300 * time.Millisecond // for orders that are on the way
 	orderPoll    = 200 * time.Millisecond // reports lag by as much
 	orderAgain   = 3 * time.Second        // running requests end and weights load within it
 )
@@ -94,7 +97,7 @@
 			Instance: s.Name + "." + randomHex(instanceRandomBytes), Name: s.Name, Address: s.Peers.Listen,
 			Callers: s.Callers.Listen, Region: s.Region, Domain: s.Domain, State: zpassign.MemberServing,
 		},
-		registry: zpregistry.New(lapseGrace), weights: zprollout.NewBoard(), members: newMembers(s.Name),
+		registry: zpregistry.New(lapseGrace), weights: zprollout.NewBoard(time.Duration(float64(n.Bounds.OldWeights) * oldWeightsShare)), members: newMembers(s.Name),
 	}
 	d.store = &zpplatform.Store{BaseURL: s.Platform.Address, Timeout: storeTimeout, OnCall: d.countStore}
 	d.store.Open()
--- a/internal/zpgateway/place.go
+++ b/internal/zpgateway/place.go
@@ -88,6 +88,9 @@
 	}
 	if p := j.request.Prompt; p != nil && j.pool.Engine != nil {
 		c.weights = e.Weights[p.Model]
+		if g.Weights.Expired(p.Model, c.weights, now) {
+			return choice{}, false
+		}
 		c.candidate.MemoryTokens = j.pool.Engine.CacheTokens
 		c.candidate.OldWeights = c.weights < g.Weights.Named(p.Model)
 		c.salt = g.salt(j, c.weights)
--- a/internal/zprollout/board.go
+++ b/internal/zprollout/board.go
@@ -7,28 +7,44 @@
 	"time"
 )
 
-// Board is what a daemon knows of weight versions. It is safe for concurrent
-// use.
-type Board struct {
-	mu       sync.Mutex
-	named    map[string]int64     // by model
-	namedAt  map[string]time.Time // when this daemon learned of it
-	changing map[string]time.Time // engines that load weights, until when at most
-}
+type (
+	// Board is what a daemon knows of weight versions. It is safe for concurrent
+	// use.
+	Board struct {
+		// Limit is how long after a newer version was named requests may still begin
+		// on an older one; zero: without end.
+		Limit time.Duration
+
+		mu       sync.Mutex
+		named    map[string][]naming  // by model, in order
+		changing map[string]time.Time // engines that load weights, until when at most
+	}
+
+	// naming is a version and when this daemon learned of it.
+	naming struct {
+		version int64
+		at      time.Time
+	}
+)
+
+// namingsKept bounds the versions that are remembered for each model.
+const namingsKept = 16
 
 // NewBoard returns an empty board.
-func NewBoard() *Board {
-	return &Board{named: map[string]int64{}, namedAt: map[string]time.Time{}, changing: map[string]time.Time{}}
+func NewBoard(limit time.Duration) *Board {
+	return &Board{Limit: limit, named: map[string][]naming{}, changing: map[string]time.Time{}}
 }
 
-// Name notes the named version of a model. Versions only increase.
+// Name notes the named version of a model and reports whether that is news.
+// Versions only increase.
 func (b *Board) Name(model string, version int64, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if version <= b.named[model] {
+	if version <= b.newest(model) {
 		return false
 	}
-	b.named[model], b.namedAt[model] = version, now
+	list := append(b.named[model], naming{version, now})
+	b.named[model] = list[max(len(list)-namingsKept, 0):]
 	return true
 }
 
@@ -36,7 +52,7 @@
 func (b *Board) Named(model string) int64 {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.named[model]
+	return b.newest(model)
 }
 
 // Targets returns the named versions of all models.
@@ -44,12 +60,30 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	out := make(map[string]int64, len(b.named))
-	for m, v := range b.named {
-		out[m] = v
+	for model := range b.named {
+		out[model] = b.newest(model)
 	}
 	return out
 }
 
+// Replaced returns for how long a version of a model has been replaced by a
+// newer one; zero: it is the newest.
+func (b *Board) Replaced(model string, version int64, now time.Time) time.Duration {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, n := range b.named[model] {
+		if n.version > version {
+			return now.Sub(n.at)
+		}
+	}
+	return 0
+}
+
+// Expired reports whether no request may begin on a version any more.
+func (b *Board) Expired(model string, version int64, now time.Time) bool {
+	return b.Limit > 0 && b.Replaced(model, version, now) >= b.Limit
+}
+
 // SetChanging notes that an engine takes no requests until its weights are
 // loaded. A zero time ends it.
 func (b *Board) SetChanging(endpoint string, until time.Time) {
@@ -73,3 +107,11 @@
 	}
 	return ok
 }
+
+func (b *Board) newest(model string) int64 {
+	list := b.named[model]
+	if len(list) == 0 {
+		return 0
+	}
+	return list[len(list)-1].version
+}
--- a/internal/zprollout/rollout.go
+++ b/internal/zprollout/rollout.go
@@ -74,50 +74,68 @@
 	idleStep   = 100 * time.Millisecond
 	activeStep = 50 * time.Millisecond
 	// rankDelay is the pause after which the next daemon tries to take the duty.
-	rankDelay = 400 * time.Millisecond
-	// lookPause is the pause between looks at a duty that another daemon holds.
-	lookPause = 400 * time.Millisecond
+	rankDelay = 300 * time.Millisecond
+	// lookPause is the pause between looks of the first candidates at a duty that
+	// another daemon holds; the others look less often.
+	lookPause  = 200 * time.Millisecond
+	candidates = 3
 	// changeLimit is how long an engine is spared requests for one change.
 	changeLimit = 4 * time.Second
 )
 
-// Run works until ctx ends.
+// Run works until ctx ends. The duty is kept by a loop of its own, so that an
+// engine that does not answer cannot delay a renewal.
 func (r *Rollout) Run(ctx context.Context) {
 	r.changes = map[string]*Change{}
+	var keeping sync.WaitGroup
+	keeping.Go(func() { r.every(ctx, r.keep) })
+	r.every(ctx, r.act)
+	keeping.Wait()
+}
+
+// every repeats a step, which returns the pause until the next one.
+func (r *Rollout) every(ctx context.Context, step func(ctx context.Context) time.Duration) {
 	for ctx.Err() == nil {
-		step := r.step(ctx)
+		pause := step(ctx)
 		select {
-		case <-time.After(step):
+		case <-time.After(pause):
 		case <-ctx.Done():
 		}
 	}
 }
 
-// step does what is due and returns the pause until the next step.
-func (r *Rollout) step(ctx context.Context) time.Duration {
+// keep takes the duty while there is work, and gives it up afterwards.
+func (r *Rollout) keep(ctx context.Context) time.Duration {
 	now := r.Clock()
-	endpoints := r.Engines(now)
-	engines := r.describe(endpoints, now)
-	targets := r.Board.Targets()
-	work := Behind(engines, targets)
+	work := Behind(r.describe(r.Engines(now), now), r.Board.Targets())
 	_, _, held := r.Keeper.Holds()
 	switch {
 	case !work && !held:
 		r.workSince = time.Time{}
-		clear(r.changes)
 		return idleStep
 	case r.workSince.IsZero():
 		r.workSince = now
 	}
-	if !held && now.Sub(r.workSince) < time.Duration(r.Rank())*rankDelay {
+	rank := r.Rank()
+	if !held && now.Sub(r.workSince) < time.Duration(rank)*rankDelay {
 		return idleStep
 	}
 	r.Keeper.Step(ctx, work)
-	if _, _, held = r.Keeper.Holds(); !held {
+	if _, _, held = r.Keeper.Holds(); held {
+		return activeStep
+	}
+	return lookPause * time.Duration(1+rank/candidates*candidates)
+}
+
+// act takes changes further while the duty is held.
+func (r *Rollout) act(ctx context.Context) time.Duration {
+	if _, _, held := r.Keeper.Holds(); !held {
 		clear(r.changes)
-		return lookPause
+		return activeStep
 	}
-	r.advance(ctx, endpoints, engines, targets)
+	now := r.Clock()
+	endpoints := r.Engines(now)
+	r.advance(ctx, endpoints, r.describe(endpoints, now), r.Board.Targets())
 	return activeStep
 }
 
@@ -125,7 +143,10 @@
 	var out []Engine
 	for _, e := range endpoints {
 		for _, model := range r.Models(e.Pool) {
-			out = append(out, Engine{ID: e.ID, Model: model, Weights: e.Weights[model], Load: r.Load(e.ID, now)})
+			out = append(out, Engine{
+				ID: e.ID, Model: model, Weights: e.Weights[model], Load: r.Load(e.ID, now),
+				Replaced: r.Board.Replaced(model, e.Weights[model], now),
+			})
 		}
 	}
 	return out
