Stop acting under a duty once its release is sent

Ruled out: the successor's wait (exact) and late writes (conditional). Change: the holder stops with the write, whatever its answer.

--- a/internal/zpduty/keeper.go
+++ b/internal/zpduty/keeper.go
@@ -93,7 +93,7 @@
 		k.Log.Emit(zplog.LeaseRenewFailed, zplog.Fields{"duty": k.Name, "held": held, "error": err.Error()})
 	case holds && !held:
 		k.Log.Emit(zplog.DutyTaken, zplog.Fields{"duty": k.Name, "fence": fence})
-	case held && w.Record.Released:
+	case w.Record.Released:
 		k.Log.Emit(zplog.DutyLeft, zplog.Fields{"duty": k.Name, "fence": fence})
 	}
 }
--- a/internal/zpduty/lease.go
+++ b/internal/zpduty/lease.go
@@ -124,6 +124,11 @@
 	if work && now.Sub(l.renewedAt) < l.Timing.Renew {
 		return Write{}, false
 	}
+	if !work {
+		// The release may take effect although its answer is lost, so nothing is
+		// done under the lease from here on.
+		l.heldUntil = time.Time{}
+	}
 	return Write{r, l.revision}, true
 }
 
--- /dev/null
+++ b/internal/zpparts/parts_test.go
@@ -0,0 +1,222 @@
+package zpparts_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpparts"
+)
+
+var start = time.Unix(1000, 0)
+
+func key(part string) zpparts.Key { return zpparts.Key{Salt: "v1", Part: part} }
+
+var _ = Describe("Directory", func() {
+	It("knows what each holder has", func() {
+		d := zpparts.NewDirectory(10)
+		Expect(d.Apply(zpparts.Change{Holder: "e", Key: key("x"), Tokens: 5})).To(BeTrue())
+		Expect(d.Apply(zpparts.Change{Holder: "e", Key: key("x"), Tokens: 5})).To(BeFalse())
+		Expect(d.Holders(key("x"))).To(Equal(map[string]int{"e": 5}))
+		Expect(d.Apply(zpparts.Change{Holder: "e", Key: key("x")})).To(BeTrue())
+		Expect(d.Holders(key("x"))).To(BeEmpty())
+	})
+
+	It("keeps parts of different salts apart", func() {
+		d := zpparts.NewDirectory(10)
+		d.Apply(zpparts.Change{Holder: "e", Key: key("x"), Tokens: 5})
+		Expect(d.Tokens("e", zpparts.Key{Salt: "v2", Part: "x"})).To(BeZero())
+	})
+
+	It("forgets a holder", func() {
+		d := zpparts.NewDirectory(10)
+		d.Apply(zpparts.Change{Holder: "e", Key: key("x"), Tokens: 5})
+		d.Forget("e")
+		Expect(d.Len()).To(BeZero())
+		Expect(d.Holders(key("x"))).To(BeEmpty())
+	})
+
+	It("bounds the entries of a holder, the least recent first", func() {
+		d := zpparts.NewDirectory(16)
+		for i := range 40 {
+			d.Apply(zpparts.Change{Holder: "e", Key: key(string(rune('A' + i))), Tokens: 1})
+		}
+		Expect(d.Len()).To(BeNumerically("<=", 16))
+		Expect(d.Tokens("e", key(string(rune('A'+39))))).To(Equal(1))
+		Expect(d.Tokens("e", key("A"))).To(BeZero())
+	})
+})
+
+var _ = Describe("Stores", func() {
+	var s *zpparts.Stores
+	settled := start.Add(3 * time.Second)
+	state := zpparts.Store{Name: "k", Epoch: 1, Readable: true, Free: 100}
+
+	BeforeEach(func() {
+		s = zpparts.NewStores(2*time.Second, 3*time.Second)
+		s.Set(state, start)
+	})
+
+	It("is of use once it has settled, while its state is fresh", func() {
+		Expect(s.Usable("k", start)).To(BeFalse())
+		s.Set(state, settled)
+		Expect(s.Usable("k", settled.Add(2*time.Second))).To(BeTrue())
+		Expect(s.Usable("k", settled.Add(2*time.Second+1))).To(BeFalse())
+	})
+
+	It("settles anew after a restart, and its parts are void", func() {
+		s.Set(state, settled)
+		again := state
+		again.Epoch = 2
+		Expect(s.Set(again, settled)).To(BeTrue())
+		Expect(s.Usable("k", settled.Add(time.Second))).To(BeFalse())
+	})
+
+	It("is of no use while it cannot be reached", func() {
+		away := state
+		away.Readable = false
+		Expect(s.Set(away, settled)).To(BeTrue())
+		Expect(s.Usable("k", settled)).To(BeFalse())
+	})
+
+	It("has a part saved once", func() {
+		Expect(s.BeginSave("k", key("x"), 40, start)).To(BeTrue())
+		Expect(s.BeginSave("k", key("x"), 40, start.Add(time.Second))).To(BeFalse())
+		Expect(s.Free("k")).To(Equal(60))
+	})
+})
+
+// fakeSource is a store whose answers a spec sets.
+type fakeSource struct {
+	mu    sync.Mutex
+	epoch int64
+	whole []zpparts.Change
+	lost  bool
+	down  bool
+	freed []zpparts.Key
+}
+
+var errDown = errors.New("down")
+
+func (f *fakeSource) Events(ctx context.Context, _ string, since int64, _ time.Duration) (zpparts.Batch, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.down {
+		return zpparts.Batch{}, errDown
+	}
+	return zpparts.Batch{Epoch: f.epoch, Next: since + 1, Lost: f.lost}, ctx.Err()
+}
+
+func (f *fakeSource) List(context.Context, string) (zpparts.Content, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lost = false
+	if f.down {
+		return zpparts.Content{}, errDown
+	}
+	return zpparts.Content{Epoch: f.epoch, Whole: f.whole}, nil
+}
+
+func (f *fakeSource) Free(_ context.Context, _ string, _ int64, keys []zpparts.Key) error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.freed = append(f.freed, keys...)
+	return nil
+}
+
+func (f *fakeSource) Room(context.Context, string) (int, error) { return 7, nil }
+
+func (f *fakeSource) set(change func()) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	change()
+}
+
+var _ = Describe("Follower of a store", func() {
+	var source *fakeSource
+	var mu sync.Mutex
+	var state zpparts.Store
+	var resets, retired int
+	var offset time.Duration
+
+	run := func(isStale bool) {
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		resets, retired, state, offset = 0, 0, zpparts.Store{}, 0
+		f := &zpparts.Follower{
+			Holder: "k", IsStore: true, Source: source,
+			Apply: func(changes []zpparts.Change, reset bool) {
+				mu.Lock()
+				defer mu.Unlock()
+				if reset {
+					resets++
+					return
+				}
+				retired += len(changes)
+			},
+			State: func(s zpparts.Store) {
+				mu.Lock()
+				defer mu.Unlock()
+				state = s
+			},
+			IsStale: func(zpparts.Key) bool { return isStale },
+			Clock: func() time.Time {
+				mu.Lock()
+				defer mu.Unlock()
+				return time.Now().Add(offset)
+			},
+		}
+		go func() {
+			f.Run(ctx)
+			close(done)
+		}()
+		DeferCleanup(func() {
+			cancel()
+			<-done
+		})
+	}
+	get := func(value func() any) func() any {
+		return func() any {
+			mu.Lock()
+			defer mu.Unlock()
+			return value()
+		}
+	}
+
+	BeforeEach(func() {
+		source = &fakeSource{epoch: 1, whole: []zpparts.Change{{Key: key("x"), Tokens: 5}}}
+	})
+
+	It("lists at the start and after a restart of the store", func() {
+		run(false)
+		Eventually(get(func() any { return resets }), "2s").Should(Equal(1))
+		source.set(func() { source.epoch = 2 })
+		Eventually(get(func() any { return resets }), "2s").Should(Equal(2))
+		Eventually(get(func() any { return state.Epoch }), "2s").Should(BeEquivalentTo(2))
+	})
+
+	It("says when the store cannot be read", func() {
+		run(false)
+		Eventually(get(func() any { return state.Readable }), "2s").Should(BeTrue())
+		source.set(func() { source.down = true })
+		Eventually(get(func() any { return state.Readable }), "3s").Should(BeFalse())
+	})
+
+	It("tells that stale parts are gone, and frees them long afterwards", func() {
+		run(true)
+		Eventually(get(func() any { return retired }), "3s").Should(Equal(1))
+		source.set(func() { Expect(source.freed).To(BeEmpty()) })
+		mu.Lock()
+		offset = zpparts.FreeDelay
+		mu.Unlock()
+		Eventually(func() int {
+			source.mu.Lock()
+			defer source.mu.Unlock()
+			return len(source.freed)
+		}, "3s").Should(Equal(1))
+	})
+})
--- /dev/null
+++ b/internal/zprollout/plan_test.go
@@ -0,0 +1,78 @@
+package zprollout_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zprollout"
+)
+
+var start = time.Unix(1000, 0)
+
+func engines(n int, weights int64, replaced time.Duration) []zprollout.Engine {
+	var out []zprollout.Engine
+	for i := range n {
+		out = append(out, zprollout.Engine{ID: fmt.Sprintf("e%02d", i), Model: "m", Weights: weights, Load: n - i, Replaced: replaced})
+	}
+	return out
+}
+
+var _ = Describe("Pick", func() {
+	targets := map[string]int64{"m": 2}
+
+	It("begins with the least loaded engines", func() {
+		picked := zprollout.Pick(engines(12, 1, 0), targets, nil)
+		Expect(picked).To(HaveLen(5))
+		Expect(picked[0].ID).To(Equal("e11"))
+	})
+
+	DescribeTable("changes more engines at a time as the bound comes near",
+		func(n int, replaced time.Duration, want int) {
+			Expect(zprollout.Pick(engines(n, 1, replaced), targets, nil)).To(HaveLen(want))
+		},
+		Entry("at first", 12, time.Second, 5),
+		Entry("later", 12, 6*time.Second, 8),
+		Entry("last", 12, 7*time.Second, 12),
+		Entry("a small pool", 3, time.Duration(0), 2),
+		Entry("one engine", 1, time.Duration(0), 1),
+	)
+
+	It("counts engines that are changing", func() {
+		changing := map[string]*zprollout.Change{"e00": {}, "e01": {}, "e02": {}, "e03": {}}
+		Expect(zprollout.Pick(engines(12, 1, 0), targets, changing)).To(HaveLen(1))
+	})
+
+	It("leaves engines alone that have the weights", func() {
+		Expect(zprollout.Pick(engines(12, 2, 0), targets, nil)).To(BeEmpty())
+		Expect(zprollout.Behind(engines(12, 2, 0), targets)).To(BeFalse())
+	})
+})
+
+var _ = Describe("Board", func() {
+	It("takes only higher versions", func() {
+		b := zprollout.NewBoard(0)
+		Expect(b.Name("m", 3, start)).To(BeTrue())
+		Expect(b.Name("m", 2, start)).To(BeFalse())
+		Expect(b.Named("m")).To(BeEquivalentTo(3))
+	})
+
+	It("counts the age of a version from the first newer one", func() {
+		b := zprollout.NewBoard(8 * time.Second)
+		b.Name("m", 2, start)
+		b.Name("m", 3, start.Add(5*time.Second))
+		now := start.Add(9 * time.Second)
+		Expect(b.Expired("m", 1, now)).To(BeTrue())
+		Expect(b.Expired("m", 2, now)).To(BeFalse())
+		Expect(b.Replaced("m", 3, now)).To(BeZero())
+	})
+
+	It("forgets a change that takes too long", func() {
+		b := zprollout.NewBoard(0)
+		b.SetChanging("e", start.Add(time.Second))
+		Expect(b.Changing("e", start)).To(BeTrue())
+		Expect(b.Changing("e", start.Add(time.Second))).To(BeFalse())
+	})
+})
