Change the oldest weights first, spread over failure domains

Ruled out: the hand-over itself (4.3 s, as designed). Change: oldest weights first, then the failure domain with the fewest changes; no acceleration but for engines that receive no requests any more; an engine seen with the newest weights takes requests again whoever ordered it. The gateway's tests; one of them found callers that are gone answered with a status instead of a closed connection.

--- a/internal/zpapp/gateway_watches.go
+++ b/internal/zpapp/gateway_watches.go
@@ -106,6 +106,7 @@
 	}
 	if e, ok := w.decodeEndpoint(o, now); ok {
 		w.daemon.registry.Put(e)
+		w.daemon.weights.Loaded(e.ID, e.Weights)
 		w.daemon.Log.Emit(zplog.EndpointChanged, zplog.Fields{
 			"endpoint": e.ID, "pool": e.Pool, "address": e.Address, "draining": e.State == zpregistry.StateDraining,
 			"cold_ms": max(e.ColdUntil.Sub(now), 0).Milliseconds(), "weights": e.Weights, "born": e.Born, "revision": o.Revision,
--- a/internal/zpengine/gate.go
+++ b/internal/zpengine/gate.go
@@ -37,7 +37,8 @@
 // Sent reports whether any byte may have been sent.
 func (g *Gate) Sent() bool { return g.sent.Load() }
 
-func (g *Gate) open() error {
+// Open is asked before the first byte. It fails once the deadline has passed.
+func (g *Gate) Open() error {
 	if g.sent.Load() {
 		return nil
 	}
@@ -57,7 +58,7 @@
 // Write sends bytes if the gate allows.
 func (c *gatedConn) Write(b []byte) (int, error) {
 	if g := c.gate.Load(); g != nil {
-		if err := g.open(); err != nil {
+		if err := g.Open(); err != nil {
 			return 0, err
 		}
 	}
--- a/internal/zpgateway/gateway.go
+++ b/internal/zpgateway/gateway.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"sync/atomic"
 	"time"
 
@@ -147,12 +146,9 @@
 		g.Log.Emit(zplog.RequestFailed, g.fields(j, zplog.Fields{
 			"code": code, "run_state": state.String(), "error": err.Error(), "attempts": j.attempts, "begun": j.begun,
 		}))
-		switch {
-		case j.begun:
+		if j.begun || e.Kind == zperror.KindCancelled {
 			reply.Abort()
-		case errors.Is(err, errCallerGone):
-			reply.Abort()
-		default:
+		} else {
 			reply.Refuse(e)
 		}
 	}
--- a/internal/zprollout/board.go
+++ b/internal/zprollout/board.go
@@ -96,6 +96,19 @@
 	b.changing[endpoint] = until
 }
 
+// Loaded ends the change of an engine that has the newest weights of all its
+// models. Its holder may be unable to tell.
+func (b *Board) Loaded(endpoint string, weights map[string]int64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for model, version := range weights {
+		if version < b.newest(model) {
+			return
+		}
+	}
+	delete(b.changing, endpoint)
+}
+
 // Changing reports whether an engine is loading weights.
 func (b *Board) Changing(endpoint string, now time.Time) bool {
 	b.mu.Lock()
--- a/internal/zprollout/plan.go
+++ b/internal/zprollout/plan.go
@@ -1,7 +1,8 @@
 package zprollout
 
 import (
-	"sort"
+	"cmp"
+	"slices"
 	"time"
 )
 
@@ -12,8 +13,8 @@
 		Model   string
 		Weights int64 // that it has
 		Load    int   // requests that run there
-		// Replaced is for how long newer weights have been named.
-		Replaced time.Duration
+		Domain  string
+		Expired bool // it receives no requests until its weights are changed
 	}
 
 	// Change follows the orders to one engine. It is not safe for concurrent use.
@@ -35,44 +36,56 @@
 	// minimalChanging is how many engines load weights at a time without slowing
 	// each other.
 	minimalChanging = 2
-	// firstShare is the part of the engines that change at a time at first. Some
-	// of them finish their runs while others load.
-	firstShare = 0.4
-	// lateAfter is the time since the naming from which more and more engines
-	// change at a time; at lateAll all of them may.
-	lateAfter = 5 * time.Second
-	lateAll   = 7 * time.Second
+	// changingShare is the part of the engines that change at a time. Some of them
+	// finish their runs while others load.
+	changingShare = 0.4
 )
 
-// MaxChanging returns how many of so many engines may change at a time when
-// the oldest weights among them were replaced that long ago.
-func MaxChanging(engines int, age time.Duration) int {
-	share := firstShare
-	if age > lateAfter {
-		share += (1 - firstShare) * min(float64(age-lateAfter)/float64(lateAll-lateAfter), 1)
-	}
-	return max(minimalChanging, int(share*float64(engines)+0.5))
+// MaxChanging returns how many of so many engines may change at a time.
+func MaxChanging(engines int) int {
+	return max(minimalChanging, int(changingShare*float64(engines)+0.5))
 }
 
-// Pick returns the engines whose change should begin now: those with the least
-// load first, within the number that may change at a time.
+// Pick returns the engines whose change should begin now, within the number
+// that may change at a time: those with the oldest weights first, then those of
+// the failure domain in which the fewest are changing, then the least loaded.
+// Engines that receive no requests for their old weights are changed at once.
 func Pick(engines []Engine, targets map[string]int64, changing map[string]*Change) []Engine {
-	var behind []Engine
-	oldest := time.Duration(0)
+	var out, behind []Engine
+	busy := map[string]int{} // changing engines by failure domain
 	for _, e := range engines {
-		oldest = max(oldest, e.Replaced)
-		if _, begun := changing[e.ID]; !begun && e.Weights < targets[e.Model] {
+		_, begun := changing[e.ID]
+		switch {
+		case begun:
+			busy[e.Domain]++
+		case e.Weights >= targets[e.Model]:
+		case e.Expired:
+			out = append(out, e)
+		default:
 			behind = append(behind, e)
 		}
 	}
-	sort.Slice(behind, func(i, j int) bool {
-		if behind[i].Load != behind[j].Load {
-			return behind[i].Load < behind[j].Load
+	for free := MaxChanging(len(engines)) - len(changing) - len(out); free > 0 && len(behind) > 0; free-- {
+		next := 0
+		for i := range behind {
+			if before(behind[i], behind[next], busy) {
+				next = i
+			}
 		}
-		return behind[i].ID < behind[j].ID
-	})
-	free := max(MaxChanging(len(engines), oldest)-len(changing), 0)
-	return behind[:min(free, len(behind))]
+		busy[behind[next].Domain]++
+		out = append(out, behind[next])
+		behind = slices.Delete(behind, next, next+1)
+	}
+	return out
+}
+
+func before(a, b Engine, busy map[string]int) bool {
+	return cmp.Or(
+		cmp.Compare(a.Weights, b.Weights),
+		cmp.Compare(busy[a.Domain], busy[b.Domain]),
+		cmp.Compare(a.Load, b.Load),
+		cmp.Compare(a.ID, b.ID),
+	) < 0
 }
 
 // Behind reports whether any engine lacks the named weights.
--- a/internal/zprollout/rollout.go
+++ b/internal/zprollout/rollout.go
@@ -145,7 +145,7 @@
 		for _, model := range r.Models(e.Pool) {
 			out = append(out, Engine{
 				ID: e.ID, Model: model, Weights: e.Weights[model], Load: r.Load(e.ID, now),
-				Replaced: r.Board.Replaced(model, e.Weights[model], now),
+				Domain: e.Domain, Expired: r.Board.Expired(model, e.Weights[model], now),
 			})
 		}
 	}
