Tell engines the route's priority beside that of the workspace

Cause: workspaces carry priorities, which replaced those of the routes: short prompts with 600 ms were queued behind drafts. Change: the rank of the workspace goes first, the route's rank orders requests within it. Ruled out: a wider pool for short prompts; the engines order by priority themselves.

--- a/internal/zpgateway/job.go
+++ b/internal/zpgateway/job.go
@@ -42,14 +42,24 @@
 	return f
 }
 
-// priority returns the rank of the request; that of the workspace goes first.
+// priority returns the rank of the request at an engine: that of the workspace
+// goes first, then that of the route. 0 is the most urgent.
 func (j *job) priority() int {
+	rank := min(j.route.Priority, routeRanks-1)
 	if j.workspace != nil && j.workspace.Priority != zpcatalog.NoPriority {
-		return j.workspace.Priority
+		rank += routeRanks * j.workspace.Priority
 	}
-	return j.route.Priority
+	return min(rank, lowestPriority)
 }
 
+const (
+	// routeRanks is how many priorities of routes are told apart within one
+	// priority of workspaces.
+	routeRanks = 3
+	// lowestPriority is the last rank that engines know.
+	lowestPriority = 9
+)
+
 // left returns the time until the request must have its final answer.
 func (j *job) left(now time.Time) time.Duration { return j.deadline.Sub(now) }
 
