Send prompts with the same unread parts to one engine; tell of saves; use stores right after a start

Change: daemons tell which parts an engine is about to read and which are being saved; what a follower lists may be fetched at once, and only saves wait after a restart of a store; each answer is logged with its first byte. Also: the log's writer takes lines of goroutines that outlive it (a daemon that stopped ended with a panic).

--- a/internal/zpapp/gateway_caches.go
+++ b/internal/zpapp/gateway_caches.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpclock"
+	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpparts"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpplace"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpshare"
@@ -36,7 +37,7 @@
 	// followPause is the pause between looks at who follows what.
 	followPause = 500 * time.Millisecond
 	// followDelay is the time after the start in which daemons find each other.
-	followDelay = 1500 * time.Millisecond
+	followDelay = 600 * time.Millisecond
 )
 
 func newCaches(d *GatewayDaemon) *caches {
@@ -115,6 +116,9 @@
 				c.applyEngine(holder, changes, reset)
 			}
 		},
+		Report: func(free, parts, retired int) {
+			c.daemon.Log.Emit(zplog.StoreState, zplog.Fields{"store": holder, "free": free, "parts": parts, "retired": retired})
+		},
 		State:   func(s zpparts.Store) { c.setState(w, s) },
 		IsStale: c.daemon.gateway.IsStalePart, Clock: zpclock.Now,
 	}
--- a/internal/zpapp/gateway_sharing.go
+++ b/internal/zpapp/gateway_sharing.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpclock"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpgateway"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpparts"
 	"github.com/zinniapaddle/zinniapaddle/internal/zppeer"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpshare"
@@ -49,6 +50,12 @@
 	for _, c := range m.Parts {
 		d.gateway.Parts.Apply(c)
 	}
+	for _, c := range m.Expected {
+		d.gateway.Parts.Expect(c, now.Add(zpgateway.ReadLimit))
+	}
+	for _, c := range m.Saving {
+		d.gateway.Stores.BeginSave(c, now)
+	}
 	for _, c := range m.Changing {
 		d.noteChanging(c.Endpoint, c.Left, now)
 	}
@@ -73,8 +80,8 @@
 	d.weights.SetChanging(endpoint, now.Add(left))
 }
 
-func (d *GatewayDaemon) announceParts(news []zpparts.Change) {
-	d.sharer.Add(zpshare.Message{Parts: news})
+func (d *GatewayDaemon) announceParts(n zpgateway.News) {
+	d.sharer.Add(zpshare.Message{Parts: n.Read, Expected: n.Expected, Saving: n.Saving})
 }
 
 func (d *GatewayDaemon) announceCrash(fingerprint, crash string) {
--- a/internal/zpgateway/gateway.go
+++ b/internal/zpgateway/gateway.go
@@ -29,7 +29,7 @@
 	Usage      *zpusage.Tracker
 	Parts      *zpparts.Directory
 	Stores     *zpparts.Stores
-	Announce   func(news []zpparts.Change) // tells other daemons what engines have read
+	Announce   func(news News) // tells other daemons
 	Suspects   *Suspects
 	Cold       *zpplace.ColdGate
 	Daemons    func() []string // names of all daemons, this one too
--- a/internal/zpgateway/parts.go
+++ b/internal/zpgateway/parts.go
@@ -10,20 +10,34 @@
 type (
 	// source is a place from which a part can be fetched.
 	source struct {
+		holder  string
 		address string
 		time    time.Duration
 	}
 
+	// News is what other daemons should know of parts.
+	News struct {
+		Read     []zpparts.Change // by an engine
+		Expected []zpparts.Change // that an engine is about to read
+		Saving   []zpparts.Change // to a store
+	}
+
 	// place is where something is.
 	place struct{ domain, region string }
 )
 
+// ReadLimit is how long a part is expected to be read at an engine.
+const ReadLimit = 2 * time.Second
+
 // Factors by which moving a part takes longer over a border.
 const (
 	domainFactor = 2
 	regionFactor = 10
 	// roomReserve is kept free in stores, as their room is known late.
 	roomReserve = 8_000
+	// fullnessWeight is by how many times a full store counts as slower than an
+	// empty one.
+	fullnessWeight = 4
 	// storeDelay is the start of a transfer at a slow store.
 	storeDelay = 6 * time.Millisecond
 )
@@ -40,6 +54,10 @@
 		if held == part.Tokens {
 			continue
 		}
+		if g.Parts.IsExpected(c.endpoint.ID, key, now) {
+			c.candidate.CachedTokens += part.Tokens - held
+			continue
+		}
 		s, ok := g.sourceOf(j, c, key, part.Tokens, now)
 		if !ok {
 			return
@@ -50,6 +68,7 @@
 		c.fetch[i] = Transfer{Address: s.address, Tokens: part.Tokens}
 		c.candidate.FetchTokens += part.Tokens - held
 		c.candidate.FetchTime += s.time
+		c.source = s.holder
 	}
 }
 
@@ -76,10 +95,10 @@
 		if g.Suspects.Suspect(e.ID, now) || g.Weights.Changing(e.ID, now) || !j.regions().Allows(e.Region) {
 			return source{}, false
 		}
-		return source{e.Address, moveTime(tokens, engine.TokenBytes, engine.LinkMbps, place{e.Domain, e.Region}, to)}, true
+		return source{holder, e.Address, moveTime(tokens, engine.TokenBytes, engine.LinkMbps, place{e.Domain, e.Region}, to)}, true
 	}
 	p, ok := j.catalog.PoolOf(holder)
-	if !ok || p.CacheStore == nil || !g.Stores.Usable(holder, now) {
+	if !ok || p.CacheStore == nil || !g.Stores.Readable(holder, now) {
 		return source{}, false
 	}
 	from := place{p.CacheStore.Domain, g.RegionOf(p.CacheStore.Domain)}
@@ -87,24 +106,36 @@
 		return source{}, false
 	}
 	link := min(p.CacheStore.LinkMbps, engine.LinkMbps)
-	return source{p.CacheStore.Address, storeDelay + moveTime(tokens, engine.TokenBytes, link, from, to)}, true
+	return source{holder, p.CacheStore.Address, storeDelay + moveTime(tokens, engine.TokenBytes, link, from, to)}, true
 }
 
-// chooseSaves names a store for each shared part of the prompt that no store
-// holds.
-func (g *Gateway) chooseSaves(j *job, c *choice, now time.Time) {
+// prepare names a store for each shared part of the prompt that no store holds,
+// and notes which parts the engine is about to read.
+func (g *Gateway) prepare(j *job, c *choice, now time.Time) {
 	if j.request.Prompt == nil || c.weights == 0 || j.pool.Engine == nil {
 		return
 	}
+	var news News
+	defer func() { g.tell(news) }()
+	for _, part := range j.request.Prompt.SharedParts() {
+		change := zpparts.Change{Holder: c.endpoint.ID, Key: zpparts.Key{Salt: c.salt, Part: part.ID}, Tokens: part.Tokens}
+		if len(g.Parts.Holders(change.Key)) == 0 && !g.Parts.IsExpected(c.endpoint.ID, change.Key, now) {
+			g.Parts.Expect(change, now.Add(ReadLimit))
+			news.Expected = append(news.Expected, change)
+		}
+	}
 	for i, part := range j.request.Prompt.SharedParts() {
 		key := zpparts.Key{Salt: c.salt, Part: part.ID}
 		if g.isStored(j, key, now) {
 			continue
 		}
 		p, ok := g.storeFor(j, c, part.Tokens, now)
-		if !ok || !g.Stores.BeginSave(p.Name, key, part.Tokens, now) {
+		if !ok {
 			continue
 		}
+		saving := zpparts.Change{Holder: p.Name, Key: key, Tokens: part.Tokens}
+		g.Stores.BeginSave(saving, now)
+		news.Saving = append(news.Saving, saving)
 		if c.save == nil {
 			c.save = make([]Transfer, len(j.request.Prompt.Parts))
 		}
@@ -112,30 +143,44 @@
 	}
 }
 
+// isStored reports whether a store holds a part, or will soon.
 func (g *Gateway) isStored(j *job, key zpparts.Key, now time.Time) bool {
+	for _, p := range j.catalog.Pools {
+		if p.CacheStore != nil && g.Stores.IsSaving(p.Name, key, now) {
+			return true
+		}
+	}
 	for holder := range g.Parts.Holders(key) {
-		if p, ok := j.catalog.PoolOf(holder); ok && p.CacheStore != nil && g.Stores.Usable(holder, now) {
+		if p, ok := j.catalog.PoolOf(holder); ok && p.CacheStore != nil && g.Stores.Readable(holder, now) {
 			return true
 		}
 	}
 	return false
 }
 
-// storeFor returns the quickest store with room for a part.
+// storeFor returns the store in which a part is best kept: a quick one with room.
+// The fuller a store is, the more it counts as slow, so that the quick small
+// stores do not fill up first and lose what is sent there before that is known.
 func (g *Gateway) storeFor(j *job, c *choice, tokens int, now time.Time) (*zpcatalog.Pool, bool) {
 	var best *zpcatalog.Pool
 	var bestTime time.Duration
 	to := place{c.endpoint.Domain, c.endpoint.Region}
 	for i := range j.catalog.Pools {
 		p := &j.catalog.Pools[i]
-		if p.CacheStore == nil || !g.Stores.Usable(p.Name, now) || g.Stores.Free(p.Name) < tokens+roomReserve {
+		if p.CacheStore == nil || !g.Stores.Writable(p.Name, now) {
+			continue
+		}
+		free := g.Stores.Free(p.Name)
+		if free < tokens+roomReserve {
 			continue
 		}
 		at := place{p.CacheStore.Domain, g.RegionOf(p.CacheStore.Domain)}
 		if at.region != to.region || !j.regions().Allows(at.region) {
 			continue
 		}
+		used := 1 - float64(free)/float64(max(p.CacheStore.Tokens, 1))
 		t := moveTime(tokens, j.pool.Engine.TokenBytes, p.CacheStore.LinkMbps, at, to)
+		t += time.Duration(float64(t) * fullnessWeight * used)
 		if best == nil || t < bestTime {
 			best, bestTime = p, t
 		}
@@ -148,14 +193,18 @@
 	if j.request.Prompt == nil || c.weights == 0 {
 		return
 	}
-	var news []zpparts.Change
+	var news News
 	for _, part := range j.request.Prompt.SharedParts() {
 		change := zpparts.Change{Holder: c.endpoint.ID, Key: zpparts.Key{Salt: c.salt, Part: part.ID}, Tokens: part.Tokens}
 		if g.Parts.Apply(change) {
-			news = append(news, change)
+			news.Read = append(news.Read, change)
 		}
 	}
-	if len(news) > 0 {
+	g.tell(news)
+}
+
+func (g *Gateway) tell(news News) {
+	if len(news.Read)+len(news.Expected)+len(news.Saving) > 0 {
 		g.Announce(news)
 	}
 }
--- a/internal/zpgateway/place.go
+++ b/internal/zpgateway/place.go
@@ -19,6 +19,7 @@
 	weights   int64 // version that the engine must have; zero: any
 	salt      string
 	fetch     []Transfer
+	source    string // of the longest fetch
 	save      []Transfer
 	among     int // candidates
 }
@@ -70,7 +71,7 @@
 			continue
 		}
 		c.cost, c.among = cost, len(candidates)
-		g.chooseSaves(j, &c, now)
+		g.prepare(j, &c, now)
 		return c, true
 	}
 	return choice{}, false
@@ -140,8 +141,8 @@
 	return zplog.Fields{
 		"endpoint": c.endpoint.ID, "cost_ms": c.cost.Milliseconds(), "candidates": c.among,
 		"running": c.candidate.Use.Requests, "prefill": c.candidate.Use.PrefillTokens, "memory": c.candidate.Use.MemoryTokens,
-		"prompt": c.ask.PromptTokens, "cached": c.candidate.CachedTokens, "fetch": c.candidate.FetchTokens,
-		"fetch_ms": c.candidate.FetchTime.Milliseconds(), "save": len(c.save) > 0,
+		"prompt": c.ask.PromptTokens, "shared": c.ask.SharedTokens, "cached": c.candidate.CachedTokens, "fetch": c.candidate.FetchTokens,
+		"fetch_ms": c.candidate.FetchTime.Milliseconds(), "save": len(c.save) > 0, "source": c.source,
 		"weights": c.weights, "cold": c.candidate.Cold, "suspect": c.candidate.Suspect,
 	}
 }
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -127,13 +127,19 @@
 	}
 	j.runs++
 	j.runState = zperror.RunStateUnknown
+	var first time.Duration
 	s := g.deliver(ctx, j, answer, reply, func() {
+		first = g.Clock().Sub(now)
 		use.Started()
 		g.noteRead(j, c)
 	})
 	switch s.result {
 	case resultDone:
 		g.Suspects.Succeeded(c.endpoint.ID, g.Clock())
+		g.Log.Emit(zplog.RequestAnswered, g.fields(j, zplog.Fields{
+			"endpoint": c.endpoint.ID, "status": answer.Status, "first_ms": first.Milliseconds(), "expected_ms": c.cost.Milliseconds(),
+			"weights": answer.WeightVersion,
+		}))
 	case resultFailed:
 		g.Suspects.Failed(c.endpoint.ID, FailureAnswer, g.Clock())
 	case resultBroken:
--- a/internal/zplog/event.go
+++ b/internal/zplog/event.go
@@ -48,6 +48,7 @@
 	RequestFailed     = Event{400, logrus.WarnLevel, "request failed", "look up the code in docs/operators/errors.md"}
 	RequestRetried    = Event{401, logrus.InfoLevel, "request sent again to another endpoint", "none"}
 	RequestPlaced     = Event{402, logrus.InfoLevel, "request sent to an endpoint", "none"}
+	RequestAnswered   = Event{404, logrus.InfoLevel, "request answered", "none"}
 	CrashNoted        = Event{403, logrus.WarnLevel, "request was present at the fall of an endpoint", "see docs/operators/crashing_request.md"}
 	EndpointSuspect   = Event{500, logrus.WarnLevel, "endpoint shows signs of a cold start; new work is held", "none; check the endpoint if it persists"}
 	EndpointWarm      = Event{501, logrus.InfoLevel, "endpoint is warm", "none"}
@@ -69,6 +70,7 @@
 	WeightsNamed      = Event{505, logrus.InfoLevel, "new weights are named", "none"}
 	WeightsLoaded     = Event{506, logrus.InfoLevel, "engine has the named weights", "none"}
 	OrderFailed       = Event{507, logrus.WarnLevel, "order or report of an engine failed; it is tried again", "check the engine if it persists"}
+	StoreState        = Event{508, logrus.InfoLevel, "state of a store of KV cache", "none; a store without room saves nothing"}
 	DutyTaken         = Event{220, logrus.InfoLevel, "exclusive duty taken", "none"}
 	DutyLeft          = Event{221, logrus.InfoLevel, "exclusive duty given up", "none"}
 	ServerFailed      = Event{900, logrus.ErrorLevel, "a listener failed", "check that the address is free"}
@@ -81,8 +83,8 @@
 		LeaseRenewFailed, LeaseLost, LeaseLapsed, MemberEnded, PartitionTaken, PartitionLeft, DutyTaken, DutyLeft,
 		ConfigApplied, ConfigRefused, ConfigStale, ConfigFresh, WatchFailed,
 		StoreAway, StoreBack, EntryIgnored, EvacuationChanged,
-		RequestFailed, RequestRetried, RequestPlaced, CrashNoted,
-		EndpointSuspect, EndpointWarm, OrderGiven, EndpointChanged, EndpointGone, WeightsNamed, WeightsLoaded, OrderFailed,
+		RequestFailed, RequestRetried, RequestPlaced, CrashNoted, RequestAnswered,
+		EndpointSuspect, EndpointWarm, OrderGiven, EndpointChanged, EndpointGone, WeightsNamed, WeightsLoaded, OrderFailed, StoreState,
 		FingerprintBanned, ClaimSettleFailed, PeerFailed, PeerLost, PeerBack, ServerFailed, LinesDropped,
 	}
 }
--- a/internal/zplog/writer.go
+++ b/internal/zplog/writer.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -14,6 +15,9 @@
 	lines   chan []byte
 	dropped atomic.Int64
 	done    chan struct{}
+
+	mu     sync.RWMutex // guards closed against sends
+	closed bool
 }
 
 const (
@@ -28,19 +32,26 @@
 	return w
 }
 
-// Write takes one line.
+// Write takes one line. After Close it drops it.
 func (w *Writer) Write(p []byte) (int, error) {
-	line := append([]byte(nil), p...)
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.closed {
+		return len(p), nil
+	}
 	select {
-	case w.lines <- line:
+	case w.lines <- append([]byte(nil), p...):
 	default:
 		w.dropped.Add(1)
 	}
 	return len(p), nil
 }
 
-// Close writes what is buffered. Nothing may be written afterwards.
+// Close writes what is buffered.
 func (w *Writer) Close() {
+	w.mu.Lock()
+	w.closed = true
+	w.mu.Unlock()
 	close(w.lines)
 	<-w.done
 }
@@ -53,10 +64,15 @@
 		_, _ = w.out.Write(line)
 		if now := time.Now(); now.Sub(reported) >= reportDropped {
 			reported = now
-			if n := w.dropped.Swap(0); n > 0 {
-				_, _ = fmt.Fprintf(w.out, `{"event":%d,"level":"warning","msg":%q,"lines":%d}`+"\n",
-					LinesDropped.Number, LinesDropped.Text, n)
-			}
+			w.report()
 		}
 	}
+	w.report()
+}
+
+// report writes how many lines were dropped since the last report.
+func (w *Writer) report() {
+	if n := w.dropped.Swap(0); n > 0 {
+		_, _ = fmt.Fprintf(w.out, `{"event":%d,"level":"warning","msg":%q,"lines":%d}`+"\n", LinesDropped.Number, LinesDropped.Text, n)
+	}
 }
--- a/internal/zpparts/directory.go
+++ b/internal/zpparts/directory.go
@@ -6,6 +6,7 @@
 
 import (
 	"sync"
+	"time"
 )
 
 type (
@@ -32,8 +33,9 @@
 	}
 
 	holder struct {
-		keys  map[Key]uint64 // last use
-		clock uint64
+		keys   map[Key]uint64 // last use
+		clock  uint64
+		coming map[Key]time.Time // parts that are being read, until when at most
 	}
 )
 
@@ -52,6 +54,37 @@
 	return d.add(c)
 }
 
+// Expect notes that an engine is about to read a part. Until the part is known
+// to be there, another prompt with it is best sent to the same engine.
+func (d *Directory) Expect(c Change, until time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h, ok := d.holders[c.Holder]
+	if !ok {
+		h = &holder{keys: map[Key]uint64{}, coming: map[Key]time.Time{}}
+		d.holders[c.Holder] = h
+	}
+	if _, has := h.keys[c.Key]; !has {
+		h.coming[c.Key] = until
+	}
+}
+
+// IsExpected reports whether an engine is about to read a part.
+func (d *Directory) IsExpected(name string, key Key, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	h, ok := d.holders[name]
+	if !ok {
+		return false
+	}
+	until, coming := h.coming[key]
+	if coming && !now.Before(until) {
+		delete(h.coming, key)
+		coming = false
+	}
+	return coming
+}
+
 // Forget drops everything that a holder held.
 func (d *Directory) Forget(name string) {
 	d.mu.Lock()
@@ -113,9 +146,10 @@
 func (d *Directory) add(c Change) bool {
 	h, ok := d.holders[c.Holder]
 	if !ok {
-		h = &holder{keys: map[Key]uint64{}}
+		h = &holder{keys: map[Key]uint64{}, coming: map[Key]time.Time{}}
 		d.holders[c.Holder] = h
 	}
+	delete(h.coming, c.Key)
 	h.clock++
 	h.keys[c.Key] = h.clock
 	by, ok := d.parts[c.Key]
--- a/internal/zpparts/follower.go
+++ b/internal/zpparts/follower.go
@@ -41,6 +41,8 @@
 		Apply func(changes []Change, reset bool)
 		// State takes over the state of a store.
 		State func(s Store)
+		// Report is called with each answer about the room in a store.
+		Report func(free, parts, retired int)
 		// IsStale reports whether no engine has the weights that a part belongs to.
 		IsStale func(k Key) bool
 		Clock   func() time.Time
@@ -65,13 +67,13 @@
 	failurePause = 300 * time.Millisecond
 	callTimeout  = 1500 * time.Millisecond
 	// roomPause is the pause between questions for the room in a store.
-	roomPause = 2 * time.Second
+	roomPause = 500 * time.Millisecond
 	// failuresAway is how many calls in a row must fail until a store counts as
 	// away.
 	failuresAway = 2
-	// FreeDelay is how long after the news that a part is gone it is freed. No
-	// daemon reads from a store on older news, and fetches end within seconds.
-	FreeDelay = 6 * time.Second
+	// FreeDelay is how long after the news that a part is gone it is freed. The
+	// engines that could have fetched it had ended all their runs before.
+	FreeDelay = 2500 * time.Millisecond
 	// freeBatch bounds the parts that one call frees.
 	freeBatch = 200
 )
@@ -161,6 +163,7 @@
 		return err
 	}
 	f.roomAt, f.free = now, free
+	f.Report(f.free, len(f.held), len(f.retired))
 	var gone []Change
 	var due []Key
 	for key := range f.held {
--- a/internal/zpparts/store.go
+++ b/internal/zpparts/store.go
@@ -20,7 +20,7 @@
 	// is safe for concurrent use.
 	Stores struct {
 		MaxAge time.Duration // of the state
-		Settle time.Duration // after a change of epoch before parts are used
+		Settle time.Duration // after a change of epoch before parts are saved
 
 		mu     sync.Mutex
 		states map[string]*storeState
@@ -61,12 +61,26 @@
 	return void
 }
 
-// Usable reports whether parts may be fetched from a store and saved to it.
-func (s *Stores) Usable(name string, now time.Time) bool {
+// Readable reports whether the listed parts of a store may be fetched.
+func (s *Stores) Readable(name string, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	x, ok := s.states[name]
-	return ok && x.Readable && now.Sub(x.heardAt) <= s.MaxAge && now.Sub(x.since) >= s.Settle
+	return ok && x.isFresh(s.MaxAge, now)
+}
+
+// Writable reports whether parts may be saved to a store. After a restart of the
+// store that waits until no daemon can take a part that is being written for one
+// that it had before.
+func (s *Stores) Writable(name string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x, ok := s.states[name]
+	return ok && x.isFresh(s.MaxAge, now) && now.Sub(x.since) >= s.Settle
+}
+
+func (x *storeState) isFresh(maxAge time.Duration, now time.Time) bool {
+	return x.Store.Readable && now.Sub(x.heardAt) <= maxAge
 }
 
 // Free returns the tokens that a store has room for.
@@ -79,24 +93,31 @@
 	return 0
 }
 
-// BeginSave counts a part that is to be saved. It reports false if that was
-// asked for a short time ago.
-func (s *Stores) BeginSave(name string, key Key, tokens int, now time.Time) bool {
+// IsSaving reports whether a part was lately asked to be saved to a store.
+func (s *Stores) IsSaving(name string, key Key, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	x, ok := s.states[name]
 	if !ok {
 		return false
 	}
-	if at, asked := x.saving[key]; asked && now.Sub(at) < savePause {
-		return false
+	at, asked := x.saving[key]
+	return asked && now.Sub(at) < savePause
+}
+
+// BeginSave counts a part that a daemon asks to be saved.
+func (s *Stores) BeginSave(c Change, now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	x, ok := s.states[c.Holder]
+	if !ok {
+		return
 	}
 	for k, at := range x.saving {
 		if now.Sub(at) >= savePause {
 			delete(x.saving, k)
 		}
 	}
-	x.saving[key] = now
-	x.Store.Free -= tokens
-	return true
+	x.saving[c.Key] = now
+	x.Store.Free -= c.Tokens
 }
--- a/internal/zppeer/sharing.go
+++ b/internal/zppeer/sharing.go
@@ -54,11 +54,7 @@
 			Endpoint: id, Requests: int64(u.Requests), PrefillTokens: int64(u.PrefillTokens), MemoryTokens: int64(u.MemoryTokens),
 		})
 	}
-	for _, c := range m.Parts {
-		out.Parts = append(out.Parts, &zppeerpb.SharedPart{
-			Holder: c.Holder, Salt: c.Key.Salt, Part: c.Key.Part, Tokens: int64(c.Tokens),
-		})
-	}
+	out.Parts, out.Expected, out.Saving = encodeParts(m.Parts), encodeParts(m.Expected), encodeParts(m.Saving)
 	for _, c := range m.Changing {
 		out.Changing = append(out.Changing, &zppeerpb.SharedChange{Endpoint: c.Endpoint, LeftMs: c.Left.Milliseconds()})
 	}
@@ -78,11 +74,7 @@
 			Requests: int(u.Requests), PrefillTokens: int(u.PrefillTokens), MemoryTokens: int(u.MemoryTokens),
 		}
 	}
-	for _, c := range in.Parts {
-		m.Parts = append(m.Parts, zpparts.Change{
-			Holder: c.Holder, Key: zpparts.Key{Salt: c.Salt, Part: c.Part}, Tokens: int(c.Tokens),
-		})
-	}
+	m.Parts, m.Expected, m.Saving = decodeParts(in.Parts), decodeParts(in.Expected), decodeParts(in.Saving)
 	for _, c := range in.Changing {
 		m.Changing = append(m.Changing, zpshare.Changing{Endpoint: c.Endpoint, Left: time.Duration(c.LeftMs) * time.Millisecond})
 	}
@@ -94,3 +86,19 @@
 	}
 	return m
 }
+
+func encodeParts(changes []zpparts.Change) []*zppeerpb.SharedPart {
+	var out []*zppeerpb.SharedPart
+	for _, c := range changes {
+		out = append(out, &zppeerpb.SharedPart{Holder: c.Holder, Salt: c.Key.Salt, Part: c.Key.Part, Tokens: int64(c.Tokens)})
+	}
+	return out
+}
+
+func decodeParts(list []*zppeerpb.SharedPart) []zpparts.Change {
+	var out []zpparts.Change
+	for _, c := range list {
+		out = append(out, zpparts.Change{Holder: c.Holder, Key: zpparts.Key{Salt: c.Salt, Part: c.Part}, Tokens: int(c.Tokens)})
+	}
+	return out
+}
--- a/internal/zpshare/message.go
+++ b/internal/zpshare/message.go
@@ -17,6 +17,8 @@
 		Instance string
 		Uses     map[string]zpusage.Use // all of the sender's
 		Parts    []zpparts.Change
+		Expected []zpparts.Change // that an engine is about to read
+		Saving   []zpparts.Change // to a store
 		Changing []Changing
 		Crashes  []Crash
 		Stores   []zpparts.Store
@@ -38,12 +40,14 @@
 
 // IsEmpty reports whether a message says nothing but the sender's uses.
 func (m *Message) IsEmpty() bool {
-	return len(m.Parts) == 0 && len(m.Changing) == 0 && len(m.Crashes) == 0 && len(m.Stores) == 0 && len(m.Reset) == 0
+	return len(m.Parts) == 0 && len(m.Expected) == 0 && len(m.Saving) == 0 && len(m.Changing) == 0 && len(m.Crashes) == 0 && len(m.Stores) == 0 && len(m.Reset) == 0
 }
 
 // append adds another message's news.
 func (m *Message) append(n Message) {
 	m.Parts = append(m.Parts, n.Parts...)
+	m.Expected = append(m.Expected, n.Expected...)
+	m.Saving = append(m.Saving, n.Saving...)
 	m.Changing = append(m.Changing, n.Changing...)
 	m.Crashes = append(m.Crashes, n.Crashes...)
 	m.Stores = append(m.Stores, n.Stores...)
