--- a/internal/zpgateway/gateway.go
+++ b/internal/zpgateway/gateway.go
@@ -46,6 +46,7 @@
 	Open       atomic.Int64
 
 	flights flights
+	room    room
 }
 
 const (
@@ -54,15 +55,8 @@
 	defaultTimeout = 60 * time.Second
 	// minimalRun is the least time left for which a run is worth starting.
 	minimalRun = 5 * time.Millisecond
-	// placeInterval is the pause before endpoints are looked at again while none
-	// can be used.
-	placeInterval = 20 * time.Millisecond
 	// maxRefusals is how many endpoints may refuse a request before it is refused.
-	maxRefusals = 4
-	// lateStop is how long after the start of a graceful stop new requests are
-	// taken; later ones could not end in time.
-	lateStop = 3 * time.Second
-
+	maxRefusals       = 4
 	retryAfterUnknown = 500 * time.Millisecond // the state of the fleet changes within this time
 	retryAfterBusy    = 300 * time.Millisecond // running requests end within this time
 )
--- a/internal/zpgateway/place.go
+++ b/internal/zpgateway/place.go
@@ -1,13 +1,13 @@
 package zpgateway
 
 import (
-	"context"
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpplace"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpregistry"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpusage"
 )
 
 // choice is the endpoint for one send, with what decided it.
@@ -22,42 +22,40 @@
 	source    string // of the longest fetch
 	save      []Transfer
 	among     int // candidates
+	use       *zpusage.Run
 }
 
 const (
-	// waitShare is the part of a request's objective for which it waits for an
-	// endpoint to become usable before it is refused.
-	waitShare = 4
+	// backlogShare is the part of the objective, in hundredths, that the prompts
+	// before a request may take at an engine; more would make it late.
+	backlogShare = 55
+	// urgentBacklogShare is larger, as engines read urgent prompts first.
+	urgentBacklogShare = 100
 )
 
-// place chooses an endpoint. While none can be used it waits a short time.
-func (g *Gateway) place(ctx context.Context, j *job) (choice, error) {
-	deadline := g.Clock().Add(min(j.route.Objective/waitShare, j.left(g.Clock())/waitShare))
-	for {
-		now := g.Clock()
-		if j.left(now) < minimalRun {
-			return choice{}, errTooLate
-		}
-		if c, ok := g.choose(j, now); ok {
-			return c, nil
-		}
-		if ctx.Err() != nil {
-			return choice{}, errCallerGone
-		}
-		if !now.Before(deadline) {
-			return choice{}, errNoEndpoint.WithRetryAfter(retryAfterUnknown)
-		}
-		g.sleep(ctx, placeInterval)
-	}
-}
+// verdict says whether a request can be placed.
+type verdict int
 
-// choose picks the cheapest endpoint that may take the request now.
-func (g *Gateway) choose(j *job, now time.Time) (choice, bool) {
+const (
+	verdictChosen verdict = iota
+	verdictFull           // endpoints are there, but none has room
+	verdictNone           // no endpoint may take the request
+)
+
+// choose picks the cheapest endpoint that may take the request now and has
+// room, and counts the request there.
+func (g *Gateway) choose(j *job, now time.Time) (choice, verdict) {
 	ask := g.ask(j)
+	v := verdictNone
 	var list []choice
 	var candidates []zpplace.Candidate
 	for _, e := range g.Registry.Serving(j.pool.Name, now) {
-		if c, ok := g.consider(j, e, ask, now); ok {
+		c, ok := g.consider(j, e, ask, now)
+		if !ok {
+			continue
+		}
+		v = verdictFull
+		if zpplace.HasRoom(ask, c.candidate, g.Rates) {
 			list = append(list, c)
 			candidates = append(candidates, c.candidate)
 		}
@@ -71,10 +69,11 @@
 			continue
 		}
 		c.cost, c.among = cost, len(candidates)
+		c.use = g.Usage.Begin(c.endpoint.ID, c.prefill(), zpplace.Memory(ask))
 		g.prepare(j, &c, now)
-		return c, true
+		return c, verdictChosen
 	}
-	return choice{}, false
+	return choice{}, v
 }
 
 // consider describes an endpoint as a candidate, unless it may not be used.
@@ -101,7 +100,10 @@
 }
 
 func (g *Gateway) ask(j *job) zpplace.Ask {
-	a := zpplace.Ask{Domain: g.Domain, Region: g.Region}
+	a := zpplace.Ask{Domain: g.Domain, Region: g.Region, Backlog: j.route.Objective * backlogShare / 100}
+	if j.route.Priority == 0 {
+		a.Backlog = j.route.Objective * urgentBacklogShare / 100
+	}
 	if p := j.request.Prompt; p != nil {
 		a.PromptTokens, a.SharedTokens, a.OutputTokens = p.Tokens, p.SharedTokens(), p.OutputTokens
 	}
@@ -122,11 +124,9 @@
 	return saltOf(j.request.Prompt.Model, weights, isolated)
 }
 
-// tokens returns what the run reads before its first piece, and what it holds
-// in memory.
-func (c choice) tokens() (prefill, memory int) {
-	found := c.candidate.CachedTokens + c.candidate.FetchTokens
-	return max(c.ask.PromptTokens-found, 0), zpplace.Memory(c.ask)
+// prefill returns the tokens that the engine reads before the first piece.
+func (c choice) prefill() int {
+	return max(c.ask.PromptTokens-c.candidate.CachedTokens-c.candidate.FetchTokens, 0)
 }
 
 func (c choice) run(j *job, left time.Duration) Run {
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -99,6 +99,7 @@
 
 // send sends the request to the chosen endpoint and hands its answer on.
 func (g *Gateway) send(ctx context.Context, j *job, c choice, reply Reply) sent {
+	defer c.use.End()
 	now := g.Clock()
 	left := j.left(now)
 	if left < minimalRun {
@@ -110,9 +111,6 @@
 	}
 	ctx, cancel := context.WithTimeoutCause(ctx, left, errTimeout)
 	defer cancel()
-	prefill, memory := c.tokens()
-	use := g.Usage.Begin(c.endpoint.ID, prefill, memory)
-	defer use.End()
 	j.attempts++
 	gate := &zpengine.Gate{Deadline: j.deadline, Clock: g.Clock}
 	g.Log.Emit(zplog.RequestPlaced, g.fields(j, c.fields()))
@@ -130,7 +128,7 @@
 	var first time.Duration
 	s := g.deliver(ctx, j, answer, reply, func() {
 		first = g.Clock().Sub(now)
-		use.Started()
+		c.use.Started()
 		g.noteRead(j, c)
 	})
 	switch s.result {
@@ -221,12 +219,3 @@
 func (r result) String() string {
 	return [...]string{"done", "not_run", "failed", "broken", "stopped"}[r]
 }
-
-func (g *Gateway) sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/zpplace/place.go
+++ b/internal/zpplace/place.go
@@ -16,6 +16,7 @@
 		PromptTokens int // zero for plain services
 		SharedTokens int // of the prompt, that other requests use too
 		OutputTokens int
+		Backlog      time.Duration // of prompts that may be read before this one; zero: any
 	}
 
 	// Candidate is an endpoint as it stands now.
@@ -45,7 +46,8 @@
 		OldPenalty     time.Duration // for old weights
 		RereadPerToken time.Duration // for reading a shared token that was read before elsewhere
 		RunningPenalty time.Duration // for each running request, as it slows the others
-		FullPenalty    time.Duration // for a prompt that does not fit into free memory
+		MemoryShare    float64       // of an engine's memory that requests may fill
+		SlotFactor     int           // requests on a plain service for each of its slots
 	}
 )
 
@@ -70,12 +72,24 @@
 	cost += prefillTime(c.Use.PrefillTokens+read, r.PrefillPerMS) + c.FetchTime
 	cost += r.RereadPerToken * time.Duration(max(a.SharedTokens-found, 0))
 	cost += r.RunningPenalty * time.Duration(c.Use.Requests)
-	if c.MemoryTokens > 0 && c.Use.MemoryTokens+Memory(a) > c.MemoryTokens {
-		cost += r.FullPenalty
-	}
 	return cost
 }
 
+// HasRoom reports whether a candidate can take a request without making it wait
+// long. An idle candidate can take any.
+func HasRoom(a Ask, c Candidate, r Rates) bool {
+	if c.Use.Requests == 0 {
+		return true
+	}
+	if a.PromptTokens == 0 {
+		return c.Slots == 0 || c.Use.Requests < r.SlotFactor*c.Slots
+	}
+	if c.MemoryTokens > 0 && c.Use.MemoryTokens+Memory(a) > int(r.MemoryShare*float64(c.MemoryTokens)) {
+		return false
+	}
+	return a.Backlog == 0 || prefillTime(c.Use.PrefillTokens, r.PrefillPerMS) <= a.Backlog
+}
+
 // Best returns the index of the cheapest candidate and its cost. It returns -1
 // if there are none.
 func Best(a Ask, candidates []Candidate, r Rates) (int, time.Duration) {
--- a/internal/zpplace/rates.go
+++ b/internal/zpplace/rates.go
@@ -15,6 +15,7 @@
 		OldPenalty:     150 * time.Millisecond, // answers of old weights are worth a fifth less
 		RereadPerToken: 30 * time.Microsecond,  // a shared token read again costs more than its time
 		RunningPenalty: 2 * time.Millisecond,   // each running request slows the steps of all
-		FullPenalty:    500 * time.Millisecond, // preemption reads a prompt again
+		MemoryShare:    0.95,                   // the rest is for answers longer than told
+		SlotFactor:     2,                      // one request runs and one waits for each slot
 	}
 }
