Make store calls and messages between daemons grow slower than the fleet

Change: lists are watched again 400 ms after a change; pauses between messages grow with the number of daemons. Ruled out: a longer watch of the configuration (its calls are a tenth of these).

--- a/internal/zpapp/gateway_watches.go
+++ b/internal/zpapp/gateway_watches.go
@@ -31,6 +31,10 @@
 	configWait = 2 * time.Second
 	// otherWait is nearly the longest watch that the store allows.
 	otherWait = 25 * time.Second
+	// listPause bounds the calls that follow the many changes of a fleet's lists.
+	// It is a small part of the time in which a leaving endpoint may still get
+	// requests.
+	listPause = 400 * time.Millisecond
 )
 
 func newWatches(d *GatewayDaemon) *watches {
@@ -40,10 +44,10 @@
 		OnList: each(w.configChanged), OnChange: w.configChanged, OnAway: w.storeAway, OnBack: w.storeBack,
 	}
 	w.others = []*zpmirror.Mirror{
-		{API: d.store, Prefix: zpplatform.EndpointPrefix, Wait: otherWait, OnList: w.endpointsListed, OnChange: w.endpointChanged},
+		{API: d.store, Prefix: zpplatform.EndpointPrefix, Wait: otherWait, Pause: listPause, OnList: w.endpointsListed, OnChange: w.endpointChanged},
 		{API: d.store, Prefix: zpplatform.EvacuationPrefix, Wait: otherWait, OnList: w.evacuationsListed, OnChange: w.evacuationChanged},
 		{API: d.store, Prefix: zpplatform.WeightPrefix, Wait: otherWait, OnList: each(w.weightsChanged), OnChange: w.weightsChanged},
-		{API: d.store, Prefix: memberPrefix, Wait: otherWait, OnList: w.membersListed, OnChange: w.memberChanged},
+		{API: d.store, Prefix: memberPrefix, Wait: otherWait, Pause: listPause, OnList: w.membersListed, OnChange: w.memberChanged},
 	}
 	return w
 }
--- a/internal/zpmirror/mirror.go
+++ b/internal/zpmirror/mirror.go
@@ -17,6 +17,7 @@
 		API      zpobject.API
 		Prefix   string
 		Wait     time.Duration // of one watch
+		Pause    time.Duration // after changes, so that the next watch returns several at once
 		OnList   func(objects []zpobject.Object)
 		OnChange func(o zpobject.Object)
 		OnAway   func(err error) // the store stopped answering
@@ -84,6 +85,9 @@
 			m.OnChange(o)
 		}
 		revision = max(revision, listing.Revision)
+		if len(listing.Objects) > 0 {
+			sleep(ctx, m.Pause)
+		}
 	}
 }
 
--- a/internal/zpshare/sharer.go
+++ b/internal/zpshare/sharer.go
@@ -41,15 +41,20 @@
 )
 
 const (
-	// interval is the pause between two looks for news; nearPause and farPause are
-	// those between two messages to one daemon. Bytes that leave a failure domain
-	// are paid, and loads matter most to the daemons beside the endpoints.
-	interval  = 30 * time.Millisecond
-	nearPause = 0
+	// interval is the pause between two looks for news.
+	interval = 30 * time.Millisecond
+	// nearPause and farPause are the least pauses between two messages to one
+	// daemon. Bytes that leave a failure domain are paid, and loads matter most to
+	// the daemons beside the endpoints.
+	nearPause = 30 * time.Millisecond
 	farPause  = 200 * time.Millisecond
+	// nearPerPeer and farPerPeer stretch the pauses, so that the messages of a
+	// daemon do not grow with the fleet.
+	nearPerPeer = 10 * time.Millisecond
+	farPerPeer  = 25 * time.Millisecond
 	// repeat is the pause after which uses are sent again although they are the
 	// same, so that they do not grow old.
-	repeat = 700 * time.Millisecond
+	repeat = 900 * time.Millisecond
 	// pendingLimit bounds the news that wait for a daemon; beyond it the daemon
 	// gets a snapshot instead.
 	pendingLimit = 4096
@@ -99,14 +104,20 @@
 		s.peers = map[string]*peer{}
 	}
 	known := map[string]bool{}
-	for _, m := range s.Others() {
+	others := s.Others()
+	near, far := s.pauses(others)
+	for _, m := range others {
+		pause := far
+		if m.Domain == s.Domain {
+			pause = near
+		}
 		known[m.Address] = true
 		p, ok := s.peers[m.Address]
 		if !ok {
 			p = &peer{}
 			s.peers[m.Address] = p
 		}
-		if p.busy || now.Before(p.retryAt) || !p.due(changed, now, s.pauseTo(m)) {
+		if p.busy || now.Before(p.retryAt) || !p.due(changed, now, pause) {
 			continue
 		}
 		s.start(ctx, m.Address, p, uses, changed, now)
@@ -118,11 +129,17 @@
 	}
 }
 
-func (s *Sharer) pauseTo(m zpassign.Member) time.Duration {
-	if m.Domain == s.Domain {
-		return nearPause
+// pauses returns the pauses between two messages to a daemon of the same
+// failure domain, and to one of another.
+func (s *Sharer) pauses(others []zpassign.Member) (near, far time.Duration) {
+	n := 0
+	for _, m := range others {
+		if m.Domain == s.Domain {
+			n++
+		}
 	}
-	return farPause
+	near = max(nearPause, time.Duration(n)*nearPerPeer)
+	return near, max(farPause, time.Duration(len(others)-n)*farPerPeer)
 }
 
 func (p *peer) due(changed uint64, now time.Time, pause time.Duration) bool {
@@ -166,10 +183,11 @@
 	now := s.Clock()
 	out := map[string]bool{}
 	others := s.Others()
+	_, far := s.pauses(others)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, m := range others {
-		if p, ok := s.peers[m.Address]; ok && p.instance != "" && now.Sub(p.sentAt) < aliveFor {
+		if p, ok := s.peers[m.Address]; ok && p.instance != "" && now.Sub(p.sentAt) < aliveFor+2*far {
 			out[m.Name] = true
 		}
 	}
