--- a/Makefile
+++ b/Makefile
@@ -24,11 +24,11 @@
 
 # Unit tests, with fakes at the interfaces.
 unit:
-	go test -timeout 120s ./pkg/... ./internal/... ./cmd/...
+	go test -timeout 120s ./pkg/... ./internal/... ./cmd/... ./platform/...
 
 # The same under the race detector.
 race:
-	go test -race -timeout 300s ./pkg/... ./internal/...
+	go test -race -timeout 300s ./pkg/... ./internal/... ./platform/...
 
 # The daemon with switches that turn single mechanisms off, for the proofs.
 mutants:
@@ -61,6 +61,7 @@
 	go test -run XXX -fuzz FuzzParse -fuzztime 10s ./pkg/zpmanifest
 	go test -run XXX -fuzz FuzzStream -fuzztime 10s ./internal/zpengine
 	go test -run XXX -fuzz FuzzReadPrompt -fuzztime 10s ./internal/zpfront
+	go test -run XXX -fuzz FuzzDecode -fuzztime 10s ./platform
 
 # End-to-end tests with separate processes.
 e2e: build mutants
@@ -76,14 +77,14 @@
 
 lint:
 	go vet $(PACKAGES)
-	@test -z "$$(gofmt -l cmd internal pkg e2e)" || (gofmt -l cmd internal pkg e2e; exit 1)
+	@test -z "$$(gofmt -l cmd internal pkg e2e platform)" || (gofmt -l cmd internal pkg e2e platform; exit 1)
 	go build -modfile=tools/go.mod -o $(BIN)/tools/ honnef.co/go/tools/cmd/staticcheck github.com/mgechev/revive github.com/kisielk/errcheck
 	$(BIN)/tools/staticcheck $(PACKAGES)
 	$(BIN)/tools/revive -config revive.toml -formatter friendly -exclude $(GENERATED)/... $(PACKAGES)
 	$(BIN)/tools/errcheck -ignoregenerated $(PACKAGES)
 
 fmt:
-	gofmt -w cmd internal pkg e2e
+	gofmt -w cmd internal pkg e2e platform
 
 # Writes the generated pages.
 docs: build
--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -68,9 +68,8 @@
 	storeStateAge    = 2 * time.Second // freshness of what followers tell of stores
 	storeSettle      = 3 * time.Second // longer than any daemon uses an older state
 	crashRetention   = 5 * time.Minute
-	retryShare       = 0.5 // of the fleet's budget that is used, so that views may differ
-	retryBurst       = 3   // repeats that a daemon saves up
-	stopNotice       = 2500 * time.Millisecond
+	retryShare       = 0.5                    // of the fleet's budget that is used, so that views may differ
+	retryBurst       = 3                      // repeats that a daemon saves up
 	stopReserve      = 300 * time.Millisecond // before SIGKILL
 	defaultBodyLimit = 4 << 20
 	defaultHeader    = 3 * time.Second
@@ -110,7 +109,7 @@
 		Quarantine: zpquarantine.NewList(crashRetention), NoteCrash: d.announceCrash,
 		Retries: &zpretry.Book{Ratio: n.Bounds.RetryRatio * retryShare, Burst: retryBurst},
 		Runner:  &zpplatform.Runner{Sender: d.sender}, Rates: zpplace.DefaultRates(),
-		Log: log, Metrics: d.Metrics, Clock: zpclock.Now, Random: rand.Float64, Leaving: d.leaving.Load,
+		Log: log, Metrics: d.Metrics, Clock: zpclock.Now, Random: rand.Float64,
 	}
 	d.registry.OnGone = d.endpointGone
 	d.buildSharing()
@@ -172,7 +171,7 @@
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(d.Node.Bounds.StopGrace-stopReserve))
 	defer cancel()
 	d.leave(ctx)
-	time.Sleep(max(stopNotice-time.Since(begun), 0))
+	time.Sleep(max(d.Node.Settings.Drain.Notice-time.Since(begun), 0))
 	if err := d.callers.Shutdown(ctx); err != nil {
 		d.Log.Emit(zplog.DrainTimedOut, zplog.Fields{"open_requests": d.gateway.Open.Load()})
 	}
--- a/internal/zpcommand/command.go
+++ b/internal/zpcommand/command.go
@@ -22,6 +22,7 @@
 		TakeOut    takeOutCommand    `cmd:"" name:"take-out" help:"Take a failure domain or an endpoint out of service."`
 		BringBack  bringBackCommand  `cmd:"" name:"bring-back" help:"Bring a failure domain or an endpoint back into service."`
 		Workspaces workspacesCommand `cmd:"" help:"List the workspaces of the manifest."`
+		Explain    explainCommand    `cmd:"" help:"Print what the logs of daemons say of one request."`
 		HashKey    hashKeyCommand    `cmd:"" name:"hash-key" help:"Read an API key from standard input and print its hash for the manifest."`
 		Docs       docsCommand       `cmd:"" help:"Print a generated page of the docs."`
 		Version    versionCommand    `cmd:"" help:"Print the version."`
@@ -55,7 +56,8 @@
   zinniapaddle check --settings daemon.yaml --manifest manifest.yaml
   zinniapaddle apply --settings daemon.yaml manifest.yaml
   zinniapaddle take-out --settings daemon.yaml --failure-domain a
-  zinniapaddle status --settings daemon.yaml --output json`
+  zinniapaddle status --settings daemon.yaml --output json
+  zinniapaddle explain 9c41d07be2a35f68 daemon-1.log daemon-2.log`
 
 // Error implements error.
 func (e exitError) Error() string { return fmt.Sprintf("exit code %d", e.code) }
--- a/internal/zpduty/lease_test.go
+++ b/internal/zpduty/lease_test.go
@@ -125,81 +125,115 @@
 	})
 })
 
-// playDuty runs three daemons against one object, with daemons that pause, are
-// cut off, start anew, and writes that take effect without an answer or late.
-func playDuty(random *rand.Rand) {
-	GinkgoHelper()
-	type object struct {
+const (
+	daemons  = 3
+	playedMS = 60_000
+	stepMS   = 50
+)
+
+type (
+	// dutyPlay runs daemons against one object, with daemons that pause, are cut
+	// off and start anew, and writes that take effect without an answer or late.
+	dutyPlay struct {
+		random   *rand.Rand
 		record   zpduty.Record
 		revision int64
+		late     []lateWrite
+		leases   []*zpduty.Lease
+		asleep   []int // until when, in ms
+
+		lastActor, lastAct int
+		lastFence          int64
 	}
-	type late struct {
+
+	lateWrite struct {
 		write zpduty.Write
 		at    int
 	}
-	const daemons, end, step = 3, 60_000, 50
-	var stored object
-	var delayed []late
-	leases := make([]*zpduty.Lease, daemons)
-	asleep := make([]int, daemons)
-	for i := range leases {
-		leases[i] = newLease(string(rune('a' + i)))
+)
+
+func playDuty(random *rand.Rand) {
+	GinkgoHelper()
+	p := &dutyPlay{random: random, asleep: make([]int, daemons), lastActor: -1}
+	for i := range daemons {
+		p.leases = append(p.leases, newLease(string(rune('a'+i))))
 	}
-	lastActor, lastAct, lastFence := -1, -1<<30, int64(0)
-	apply := func(w zpduty.Write) bool {
-		if w.IfRevision != stored.revision {
-			return false
+	for ms := 0; ms < playedMS; ms += stepMS {
+		p.applyLate(ms)
+		for i := range p.leases {
+			if ms >= p.asleep[i] && !p.disturb(i, ms) {
+				p.act(i, ms)
+				p.keep(i, ms)
+			}
 		}
-		stored = object{w.Record, stored.revision + 1 + random.Int64N(5)}
+	}
+}
+
+// disturb lets a daemon pause or start anew now and then.
+func (p *dutyPlay) disturb(i, ms int) bool {
+	switch p.random.IntN(200) {
+	case 0:
+		p.asleep[i] = ms + p.random.IntN(9000)
+		return true
+	case 1:
+		p.leases[i] = newLease(p.leases[i].Self)
 		return true
 	}
-	for ms := 0; ms < end; ms += step {
-		kept := delayed[:0]
-		for _, d := range delayed {
-			if d.at > ms {
-				kept = append(kept, d)
-				continue
-			}
-			apply(d.write)
+	return false
+}
+
+// act checks the turn of a daemon that holds the duty.
+func (p *dutyPlay) act(i, ms int) {
+	GinkgoHelper()
+	fence, _, held := p.leases[i].Holds(at(ms))
+	if !held {
+		if p.random.IntN(4) > 0 {
+			p.leases[i].Saw(p.record, p.revision, at(ms))
 		}
-		delayed = kept
-		for i, l := range leases {
-			if ms < asleep[i] {
-				continue
-			}
-			switch random.IntN(200) {
-			case 0:
-				asleep[i] = ms + random.IntN(9000)
-				continue
-			case 1:
-				leases[i] = newLease(l.Self)
-				continue
-			}
-			now := at(ms)
-			if fence, _, held := l.Holds(now); held {
-				if lastActor >= 0 && lastActor != i {
-					Expect(ms-lastAct).To(BeNumerically(">=", 3000), "turn of daemons %d and %d at %d", lastActor, i, ms)
-				}
-				Expect(fence).To(BeNumerically(">=", lastFence))
-				lastActor, lastAct, lastFence = i, ms, fence
-			} else if random.IntN(4) > 0 {
-				l.Saw(stored.record, stored.revision, now)
-			}
-			w, due := l.Next(random.IntN(20) > 0, now)
-			if !due {
-				continue
-			}
-			switch random.IntN(10) {
-			case 0: // not done
-			case 1: // done late, without an answer
-				delayed = append(delayed, late{w, ms + random.IntN(6000)})
-			case 2: // done, without an answer
-				apply(w)
-			default:
-				if apply(w) {
-					l.Wrote(w, stored.revision, now, now)
-				}
-			}
+		return
+	}
+	if p.lastActor >= 0 && p.lastActor != i {
+		Expect(ms-p.lastAct).To(BeNumerically(">=", 3000), "turn of daemons %d and %d at %d", p.lastActor, i, ms)
+	}
+	Expect(fence).To(BeNumerically(">=", p.lastFence))
+	p.lastActor, p.lastAct, p.lastFence = i, ms, fence
+}
+
+// keep makes the write that is due, and lets its answer or itself be lost.
+func (p *dutyPlay) keep(i, ms int) {
+	w, due := p.leases[i].Next(p.random.IntN(20) > 0, at(ms))
+	if !due {
+		return
+	}
+	switch p.random.IntN(10) {
+	case 0: // not done
+	case 1: // done late, without an answer
+		p.late = append(p.late, lateWrite{w, ms + p.random.IntN(6000)})
+	case 2: // done, without an answer
+		p.apply(w)
+	default:
+		if p.apply(w) {
+			p.leases[i].Wrote(w, p.revision, at(ms), at(ms))
 		}
 	}
 }
+
+func (p *dutyPlay) applyLate(ms int) {
+	var kept []lateWrite
+	for _, d := range p.late {
+		if d.at > ms {
+			kept = append(kept, d)
+			continue
+		}
+		p.apply(d.write)
+	}
+	p.late = kept
+}
+
+func (p *dutyPlay) apply(w zpduty.Write) bool {
+	if w.IfRevision != p.revision {
+		return false
+	}
+	p.record, p.revision = w.Record, p.revision+1+p.random.Int64N(5)
+	return true
+}
--- /dev/null
+++ b/internal/zpexplain/explain.go
@@ -0,0 +1,161 @@
+// Package zpexplain tells the story of one request from the logs of daemons: the
+// lines of the request itself, and the changes of belief about the endpoints
+// that it met, as the same daemon saw them.
+package zpexplain
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+)
+
+type (
+	// Line is one line of a log.
+	Line struct {
+		Source string // name of the daemon, or of the file
+		At     time.Duration
+		Event  int
+		Text   string
+		Fields map[string]any
+	}
+
+	// Story is what the logs say of one request, in order.
+	Story struct {
+		Request string
+		Lines   []Line
+	}
+)
+
+const (
+	// beliefWindow is how long before a request changes of belief may explain it.
+	beliefWindow = 10 * time.Second
+	maxLineBytes = 1 << 20
+)
+
+// Read reads the lines of one log. Lines that are no JSON are skipped; what
+// stands before the JSON may be a time in seconds and the name of a daemon.
+func Read(r io.Reader, source string) ([]Line, error) {
+	var out []Line
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLineBytes)
+	for scanner.Scan() {
+		if line, ok := parse(scanner.Bytes(), source); ok {
+			out = append(out, line)
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, fmt.Errorf("read log %s: %w", source, err)
+	}
+	return out, nil
+}
+
+// Tell collects what explains a request.
+func Tell(request string, lines []Line) Story {
+	s := Story{Request: request}
+	met := map[string]bool{}     // endpoints
+	sources := map[string]bool{} // daemons that had the request
+	first := time.Duration(1<<62 - 1)
+	last := time.Duration(0)
+	for _, l := range lines {
+		if l.Fields["request"] != request {
+			continue
+		}
+		s.Lines = append(s.Lines, l)
+		sources[l.Source] = true
+		first, last = min(first, l.At), max(last, l.At)
+		if e, ok := l.Fields["endpoint"].(string); ok {
+			met[e] = true
+		}
+	}
+	for _, l := range lines {
+		if _, isRequest := l.Fields["request"]; isRequest || !sources[l.Source] || l.At < first-beliefWindow || l.At > last {
+			continue
+		}
+		if e, ok := l.Fields["endpoint"].(string); ok && !met[e] {
+			continue
+		}
+		s.Lines = append(s.Lines, l)
+	}
+	sort.SliceStable(s.Lines, func(i, j int) bool { return s.Lines[i].At < s.Lines[j].At })
+	return s
+}
+
+// Write prints the story, one step a line.
+func (s Story) Write(w io.Writer) error {
+	if len(s.Lines) == 0 {
+		_, err := fmt.Fprintf(w, "no line names request %s; remedy: pass the logs of all daemons\n", s.Request)
+		return err
+	}
+	for _, l := range s.Lines {
+		mark := " "
+		if l.Fields["request"] == s.Request {
+			mark = "*"
+		}
+		if _, err := fmt.Fprintf(w, "%s %10.3f s %-22s %d %s%s\n", mark, l.At.Seconds(), l.Source, l.Event, l.Text, details(l.Fields)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func parse(text []byte, source string) (Line, bool) {
+	start := bytes.IndexByte(text, '{')
+	if start < 0 {
+		return Line{}, false
+	}
+	fields := map[string]any{}
+	if err := json.Unmarshal(text[start:], &fields); err != nil {
+		return Line{}, false
+	}
+	event, ok := fields["event"].(float64)
+	if !ok {
+		return Line{}, false
+	}
+	l := Line{Source: source, Event: int(event), Fields: fields}
+	l.Text, _ = fields["msg"].(string)
+	prefix := strings.Fields(string(text[:start]))
+	if len(prefix) >= 2 {
+		l.Source = prefix[1]
+	}
+	l.At = timeOf(prefix, fields)
+	return l, true
+}
+
+// timeOf prefers the time before the JSON, which is finer than that in it.
+func timeOf(prefix []string, fields map[string]any) time.Duration {
+	if len(prefix) > 0 {
+		if s, err := strconv.ParseFloat(prefix[0], 64); err == nil {
+			return time.Duration(s * float64(time.Second))
+		}
+	}
+	text, _ := fields["time"].(string)
+	at, err := time.Parse(time.RFC3339Nano, text)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(at.UnixNano())
+}
+
+// details lists the fields of a line that say more than its text.
+func details(fields map[string]any) string {
+	var names []string
+	for name := range fields {
+		switch name {
+		case "event", "level", "msg", "time", "request":
+		default:
+			names = append(names, name)
+		}
+	}
+	sort.Strings(names)
+	var b strings.Builder
+	for _, name := range names {
+		fmt.Fprintf(&b, " %s=%v", name, fields[name])
+	}
+	return b.String()
+}
--- a/internal/zpgateway/gateway.go
+++ b/internal/zpgateway/gateway.go
@@ -42,7 +42,6 @@
 	Metrics    *zpmetric.Metrics
 	Clock      func() time.Time
 	Random     func() float64 // in [0, 1)
-	Leaving    func() bool
 	Open       atomic.Int64
 
 	flights flights
@@ -84,8 +83,6 @@
 		"the endpoint's answer was lost or damaged", "ask the service what became of the request").WithState(zperror.RunStateUnknown)
 	errQuarantined = zperror.New(zperror.KindUnavailable, "request_quarantined",
 		"equal requests crashed several endpoints", "change the request; see docs/operators/crashing_request.md")
-	errLeaving = zperror.New(zperror.KindUnavailable, "daemon_leaving",
-		"this daemon is stopping", "send the request again on a new connection")
 	errCallerGone = zperror.New(zperror.KindCancelled, "caller_gone",
 		"the caller closed the connection", "none")
 )
