Repeat what an endpoint leaves without an answer; shut endpoints that refuse; count transfers

Change: a run of a repeatable request without a byte in time is cancelled and repeated within the retry budget; an accepted order extends the time in which its engine takes nothing; an endpoint that refuses takes nothing for 100 ms and more, so that requests wait for another one; transfers between engines and stores are counted on both links. Ruled out: repeating short prompts after 60% of their objective (they lose their place at a busy engine).

--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -68,8 +68,8 @@
 	storeStateAge    = 2 * time.Second // freshness of what followers tell of stores
 	storeSettle      = 3 * time.Second // longer than any daemon uses an older state
 	crashRetention   = 5 * time.Minute
-	retryShare       = 0.5                    // of the fleet's budget that is used, so that views may differ
-	retryBurst       = 3                      // repeats that a daemon saves up
+	retryShare       = 0.9                    // of the fleet's budget that is used, so that views may differ
+	retryBurst       = 4                      // repeats that a daemon saves up
 	stopReserve      = 300 * time.Millisecond // before SIGKILL
 	defaultBodyLimit = 4 << 20
 	defaultHeader    = 3 * time.Second
--- a/internal/zpgateway/gateway_test.go
+++ b/internal/zpgateway/gateway_test.go
@@ -240,8 +240,12 @@
 		Entry("a compressed answer is not passed on", "book", []step{answers(200, "x", func(a *zpgateway.Answer) { a.Encoded = true })}, 502, zperror.RunStateUnknown, 1),
 		Entry("a failure of the endpoint is passed on", "book", []step{answers(500, "bad")}, 500, zperror.RunStateRan, 1),
 		Entry("a read whose answer is lost is sent again", "read", []step{resets, answers(200, "ok")}, 200, zperror.RunStateRan, 2),
+		Entry("a read without an answer is sent again while it can be on time", "read", []step{silent, answers(200, "ok")}, 200, zperror.RunStateRan, 2),
+		Entry("a stream that may be resumed likewise", "tag", []step{silent, answers(200, events)}, 200, zperror.RunStateRan, 2),
+		Entry("a stream that may not be resumed waits", "draft", []step{silent}, 504, zperror.RunStateUnknown, 1),
 		Entry("a read that fails is sent again", "read", []step{answers(500, "bad"), answers(200, "ok")}, 200, zperror.RunStateRan, 2),
 		Entry("a read runs on no more endpoints than allowed", "read", []step{answers(500, "bad")}, 500, zperror.RunStateRan, 2),
+		Entry("a read that failed once and is refused then gets the failure", "read", []step{answers(500, "bad"), refuses(503)}, 500, zperror.RunStateRan, 3),
 		Entry("a read after a lost run is not said not to have run", "read", []step{resets, refuses(503)}, 502, zperror.RunStateUnknown, 3),
 		Entry("a stream that was not begun is not sent again unless it may be", "draft", []step{resets}, 502, zperror.RunStateUnknown, 1),
 	)
--- a/internal/zpgateway/parts.go
+++ b/internal/zpgateway/parts.go
@@ -12,7 +12,8 @@
 	source struct {
 		holder  string
 		address string
-		time    time.Duration
+		time    time.Duration // of the transfer
+		wait    time.Duration // for transfers before it
 	}
 
 	// News is what other daemons should know of parts.
@@ -29,6 +30,12 @@
 // ReadLimit is how long a part is expected to be read at an engine.
 const ReadLimit = 2 * time.Second
 
+// Names under which the time of transfers, in ms, is counted in place of tokens.
+const (
+	inLink  = "in/"
+	outLink = "out/"
+)
+
 // Factors by which moving a part takes longer over a border.
 const (
 	domainFactor = 2
@@ -46,6 +53,13 @@
 // sources for the parts that follow. A part is of use only after all parts
 // before it.
 func (g *Gateway) findParts(j *job, c *choice, now time.Time) {
+	defer func() {
+		// Transfers of an engine run one after the other, and wait for those of their
+		// source.
+		if len(c.moves) > 0 {
+			c.candidate.FetchTime += max(g.transfers(inLink, c.endpoint.ID, now), c.moves[len(c.moves)-1].wait)
+		}
+	}()
 	parts := j.request.Prompt.SharedParts()
 	for i, part := range parts {
 		key := zpparts.Key{Salt: c.salt, Part: part.ID}
@@ -69,9 +83,32 @@
 		c.candidate.FetchTokens += part.Tokens - held
 		c.candidate.FetchTime += s.time
 		c.source = s.holder
+		c.moves = append(c.moves, s)
 	}
 }
 
+// transfers returns how long the transfers last that are on their way over a
+// link. They are counted until the first piece of the answer.
+func (g *Gateway) transfers(direction, holder string, now time.Time) time.Duration {
+	return time.Duration(g.Usage.Total(direction+holder, now).PrefillTokens) * time.Millisecond
+}
+
+// beginTransfers counts the transfers of a run on the links of both sides.
+func (g *Gateway) beginTransfers(c *choice) {
+	for _, s := range c.moves {
+		ms := max(int(s.time.Milliseconds()), 1)
+		c.links = append(c.links, g.Usage.Begin(outLink+s.holder, ms, 0), g.Usage.Begin(inLink+c.endpoint.ID, ms, 0))
+	}
+}
+
+// endTransfers stops counting them.
+func (c *choice) endTransfers() {
+	for _, l := range c.links {
+		l.End()
+	}
+	c.links = nil
+}
+
 // sourceOf returns the quickest source of a whole part for a candidate.
 func (g *Gateway) sourceOf(j *job, c *choice, key zpparts.Key, tokens int, now time.Time) (source, bool) {
 	var best source
@@ -81,7 +118,11 @@
 			continue
 		}
 		s, ok := g.source(j, c, holder, tokens, now)
-		if ok && (!found || s.time < best.time) {
+		if !ok {
+			continue
+		}
+		s.wait = g.transfers(outLink, holder, now)
+		if !found || s.wait+s.time < best.wait+best.time {
 			best, found = s, true
 		}
 	}
@@ -95,7 +136,10 @@
 		if g.Suspects.Suspect(e.ID, now) || g.Weights.Changing(e.ID, now) || !j.regions().Allows(e.Region) {
 			return source{}, false
 		}
-		return source{holder, e.Address, moveTime(tokens, engine.TokenBytes, engine.LinkMbps, place{e.Domain, e.Region}, to)}, true
+		return source{
+			holder: holder, address: e.Address,
+			time: moveTime(tokens, engine.TokenBytes, engine.LinkMbps, place{e.Domain, e.Region}, to),
+		}, true
 	}
 	p, ok := j.catalog.PoolOf(holder)
 	if !ok || p.CacheStore == nil || !g.Stores.Readable(holder, now) {
@@ -106,7 +150,10 @@
 		return source{}, false
 	}
 	link := min(p.CacheStore.LinkMbps, engine.LinkMbps)
-	return source{holder, p.CacheStore.Address, storeDelay + moveTime(tokens, engine.TokenBytes, link, from, to)}, true
+	return source{
+		holder: holder, address: p.CacheStore.Address,
+		time: storeDelay + moveTime(tokens, engine.TokenBytes, link, from, to),
+	}, true
 }
 
 // prepare names a store for each shared part of the prompt that no store holds,
--- a/internal/zpgateway/place.go
+++ b/internal/zpgateway/place.go
@@ -19,7 +19,9 @@
 	weights   int64 // version that the engine must have; zero: any
 	salt      string
 	fetch     []Transfer
-	source    string // of the longest fetch
+	source    string // of the last fetch
+	moves     []source
+	links     []*zpusage.Run // transfers that are counted
 	save      []Transfer
 	among     int // candidates
 	use       *zpusage.Run
@@ -55,7 +57,7 @@
 			continue
 		}
 		v = verdictFull
-		if zpplace.HasRoom(ask, c.candidate, g.Rates) {
+		if !g.Suspects.Shut(e.ID, now) && zpplace.HasRoom(ask, c.candidate, g.Rates) {
 			list = append(list, c)
 			candidates = append(candidates, c.candidate)
 		}
@@ -70,6 +72,7 @@
 		}
 		c.cost, c.among = cost, len(candidates)
 		c.use = g.Usage.Begin(c.endpoint.ID, c.prefill(), zpplace.Memory(ask))
+		g.beginTransfers(&c)
 		g.prepare(j, &c, now)
 		return c, verdictChosen
 	}
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -11,6 +11,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpquarantine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpregistry"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpretry"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
 )
 
@@ -30,6 +31,7 @@
 	resultNotRun                // the endpoint has not run the request
 	resultFailed                // the endpoint answered with a failure, kept in job.failure
 	resultBroken                // the request may have run, and its answer is lost
+	resultSilent                // no byte came in time; the run was cancelled and may be repeated
 	resultStopped               // the caller is gone or the time is up
 )
 
@@ -42,9 +44,9 @@
 	for {
 		c, err := g.place(ctx, j)
 		if err != nil {
-			return g.unanswered(j, err)
+			return g.giveUp(j, reply, sent{err: g.unanswered(j, err)})
 		}
-		s := g.send(ctx, j, c, reply)
+		s := g.send(ctx, j, c, budget, reply)
 		switch s.result {
 		case resultDone:
 			return nil
@@ -53,8 +55,10 @@
 		case resultNotRun:
 			refusals++
 			if refusals > maxRefusals || !budget.Take() {
-				return g.unanswered(j, errBusy.WithRetryAfter(retryAfterBusy).WithCause(s.err))
+				return g.giveUp(j, reply, sent{err: g.unanswered(j, errBusy.WithRetryAfter(retryAfterBusy).WithCause(s.err))})
 			}
+		case resultSilent:
+			// The repeat was taken from the budget when the run was cancelled.
 		case resultFailed, resultBroken:
 			if !g.mayRepeat(j) || !budget.Take() {
 				return g.giveUp(j, reply, s)
@@ -87,8 +91,7 @@
 	return s.err
 }
 
-// unanswered gives an error the run state of the sends before it. A failure
-// that an endpoint answered goes to the caller instead.
+// unanswered gives an error the run state of the sends before it.
 func (g *Gateway) unanswered(j *job, err error) error {
 	e := zperror.Of(err)
 	if j.runState == zperror.RunStateNotRun {
@@ -98,8 +101,9 @@
 }
 
 // send sends the request to the chosen endpoint and hands its answer on.
-func (g *Gateway) send(ctx context.Context, j *job, c choice, reply Reply) sent {
+func (g *Gateway) send(ctx context.Context, j *job, c choice, budget *zpretry.Budget, reply Reply) sent {
 	defer c.use.End()
+	defer c.endTransfers()
 	now := g.Clock()
 	left := j.left(now)
 	if left < minimalRun {
@@ -111,6 +115,8 @@
 	}
 	ctx, cancel := context.WithTimeoutCause(ctx, left, errTimeout)
 	defer cancel()
+	ctx, watch := g.watchFirstByte(ctx, j, c, budget)
+	defer watch.end()
 	j.attempts++
 	gate := &zpengine.Gate{Deadline: j.deadline, Clock: g.Clock}
 	g.Log.Emit(zplog.RequestPlaced, g.fields(j, c.fields()))
@@ -127,8 +133,10 @@
 	j.runState = zperror.RunStateUnknown
 	var first time.Duration
 	s := g.deliver(ctx, j, answer, reply, func() {
+		watch.stop()
 		first = g.Clock().Sub(now)
 		c.use.Started()
+		c.endTransfers()
 		g.noteRead(j, c)
 	})
 	switch s.result {
@@ -163,7 +171,7 @@
 // brokenAnswer judges a request whose answer broke off after it was sent.
 func (g *Gateway) brokenAnswer(ctx context.Context, j *job, c choice, s sent) sent {
 	if stopped, ok := g.stopped(ctx, j); ok {
-		if errors.Is(stopped.err, errTimeout) {
+		if stopped.result == resultSilent || errors.Is(stopped.err, errTimeout) {
 			g.Suspects.Failed(c.endpoint.ID, FailureSilence, g.Clock())
 		}
 		return stopped
@@ -179,6 +187,9 @@
 	if ctx.Err() == nil && j.left(g.Clock()) > 0 {
 		return sent{}, false
 	}
+	if errors.Is(context.Cause(ctx), errSilent) {
+		return sent{resultSilent, errSilent}, true
+	}
 	if errors.Is(context.Cause(ctx), context.Canceled) {
 		return sent{resultStopped, errCallerGone.WithState(j.runState)}, true
 	}
@@ -217,5 +228,5 @@
 }
 
 func (r result) String() string {
-	return [...]string{"done", "not_run", "failed", "broken", "stopped"}[r]
+	return [...]string{"done", "not_run", "failed", "broken", "silent", "stopped"}[r]
 }
--- a/internal/zpgateway/suspects.go
+++ b/internal/zpgateway/suspects.go
@@ -17,7 +17,8 @@
 	}
 
 	suspect struct {
-		until    time.Time
+		until    time.Time // costs more until then
+		shut     time.Time // takes nothing until then
 		inARow   int
 		failures float64 // moving average: 1 is a failure, 0 a success
 	}
@@ -41,6 +42,9 @@
 
 	firstAvoidance = 300 * time.Millisecond // doubles with each failure in a row
 	maxAvoidance   = 4 * time.Second
+
+	firstShut = 100 * time.Millisecond // doubles with each failure in a row
+	maxShut   = time.Second
 )
 
 // NewSuspects returns an empty list.
@@ -57,6 +61,10 @@
 		return
 	}
 	r.until = now.Add(min(firstAvoidance<<min(r.inARow-1, 8), maxAvoidance))
+	switch f {
+	case FailureConnect, FailureRefusal, FailureOther:
+		r.shut = now.Add(min(firstShut<<min(r.inARow-1, 8), maxShut))
+	}
 }
 
 // Succeeded notes a whole answer.
@@ -79,6 +87,15 @@
 	return ok && now.Before(r.until)
 }
 
+// Shut reports whether an endpoint has just taken no request, so that another
+// one would only be refused as well.
+func (s *Suspects) Shut(endpoint string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r, ok := s.records[endpoint]
+	return ok && now.Before(r.shut)
+}
+
 // Forget drops what is known of an endpoint that is gone.
 func (s *Suspects) Forget(endpoint string) {
 	s.mu.Lock()
--- a/internal/zplog/event.go
+++ b/internal/zplog/event.go
@@ -50,6 +50,7 @@
 	RequestPlaced     = Event{402, logrus.InfoLevel, "request sent to an endpoint", "none"}
 	RequestAnswered   = Event{404, logrus.InfoLevel, "request answered", "none"}
 	RequestWaits      = Event{405, logrus.InfoLevel, "request waits for room at an endpoint", "see docs/operators/overload.md if many do"}
+	RequestSilent     = Event{406, logrus.InfoLevel, "endpoint sent no byte in time; the run is cancelled and repeated", "check the endpoint if it repeats"}
 	CrashNoted        = Event{403, logrus.WarnLevel, "request was present at the fall of an endpoint", "see docs/operators/crashing_request.md"}
 	EndpointSuspect   = Event{500, logrus.WarnLevel, "endpoint shows signs of a cold start; new work is held", "none; check the endpoint if it persists"}
 	EndpointWarm      = Event{501, logrus.InfoLevel, "endpoint is warm", "none"}
@@ -84,7 +85,7 @@
 		LeaseRenewFailed, LeaseLost, LeaseLapsed, MemberEnded, PartitionTaken, PartitionLeft, DutyTaken, DutyLeft,
 		ConfigApplied, ConfigRefused, ConfigStale, ConfigFresh, WatchFailed,
 		StoreAway, StoreBack, EntryIgnored, EvacuationChanged,
-		RequestFailed, RequestRetried, RequestPlaced, CrashNoted, RequestAnswered, RequestWaits,
+		RequestFailed, RequestRetried, RequestPlaced, CrashNoted, RequestAnswered, RequestWaits, RequestSilent,
 		EndpointSuspect, EndpointWarm, OrderGiven, EndpointChanged, EndpointGone, WeightsNamed, WeightsLoaded, OrderFailed, StoreState,
 		FingerprintBanned, ClaimSettleFailed, PeerFailed, PeerLost, PeerBack, ServerFailed, LinesDropped,
 	}
--- a/internal/zpplace/place.go
+++ b/internal/zpplace/place.go
@@ -68,13 +68,18 @@
 		return cost + r.ServiceTime*time.Duration(c.Use.Requests)/time.Duration(max(c.Slots, 1))
 	}
 	found := c.CachedTokens + c.FetchTokens
-	read := max(a.PromptTokens-found, 0)
-	cost += prefillTime(c.Use.PrefillTokens+read, r.PrefillPerMS) + c.FetchTime
+	cost += ReadTime(a, c, r)
 	cost += r.RereadPerToken * time.Duration(max(a.SharedTokens-found, 0))
 	cost += r.RunningPenalty * time.Duration(c.Use.Requests)
 	return cost
 }
 
+// ReadTime estimates how long a prompt takes to be read, after those before it.
+func ReadTime(a Ask, c Candidate, r Rates) time.Duration {
+	read := max(a.PromptTokens-c.CachedTokens-c.FetchTokens, 0)
+	return prefillTime(c.Use.PrefillTokens+read, r.PrefillPerMS) + c.FetchTime
+}
+
 // HasRoom reports whether a candidate can take a request without making it wait
 // long. An idle candidate can take any.
 func HasRoom(a Ask, c Candidate, r Rates) bool {
--- a/internal/zprollout/rollout.go
+++ b/internal/zprollout/rollout.go
@@ -236,6 +236,10 @@
 	}
 	r.Log.Emit(zplog.OrderGiven, fields)
 	switch verdict {
+	case VerdictAccepted:
+		// An engine that takes a second order in a row stays without requests.
+		r.Board.SetChanging(e.ID, r.Clock().Add(changeLimit))
+		r.Tell(e.ID, changeLimit)
 	case VerdictHolds:
 		r.Seen(e.ID, o.Model, o.Version)
 	case VerdictFenced:
