--- a/internal/zpgateway/parts.go
+++ b/internal/zpgateway/parts.go
@@ -13,7 +13,6 @@
 		holder  string
 		address string
 		time    time.Duration // of the transfer
-		wait    time.Duration // for transfers before it
 	}
 
 	// News is what other daemons should know of parts.
@@ -30,12 +29,6 @@
 // ReadLimit is how long a part is expected to be read at an engine.
 const ReadLimit = 2 * time.Second
 
-// Names under which the time of transfers, in ms, is counted in place of tokens.
-const (
-	inLink  = "in/"
-	outLink = "out/"
-)
-
 // Factors by which moving a part takes longer over a border.
 const (
 	domainFactor = 2
@@ -53,13 +46,6 @@
 // sources for the parts that follow. A part is of use only after all parts
 // before it.
 func (g *Gateway) findParts(j *job, c *choice, now time.Time) {
-	defer func() {
-		// Transfers of an engine run one after the other, and wait for those of their
-		// source.
-		if len(c.moves) > 0 {
-			c.candidate.FetchTime += max(g.transfers(inLink, c.endpoint.ID, now), c.moves[len(c.moves)-1].wait)
-		}
-	}()
 	parts := j.request.Prompt.SharedParts()
 	for i, part := range parts {
 		key := zpparts.Key{Salt: c.salt, Part: part.ID}
@@ -83,32 +69,9 @@
 		c.candidate.FetchTokens += part.Tokens - held
 		c.candidate.FetchTime += s.time
 		c.source = s.holder
-		c.moves = append(c.moves, s)
 	}
 }
 
-// transfers returns how long the transfers last that are on their way over a
-// link. They are counted until the first piece of the answer.
-func (g *Gateway) transfers(direction, holder string, now time.Time) time.Duration {
-	return time.Duration(g.Usage.Total(direction+holder, now).PrefillTokens) * time.Millisecond
-}
-
-// beginTransfers counts the transfers of a run on the links of both sides.
-func (g *Gateway) beginTransfers(c *choice) {
-	for _, s := range c.moves {
-		ms := max(int(s.time.Milliseconds()), 1)
-		c.links = append(c.links, g.Usage.Begin(outLink+s.holder, ms, 0), g.Usage.Begin(inLink+c.endpoint.ID, ms, 0))
-	}
-}
-
-// endTransfers stops counting them.
-func (c *choice) endTransfers() {
-	for _, l := range c.links {
-		l.End()
-	}
-	c.links = nil
-}
-
 // sourceOf returns the quickest source of a whole part for a candidate.
 func (g *Gateway) sourceOf(j *job, c *choice, key zpparts.Key, tokens int, now time.Time) (source, bool) {
 	var best source
@@ -118,11 +81,7 @@
 			continue
 		}
 		s, ok := g.source(j, c, holder, tokens, now)
-		if !ok {
-			continue
-		}
-		s.wait = g.transfers(outLink, holder, now)
-		if !found || s.wait+s.time < best.wait+best.time {
+		if ok && (!found || s.time < best.time) {
 			best, found = s, true
 		}
 	}
--- a/internal/zpgateway/place.go
+++ b/internal/zpgateway/place.go
@@ -20,8 +20,6 @@
 	salt      string
 	fetch     []Transfer
 	source    string // of the last fetch
-	moves     []source
-	links     []*zpusage.Run // transfers that are counted
 	save      []Transfer
 	among     int // candidates
 	use       *zpusage.Run
@@ -72,7 +70,6 @@
 		}
 		c.cost, c.among = cost, len(candidates)
 		c.use = g.Usage.Begin(c.endpoint.ID, c.prefill(), zpplace.Memory(ask))
-		g.beginTransfers(&c)
 		g.prepare(j, &c, now)
 		return c, verdictChosen
 	}
--- a/internal/zpgateway/room.go
+++ b/internal/zpgateway/room.go
@@ -91,7 +91,6 @@
 		// The choice was made just before the caller left.
 		if p := <-w.out; p.err == nil {
 			p.choice.use.End()
-			p.choice.endTransfers()
 		}
 	}
 	return choice{}, errCallerGone.WithState(w.job.runState)
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -103,7 +103,6 @@
 // send sends the request to the chosen endpoint and hands its answer on.
 func (g *Gateway) send(ctx context.Context, j *job, c choice, budget *zpretry.Budget, reply Reply) sent {
 	defer c.use.End()
-	defer c.endTransfers()
 	now := g.Clock()
 	left := j.left(now)
 	if left < minimalRun {
@@ -136,7 +135,6 @@
 		watch.stop()
 		first = g.Clock().Sub(now)
 		c.use.Started()
-		c.endTransfers()
 		g.noteRead(j, c)
 	})
 	switch s.result {
