Trial: send prompts of which no holder is known where all daemons would

Change: among the engines of the region, the one that a rendezvous hash names gets a bonus of 150 ms.

--- a/internal/zpgateway/parts.go
+++ b/internal/zpgateway/parts.go
@@ -5,6 +5,7 @@
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpparts"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpplace"
 )
 
 type (
@@ -72,6 +73,33 @@
 	}
 }
 
+// prefer marks the engine of this region that a rendezvous hash names for a
+// prompt of which no holder is known. Daemons that have not heard of each
+// other's prompts yet send equal ones to the same engine.
+func (g *Gateway) prefer(j *job, list []choice, candidates []zpplace.Candidate, now time.Time) {
+	parts := j.request.Prompt.SharedParts()
+	if len(parts) == 0 {
+		return
+	}
+	last := parts[len(parts)-1].ID
+	best, bestRank := -1, uint64(0)
+	for i, c := range list {
+		if c.weights == 0 || c.endpoint.Region != g.Region {
+			continue
+		}
+		key := zpparts.Key{Salt: c.salt, Part: last}
+		if g.Parts.IsExpected(c.endpoint.ID, key, now) || g.Parts.IsHeld(key) {
+			return
+		}
+		if rank := zpplace.Weigh(c.endpoint.ID, last); best < 0 || rank > bestRank {
+			best, bestRank = i, rank
+		}
+	}
+	if best >= 0 {
+		candidates[best].Preferred = true
+	}
+}
+
 // sourceOf returns the quickest source of a whole part for a candidate.
 func (g *Gateway) sourceOf(j *job, c *choice, key zpparts.Key, tokens int, now time.Time) (source, bool) {
 	var best source
@@ -125,7 +153,7 @@
 	defer func() { g.tell(news) }()
 	for _, part := range j.request.Prompt.SharedParts() {
 		change := zpparts.Change{Holder: c.endpoint.ID, Key: zpparts.Key{Salt: c.salt, Part: part.ID}, Tokens: part.Tokens}
-		if len(g.Parts.Holders(change.Key)) == 0 && !g.Parts.IsExpected(c.endpoint.ID, change.Key, now) {
+		if !g.Parts.IsHeld(change.Key) && !g.Parts.IsExpected(c.endpoint.ID, change.Key, now) {
 			g.Parts.Expect(change, now.Add(ReadLimit))
 			news.Expected = append(news.Expected, change)
 		}
--- a/internal/zpgateway/place.go
+++ b/internal/zpgateway/place.go
@@ -60,6 +60,7 @@
 			candidates = append(candidates, c.candidate)
 		}
 	}
+	g.prefer(j, list, candidates, now)
 	for len(list) > 0 {
 		i, cost := zpplace.Best(ask, candidates, g.Rates)
 		c := list[i]
--- a/internal/zpparts/directory.go
+++ b/internal/zpparts/directory.go
@@ -117,6 +117,13 @@
 	return out
 }
 
+// IsHeld reports whether any holder of a part is known.
+func (d *Directory) IsHeld(key Key) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.parts[key]) > 0
+}
+
 // HeldBy lists what a holder has.
 func (d *Directory) HeldBy(name string) []Change {
 	d.mu.Lock()
--- a/internal/zpplace/cold.go
+++ b/internal/zpplace/cold.go
@@ -55,10 +55,10 @@
 
 // Rank returns the place of self in the rendezvous order of daemons for a key.
 func Rank(self, key string, daemons []string) int {
-	own := rendezvous(self, key)
+	own := Weigh(self, key)
 	above := 0
 	for _, d := range daemons {
-		if h := rendezvous(d, key); d != self && (h > own || h == own && d > self) {
+		if h := Weigh(d, key); d != self && (h > own || h == own && d > self) {
 			above++
 		}
 	}
@@ -71,11 +71,13 @@
 		return ""
 	}
 	list := append([]string(nil), members...)
-	sort.Slice(list, func(i, j int) bool { return rendezvous(list[i], key) > rendezvous(list[j], key) })
+	sort.Slice(list, func(i, j int) bool { return Weigh(list[i], key) > Weigh(list[j], key) })
 	return list[0]
 }
 
-func rendezvous(member, key string) uint64 {
+// Weigh returns the weight of a member in the rendezvous for a key; the highest
+// one wins.
+func Weigh(member, key string) uint64 {
 	h := fnv.New64a()
 	// Writes to a hash do not fail.
 	_, _ = h.Write([]byte(member))
--- a/internal/zpplace/place.go
+++ b/internal/zpplace/place.go
@@ -33,6 +33,7 @@
 		Suspect      bool // failed lately
 		Cold         bool
 		OldWeights   bool // newer ones are named
+		Preferred    bool // by all daemons alike, for a prompt that no holder is known of
 	}
 
 	// Rates turn loads into time.
@@ -45,6 +46,7 @@
 		ColdPenalty    time.Duration
 		OldPenalty     time.Duration // for old weights
 		RereadPerToken time.Duration // for reading a shared token that was read before elsewhere
+		PreferredBonus time.Duration // for the engine that all daemons prefer
 		RunningPenalty time.Duration // for each running request, as it slows the others
 		MemoryShare    float64       // of an engine's memory that requests may fill
 		SlotFactor     int           // requests on a plain service for each of its slots
@@ -70,6 +72,9 @@
 	found := c.CachedTokens + c.FetchTokens
 	cost += ReadTime(a, c, r)
 	cost += r.RereadPerToken * time.Duration(max(a.SharedTokens-found, 0))
+	if c.Preferred {
+		cost -= r.PreferredBonus
+	}
 	cost += r.RunningPenalty * time.Duration(c.Use.Requests)
 	return cost
 }
--- a/internal/zpplace/rates.go
+++ b/internal/zpplace/rates.go
@@ -14,6 +14,7 @@
 		ColdPenalty:    time.Second,            // a cold engine is slow for seconds
 		OldPenalty:     150 * time.Millisecond, // answers of old weights are worth a fifth less
 		RereadPerToken: 30 * time.Microsecond,  // a shared token read again costs more than its time
+		PreferredBonus: 150 * time.Millisecond, // of the same order as reading a long prompt again
 		RunningPenalty: 2 * time.Millisecond,   // each running request slows the steps of all
 		MemoryShare:    0.95,                   // the rest is for answers longer than told
 		SlotFactor:     2,                      // one request runs and one waits for each slot
