--- a/spec/check.sh
+++ b/spec/check.sh
@@ -47,4 +47,9 @@
 check configuration no_late_work violated YOUNG_PROOF
 check configuration no_lost_change holds
 check configuration no_lost_change violated NO_CONDITION
+check duty one_at_a_time holds
+check duty one_at_a_time violated NO_TURN
+check duty one_at_a_time violated FROM_ANSWER
+check duty one_at_a_time violated KEEP_RELEASED
+check duty one_at_a_time violated NO_CONDITION
 exit $failed
