Repeat a silent run only if another endpoint could take it

Cause: the spec 'stops without cutting a request' failed once the silence watch was in: with one endpoint the run was cancelled and the caller got 502, as no other endpoint could take the repeat. Change: the watch asks first; a spec of the gateway without network fails without that.

--- a/internal/zpgateway/gateway_test.go
+++ b/internal/zpgateway/gateway_test.go
@@ -255,6 +255,14 @@
 		expectRefused(s.serve(request("read")), http.StatusBadGateway, zperror.RunStateUnknown)
 	})
 
+	It("does not give up a silent run if no other endpoint could take the request", func() {
+		s := newSite(silent, answers(http.StatusOK, "ok"))
+		s.Registry.Remove("e2", time.Now())
+		s.Registry.Remove("e3", time.Now())
+		expectRefused(s.serve(request("read")), http.StatusGatewayTimeout, zperror.RunStateUnknown)
+		Expect(s.runner.runs).To(HaveLen(1))
+	})
+
 	It("passes the answer on unchanged", func() {
 		r := newSite(answers(http.StatusOK, "ok")).serve(request("book"))
 		expectAnswer(r, http.StatusOK, "ok")
--- a/internal/zpgateway/silence.go
+++ b/internal/zpgateway/silence.go
@@ -45,7 +45,7 @@
 		return ctx, w
 	}
 	w.timer = time.AfterFunc(patience, func() {
-		if budget.Take() {
+		if g.hasOther(j, c) && budget.Take() {
 			g.Log.Emit(zplog.RequestSilent, g.fields(j, zplog.Fields{
 				"endpoint": c.endpoint.ID, "patience_ms": patience.Milliseconds(), "expected_ms": c.cost.Milliseconds(),
 			}))
@@ -55,6 +55,20 @@
 	return ctx, w
 }
 
+// hasOther reports whether another endpoint could take a repeat of the run.
+func (g *Gateway) hasOther(j *job, c choice) bool {
+	now := g.Clock()
+	for _, e := range g.Registry.Serving(j.pool.Name, now) {
+		if e.ID == c.endpoint.ID || g.Suspects.Shut(e.ID, now) {
+			continue
+		}
+		if _, ok := g.consider(j, e, c.ask, now); ok {
+			return true
+		}
+	}
+	return false
+}
+
 // patience returns how long a run may take until its first byte.
 func (g *Gateway) patience(j *job, c choice) time.Duration {
 	if j.route.Kind != zpcatalog.KindStream {
--- a/internal/zpgateway/types.go
+++ b/internal/zpgateway/types.go
@@ -78,15 +78,6 @@
 		NotRun        bool  // the endpoint says that it has not run the request
 		OtherInstance bool  // another endpoint has the address, or other weights
 		WeightVersion int64 // zero: unknown
-		Load          *Load
-		Leaving       bool // the endpoint closes the connection
-	}
-
-	// Load is what an endpoint says of itself in an answer.
-	Load struct {
-		Running int
-		Waiting int
-		Slots   int
 	}
 
 	// Runner sends requests to endpoints. An error means that there is no answer;
--- /dev/null
+++ b/internal/zpmirror/mirror_test.go
@@ -0,0 +1,78 @@
+package zpmirror_test
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmirror"
+	"github.com/zinniapaddle/zinniapaddle/pkg/zpobject"
+)
+
+var _ = Describe("Mirror", func() {
+	var store *zpobject.Memory
+	var down atomic.Bool
+	var lists, changes, away, back atomic.Int64
+	var mirror *zpmirror.Mirror
+
+	BeforeEach(func() {
+		store = zpobject.NewMemory()
+		down.Store(false)
+		for _, n := range []*atomic.Int64{&lists, &changes, &away, &back} {
+			n.Store(0)
+		}
+		store.Fault = func(string, string) zpobject.Fault {
+			if down.Load() {
+				return zpobject.FaultDown
+			}
+			return zpobject.FaultNone
+		}
+		mirror = &zpmirror.Mirror{
+			API: store, Prefix: "kind/", Wait: 50 * time.Millisecond,
+			OnList: func([]zpobject.Object) { lists.Add(1) }, OnChange: func(zpobject.Object) { changes.Add(1) },
+			OnAway: func(error) { away.Add(1) }, OnBack: func() { back.Add(1) },
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			mirror.Run(ctx)
+			close(done)
+		}()
+		DeferCleanup(func() {
+			cancel()
+			<-done
+		})
+		Eventually(lists.Load).Should(BeEquivalentTo(1))
+	})
+
+	put := func(name string) {
+		GinkgoHelper()
+		_, err := store.Put(context.Background(), name, []byte("1"), 0)
+		Expect(err).NotTo(HaveOccurred())
+	}
+
+	It("follows changes of its kind", func() {
+		put("kind/a")
+		put("other/a")
+		Eventually(changes.Load).Should(BeEquivalentTo(1))
+		Consistently(changes.Load, "100ms").Should(BeEquivalentTo(1))
+	})
+
+	It("tells of an outage once, and lists anew afterwards", func() {
+		down.Store(true)
+		Eventually(away.Load).Should(BeEquivalentTo(1))
+		Consistently(away.Load, "200ms").Should(BeEquivalentTo(1))
+		down.Store(false)
+		Eventually(back.Load, "2s").Should(BeEquivalentTo(1))
+		Eventually(lists.Load).Should(BeEquivalentTo(2))
+	})
+
+	It("lists anew when it is restarted", func() {
+		mirror.Restart()
+		Eventually(lists.Load).Should(BeEquivalentTo(2))
+		Expect(away.Load()).To(BeZero())
+	})
+})
--- a/internal/zpparts/follower.go
+++ b/internal/zpparts/follower.go
@@ -16,10 +16,9 @@
 
 	// Content is all that a store holds.
 	Content struct {
-		Epoch  int64
-		Next   int64
-		Whole  []Change
-		Broken []Key // parts whose saving broke off or goes on
+		Epoch int64
+		Next  int64
+		Whole []Change
 	}
 
 	// Source asks holders for their parts.
--- /dev/null
+++ b/internal/zpshare/sharer_test.go
@@ -0,0 +1,122 @@
+package zpshare_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
+	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpparts"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpshare"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpusage"
+)
+
+// fakePeer takes the messages of one daemon.
+type fakePeer struct {
+	mu       sync.Mutex
+	instance string
+	down     bool
+	got      []zpshare.Message
+}
+
+func (p *fakePeer) send(_ context.Context, _ string, m zpshare.Message) (string, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.down {
+		return "", errors.New("down")
+	}
+	p.got = append(p.got, m)
+	return p.instance, nil
+}
+
+func (p *fakePeer) set(change func()) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	change()
+}
+
+// parts returns how often a part was told.
+func (p *fakePeer) parts(name string) func() int {
+	return func() int {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		n := 0
+		for _, m := range p.got {
+			for _, c := range m.Parts {
+				if c.Key.Part == name {
+					n++
+				}
+			}
+		}
+		return n
+	}
+}
+
+func news(part string) zpshare.Message {
+	return zpshare.Message{Parts: []zpparts.Change{{Holder: "e", Key: zpparts.Key{Part: part}, Tokens: 1}}}
+}
+
+var _ = Describe("Sharer", func() {
+	var peer *fakePeer
+	var sharer *zpshare.Sharer
+	var usage *zpusage.Tracker
+
+	BeforeEach(func() {
+		peer = &fakePeer{instance: "p.1"}
+		usage = zpusage.NewTracker(time.Second)
+		sharer = &zpshare.Sharer{
+			Self: "self", Domain: "a", Usage: usage,
+			Others:   func() []zpassign.Member { return []zpassign.Member{{Name: "p", Address: "p:1", Domain: "a"}} },
+			Send:     peer.send,
+			Snapshot: func() zpshare.Message { return news("snapshot") },
+			Log:      zplog.Discard(), Clock: time.Now,
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			sharer.Run(ctx)
+			close(done)
+		}()
+		DeferCleanup(func() {
+			cancel()
+			<-done
+		})
+		Eventually(peer.parts("snapshot")).Should(Equal(1))
+	})
+
+	It("tells news once", func() {
+		sharer.Add(news("x"))
+		Eventually(peer.parts("x")).Should(Equal(1))
+		Consistently(peer.parts("x"), "150ms").Should(Equal(1))
+		Expect(sharer.Alive()).To(HaveKey("p"))
+	})
+
+	It("tells of loads", func() {
+		run := usage.Begin("e", 5, 7)
+		defer run.End()
+		Eventually(func() zpusage.Use {
+			peer.mu.Lock()
+			defer peer.mu.Unlock()
+			return peer.got[len(peer.got)-1].Uses["e"]
+		}).Should(Equal(zpusage.Use{Requests: 1, PrefillTokens: 5, MemoryTokens: 7}))
+	})
+
+	It("gives a snapshot to a daemon that was away", func() {
+		peer.set(func() { peer.down = true })
+		sharer.Add(news("lost"))
+		Eventually(sharer.Alive, "4s").ShouldNot(HaveKey("p"))
+		peer.set(func() { peer.down = false })
+		Eventually(peer.parts("snapshot"), "3s").Should(Equal(2))
+	})
+
+	It("gives a snapshot to another life of a daemon", func() {
+		peer.set(func() { peer.instance = "p.2" })
+		sharer.Add(news("x"))
+		Eventually(peer.parts("snapshot"), "2s").Should(Equal(2))
+	})
+})
