End the silence watch before its run goes on

Cause: reading the change: the watch's timer could look at the request's set of tried endpoints while the run was ending and wrote to it; the race detector shows it with runs that break at the moment of the watch. Change: stopping the watch waits for it. The spec fails under the race detector without that.

--- a/internal/zpgateway/gateway_test.go
+++ b/internal/zpgateway/gateway_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
@@ -263,6 +264,26 @@
 		Expect(s.runner.runs).To(HaveLen(1))
 	})
 
+	It("ends its watch over a run before the request goes on", func() {
+		// Runs that break just when the watch looks; the race detector judges.
+		late := func(ctx context.Context, gate *zpengine.Gate) (*zpgateway.Answer, error) {
+			sendByte(gate)
+			select {
+			case <-time.After(120*time.Millisecond + time.Duration(rand.Int64N(int64(time.Millisecond)))):
+			case <-ctx.Done():
+			}
+			return nil, errReset
+		}
+		var all sync.WaitGroup
+		for range 100 {
+			all.Go(func() {
+				defer GinkgoRecover()
+				newSite(late, answers(http.StatusOK, "ok")).serve(request("read"))
+			})
+		}
+		all.Wait()
+	})
+
 	It("passes the answer on unchanged", func() {
 		r := newSite(answers(http.StatusOK, "ok")).serve(request("book"))
 		expectAnswer(r, http.StatusOK, "ok")
--- a/internal/zpgateway/silence.go
+++ b/internal/zpgateway/silence.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync"
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
@@ -16,6 +17,11 @@
 type firstByteWatch struct {
 	timer  *time.Timer
 	cancel context.CancelCauseFunc
+
+	// mu is held while the watch looks at the job, so that stop returns only when
+	// it looks no more.
+	mu      sync.Mutex
+	stopped bool
 }
 
 var errSilent = errors.New("the endpoint sent no byte in time")
@@ -45,7 +51,9 @@
 		return ctx, w
 	}
 	w.timer = time.AfterFunc(patience, func() {
-		if g.hasOther(j, c) && budget.Take() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if !w.stopped && g.hasOther(j, c) && budget.Take() {
 			g.Log.Emit(zplog.RequestSilent, g.fields(j, zplog.Fields{
 				"endpoint": c.endpoint.ID, "patience_ms": patience.Milliseconds(), "expected_ms": c.cost.Milliseconds(),
 			}))
@@ -80,6 +88,9 @@
 
 // stop ends the watch. A run that was cancelled stays so.
 func (w *firstByteWatch) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
 	if w.timer != nil {
 		w.timer.Stop()
 	}
