Freeze a daemon that could grant work in the proof of the configuration

The proof froze the fourth daemon, whichever it was; owners are chosen by a hash of instance names with a random part, and a daemon that owns no endpoint grants nothing by itself, so with all others frozen the mutant could not be seen. Ruled out: load; the outcome is fixed before the load matters. Change: the proof asks which daemon owns an endpoint and freezes that one, which is also the harder case for the proof itself.

--- a/internal/zpproof/configuration.go
+++ b/internal/zpproof/configuration.go
@@ -181,8 +181,13 @@
 // all others and hides the platform. The daemon still holds its lease when it
 // runs again, but cannot know the configuration, and must take no new work.
 func (e *Env) freezeOverChange(ctx context.Context) error {
-	frozen := e.Site.Daemons[3]
-	if a := e.prompt(ctx, 3, "shop-a", "before the freeze", 4); a.status != 200 {
+	// Only a daemon that owns an endpoint could grant new work by itself.
+	index, err := e.endpointOwner(ctx)
+	if err != nil {
+		return err
+	}
+	frozen := e.Site.Daemons[index]
+	if a := e.prompt(ctx, index, "shop-a", "before the freeze", 4); a.status != 200 {
 		return fmt.Errorf("before the freeze: %d %s", a.status, a.text)
 	}
 	if err := e.fault(frozen.Signal(syscall.SIGSTOP)); err != nil {
@@ -203,7 +208,10 @@
 		return fmt.Errorf("one daemon is frozen, and not confirmed by: %v", c.Unconfirmed)
 	}
 	taken := time.Now()
-	for _, d := range e.Site.Daemons[:3] {
+	for i, d := range e.Site.Daemons {
+		if i == index {
+			continue
+		}
 		if err := e.fault(d.Signal(syscall.SIGSTOP)); err != nil {
 			return err
 		}
@@ -214,12 +222,37 @@
 	if err := e.fault(frozen.Signal(syscall.SIGCONT)); err != nil {
 		return err
 	}
-	if err := e.noneTaken(ctx, 3); err != nil {
+	if err := e.noneTaken(ctx, index); err != nil {
 		return err
 	}
 	return e.noLateArrival(taken)
 }
 
+// endpointOwner returns the index of a daemon that owns an endpoint.
+func (e *Env) endpointOwner(ctx context.Context) (int, error) {
+	var names []string
+	for i := range e.Site.Runners {
+		names = append(names, e.Site.Manifest.Endpoints[i].Name)
+	}
+	o := e.operator()
+	statuses, err := o.Status(ctx)
+	if err != nil {
+		return 0, err
+	}
+	for _, s := range statuses {
+		owned, err := o.Exchange.At(s.Member.Address).Quote(ctx, names)
+		if err != nil || len(owned) == 0 {
+			continue
+		}
+		for i := range e.Site.Daemons {
+			if e.Site.Target(i) == "http://"+s.Member.Callers {
+				return i, nil
+			}
+		}
+	}
+	return 0, fmt.Errorf("no daemon owns an endpoint; the proof shows nothing")
+}
+
 // noneTaken sends prompts to a daemon and fails if it takes one.
 func (e *Env) noneTaken(ctx context.Context, daemon int) error {
 	var wg sync.WaitGroup
