--- a/internal/zprollout/plan.go
+++ b/internal/zprollout/plan.go
@@ -36,14 +36,21 @@
 	// minimalChanging is how many engines load weights at a time without slowing
 	// each other.
 	minimalChanging = 2
-	// changingShare is the part of the engines that change at a time. Some of them
+	// smallShare is the part of a dozen engines that change at a time. Some of them
 	// finish their runs while others load.
-	changingShare = 0.4
+	smallShare = 0.4
+	// smallChanging is how many of a dozen that are; beyond it largeShare holds.
+	smallChanging = 5
+	// largeShare is the part of a large pool that changes at a time. Engines load
+	// more slowly when over a fifth of a large pool does so.
+	largeShare = 0.25
 )
 
 // MaxChanging returns how many of so many engines may change at a time.
 func MaxChanging(engines int) int {
-	return max(minimalChanging, int(changingShare*float64(engines)+0.5))
+	small := int(smallShare*float64(engines) + 0.5)
+	large := int(largeShare*float64(engines) + 0.5)
+	return max(minimalChanging, min(small, max(smallChanging, large)))
 }
 
 // Pick returns the engines whose change should begin now, within the number
--- a/internal/zprollout/plan_test.go
+++ b/internal/zprollout/plan_test.go
@@ -29,8 +29,9 @@
 		Expect(picked[0].ID).To(Equal("e11"))
 	})
 
-	DescribeTable("changes two fifths of the engines at a time",
+	DescribeTable("changes two fifths of the engines of a small pool at a time, and a quarter of a large one",
 		func(n, want int) { Expect(zprollout.Pick(engines(n, 1), targets, nil)).To(HaveLen(want)) },
+		Entry("a large pool", 140, 35),
 		Entry("a pool", 12, 5),
 		Entry("a small pool", 3, 2),
 		Entry("one engine", 1, 1),
