--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -20,6 +20,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpgateway"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zplookup"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpmetric"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpnet"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpparts"
@@ -27,6 +28,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpplace"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpquarantine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpregistry"
+	"github.com/zinniapaddle/zinniapaddle/internal/zprelay"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpretry"
 	"github.com/zinniapaddle/zinniapaddle/internal/zprollout"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpshare"
@@ -41,23 +43,27 @@
 	Log     *zplog.Logger
 	Metrics *zpmetric.Metrics
 
-	self     zpassign.Member
-	store    *zpplatform.Store
-	sender   *zpengine.Sender
-	catalog  atomic.Pointer[zpcatalog.Catalog]
-	registry *zpregistry.Registry
-	weights  *zprollout.Board
-	members  *members
-	watches  *watches
-	gateway  *zpgateway.Gateway
-	rollout  *zprollout.Rollout
-	dialer   *zppeer.Dialer
-	sharer   *zpshare.Sharer
-	caches   *caches
-	leaving  atomic.Bool
-	callers  *http.Server
-	ready    *http.Server
-	admin    *http.Server
+	self      zpassign.Member
+	store     *zpplatform.Store
+	sender    *zpengine.Sender
+	catalog   atomic.Pointer[zpcatalog.Catalog]
+	registry  *zpregistry.Registry
+	weights   *zprollout.Board
+	members   *members
+	watches   *watches
+	gateway   *zpgateway.Gateway
+	rollout   *zprollout.Rollout
+	dialer    *zppeer.Dialer
+	sharer    *zpshare.Sharer
+	asker     *zplookup.Asker
+	recorder  *zprelay.Recorder
+	follower  *zprelay.Follower
+	answering *answering
+	caches    *caches
+	leaving   atomic.Bool
+	callers   *http.Server
+	ready     *http.Server
+	admin     *http.Server
 }
 
 const (
@@ -94,7 +100,7 @@
 		Node: n, Log: log, Metrics: zpmetric.New(),
 		self: zpassign.Member{
 			Instance: s.Name + "." + randomHex(instanceRandomBytes), Name: s.Name, Address: s.Peers.Listen,
-			Callers: s.Callers.Listen, Region: s.Region, Domain: s.Domain, State: zpassign.MemberServing,
+			Callers: s.Callers.Listen, Region: s.Region, Domain: s.Domain, State: zpassign.MemberServing, Cores: n.Cores,
 		},
 		registry: zpregistry.New(lapseGrace), weights: zprollout.NewBoard(time.Duration(float64(n.Bounds.OldWeights) * oldWeightsShare)), members: newMembers(s.Name),
 	}
@@ -104,7 +110,7 @@
 	d.gateway = &zpgateway.Gateway{
 		Domain: s.Domain, Region: s.Region, RegionOf: n.RegionOf, Catalog: d.catalog.Load, Registry: d.registry,
 		Weights: d.weights, Usage: zpusage.NewTracker(usageMaxAge), Parts: zpparts.NewDirectory(partsPerHolder),
-		Stores: zpparts.NewStores(storeStateAge, storeSettle), Announce: d.announceParts,
+		Stores: zpparts.NewStores(storeStateAge, storeSettle), Announce: d.announceParts, LookUp: d.lookUp,
 		Suspects: zpgateway.NewSuspects(), Cold: &zpplace.ColdGate{Self: s.Name}, Daemons: d.members.Names,
 		Quarantine: zpquarantine.NewList(crashRetention), NoteCrash: d.announceCrash,
 		Retries: &zpretry.Book{Ratio: n.Bounds.RetryRatio * retryShare, Burst: retryBurst},
--- a/internal/zpapp/gateway_caches.go
+++ b/internal/zpapp/gateway_caches.go
@@ -109,13 +109,7 @@
 	c.active[holder] = w
 	f := &zpparts.Follower{
 		Holder: holder, Address: w.address, IsStore: w.isStore, Source: c.source,
-		Apply: func(changes []zpparts.Change, reset bool) {
-			if w.isStore {
-				c.applyStore(holder, changes, reset)
-			} else {
-				c.applyEngine(holder, changes, reset)
-			}
-		},
+		Apply: c.apply,
 		Report: func(free, parts, retired int) {
 			c.daemon.Log.Emit(zplog.StoreState, zplog.Fields{"store": holder, "free": free, "parts": parts, "retired": retired})
 		},
@@ -125,43 +119,19 @@
 	go f.Run(ctx)
 }
 
-// applyStore takes over what a store holds, and tells the other daemons.
-func (c *caches) applyStore(holder string, changes []zpparts.Change, reset bool) {
+// apply takes over what a holder has or has lost, and tells the owners of the
+// parts.
+func (c *caches) apply(holder string, changes []zpparts.Change, reset bool) {
 	parts := c.daemon.gateway.Parts
-	var news zpshare.Message
 	if reset {
 		parts.Forget(holder)
-		news.Reset = []string{holder}
+		c.daemon.sharer.Add(zpshare.Message{Reset: []string{holder}})
 	}
 	for _, change := range changes {
-		change.Holder = holder
-		if parts.Apply(change) {
-			news.Parts = append(news.Parts, change)
-		}
+		parts.Apply(change)
 	}
-	if reset || len(news.Parts) > 0 {
-		c.daemon.sharer.Add(news)
-	}
-}
-
-// applyEngine takes over what an engine no longer holds of what is known. What
-// it has read is told by the daemon that sent the prompt, which knows the parts
-// that are shared.
-func (c *caches) applyEngine(holder string, changes []zpparts.Change, reset bool) {
-	parts := c.daemon.gateway.Parts
-	var news zpshare.Message
-	if reset {
-		parts.Forget(holder)
-		news.Reset = []string{holder}
-	}
-	for _, change := range changes {
-		change.Holder = holder
-		if known := parts.Tokens(holder, change.Key); known > 0 && known != change.Tokens && parts.Apply(change) {
-			news.Parts = append(news.Parts, change)
-		}
-	}
-	if reset || len(news.Parts) > 0 {
-		c.daemon.sharer.Add(news)
+	for address, owned := range c.daemon.answering.ownersOfParts().Group(changes, c.daemon.self.Name) {
+		c.daemon.sharer.AddTo(address, zpshare.Message{Parts: owned})
 	}
 }
 
@@ -174,17 +144,6 @@
 	c.daemon.sharer.Add(zpshare.Message{Stores: []zpparts.Store{s}})
 }
 
-// followed returns the holders that are followed here.
-func (c *caches) followed() []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var out []string
-	for holder := range c.active {
-		out = append(out, holder)
-	}
-	return out
-}
-
 // states returns the states of the stores that are followed here.
 func (c *caches) states() []zpparts.Store {
 	c.mu.Lock()
--- a/internal/zpapp/gateway_sharing.go
+++ b/internal/zpapp/gateway_sharing.go
@@ -2,13 +2,18 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpclock"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpgateway"
+	"github.com/zinniapaddle/zinniapaddle/internal/zplookup"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpparts"
 	"github.com/zinniapaddle/zinniapaddle/internal/zppeer"
+	"github.com/zinniapaddle/zinniapaddle/internal/zprelay"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpshare"
+	zpplatform "github.com/zinniapaddle/zinniapaddle/platform"
 )
 
 // peerTimeout bounds a call to another daemon. News that take longer are old.
@@ -18,19 +23,43 @@
 	d.dialer = &zppeer.Dialer{Timeout: peerTimeout, OnCall: d.countPeer}
 	d.dialer.Open()
 	d.sharer = &zpshare.Sharer{
-		Self: d.self.Instance, Domain: d.self.Domain, Usage: d.gateway.Usage, Others: d.members.Others,
+		Self: d.self.Instance, Domain: d.self.Domain, Region: d.self.Region, Usage: d.gateway.Usage, Others: d.members.Others,
 		Send: func(ctx context.Context, address string, m zpshare.Message) (string, error) {
 			return zppeer.Share(ctx, d.dialer, address, m)
 		},
 		Snapshot: d.snapshot, Log: d.Log, Clock: zpclock.Now,
 	}
+	d.answering = &answering{daemon: d}
+	d.recorder = &zprelay.Recorder{API: d.store, Pulse: zpplatform.ConfigPrefix, Clock: zpclock.Now}
+	d.asker = &zplookup.Asker{
+		Self: d.self, Owners: d.answering.ownersOfParts, Learn: d.learnParts, Clock: zpclock.Now,
+		Call: func(ctx context.Context, address string, keys []zpparts.Key) (zpparts.Knowledge, error) {
+			return zppeer.Recall(ctx, d.dialer, address, keys)
+		},
+	}
+	d.follower = &zprelay.Follower{
+		API: d.recorder, Self: d.self, Pulse: zpplatform.ConfigPrefix, Daemons: d.answering.list, Clock: zpclock.Now,
+		Call: func(ctx context.Context, address, prefix string, since int64, wait time.Duration) (zprelay.Answer, error) {
+			return zppeer.Follow(ctx, d.dialer, address, prefix, since, wait)
+		},
+	}
 	d.caches = newCaches(d)
 }
 
+func (d *GatewayDaemon) lookUp(ctx context.Context, parts [][]zpparts.Key) { d.asker.Look(ctx, parts) }
+
+func (d *GatewayDaemon) recallParts(keys []zpparts.Key) zpparts.Knowledge {
+	return zpparts.Recall(d.gateway.Parts, d.gateway.Stores, keys, zpclock.Now())
+}
+
+func (d *GatewayDaemon) learnParts(keys []zpparts.Key, k zpparts.Knowledge, now time.Time) {
+	zpparts.Learn(d.gateway.Parts, d.gateway.Stores, keys, k, now, now.Add(zpgateway.ReadLimit))
+}
+
 func (d *GatewayDaemon) servePeers(ctx context.Context, failed chan<- error) {
 	lis, err := zppeer.Listen(d.Node.Settings.Peers.Listen, nil)
 	if err == nil {
-		err = zppeer.ServeSharing(ctx, lis, &zppeer.SharingHandler{Instance: d.self.Instance, Apply: d.applyNews})
+		err = zppeer.ServeSharing(ctx, lis, &zppeer.SharingHandler{Instance: d.self.Instance, Apply: d.applyNews, Recalled: d.recallParts, Followed: d.recorder.Follow})
 	}
 	if err != nil && ctx.Err() == nil {
 		failed <- err
@@ -40,7 +69,9 @@
 // applyNews takes over what another daemon tells.
 func (d *GatewayDaemon) applyNews(m zpshare.Message) {
 	now := zpclock.Now()
-	d.gateway.Usage.SetPeer(m.Instance, m.Uses, now)
+	if m.Uses != nil {
+		d.gateway.Usage.SetPeer(m.Instance, m.Uses, now)
+	}
 	for _, x := range m.Stores {
 		d.setStore(x, now)
 	}
@@ -51,7 +82,7 @@
 		d.gateway.Parts.Apply(c)
 	}
 	for _, c := range m.Expected {
-		d.gateway.Parts.Expect(c, now.Add(zpgateway.ReadLimit))
+		d.gateway.Parts.Expect(c, now, now.Add(zpgateway.ReadLimit))
 	}
 	for _, c := range m.Saving {
 		d.gateway.Stores.BeginSave(c, now)
@@ -67,8 +98,8 @@
 // setStore takes over the state of a store. Its parts are void after a restart
 // and while it cannot be reached.
 func (d *GatewayDaemon) setStore(x zpparts.Store, now time.Time) {
-	if d.gateway.Stores.Set(x, now) {
-		d.gateway.Parts.Forget(x.Name)
+	if void := d.gateway.Stores.Set(x, now); void != "" {
+		d.gateway.Parts.Forget(void)
 	}
 }
 
@@ -80,8 +111,18 @@
 	d.weights.SetChanging(endpoint, now.Add(left))
 }
 
+// announceParts tells the owners of parts.
 func (d *GatewayDaemon) announceParts(n zpgateway.News) {
-	d.sharer.Add(zpshare.Message{Parts: n.Read, Expected: n.Expected, Saving: n.Saving})
+	owners := d.answering.ownersOfParts()
+	for address, changes := range owners.Group(n.Read, d.self.Name) {
+		d.sharer.AddTo(address, zpshare.Message{Parts: changes})
+	}
+	for address, changes := range owners.Group(n.Expected, d.self.Name) {
+		d.sharer.AddTo(address, zpshare.Message{Expected: changes})
+	}
+	for address, changes := range owners.Group(n.Saving, d.self.Name) {
+		d.sharer.AddTo(address, zpshare.Message{Saving: changes})
+	}
 }
 
 func (d *GatewayDaemon) announceCrash(fingerprint, crash string) {
@@ -92,15 +133,15 @@
 	d.sharer.Add(zpshare.Message{Changing: []zpshare.Changing{{Endpoint: endpoint, Left: left}}})
 }
 
-// snapshot is what a daemon needs that knows nothing yet: the parts of the
-// holders that this daemon follows.
-func (d *GatewayDaemon) snapshot() zpshare.Message {
-	var m zpshare.Message
-	for _, holder := range d.caches.followed() {
-		m.Reset = append(m.Reset, holder)
-		m.Parts = append(m.Parts, d.gateway.Parts.HeldBy(holder)...)
+// snapshot is what a daemon needs that knows nothing yet: the states of the
+// stores that this daemon follows, and their parts that the other one owns.
+func (d *GatewayDaemon) snapshot(to zpassign.Member) zpshare.Message {
+	m := zpshare.Message{Stores: d.caches.states()}
+	owners := zplookup.NewOwners(append(slices.Clone(d.answering.list()), to))
+	for _, x := range m.Stores {
+		m.Reset = append(m.Reset, x.Holder())
+		m.Parts = append(m.Parts, owners.Group(d.gateway.Parts.HeldBy(x.Holder()), d.self.Name)[to.Address]...)
 	}
-	m.Stores = d.caches.states()
 	return m
 }
 
--- a/internal/zpapp/gateway_watches.go
+++ b/internal/zpapp/gateway_watches.go
@@ -40,14 +40,14 @@
 func newWatches(d *GatewayDaemon) *watches {
 	w := &watches{daemon: d, evacuated: map[string]bool{}}
 	w.config = &zpmirror.Mirror{
-		API: d.store, Prefix: zpplatform.ConfigPrefix, Wait: configWait,
+		API: d.follower, Prefix: zpplatform.ConfigPrefix, Wait: configWait,
 		OnList: each(w.configChanged), OnChange: w.configChanged, OnAway: w.storeAway, OnBack: w.storeBack,
 	}
 	w.others = []*zpmirror.Mirror{
-		{API: d.store, Prefix: zpplatform.EndpointPrefix, Wait: otherWait, Pause: listPause, OnList: w.endpointsListed, OnChange: w.endpointChanged},
-		{API: d.store, Prefix: zpplatform.EvacuationPrefix, Wait: otherWait, OnList: w.evacuationsListed, OnChange: w.evacuationChanged},
-		{API: d.store, Prefix: zpplatform.WeightPrefix, Wait: otherWait, OnList: each(w.weightsChanged), OnChange: w.weightsChanged},
-		{API: d.store, Prefix: memberPrefix, Wait: otherWait, Pause: listPause, OnList: w.membersListed, OnChange: w.memberChanged},
+		{API: d.follower, Prefix: zpplatform.EndpointPrefix, Wait: otherWait, Pause: listPause, OnList: w.endpointsListed, OnChange: w.endpointChanged},
+		{API: d.follower, Prefix: zpplatform.EvacuationPrefix, Wait: otherWait, OnList: w.evacuationsListed, OnChange: w.evacuationChanged},
+		{API: d.follower, Prefix: zpplatform.WeightPrefix, Wait: otherWait, OnList: each(w.weightsChanged), OnChange: w.weightsChanged},
+		{API: d.follower, Prefix: memberPrefix, Wait: otherWait, Pause: listPause, OnList: w.membersListed, OnChange: w.memberChanged},
 	}
 	return w
 }
--- a/internal/zpassign/member.go
+++ b/internal/zpassign/member.go
@@ -20,19 +20,21 @@
 		Region   string
 		Domain   string
 		State    MemberState
+		Cores    float64 // of processor that the VM gives it; zero: unknown
 	}
 
 	// MemberState is the stage of an instance's life.
 	MemberState string
 
 	wireMember struct {
-		Instance string `json:"instance"`
-		Name     string `json:"name"`
-		Address  string `json:"address"`
-		Callers  string `json:"callers"`
-		Region   string `json:"region"`
-		Domain   string `json:"failure_domain"`
-		State    string `json:"state"`
+		Instance string  `json:"instance"`
+		Name     string  `json:"name"`
+		Address  string  `json:"address"`
+		Callers  string  `json:"callers"`
+		Region   string  `json:"region"`
+		Domain   string  `json:"failure_domain"`
+		State    string  `json:"state"`
+		Cores    float64 `json:"cores,omitempty"`
 	}
 )
 
@@ -53,7 +55,7 @@
 func EncodeMember(m Member) ([]byte, error) {
 	return json.Marshal(wireMember{
 		Instance: m.Instance, Name: m.Name, Address: m.Address, Callers: m.Callers,
-		Region: m.Region, Domain: m.Domain, State: string(m.State),
+		Region: m.Region, Domain: m.Domain, State: string(m.State), Cores: m.Cores,
 	})
 }
 
@@ -65,7 +67,7 @@
 	}
 	return Member{
 		Instance: w.Instance, Name: w.Name, Address: w.Address, Callers: w.Callers,
-		Region: w.Region, Domain: w.Domain, State: MemberState(w.State),
+		Region: w.Region, Domain: w.Domain, State: MemberState(w.State), Cores: w.Cores,
 	}, nil
 }
 
--- a/internal/zpgateway/gateway.go
+++ b/internal/zpgateway/gateway.go
@@ -20,16 +20,19 @@
 
 // Gateway serves routed requests. Set the exported fields before use.
 type Gateway struct {
-	Domain     string // failure domain of this daemon
-	Region     string
-	RegionOf   func(domain string) string
-	Catalog    func() *zpcatalog.Catalog // nil result: none is known yet
-	Registry   *zpregistry.Registry
-	Weights    *zprollout.Board
-	Usage      *zpusage.Tracker
-	Parts      *zpparts.Directory
-	Stores     *zpparts.Stores
-	Announce   func(news News) // tells other daemons
+	Domain   string // failure domain of this daemon
+	Region   string
+	RegionOf func(domain string) string
+	Catalog  func() *zpcatalog.Catalog // nil result: none is known yet
+	Registry *zpregistry.Registry
+	Weights  *zprollout.Board
+	Usage    *zpusage.Tracker
+	Parts    *zpparts.Directory
+	Stores   *zpparts.Stores
+	Announce func(news News) // tells other daemons
+	// LookUp brings the directory up to date on parts, each given by its keys for
+	// the weight versions in use.
+	LookUp     func(ctx context.Context, parts [][]zpparts.Key)
 	Suspects   *Suspects
 	Cold       *zpplace.ColdGate
 	Daemons    func() []string // names of all daemons, this one too
--- a/internal/zpgateway/gateway_test.go
+++ b/internal/zpgateway/gateway_test.go
@@ -177,7 +177,7 @@
 		Domain: "a", Region: "n", RegionOf: func(string) string { return "n" },
 		Catalog: func() *zpcatalog.Catalog { return catalog }, Registry: registry,
 		Weights: zprollout.NewBoard(8 * time.Second), Usage: zpusage.NewTracker(time.Second), Parts: zpparts.NewDirectory(100),
-		Stores: zpparts.NewStores(time.Hour, 0), Announce: func(zpgateway.News) {}, Suspects: zpgateway.NewSuspects(),
+		Stores: zpparts.NewStores(time.Hour, 0), Announce: func(zpgateway.News) {}, LookUp: func(context.Context, [][]zpparts.Key) {}, Suspects: zpgateway.NewSuspects(),
 		Cold: &zpplace.ColdGate{Self: "d"}, Daemons: func() []string { return []string{"d"} },
 		Quarantine: zpquarantine.NewList(time.Hour), NoteCrash: func(string, string) {},
 		Retries: &zpretry.Book{Ratio: 0.1, Burst: 5}, Runner: runner, Rates: zpplace.DefaultRates(),
@@ -416,8 +416,8 @@
 		It("fetches whole parts from a usable store alone, and saves what no store holds", func() {
 			s := newSite(answers(http.StatusOK, events))
 			s.Stores.Set(zpparts.Store{Name: "kept", Epoch: 1, Readable: true, Free: 100_000}, time.Now())
-			s.Parts.Apply(zpparts.Change{Holder: "kept", Key: zpparts.Key{Salt: "v1.m", Part: "p0"}, Tokens: 20})
-			s.Parts.Apply(zpparts.Change{Holder: "kept", Key: zpparts.Key{Salt: "v1.m", Part: "p1"}, Tokens: 29})
+			s.Parts.Apply(zpparts.Change{Holder: "kept@1", Key: zpparts.Key{Salt: "v1.m", Part: "p0"}, Tokens: 20})
+			s.Parts.Apply(zpparts.Change{Holder: "kept@1", Key: zpparts.Key{Salt: "v1.m", Part: "p1"}, Tokens: 29})
 			s.serve(prompt("k"))
 			run := s.runner.runs[0]
 			Expect(run.Fetch).To(Equal([]zpgateway.Transfer{{Address: "store", Tokens: 20}, {}, {}}))
@@ -426,7 +426,7 @@
 
 		It("uses nothing of a store whose state is not known", func() {
 			s := newSite(answers(http.StatusOK, events))
-			s.Parts.Apply(zpparts.Change{Holder: "kept", Key: zpparts.Key{Salt: "v1.m", Part: "p0"}, Tokens: 20})
+			s.Parts.Apply(zpparts.Change{Holder: "kept@1", Key: zpparts.Key{Salt: "v1.m", Part: "p0"}, Tokens: 20})
 			s.serve(prompt("k"))
 			Expect(s.runner.runs[0].Fetch).To(BeEmpty())
 			Expect(s.runner.runs[0].Save).To(BeEmpty())
--- a/internal/zpgateway/job.go
+++ b/internal/zpgateway/job.go
@@ -25,6 +25,7 @@
 	begun     bool      // the caller has the head of the answer
 	lastEvent string    // last event that the caller has
 	first     time.Time // when the caller got the first byte of the body
+	lookedAt  time.Time // when the holders of the prompt's parts were looked up
 }
 
 func (j *job) workspaceName() string {
--- a/internal/zpgateway/parts.go
+++ b/internal/zpgateway/parts.go
@@ -1,6 +1,7 @@
 package zpgateway
 
 import (
+	"context"
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
@@ -43,6 +44,31 @@
 	storeDelay = 6 * time.Millisecond
 )
 
+// storedFor is how long after they were looked up the parts in stores may be
+// fetched. News of a part that a store has dropped come later than that only
+// when its owner has no fresh state of the store.
+const storedFor = 2 * time.Second
+
+// lookUp brings the directory up to date on the prompt's shared parts.
+func (g *Gateway) lookUp(ctx context.Context, j *job) {
+	parts := j.request.Prompt.SharedParts()
+	if len(parts) == 0 || j.pool.Engine == nil {
+		return
+	}
+	var salts []string
+	for _, version := range g.Registry.Versions(j.pool.Name, j.request.Prompt.Model, g.Clock()) {
+		salts = append(salts, g.salt(j, version))
+	}
+	keys := make([][]zpparts.Key, len(parts))
+	for i, part := range parts {
+		for _, salt := range salts {
+			keys[i] = append(keys[i], zpparts.Key{Salt: salt, Part: part.ID})
+		}
+	}
+	g.LookUp(ctx, keys)
+	j.lookedAt = g.Clock()
+}
+
 // findParts counts the tokens of the prompt that the candidate holds, and finds
 // sources for the parts that follow. A part is of use only after all parts
 // before it.
@@ -128,8 +154,8 @@
 			time: moveTime(tokens, engine.TokenBytes, engine.LinkMbps, place{e.Domain, e.Region}, to),
 		}, true
 	}
-	p, ok := j.catalog.PoolOf(holder)
-	if !ok || p.CacheStore == nil || !g.Stores.Readable(holder, now) {
+	p, ok := g.storePool(j, holder)
+	if !ok || !g.Stores.Readable(holder, now) || now.Sub(j.lookedAt) > storedFor {
 		return source{}, false
 	}
 	from := place{p.CacheStore.Domain, g.RegionOf(p.CacheStore.Domain)}
@@ -143,6 +169,16 @@
 	}, true
 }
 
+// storePool returns the pool of a holder that is a store.
+func (g *Gateway) storePool(j *job, holder string) (*zpcatalog.Pool, bool) {
+	name, isStore := zpparts.StoreName(holder)
+	if !isStore {
+		return nil, false
+	}
+	p, ok := j.catalog.PoolOf(name)
+	return p, ok && p.CacheStore != nil
+}
+
 // prepare names a store for each shared part of the prompt that no store holds,
 // and notes which parts the engine is about to read.
 func (g *Gateway) prepare(j *job, c *choice, now time.Time) {
@@ -154,7 +190,7 @@
 	for _, part := range j.request.Prompt.SharedParts() {
 		change := zpparts.Change{Holder: c.endpoint.ID, Key: zpparts.Key{Salt: c.salt, Part: part.ID}, Tokens: part.Tokens}
 		if !g.Parts.IsHeld(change.Key) && !g.Parts.IsExpected(c.endpoint.ID, change.Key, now) {
-			g.Parts.Expect(change, now.Add(ReadLimit))
+			g.Parts.Expect(change, now, now.Add(ReadLimit))
 			news.Expected = append(news.Expected, change)
 		}
 	}
@@ -185,7 +221,7 @@
 		}
 	}
 	for holder := range g.Parts.Holders(key) {
-		if p, ok := j.catalog.PoolOf(holder); ok && p.CacheStore != nil && g.Stores.Readable(holder, now) {
+		if _, ok := g.storePool(j, holder); ok && g.Stores.Readable(holder, now) {
 			return true
 		}
 	}
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -42,6 +42,7 @@
 	budget.Attempt()
 	refusals := 0
 	for {
+		g.lookUp(ctx, j)
 		c, err := g.place(ctx, j)
 		if err != nil {
 			return g.giveUp(j, reply, sent{err: g.unanswered(j, err)})
@@ -140,6 +141,7 @@
 	switch s.result {
 	case resultDone:
 		g.Suspects.Succeeded(c.endpoint.ID, g.Clock())
+		g.Quarantine.Served(j.fingerprint, g.Clock())
 		g.Log.Emit(zplog.RequestAnswered, g.fields(j, zplog.Fields{
 			"endpoint": c.endpoint.ID, "status": answer.Status, "first_ms": first.Milliseconds(), "expected_ms": c.cost.Milliseconds(),
 			"weights": answer.WeightVersion,
--- a/internal/zpparts/directory.go
+++ b/internal/zpparts/directory.go
@@ -5,6 +5,7 @@
 package zpparts
 
 import (
+	"maps"
 	"sync"
 	"time"
 )
@@ -39,6 +40,10 @@
 	}
 )
 
+// comingLimit is how many expected parts of an engine are kept before those that
+// never came are dropped.
+const comingLimit = 256
+
 // NewDirectory returns an empty directory.
 func NewDirectory(limit int) *Directory {
 	return &Directory{Limit: limit, parts: map[Key]map[string]int{}, holders: map[string]*holder{}}
@@ -54,9 +59,37 @@
 	return d.add(c)
 }
 
+// Replace takes over all that is known of the holders of a part.
+func (d *Directory) Replace(key Key, held []Change) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name := range d.parts[key] {
+		delete(d.holders[name].keys, key)
+		d.unlink(name, key)
+	}
+	for _, c := range held {
+		if c.Key == key && c.Tokens > 0 {
+			d.add(c)
+		}
+	}
+}
+
+// Coming lists the engines that are about to read a part.
+func (d *Directory) Coming(key Key, now time.Time) []Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var out []Change
+	for name, h := range d.holders {
+		if until, ok := h.coming[key]; ok && now.Before(until) {
+			out = append(out, Change{Holder: name, Key: key})
+		}
+	}
+	return out
+}
+
 // Expect notes that an engine is about to read a part. Until the part is known
 // to be there, another prompt with it is best sent to the same engine.
-func (d *Directory) Expect(c Change, until time.Time) {
+func (d *Directory) Expect(c Change, now, until time.Time) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	h, ok := d.holders[c.Holder]
@@ -64,9 +97,13 @@
 		h = &holder{keys: map[Key]uint64{}, coming: map[Key]time.Time{}}
 		d.holders[c.Holder] = h
 	}
-	if _, has := h.keys[c.Key]; !has {
-		h.coming[c.Key] = until
+	if _, has := h.keys[c.Key]; has {
+		return
+	}
+	if len(h.coming) >= comingLimit {
+		maps.DeleteFunc(h.coming, func(_ Key, until time.Time) bool { return !now.Before(until) })
 	}
+	h.coming[c.Key] = until
 }
 
 // IsExpected reports whether an engine is about to read a part.
--- a/internal/zpparts/follower.go
+++ b/internal/zpparts/follower.go
@@ -36,8 +36,9 @@
 		IsStore bool
 		Source  Source
 		// Apply takes over changes; reset means that they are all that the holder
-		// has.
-		Apply func(changes []Change, reset bool)
+		// has. Of an engine only losses are told: the daemon that sends a prompt
+		// knows which of its parts are shared and tells of them.
+		Apply func(holder string, changes []Change, reset bool)
 		// State takes over the state of a store.
 		State func(s Store)
 		// Report is called with each answer about the room in a store.
@@ -50,7 +51,8 @@
 		next     int64
 		ready    bool
 		failures int
-		held     map[Key]int // of a store
+		held     map[Key]int
+		toldAt   time.Time // when all parts of a store were told last
 		retired  map[Key]time.Time
 		free     int
 		roomAt   time.Time
@@ -75,6 +77,9 @@
 	FreeDelay = 2500 * time.Millisecond
 	// freeBatch bounds the parts that one call frees.
 	freeBatch = 200
+	// retell is the pause after which all parts of a store are told again, to
+	// daemons that have become the owners of some since.
+	retell = 4 * time.Second
 )
 
 // Run follows the holder until ctx ends.
@@ -114,12 +119,44 @@
 		return f.list(ctx)
 	}
 	f.epoch, f.next, f.ready = b.Epoch, b.Next, true
-	f.Apply(b.Changes, restarted || b.Lost)
+	if !f.IsStore {
+		if restarted || b.Lost {
+			clear(f.held)
+		}
+		f.apply(f.losses(b.Changes), restarted || b.Lost)
+		return nil
+	}
+	f.remember(b.Changes)
+	f.apply(b.Changes, false)
+	return f.tidy(ctx)
+}
+
+// apply names the holder in changes and hands them over.
+func (f *Follower) apply(changes []Change, reset bool) {
+	holder := f.holder()
+	for i := range changes {
+		changes[i].Holder = holder
+	}
+	f.Apply(holder, changes, reset)
+}
+
+func (f *Follower) holder() string {
 	if f.IsStore {
-		f.remember(b.Changes)
-		return f.tidy(ctx)
+		return Store{Name: f.Holder, Epoch: f.epoch}.Holder()
 	}
-	return nil
+	return f.Holder
+}
+
+// losses returns the changes after which an engine holds less than before.
+func (f *Follower) losses(changes []Change) []Change {
+	var out []Change
+	for _, c := range changes {
+		if had, known := f.held[c.Key]; c.Tokens == 0 || known && c.Tokens < had {
+			out = append(out, c)
+		}
+	}
+	f.remember(changes)
+	return out
 }
 
 // list reads all that a store holds.
@@ -133,7 +170,8 @@
 	f.epoch, f.next, f.ready = c.Epoch, c.Next, true
 	f.held, f.retired = map[Key]int{}, map[Key]time.Time{}
 	f.remember(c.Whole)
-	f.Apply(c.Whole, true)
+	f.toldAt = f.Clock()
+	f.apply(c.Whole, true)
 	return nil
 }
 
@@ -172,11 +210,15 @@
 			due = append(due, key)
 		case !retired && f.IsStale(key):
 			f.retired[key] = now
-			gone = append(gone, Change{Holder: f.Holder, Key: key})
+			gone = append(gone, Change{Key: key})
 		}
 	}
 	if len(gone) > 0 {
-		f.Apply(gone, false)
+		f.apply(gone, false)
+	}
+	if now.Sub(f.toldAt) >= retell {
+		f.toldAt = now
+		f.apply(f.whole(), true)
 	}
 	if len(due) == 0 {
 		return nil
@@ -196,3 +238,14 @@
 		Name: f.Holder, Epoch: f.epoch, Readable: f.ready && f.failures < failuresAway, Free: f.free,
 	})
 }
+
+// whole lists the parts that a store holds and keeps.
+func (f *Follower) whole() []Change {
+	out := make([]Change, 0, len(f.held))
+	for key, tokens := range f.held {
+		if _, retired := f.retired[key]; !retired {
+			out = append(out, Change{Key: key, Tokens: tokens})
+		}
+	}
+	return out
+}
--- a/internal/zpparts/parts_test.go
+++ b/internal/zpparts/parts_test.go
@@ -43,11 +43,11 @@
 	It("expects a part at an engine until it is there, or for a while", func() {
 		d := zpparts.NewDirectory(10)
 		c := zpparts.Change{Holder: "e", Key: key("x"), Tokens: 5}
-		d.Expect(c, start.Add(time.Second))
+		d.Expect(c, start, start.Add(time.Second))
 		Expect(d.IsExpected("e", key("x"), start)).To(BeTrue())
 		Expect(d.IsExpected("f", key("x"), start)).To(BeFalse())
 		Expect(d.IsExpected("e", key("x"), start.Add(time.Second))).To(BeFalse())
-		d.Expect(c, start.Add(time.Second))
+		d.Expect(c, start, start.Add(time.Second))
 		d.Apply(c)
 		Expect(d.IsExpected("e", key("x"), start)).To(BeFalse())
 	})
@@ -74,12 +74,12 @@
 	})
 
 	It("is read at once, and written once it has settled, while its state is fresh", func() {
-		Expect(s.Readable("k", start)).To(BeTrue())
+		Expect(s.Readable("k@1", start)).To(BeTrue())
 		Expect(s.Writable("k", start)).To(BeFalse())
 		s.Set(state, settled)
 		Expect(s.Writable("k", settled)).To(BeTrue())
-		Expect(s.Readable("k", settled.Add(2*time.Second))).To(BeTrue())
-		Expect(s.Readable("k", settled.Add(2*time.Second+1))).To(BeFalse())
+		Expect(s.Readable("k@1", settled.Add(2*time.Second))).To(BeTrue())
+		Expect(s.Readable("k@1", settled.Add(2*time.Second+1))).To(BeFalse())
 		Expect(s.Writable("k", settled.Add(2*time.Second+1))).To(BeFalse())
 	})
 
@@ -87,15 +87,17 @@
 		s.Set(state, settled)
 		again := state
 		again.Epoch = 2
-		Expect(s.Set(again, settled)).To(BeTrue())
+		Expect(s.Set(again, settled)).To(Equal("k@1"))
+		Expect(s.Readable("k@1", settled)).To(BeFalse())
+		Expect(s.Readable("k@2", settled)).To(BeTrue())
 		Expect(s.Writable("k", settled.Add(time.Second))).To(BeFalse())
 	})
 
 	It("is of no use while it cannot be reached", func() {
 		away := state
 		away.Readable = false
-		Expect(s.Set(away, settled)).To(BeTrue())
-		Expect(s.Readable("k", settled)).To(BeFalse())
+		Expect(s.Set(away, settled)).To(Equal("k@1"))
+		Expect(s.Readable("k@1", settled)).To(BeFalse())
 		Expect(s.Writable("k", settled)).To(BeFalse())
 	})
 
@@ -166,7 +168,7 @@
 		resets, retired, state, offset = 0, 0, zpparts.Store{}, 0
 		f := &zpparts.Follower{
 			Holder: "k", IsStore: true, Source: source,
-			Apply: func(changes []zpparts.Change, reset bool) {
+			Apply: func(_ string, changes []zpparts.Change, reset bool) {
 				mu.Lock()
 				defer mu.Unlock()
 				if reset {
--- a/internal/zpparts/store.go
+++ b/internal/zpparts/store.go
@@ -1,6 +1,8 @@
 package zpparts
 
 import (
+	"strconv"
+	"strings"
 	"sync"
 	"time"
 )
@@ -34,6 +36,9 @@
 	}
 )
 
+// holderSeparator stands between the name of a store and its epoch.
+const holderSeparator = "@"
+
 // savePause is how long after a request to save a part no other one is made.
 const savePause = 4 * time.Second
 
@@ -42,17 +47,33 @@
 	return &Stores{MaxAge: maxAge, Settle: settle, states: map[string]*storeState{}}
 }
 
-// Set takes over the state of a store and reports whether its earlier parts are
-// void.
-func (s *Stores) Set(x Store, now time.Time) (void bool) {
+// Holder returns the name under which the directory lists the parts of a store.
+// It changes with each restart, so that late news of an earlier life cannot be
+// taken for parts that the store has now.
+func (x Store) Holder() string {
+	return x.Name + holderSeparator + strconv.FormatInt(x.Epoch, 10)
+}
+
+// StoreName returns the name of the store that a holder is; ok is false for
+// engines.
+func StoreName(holder string) (name string, ok bool) {
+	name, _, ok = strings.Cut(holder, holderSeparator)
+	return name, ok
+}
+
+// Set takes over the state of a store and returns the holder whose parts are
+// void now, or "".
+func (s *Stores) Set(x Store, now time.Time) (void string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	old, ok := s.states[x.Name]
 	if !ok {
 		s.states[x.Name] = &storeState{Store: x, heardAt: now, since: now, saving: map[Key]time.Time{}}
-		return true
+		return ""
+	}
+	if x.Epoch != old.Epoch || !x.Readable {
+		void = old.Holder()
 	}
-	void = x.Epoch != old.Epoch || !x.Readable
 	if x.Epoch != old.Epoch || x.Readable && !old.Readable {
 		old.since = now
 		clear(old.saving)
@@ -61,12 +82,16 @@
 	return void
 }
 
-// Readable reports whether the listed parts of a store may be fetched.
-func (s *Stores) Readable(name string, now time.Time) bool {
+// Readable reports whether the parts listed for a holder may be fetched.
+func (s *Stores) Readable(holder string, now time.Time) bool {
+	name, ok := StoreName(holder)
+	if !ok {
+		return false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	x, ok := s.states[name]
-	return ok && x.isFresh(s.MaxAge, now)
+	return ok && x.Holder() == holder && x.isFresh(s.MaxAge, now)
 }
 
 // Writable reports whether parts may be saved to a store. After a restart of the
@@ -105,6 +130,19 @@
 	return asked && now.Sub(at) < savePause
 }
 
+// Saving lists the stores to which a part was lately asked to be saved.
+func (s *Stores) Saving(key Key, now time.Time) []Change {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []Change
+	for name, x := range s.states {
+		if at, ok := x.saving[key]; ok && now.Sub(at) < savePause {
+			out = append(out, Change{Holder: name, Key: key})
+		}
+	}
+	return out
+}
+
 // BeginSave counts a part that a daemon asks to be saved.
 func (s *Stores) BeginSave(c Change, now time.Time) {
 	s.mu.Lock()
--- a/internal/zppeer/sharing.go
+++ b/internal/zppeer/sharing.go
@@ -11,14 +11,18 @@
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpparts"
 	"github.com/zinniapaddle/zinniapaddle/internal/zppeer/zppeerpb"
+	"github.com/zinniapaddle/zinniapaddle/internal/zprelay"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpshare"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpusage"
+	"github.com/zinniapaddle/zinniapaddle/pkg/zpobject"
 )
 
 // SharingHandler takes the news of other daemons.
 type SharingHandler struct {
 	Instance string
 	Apply    func(m zpshare.Message)
+	Recalled func(keys []zpparts.Key) zpparts.Knowledge // of the parts that are asked for
+	Followed func(ctx context.Context, prefix string, since int64, wait time.Duration) (zprelay.Answer, error)
 }
 
 // Share implements the drpc service.
@@ -27,6 +31,25 @@
 	return &zppeerpb.ShareReply{Instance: h.Instance}, nil
 }
 
+// Recall implements the drpc service.
+func (h *SharingHandler) Recall(_ context.Context, in *zppeerpb.RecallRequest) (*zppeerpb.RecallReply, error) {
+	k := h.Recalled(keysOf(decodeParts(in.Parts)))
+	return &zppeerpb.RecallReply{Held: encodeParts(k.Held), Coming: encodeParts(k.Coming), Saving: encodeParts(k.Saving)}, nil
+}
+
+// Follow implements the drpc service.
+func (h *SharingHandler) Follow(ctx context.Context, in *zppeerpb.FollowRequest) (*zppeerpb.FollowReply, error) {
+	a, err := h.Followed(ctx, in.Prefix, in.Since, time.Duration(in.WaitMs)*time.Millisecond)
+	if err != nil {
+		return nil, err
+	}
+	out := &zppeerpb.FollowReply{Revision: a.Revision, Whole: a.Whole}
+	for _, o := range a.Objects {
+		out.Objects = append(out.Objects, &zppeerpb.FollowedObject{Name: o.Name, Revision: o.Revision, Body: o.Body, Deleted: o.Deleted})
+	}
+	return out, nil
+}
+
 // ServeSharing answers calls on lis until ctx ends.
 func ServeSharing(ctx context.Context, lis net.Listener, h *SharingHandler) error {
 	mux := drpcmux.New()
@@ -47,8 +70,48 @@
 	return out.Instance, nil
 }
 
+// Recall asks the daemon at address what it knows of parts.
+func Recall(ctx context.Context, d *Dialer, address string, keys []zpparts.Key) (zpparts.Knowledge, error) {
+	in := &zppeerpb.RecallRequest{}
+	for _, k := range keys {
+		in.Parts = append(in.Parts, &zppeerpb.SharedPart{Salt: k.Salt, Part: k.Part})
+	}
+	out, err := do(ctx, d, address, "recall", 0, func(ctx context.Context, conn Conn) (*zppeerpb.RecallReply, error) {
+		return zppeerpb.NewDRPCSharingClient(conn).Recall(ctx, in)
+	})
+	if err != nil {
+		return zpparts.Knowledge{}, err
+	}
+	return zpparts.Knowledge{Held: decodeParts(out.Held), Coming: decodeParts(out.Coming), Saving: decodeParts(out.Saving)}, nil
+}
+
+// Follow asks the daemon at address for changes of the store's objects under a
+// prefix after a revision; zero asks for all of them.
+func Follow(ctx context.Context, d *Dialer, address, prefix string, since int64, wait time.Duration) (zprelay.Answer, error) {
+	in := &zppeerpb.FollowRequest{Prefix: prefix, Since: since, WaitMs: wait.Milliseconds()}
+	out, err := do(ctx, d, address, "follow", wait, func(ctx context.Context, conn Conn) (*zppeerpb.FollowReply, error) {
+		return zppeerpb.NewDRPCSharingClient(conn).Follow(ctx, in)
+	})
+	if err != nil {
+		return zprelay.Answer{}, err
+	}
+	a := zprelay.Answer{Whole: out.Whole, Listing: zpobject.Listing{Revision: out.Revision}}
+	for _, o := range out.Objects {
+		a.Objects = append(a.Objects, zpobject.Object{Name: o.Name, Revision: o.Revision, Body: o.Body, Deleted: o.Deleted})
+	}
+	return a, nil
+}
+
+func keysOf(changes []zpparts.Change) []zpparts.Key {
+	out := make([]zpparts.Key, 0, len(changes))
+	for _, c := range changes {
+		out = append(out, c.Key)
+	}
+	return out
+}
+
 func encodeMessage(m zpshare.Message) *zppeerpb.ShareRequest {
-	out := &zppeerpb.ShareRequest{Instance: m.Instance, ResetHolders: m.Reset}
+	out := &zppeerpb.ShareRequest{Instance: m.Instance, ResetHolders: m.Reset, WithoutUses: m.Uses == nil}
 	for id, u := range m.Uses {
 		out.Uses = append(out.Uses, &zppeerpb.SharedUse{
 			Endpoint: id, Requests: int64(u.Requests), PrefillTokens: int64(u.PrefillTokens), MemoryTokens: int64(u.MemoryTokens),
@@ -68,7 +131,10 @@
 }
 
 func decodeMessage(in *zppeerpb.ShareRequest) zpshare.Message {
-	m := zpshare.Message{Instance: in.Instance, Uses: map[string]zpusage.Use{}, Reset: in.ResetHolders}
+	m := zpshare.Message{Instance: in.Instance, Reset: in.ResetHolders}
+	if !in.WithoutUses {
+		m.Uses = map[string]zpusage.Use{}
+	}
 	for _, u := range in.Uses {
 		m.Uses[u.Endpoint] = zpusage.Use{
 			Requests: int(u.Requests), PrefillTokens: int(u.PrefillTokens), MemoryTokens: int(u.MemoryTokens),
--- a/internal/zpregistry/registry.go
+++ b/internal/zpregistry/registry.go
@@ -3,6 +3,7 @@
 package zpregistry
 
 import (
+	"slices"
 	"sort"
 	"sync"
 	"time"
@@ -107,6 +108,19 @@
 	r.pools = nil
 }
 
+// Versions returns the weight versions that a pool's engines have of a model,
+// oldest first.
+func (r *Registry) Versions(pool, model string, now time.Time) []int64 {
+	var out []int64
+	for _, e := range r.Serving(pool, now) {
+		if v := e.Weights[model]; v > 0 && !slices.Contains(out, v) {
+			out = append(out, v)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // SetEvacuated replaces the set of failure domains that receive no new work.
 func (r *Registry) SetEvacuated(domains []string) {
 	r.mu.Lock()
--- /dev/null
+++ b/internal/zprelay/follower_test.go
@@ -0,0 +1,169 @@
+package zprelay_test
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
+	"github.com/zinniapaddle/zinniapaddle/internal/zprelay"
+	"github.com/zinniapaddle/zinniapaddle/pkg/zpobject"
+)
+
+const prefix = "config/"
+
+// fakeStore counts the calls to the platform's store.
+type fakeStore struct {
+	zpobject.API
+	mu      sync.Mutex
+	calls   int
+	waits   []time.Duration
+	down    bool
+	content zpobject.Listing
+}
+
+func (s *fakeStore) List(context.Context, string) (zpobject.Listing, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.down {
+		return zpobject.Listing{}, errors.New("down")
+	}
+	return s.content, nil
+}
+
+func (s *fakeStore) Watch(_ context.Context, _ string, from int64, wait time.Duration) (zpobject.Listing, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	s.waits = append(s.waits, wait)
+	if s.down {
+		return zpobject.Listing{}, errors.New("down")
+	}
+	if s.content.Revision > from {
+		return s.content, nil
+	}
+	return zpobject.Listing{Revision: from}, nil
+}
+
+// domain returns the daemons of one failure domain, the two strongest first.
+func domain(n int) []zpassign.Member {
+	var out []zpassign.Member
+	for i := range n {
+		name := string(rune('a' + i))
+		out = append(out, zpassign.Member{Name: name, Address: name + ":1", Domain: "d", Cores: 1 / float64(i+1)})
+	}
+	return out
+}
+
+var _ = Describe("Follower", func() {
+	var store *fakeStore
+	var watchers map[string]*zprelay.Recorder
+	var daemons []zpassign.Member
+	var now time.Time
+	var frozen map[string]bool
+
+	follower := func(self zpassign.Member) *zprelay.Follower {
+		return &zprelay.Follower{
+			API: store, Self: self, Pulse: prefix, Daemons: func() []zpassign.Member { return daemons },
+			Clock: func() time.Time { return now },
+			Call: func(ctx context.Context, address, p string, since int64, wait time.Duration) (zprelay.Answer, error) {
+				if frozen[address] {
+					return zprelay.Answer{}, context.DeadlineExceeded
+				}
+				return watchers[address].Follow(ctx, p, since, min(wait, time.Millisecond))
+			},
+		}
+	}
+
+	BeforeEach(func() {
+		now, frozen = time.Unix(1000, 0), map[string]bool{}
+		store = &fakeStore{content: listing(10, object("config/main", 10))}
+		daemons = domain(6)
+		watchers = map[string]*zprelay.Recorder{}
+		for _, d := range daemons[:2] {
+			r := &zprelay.Recorder{API: store, Pulse: prefix, Clock: func() time.Time { return now }}
+			_, err := r.List(context.Background(), prefix)
+			Expect(err).NotTo(HaveOccurred())
+			watchers[d.Address] = r
+		}
+		store.calls = 0
+	})
+
+	It("has two daemons of a domain read the store, and the others follow", func() {
+		for i, d := range daemons {
+			store.calls = 0
+			l, err := follower(d).List(context.Background(), prefix)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(l.Objects).To(HaveLen(1))
+			Expect(store.calls).To(Equal(map[bool]int{true: 1, false: 0}[i < 2]))
+		}
+	})
+
+	It("reads the store itself in a small domain", func() {
+		daemons = domain(4)
+		_, err := follower(daemons[3]).List(context.Background(), prefix)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(store.calls).To(Equal(1))
+	})
+
+	It("follows the other watcher when one has frozen, and the store when both have", func() {
+		f := follower(daemons[4])
+		frozen[daemons[0].Address] = true
+		_, err := f.Watch(context.Background(), prefix, 10, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(store.calls).To(BeZero())
+		frozen[daemons[1].Address] = true
+		_, err = f.Watch(context.Background(), prefix, 10, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(store.calls).To(Equal(1))
+	})
+
+	It("does not follow a watcher that has lost the store", func() {
+		now = now.Add(2 * time.Second)
+		_, err := follower(daemons[4]).List(context.Background(), prefix)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(store.calls).To(Equal(1))
+	})
+
+	It("never goes back to an older list", func() {
+		f := follower(daemons[4])
+		store.content = listing(20, object("config/main", 20))
+		daemons = domain(4)
+		l, err := f.List(context.Background(), prefix)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(l.Revision).To(BeEquivalentTo(20))
+		daemons = domain(6)
+		l, err = f.List(context.Background(), prefix)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(l.Revision).To(BeEquivalentTo(20))
+	})
+
+	It("lists anew when the watcher cannot go on from its revision", func() {
+		_, err := follower(daemons[4]).Watch(context.Background(), prefix, 9, 0)
+		Expect(err).To(HaveOccurred())
+		Expect(store.calls).To(BeZero())
+	})
+})
+
+var _ = Describe("Recorder", func() {
+	It("watches more often while others follow", func() {
+		now := time.Unix(1000, 0)
+		store := &fakeStore{content: listing(10)}
+		r := &zprelay.Recorder{API: store, Pulse: prefix, Clock: func() time.Time { return now }}
+		watch := func() time.Duration {
+			_, err := r.Watch(context.Background(), prefix, 10, 2*time.Second)
+			Expect(err).NotTo(HaveOccurred())
+			return store.waits[len(store.waits)-1]
+		}
+		Expect(watch()).To(Equal(2 * time.Second))
+		_, _ = r.Follow(context.Background(), prefix, 0, 0) // only that it was asked matters
+		Expect(watch()).To(BeNumerically("<", time.Second))
+		now = now.Add(time.Minute)
+		Expect(watch()).To(Equal(2 * time.Second))
+	})
+})
--- a/internal/zpshare/message.go
+++ b/internal/zpshare/message.go
@@ -15,7 +15,7 @@
 	// Message is what one daemon tells another.
 	Message struct {
 		Instance string
-		Uses     map[string]zpusage.Use // all of the sender's
+		Uses     map[string]zpusage.Use // all of the sender's; nil: as told last
 		Parts    []zpparts.Change
 		Expected []zpparts.Change // that an engine is about to read
 		Saving   []zpparts.Change // to a store
--- a/internal/zpshare/sharer.go
+++ b/internal/zpshare/sharer.go
@@ -11,15 +11,16 @@
 )
 
 type (
-	// Sharer sends this daemon's news to all others. Set the exported fields
-	// before Run.
+	// Sharer sends this daemon's news to those whom they concern, and its loads to
+	// all other daemons. Set the exported fields before Run.
 	Sharer struct {
 		Self     string // instance
 		Domain   string // failure domain
+		Region   string
 		Usage    *zpusage.Tracker
 		Others   func() []zpassign.Member
 		Send     func(ctx context.Context, address string, m Message) (instance string, err error)
-		Snapshot func() Message // news for a daemon that knows nothing yet
+		Snapshot func(to zpassign.Member) Message // news for a daemon that knows nothing yet
 		Log      *zplog.Logger
 		Clock    func() time.Time
 
@@ -31,7 +32,8 @@
 	peer struct {
 		instance string // that answered last
 		pending  Message
-		usage    uint64 // change number of the uses sent last
+		usage    uint64    // change number of the uses sent last
+		usedAt   time.Time // when they were sent
 		sentAt   time.Time
 		retryAt  time.Time
 		failures int
@@ -43,15 +45,19 @@
 const (
 	// interval is the pause between two looks for news.
 	interval = 30 * time.Millisecond
-	// nearPause and farPause are the least pauses between two messages to one
-	// daemon. Bytes that leave a failure domain are paid, and loads matter most to
-	// the daemons beside the endpoints.
+	// nearPause and farPause are the least pauses between two reports of loads to
+	// one daemon. Bytes that leave a failure domain are paid, and loads matter most
+	// to the daemons beside the endpoints.
 	nearPause = 30 * time.Millisecond
 	farPause  = 200 * time.Millisecond
 	// nearPerPeer and farPerPeer stretch the pauses, so that the messages of a
 	// daemon do not grow with the fleet.
-	nearPerPeer = 10 * time.Millisecond
+	nearPerPeer = 25 * time.Millisecond
 	farPerPeer  = 25 * time.Millisecond
+	// newsPause and farNewsPause are the least pauses between two messages with
+	// news, in this region and beyond. An equal prompt usually comes back later.
+	newsPause    = 200 * time.Millisecond
+	farNewsPause = 500 * time.Millisecond
 	// repeat is the pause after which uses are sent again although they are the
 	// same, so that they do not grow old.
 	repeat = 900 * time.Millisecond
@@ -81,6 +87,21 @@
 	}
 }
 
+// AddTo queues news for one daemon. A daemon that is not known yet gets a
+// snapshot first.
+func (s *Sharer) AddTo(address string, m Message) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	p, ok := s.peers[address]
+	if !ok || !p.fresh {
+		return
+	}
+	p.pending.append(m)
+	if len(p.pending.Parts) > pendingLimit {
+		p.pending, p.fresh = Message{}, false
+	}
+}
+
 // Run sends until ctx ends.
 func (s *Sharer) Run(ctx context.Context) {
 	ticker := time.NewTicker(interval)
@@ -105,11 +126,14 @@
 	}
 	known := map[string]bool{}
 	others := s.Others()
-	near, far := s.pauses(others)
+	near, far := s.usesPauses(others)
 	for _, m := range others {
-		pause := far
+		pauses := pauses{uses: far, news: farNewsPause}
 		if m.Domain == s.Domain {
-			pause = near
+			pauses.uses = near
+		}
+		if m.Region == s.Region {
+			pauses.news = newsPause
 		}
 		known[m.Address] = true
 		p, ok := s.peers[m.Address]
@@ -117,10 +141,13 @@
 			p = &peer{}
 			s.peers[m.Address] = p
 		}
-		if p.busy || now.Before(p.retryAt) || !p.due(changed, now, pause) {
+		if p.busy || now.Before(p.retryAt) {
 			continue
 		}
-		s.start(ctx, m.Address, p, uses, changed, now)
+		withUses := p.usesDue(changed, now, pauses.uses)
+		if withUses || p.newsDue(now, pauses.news) {
+			s.start(ctx, m, p, uses, changed, withUses, now)
+		}
 	}
 	for address := range s.peers {
 		if !known[address] {
@@ -129,9 +156,9 @@
 	}
 }
 
-// pauses returns the pauses between two messages to a daemon of the same
-// failure domain, and to one of another.
-func (s *Sharer) pauses(others []zpassign.Member) (near, far time.Duration) {
+// usesPauses returns the pauses between two reports of loads to a daemon of the
+// same failure domain, and to one of another.
+func (s *Sharer) usesPauses(others []zpassign.Member) (near, far time.Duration) {
 	n := 0
 	for _, m := range others {
 		if m.Domain == s.Domain {
@@ -142,22 +169,32 @@
 	return near, max(farPause, time.Duration(len(others)-n)*farPerPeer)
 }
 
-func (p *peer) due(changed uint64, now time.Time, pause time.Duration) bool {
-	if now.Sub(p.sentAt) < pause {
-		return false
-	}
-	return !p.fresh || !p.pending.IsEmpty() || changed != p.usage || now.Sub(p.sentAt) >= repeat
+// pauses between two messages to one daemon.
+type pauses struct{ uses, news time.Duration }
+
+func (p *peer) usesDue(changed uint64, now time.Time, pause time.Duration) bool {
+	age := now.Sub(p.usedAt)
+	return age >= pause && (changed != p.usage || age >= repeat)
+}
+
+func (p *peer) newsDue(now time.Time, pause time.Duration) bool {
+	return now.Sub(p.sentAt) >= pause && (!p.fresh || !p.pending.IsEmpty())
 }
 
 // start sends what is new to one daemon, in the background.
-func (s *Sharer) start(ctx context.Context, address string, p *peer, uses map[string]zpusage.Use, changed uint64, now time.Time) {
-	m := p.pending
-	if !p.fresh {
-		m = s.Snapshot()
-	}
-	m.Instance, m.Uses = s.Self, uses
+func (s *Sharer) start(ctx context.Context, to zpassign.Member, p *peer, uses map[string]zpusage.Use, changed uint64, withUses bool, now time.Time) {
+	address := to.Address
+	m, whole := p.pending, !p.fresh
 	p.pending, p.busy, p.fresh = Message{}, true, true
 	go func() {
+		if whole {
+			// The snapshot asks who is alive, so it is made without the lock.
+			m = s.Snapshot(to)
+		}
+		m.Instance = s.Self
+		if withUses {
+			m.Uses = uses
+		}
 		instance, err := s.Send(ctx, address, m)
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -169,7 +206,10 @@
 		if p.failures > 0 {
 			s.Log.Emit(zplog.PeerBack, zplog.Fields{"address": address, "failures": p.failures})
 		}
-		p.failures, p.usage, p.sentAt = 0, changed, now
+		p.failures, p.sentAt = 0, now
+		if withUses {
+			p.usage, p.usedAt = changed, now
+		}
 		if p.instance != instance {
 			// Another life of the daemon has not got what was sent before.
 			p.fresh = p.instance == ""
@@ -183,7 +223,7 @@
 	now := s.Clock()
 	out := map[string]bool{}
 	others := s.Others()
-	_, far := s.pauses(others)
+	_, far := s.usesPauses(others)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, m := range others {
--- a/internal/zpshare/sharer_test.go
+++ b/internal/zpshare/sharer_test.go
@@ -71,10 +71,13 @@
 		usage = zpusage.NewTracker(time.Second)
 		sharer = &zpshare.Sharer{
 			Self: "self", Domain: "a", Usage: usage,
-			Others:   func() []zpassign.Member { return []zpassign.Member{{Name: "p", Address: "p:1", Domain: "a"}} },
-			Send:     peer.send,
-			Snapshot: func() zpshare.Message { return news("snapshot") },
-			Log:      zplog.Discard(), Clock: time.Now,
+			Others: func() []zpassign.Member { return []zpassign.Member{{Name: "p", Address: "p:1", Domain: "a"}} },
+			Send:   peer.send,
+			Snapshot: func(zpassign.Member) zpshare.Message {
+				sharer.Alive()
+				return news("snapshot")
+			},
+			Log: zplog.Discard(), Clock: time.Now,
 		}
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
