Fault soak against stand-ins of the users' platform; hold nothing against requests that were served

make fault-soak plays seeded faults against daemons as separate processes: proxies that delay, reset, cut one way or silence connections to the store, to endpoints and between daemons; SIGTERM, SIGSTOP, SIGKILL and restarts; a store that is away, slow, late or loses answers; crashes, draining, evacuations, configurations. It judges from what callers and endpoints saw. A request that crashes endpoints does so each time, so one that ran to its end is cleared and not noted again; spec in zpquarantine failed first.

--- a/internal/zpbench/main.go
+++ b/internal/zpbench/main.go
@@ -11,18 +11,19 @@
 
 type (
 	commandLine struct {
-		Platform platformCommand `cmd:"" help:"Stand in for the platform's object API."`
-		Runner   runnerCommand   `cmd:"" help:"Stand in for a model engine."`
-		Service  serviceCommand  `cmd:"" help:"Stand in for a plain service."`
-		Store    storeCommand    `cmd:"" help:"Stand in for a KV cache store."`
-		Link     linkCommand     `cmd:"" help:"Stand in for the inter-region link."`
-		Load     loadCommand     `cmd:"" help:"Send the load of a deployment to running daemons."`
-		Demo     demoCommand     `cmd:"" help:"Run a small site, show what it does, and stop."`
-		Bench    benchCommand    `cmd:"" help:"Measure routing against the baseline at today's size."`
-		Slopes   slopesCommand   `cmd:"" help:"Measure how each role's cost grows."`
-		Overhead overheadCommand `cmd:"" help:"Measure what a daemon adds to a request."`
-		Site     siteCommand     `cmd:"" help:"Run a small site until Ctrl-C, to try requests by hand."`
-		Prove    proveCommand    `cmd:"" help:"Run the proofs of the promises."`
+		Platform  platformCommand  `cmd:"" help:"Stand in for the platform's object API."`
+		Runner    runnerCommand    `cmd:"" help:"Stand in for a model engine."`
+		Service   serviceCommand   `cmd:"" help:"Stand in for a plain service."`
+		Store     storeCommand     `cmd:"" help:"Stand in for a KV cache store."`
+		Link      linkCommand      `cmd:"" help:"Stand in for the inter-region link."`
+		Load      loadCommand      `cmd:"" help:"Send the load of a deployment to running daemons."`
+		Demo      demoCommand      `cmd:"" help:"Run a small site, show what it does, and stop."`
+		Bench     benchCommand     `cmd:"" help:"Measure routing against the baseline at today's size."`
+		Slopes    slopesCommand    `cmd:"" help:"Measure how each role's cost grows."`
+		Overhead  overheadCommand  `cmd:"" help:"Measure what a daemon adds to a request."`
+		Site      siteCommand      `cmd:"" help:"Run a small site until Ctrl-C, to try requests by hand."`
+		Prove     proveCommand     `cmd:"" help:"Run the proofs of the promises."`
+		FaultSoak faultSoakCommand `cmd:"" name:"fault-soak" help:"Play seeded faults against daemons on the users' platform, and judge the promises."`
 	}
 
 	console struct {
--- a/internal/zpquarantine/quarantine.go
+++ b/internal/zpquarantine/quarantine.go
@@ -22,6 +22,7 @@
 
 		mu      sync.Mutex
 		entries *lru.Cache[string, *record]
+		served  *lru.Cache[string, time.Time] // requests that ran to their end
 	}
 
 	record struct {
@@ -38,22 +39,39 @@
 
 const (
 	entriesKept = 65536
-	banAt       = 2
+	// servedKept is less: only equal requests that come often matter, and those are
+	// seen again soon.
+	servedKept = 4096
+	banAt      = 2
 )
 
 // NewList returns an empty list.
 func NewList(retention time.Duration) *List {
-	// The size is a positive constant, so New cannot fail.
+	// The sizes are positive constants, so New cannot fail.
 	entries, _ := lru.New[string, *record](entriesKept)
-	return &List{Retention: retention, entries: entries}
+	served, _ := lru.New[string, time.Time](servedKept)
+	return &List{Retention: retention, entries: entries, served: served}
+}
+
+// Served notes that a request ran to its end. A request that crashes endpoints
+// does so each time, so what was held against its fingerprint was chance: a
+// request that many callers send is present at many crashes.
+func (l *List) Served(fingerprint string, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.served.Add(fingerprint, now)
+	l.entries.Remove(fingerprint)
 }
 
 // Note records that a fingerprint was present at a crash and reports whether
 // that is news. A crash id names one fall of one endpoint, so that two reports
-// of the same fall count once.
+// of the same fall count once. It is no news of a request that was served here.
 func (l *List) Note(fingerprint, crash string, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if at, ok := l.served.Get(fingerprint); ok && now.Sub(at) <= l.Retention {
+		return false
+	}
 	r, ok := l.entries.Get(fingerprint)
 	if !ok {
 		r = &record{crashes: map[string]time.Time{}}
--- a/internal/zpquarantine/quarantine_test.go
+++ b/internal/zpquarantine/quarantine_test.go
@@ -45,6 +45,16 @@
 		Expect(l.Standing("f", start)).To(Equal(zpquarantine.StandingBanned))
 	})
 
+	It("holds nothing against a request that was served, as many callers may send it", func() {
+		l := zpquarantine.NewList(time.Hour)
+		l.Note("f", "c1", start)
+		l.Served("f", start)
+		Expect(l.Standing("f", start)).To(Equal(zpquarantine.StandingClear))
+		Expect(l.Note("f", "c2", start.Add(time.Second))).To(BeFalse())
+		Expect(l.Note("f", "c3", start.Add(2*time.Second))).To(BeFalse())
+		Expect(l.Standing("f", start.Add(2*time.Second))).To(Equal(zpquarantine.StandingClear))
+	})
+
 	It("forgets after the retention", func() {
 		l := zpquarantine.NewList(time.Hour)
 		l.Note("f", "c1", start)
