Weigh a choice among many engines in less work; mutants and specs of the fault soak

Cause: one choice among 140 engines asked the directory four times for each engine and added up the reports of 87 peers for each; while requests wait, eight such choices come every 10 ms. Every half second each daemon sorted its peers for each of 140 engines to find whom to follow, hashing in each comparison. Change: totals of loads are kept as reports come; what is known of a prompt's parts is looked at once a choice and salt; a look at the line weighs at most 400 endpoints; the first of a rendezvous is found without sorting.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: all mutant-unit build site overhead mutants demo test unit race e2e spec lint fmt docs docs-check proto prove bench slopes soak fuzz system clean
+.PHONY: all mutant-unit build site overhead mutants demo test unit race e2e spec lint fmt docs docs-check proto prove bench slopes fault-soak fault-soak-mutants profile fuzz system clean
 
 BIN := bin
 PACKAGES := ./...
@@ -43,9 +43,23 @@
 prove: build mutants
 	$(BIN)/zpstandin prove --bin $(BIN) --seeds $(SEEDS)
 
-# Many seeds without mutants; stops at the first red one and prints its seed.
-soak: build
-	$(BIN)/zpstandin prove --bin $(BIN) --no-mutants --seeds 2,3,4,5,6,7,8,9
+# Seeded faults against daemons on the users' platform, one line a seed. Give
+# SEED and SEEDS, or MINUTES for as many further seeds as fit.
+SEED ?= 1
+MINUTES ?= 0
+fault-soak: build
+	$(BIN)/zpstandin fault-soak --bin $(BIN) --seed $(SEED) --seeds $(or $(SOAK_SEEDS),1) --minutes $(MINUTES)
+
+# Shows that the soak notices: each mechanism is off once; every line must be red.
+SOAK_MUTANTS := claim not_run out_of_service freshness drain cold_limit resume retry_budget
+fault-soak-mutants: build mutants
+	@for m in $(SOAK_MUTANTS); do echo "== $$m"; $(BIN)/zpstandin fault-soak --bin $(BIN) --mutant $$m --seeds 6 --until-red || exit 1; done
+
+# What a request and an event cost on the users' platform, stand-ins included;
+# the profile is read by go tool pprof.
+profile:
+	go test -run XXX -bench . -benchmem -cpuprofile $(BIN)/profile.out -o $(BIN)/profile.test ./platform
+	go tool pprof -top -cum $(BIN)/profile.test $(BIN)/profile.out | head -40
 
 # Routing against the baseline at today's size; about twelve minutes.
 bench: build
--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplookup"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpmetric"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpnet"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpparts"
 	"github.com/zinniapaddle/zinniapaddle/internal/zppeer"
@@ -177,6 +178,10 @@
 	ctx, cancel := context.WithDeadline(context.Background(), begun.Add(d.Node.Bounds.StopGrace-stopReserve))
 	defer cancel()
 	d.leave(ctx)
+	if zpmutant.Active(zpmutant.Drain) {
+		_ = d.callers.Close()
+		return
+	}
 	time.Sleep(max(d.Node.Settings.Drain.Notice-time.Since(begun), 0))
 	if err := d.callers.Shutdown(ctx); err != nil {
 		d.Log.Emit(zplog.DrainTimedOut, zplog.Fields{"open_requests": d.gateway.Open.Load()})
--- a/internal/zpapp/gateway_members.go
+++ b/internal/zpapp/gateway_members.go
@@ -16,9 +16,10 @@
 type members struct {
 	self string
 
-	mu   sync.Mutex
-	byID map[string]zpassign.Member
-	list []string
+	mu     sync.Mutex
+	byID   map[string]zpassign.Member
+	list   []string
+	others []zpassign.Member
 }
 
 const (
@@ -39,17 +40,11 @@
 	return m.list
 }
 
-// Others returns the other daemons.
+// Others returns the other daemons. The result is shared.
 func (m *members) Others() []zpassign.Member {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var out []zpassign.Member
-	for _, name := range m.list {
-		if x, ok := m.byID[name]; ok && name != m.self {
-			out = append(out, x)
-		}
-	}
-	return out
+	return m.others
 }
 
 func (m *members) replace(list []zpassign.Member) {
@@ -84,13 +79,19 @@
 		}
 	}
 	sort.Strings(m.list)
+	m.others = nil
+	for _, name := range m.list {
+		if x, ok := m.byID[name]; ok && name != m.self {
+			m.others = append(m.others, x)
+		}
+	}
 }
 
 // join registers this daemon in the store, again and again until it is there.
 func (d *GatewayDaemon) join(ctx context.Context) {
 	body, err := zpassign.EncodeMember(d.self)
 	if err != nil {
-		d.Log.Emit(zplog.LeaseRenewFailed, zplog.Fields{"error": err.Error()})
+		d.Log.Emit(zplog.MemberNotWritten, zplog.Fields{"error": err.Error()})
 		return
 	}
 	for ctx.Err() == nil {
@@ -130,6 +131,6 @@
 		err = d.store.Delete(ctx, name, o.Revision)
 	}
 	if err != nil {
-		d.Log.Emit(zplog.LeaseRenewFailed, zplog.Fields{"error": err.Error()})
+		d.Log.Emit(zplog.MemberNotWritten, zplog.Fields{"error": err.Error()})
 	}
 }
--- a/internal/zpapp/gateway_sharing.go
+++ b/internal/zpapp/gateway_sharing.go
@@ -32,13 +32,13 @@
 	d.answering = &answering{daemon: d}
 	d.recorder = &zprelay.Recorder{API: d.store, Pulse: zpplatform.ConfigPrefix, Clock: zpclock.Now}
 	d.asker = &zplookup.Asker{
-		Self: d.self, Owners: d.answering.ownersOfParts, Learn: d.learnParts, Clock: zpclock.Now,
+		Self: d.self, Owners: d.answering.ownersOfParts, Learn: d.learnParts, Log: d.Log, Clock: zpclock.Now,
 		Call: func(ctx context.Context, address string, keys []zpparts.Key) (zpparts.Knowledge, error) {
 			return zppeer.Recall(ctx, d.dialer, address, keys)
 		},
 	}
 	d.follower = &zprelay.Follower{
-		API: d.recorder, Self: d.self, Pulse: zpplatform.ConfigPrefix, Daemons: d.answering.list, Clock: zpclock.Now,
+		API: d.recorder, Self: d.self, Pulse: zpplatform.ConfigPrefix, Daemons: d.answering.list, Log: d.Log, Clock: zpclock.Now,
 		Call: func(ctx context.Context, address, prefix string, since int64, wait time.Duration) (zprelay.Answer, error) {
 			return zppeer.Follow(ctx, d.dialer, address, prefix, since, wait)
 		},
--- a/internal/zpapp/gateway_watches.go
+++ b/internal/zpapp/gateway_watches.go
@@ -10,6 +10,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpclock"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpmirror"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpregistry"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zpobject"
 	zpplatform "github.com/zinniapaddle/zinniapaddle/platform"
@@ -83,7 +84,7 @@
 		d.Log.Emit(zplog.ConfigRefused, zplog.Fields{"error": err.Error(), "revision": o.Revision})
 		return
 	}
-	if c.Version <= d.catalogVersion() {
+	if c.Version <= d.catalogVersion() || zpmutant.Active(zpmutant.Freshness) && d.catalogVersion() > 0 {
 		return
 	}
 	d.catalog.Store(c)
@@ -123,6 +124,9 @@
 	if err != nil {
 		w.daemon.Log.Emit(zplog.EntryIgnored, zplog.Fields{"object": o.Name, "revision": o.Revision, "error": err.Error()})
 	}
+	if zpmutant.Active(zpmutant.OutOfService) {
+		e.State = zpregistry.StateReady
+	}
 	return e, err == nil
 }
 
@@ -142,7 +146,7 @@
 func (w *watches) applyEvacuations() {
 	var domains []string
 	for domain, out := range w.evacuated {
-		if out {
+		if out && !zpmutant.Active(zpmutant.OutOfService) {
 			domains = append(domains, domain)
 		}
 	}
--- a/internal/zpbench/fault_soak.go
+++ b/internal/zpbench/fault_soak.go
@@ -15,13 +15,14 @@
 	Seed      uint64        `default:"1" help:"First seed."`
 	Seeds     int           `default:"1" help:"How many seeds to play, one after the other."`
 	Minutes   float64       `default:"0" help:"Play further seeds until so many minutes are over."`
-	Length    time.Duration `default:"25s" help:"Length of one seed's play."`
+	Length    time.Duration `default:"40s" help:"Length of one seed's play."`
 	Daemons   int           `default:"6" help:"Daemons."`
 	Endpoints int           `default:"6" help:"Endpoints."`
 	Callers   int           `default:"6" help:"Callers at each daemon."`
 	Mutant    string        `help:"Mechanism to switch off."`
 	Number    int           `default:"140" help:"Second byte of the loopback addresses."`
 	Keep      bool          `help:"Keep the logs of green seeds, too."`
+	UntilRed  bool          `help:"End with success at the first seed that breaks a promise, and fail if none does: for mutants."`
 }
 
 // Run prints one line for each seed and fails if one broke a promise.
@@ -36,6 +37,12 @@
 		if !ok {
 			red++
 		}
+		if !ok && c.UntilRed {
+			return nil
+		}
+	}
+	if c.UntilRed {
+		return fmt.Errorf("none of %d seed(s) broke a promise", c.Seeds)
 	}
 	if red > 0 {
 		return fmt.Errorf("%d seed(s) broke a promise", red)
--- a/internal/zpgateway/parts.go
+++ b/internal/zpgateway/parts.go
@@ -26,6 +26,18 @@
 
 	// place is where something is.
 	place struct{ domain, region string }
+
+	// sight is what is known of one shared part under one salt. It is taken once
+	// for all candidates of a choice.
+	sight struct {
+		key    zpparts.Key
+		tokens int
+		held   map[string]int  // tokens by holder
+		coming map[string]bool // engines that are about to read the part
+	}
+
+	// sights are the shared parts of a prompt by salt.
+	sights map[string][]sight
 )
 
 // ReadLimit is how long a part is expected to be read at an engine.
@@ -72,37 +84,50 @@
 // findParts counts the tokens of the prompt that the candidate holds, and finds
 // sources for the parts that follow. A part is of use only after all parts
 // before it.
-func (g *Gateway) findParts(j *job, c *choice, now time.Time) {
-	parts := j.request.Prompt.SharedParts()
-	for i, part := range parts {
-		key := zpparts.Key{Salt: c.salt, Part: part.ID}
-		held := min(g.Parts.Tokens(c.endpoint.ID, key), part.Tokens)
+func (g *Gateway) findParts(j *job, c *choice, seen sights, now time.Time) {
+	for i, part := range g.look(j, c.salt, seen, now) {
+		held := min(part.held[c.endpoint.ID], part.tokens)
 		c.candidate.CachedTokens += held
-		if held == part.Tokens {
+		if held == part.tokens {
 			continue
 		}
-		if g.Parts.IsExpected(c.endpoint.ID, key, now) {
-			c.candidate.CachedTokens += part.Tokens - held
+		if part.coming[c.endpoint.ID] {
+			c.candidate.CachedTokens += part.tokens - held
 			continue
 		}
-		s, ok := g.sourceOf(j, c, key, part.Tokens, now)
+		s, ok := g.sourceOf(j, c, part, now)
 		if !ok {
 			return
 		}
 		if c.fetch == nil {
 			c.fetch = make([]Transfer, len(j.request.Prompt.Parts))
 		}
-		c.fetch[i] = Transfer{Address: s.address, Tokens: part.Tokens}
-		c.candidate.FetchTokens += part.Tokens - held
+		c.fetch[i] = Transfer{Address: s.address, Tokens: part.tokens}
+		c.candidate.FetchTokens += part.tokens - held
 		c.candidate.FetchTime += s.time
 		c.source = s.holder
 	}
 }
 
+// look returns what is known of the prompt's shared parts under a salt.
+func (g *Gateway) look(j *job, salt string, seen sights, now time.Time) []sight {
+	list, ok := seen[salt]
+	if ok {
+		return list
+	}
+	for _, part := range j.request.Prompt.SharedParts() {
+		s := sight{key: zpparts.Key{Salt: salt, Part: part.ID}, tokens: part.Tokens}
+		s.held, s.coming = g.Parts.Look(s.key, now)
+		list = append(list, s)
+	}
+	seen[salt] = list
+	return list
+}
+
 // prefer marks the engine of this region that a rendezvous hash names for a
 // prompt of which no holder is known. Daemons that have not heard of each
 // other's prompts yet send equal ones to the same engine.
-func (g *Gateway) prefer(j *job, list []choice, candidates []zpplace.Candidate, now time.Time) {
+func (g *Gateway) prefer(j *job, list []choice, candidates []zpplace.Candidate, seen sights, now time.Time) {
 	parts := j.request.Prompt.SharedParts()
 	if len(parts) == 0 {
 		return
@@ -113,8 +138,8 @@
 		if c.weights == 0 || c.endpoint.Region != g.Region {
 			continue
 		}
-		key := zpparts.Key{Salt: c.salt, Part: last}
-		if g.Parts.IsExpected(c.endpoint.ID, key, now) || g.Parts.IsHeld(key) {
+		known := g.look(j, c.salt, seen, now)[len(parts)-1]
+		if known.coming[c.endpoint.ID] || len(known.held) > 0 {
 			return
 		}
 		if rank := zpplace.Weigh(c.endpoint.ID, last); best < 0 || rank > bestRank {
@@ -127,14 +152,14 @@
 }
 
 // sourceOf returns the quickest source of a whole part for a candidate.
-func (g *Gateway) sourceOf(j *job, c *choice, key zpparts.Key, tokens int, now time.Time) (source, bool) {
+func (g *Gateway) sourceOf(j *job, c *choice, part sight, now time.Time) (source, bool) {
 	var best source
 	found := false
-	for holder, held := range g.Parts.Holders(key) {
-		if held < tokens || holder == c.endpoint.ID {
+	for holder, held := range part.held {
+		if held < part.tokens || holder == c.endpoint.ID {
 			continue
 		}
-		s, ok := g.source(j, c, holder, tokens, now)
+		s, ok := g.source(j, c, holder, part.tokens, now)
 		if ok && (!found || s.time < best.time) {
 			best, found = s, true
 		}
--- a/internal/zpgateway/place.go
+++ b/internal/zpgateway/place.go
@@ -5,6 +5,7 @@
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpplace"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpregistry"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpusage"
@@ -49,8 +50,9 @@
 	v := verdictNone
 	var list []choice
 	var candidates []zpplace.Candidate
+	seen := sights{}
 	for _, e := range g.Registry.Serving(j.pool.Name, now) {
-		c, ok := g.consider(j, e, ask, now)
+		c, ok := g.consider(j, e, ask, seen, now)
 		if !ok {
 			continue
 		}
@@ -60,7 +62,7 @@
 			candidates = append(candidates, c.candidate)
 		}
 	}
-	g.prefer(j, list, candidates, now)
+	g.prefer(j, list, candidates, seen, now)
 	for len(list) > 0 {
 		i, cost := zpplace.Best(ask, candidates, g.Rates)
 		c := list[i]
@@ -78,7 +80,7 @@
 }
 
 // consider describes an endpoint as a candidate, unless it may not be used.
-func (g *Gateway) consider(j *job, e zpregistry.Endpoint, ask zpplace.Ask, now time.Time) (choice, bool) {
+func (g *Gateway) consider(j *job, e zpregistry.Endpoint, ask zpplace.Ask, seen sights, now time.Time) (choice, bool) {
 	if j.tried[e.ID] || !j.regions().Allows(e.Region) || g.Weights.Changing(e.ID, now) {
 		return choice{}, false
 	}
@@ -95,7 +97,7 @@
 		c.candidate.MemoryTokens = j.pool.Engine.CacheTokens
 		c.candidate.OldWeights = c.weights < g.Weights.Named(p.Model)
 		c.salt = g.salt(j, c.weights)
-		g.findParts(j, &c, now)
+		g.findParts(j, &c, seen, now)
 	}
 	return c, true
 }
@@ -131,10 +133,14 @@
 }
 
 func (c choice) run(j *job, left time.Duration) Run {
+	resumeAfter := j.lastEvent
+	if zpmutant.Active(zpmutant.Resume) {
+		resumeAfter = ""
+	}
 	return Run{
 		Request: j.request, Endpoint: c.endpoint, Workspace: j.workspaceName(), Left: left,
 		Priority: j.priority(), Salt: c.salt, WeightVersion: c.weights, Fetch: c.fetch, Save: c.save,
-		ResumeAfter: j.lastEvent, Repeatable: j.route.Kind == zpcatalog.KindIdempotent,
+		ResumeAfter: resumeAfter, Repeatable: j.route.Kind == zpcatalog.KindIdempotent,
 	}
 }
 
--- a/internal/zpgateway/room.go
+++ b/internal/zpgateway/room.go
@@ -35,8 +35,11 @@
 const (
 	// roomInterval is the pause between two looks for room.
 	roomInterval = 10 * time.Millisecond
-	// roomTries bounds the requests that are tried in one look.
+	// roomTries bounds the requests that are tried in one look, and roomLooks the
+	// endpoints that are weighed for them, so that a daemon with a small share of a
+	// core and a large pool has time left to serve.
 	roomTries = 8
+	roomLooks = 400
 	// roomLimit bounds the waiting requests of a daemon, and so their memory.
 	roomLimit = 512
 	// usableShare is the part of a request's objective for which it waits while no
@@ -120,7 +123,7 @@
 	full := map[string]int{} // tries without room, by pool
 	for _, e := range g.room.line.Ordered(now) {
 		w := e.Value
-		if full[w.job.pool.Name] >= roomTries {
+		if full[w.job.pool.Name] >= g.triesOf(w.job.pool.Name, now) {
 			continue
 		}
 		c, v := g.choose(w.job, now)
@@ -137,6 +140,12 @@
 	}
 }
 
+// triesOf returns how many requests for a pool are tried in one look.
+func (g *Gateway) triesOf(pool string, now time.Time) int {
+	n := len(g.Registry.Serving(pool, now))
+	return max(1, min(roomTries, roomLooks/max(n, 1)))
+}
+
 func (g *Gateway) entryOf(w *waiter) *entry {
 	j := w.job
 	service := time.Duration(0)
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -9,6 +9,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpquarantine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpregistry"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpretry"
@@ -78,6 +79,9 @@
 
 // mayRepeat reports whether a request that may have run may be sent again.
 func (g *Gateway) mayRepeat(j *job) bool {
+	if zpmutant.Active(zpmutant.Claim) {
+		return !j.begun && j.runs < maxRefusals
+	}
 	if !j.route.Repeatable() || j.runs >= max(j.route.MaxAttempts, 1) {
 		return false
 	}
@@ -95,7 +99,7 @@
 // unanswered gives an error the run state of the sends before it.
 func (g *Gateway) unanswered(j *job, err error) error {
 	e := zperror.Of(err)
-	if j.runState == zperror.RunStateNotRun {
+	if j.runState == zperror.RunStateNotRun || zpmutant.Active(zpmutant.NotRun) {
 		return e
 	}
 	return errBroken.WithCause(e)
@@ -170,6 +174,9 @@
 
 // brokenAnswer judges a request whose answer broke off after it was sent.
 func (g *Gateway) brokenAnswer(ctx context.Context, j *job, c choice, s sent) sent {
+	if zpmutant.Active(zpmutant.NotRun) && !j.begun {
+		return sent{resultStopped, errBusy}
+	}
 	if stopped, ok := g.stopped(ctx, j); ok {
 		if stopped.result == resultSilent || errors.Is(stopped.err, errTimeout) {
 			g.Suspects.Failed(c.endpoint.ID, FailureSilence, g.Clock())
--- a/internal/zplog/event.go
+++ b/internal/zplog/event.go
@@ -52,6 +52,7 @@
 	LeaseLost         = Event{201, logrus.ErrorLevel, "lease was ended by another daemon; a new instance is registered", "look for pauses of this VM"}
 	LeaseLapsed       = Event{202, logrus.WarnLevel, "lease lapsed by the own clock; budgets are reduced", "check the platform"}
 	MemberEnded       = Event{203, logrus.WarnLevel, "another daemon's lease was ended after it lapsed", "none; the VM may be replaced"}
+	MemberNotWritten  = Event{204, logrus.WarnLevel, "record of this daemon not written or removed", "check the store if it persists; others do not know this daemon"}
 	PartitionTaken    = Event{210, logrus.InfoLevel, "partition taken over", "none"}
 	PartitionLeft     = Event{211, logrus.InfoLevel, "partition given up", "none"}
 	DutyTaken         = Event{220, logrus.InfoLevel, "exclusive duty taken", "none"}
@@ -86,6 +87,8 @@
 	PeerFailed        = Event{800, logrus.DebugLevel, "call to another daemon failed", "none"}
 	PeerLost          = Event{801, logrus.WarnLevel, "another daemon does not answer", "none; check the VM if it persists"}
 	PeerBack          = Event{802, logrus.InfoLevel, "another daemon answers again", "none"}
+	OwnerSilent       = Event{803, logrus.WarnLevel, "owner of parts of prompts does not answer; what is known here is used", "none; check the VM if it persists"}
+	WatcherAvoided    = Event{804, logrus.WarnLevel, "store is not followed through this daemon for a while", "none; check the VM and its way to the store if it persists"}
 	ServerFailed      = Event{900, logrus.ErrorLevel, "a listener failed", "check that the address is free"}
 	LinesDropped      = Event{901, logrus.WarnLevel, "log lines were dropped because the destination is slow", "lower log.level"}
 )
@@ -94,11 +97,11 @@
 func Catalogue() []Event {
 	return []Event{
 		Started, Stopping, Stopped, DrainTimedOut, Reloaded, ReloadFailed, LeaseRenewFailed, LeaseLost,
-		LeaseLapsed, MemberEnded, PartitionTaken, PartitionLeft, DutyTaken, DutyLeft, ConfigApplied, ConfigRefused,
+		LeaseLapsed, MemberEnded, MemberNotWritten, PartitionTaken, PartitionLeft, DutyTaken, DutyLeft, ConfigApplied, ConfigRefused,
 		ConfigStale, ConfigFresh, WatchFailed, StoreAway, StoreBack, EntryIgnored, EvacuationChanged,
 		RequestFailed, RequestRetried, RequestPlaced, CrashNoted, RequestAnswered, RequestWaits, RequestSilent,
 		EndpointSuspect, EndpointWarm, OrderGiven, EndpointChanged, EndpointGone, WeightsNamed, WeightsLoaded,
-		OrderFailed, StoreState, FingerprintBanned, ClaimSettleFailed, PeerFailed, PeerLost, PeerBack,
+		OrderFailed, StoreState, FingerprintBanned, ClaimSettleFailed, PeerFailed, PeerLost, PeerBack, OwnerSilent, WatcherAvoided,
 		ServerFailed, LinesDropped,
 	}
 }
--- a/internal/zplookup/asker.go
+++ b/internal/zplookup/asker.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
+	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpparts"
 )
 
@@ -17,6 +18,7 @@
 		Owners func() *Owners
 		Call   func(ctx context.Context, address string, keys []zpparts.Key) (zpparts.Knowledge, error)
 		Learn  func(keys []zpparts.Key, k zpparts.Knowledge, now time.Time)
+		Log    *zplog.Logger
 		Clock  func() time.Time
 
 		mu     sync.Mutex
@@ -105,7 +107,7 @@
 		a.silent = map[string]time.Time{}
 	}
 	if err != nil {
-		// The dialer counts the failure; what is known here is used.
+		a.Log.Emit(zplog.OwnerSilent, zplog.Fields{"address": q.address, "keys": len(q.keys), "error": err.Error(), "spared_ms": silentPause.Milliseconds()})
 		a.silent[q.address] = now.Add(silentPause)
 		return
 	}
--- a/internal/zplookup/lookup_test.go
+++ b/internal/zplookup/lookup_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
+	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplookup"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpparts"
 )
@@ -110,7 +111,7 @@
 				return zpparts.Knowledge{Held: []zpparts.Change{{Holder: "e", Key: list[0], Tokens: 1}}}, nil
 			},
 			Learn: func(_ []zpparts.Key, k zpparts.Knowledge, _ time.Time) { learned = append(learned, k.Held...) },
-			Clock: func() time.Time { return now },
+			Log:   zplog.Discard(), Clock: func() time.Time { return now },
 		}
 	})
 
--- a/internal/zpmutant/name.go
+++ b/internal/zpmutant/name.go
@@ -18,4 +18,5 @@
 	SaltVersion   Name = "salt_version"   // block names are the same for all weight versions
 	OutOfService  Name = "out_of_service" // domains and endpoints taken out still get work
 	Fencing       Name = "fencing"        // orders carry no fencing number and are not repaired
+	RetryBudget   Name = "retry_budget"   // repeats have no budget
 )
--- a/internal/zpparts/directory.go
+++ b/internal/zpparts/directory.go
@@ -74,6 +74,16 @@
 	}
 }
 
+// Look returns the tokens of a part by holder, and the engines that are about to
+// read it.
+func (d *Directory) Look(key Key, now time.Time) (held map[string]int, coming map[string]bool) {
+	held, coming = d.Holders(key), map[string]bool{}
+	for _, c := range d.Coming(key, now) {
+		coming[c.Holder] = true
+	}
+	return held, coming
+}
+
 // Coming lists the engines that are about to read a part.
 func (d *Directory) Coming(key Key, now time.Time) []Change {
 	d.mu.Lock()
--- a/internal/zpplace/cold.go
+++ b/internal/zpplace/cold.go
@@ -2,9 +2,10 @@
 
 import (
 	"hash/fnv"
-	"sort"
 	"sync"
 	"time"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 )
 
 // ColdGate limits what this daemon sends to cold endpoints, so that all daemons
@@ -24,7 +25,7 @@
 
 // Allow reports whether a request may go to a cold endpoint now, and counts it.
 func (g *ColdGate) Allow(endpoint string, perSecond float64, daemons []string, now time.Time) bool {
-	if perSecond <= 0 {
+	if perSecond <= 0 || zpmutant.Active(zpmutant.ColdLimit) {
 		return true
 	}
 	if !isChosen(g.Self, endpoint, int(perSecond), daemons) {
@@ -67,12 +68,13 @@
 
 // First returns the member that comes first in the rendezvous for a key, or "".
 func First(key string, members []string) string {
-	if len(members) == 0 {
-		return ""
+	first, best := "", uint64(0)
+	for _, m := range members {
+		if w := Weigh(m, key); first == "" || w > best {
+			first, best = m, w
+		}
 	}
-	list := append([]string(nil), members...)
-	sort.Slice(list, func(i, j int) bool { return Weigh(list[i], key) > Weigh(list[j], key) })
-	return list[0]
+	return first
 }
 
 // Weigh returns the weight of a member in the rendezvous for a key; the highest
--- a/internal/zprelay/follower.go
+++ b/internal/zprelay/follower.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
+	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplookup"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zpobject"
@@ -20,6 +21,7 @@
 	Pulse        string                   // prefix whose watch tells whether the store answers
 	Daemons      func() []zpassign.Member // that answer, this one too
 	Call         func(ctx context.Context, address, prefix string, since int64, wait time.Duration) (Answer, error)
+	Log          *zplog.Logger
 	Clock        func() time.Time
 
 	mu      sync.Mutex
@@ -54,7 +56,7 @@
 			f.saw(prefix, a.Revision)
 			return a.Listing, nil
 		}
-		f.avoid(address)
+		f.avoid(address, prefix, err)
 	}
 	l, err := f.API.List(ctx, prefix)
 	if err == nil {
@@ -85,7 +87,7 @@
 		case ctx.Err() != nil:
 			return zpobject.Listing{}, ctx.Err()
 		case err != nil || a.Whole && !f.isNew(prefix, a.Revision):
-			f.avoid(address)
+			f.avoid(address, prefix, err)
 		case a.Whole:
 			return zpobject.Listing{}, errListAnew
 		case len(a.Objects) > 0 || left <= step:
@@ -126,9 +128,14 @@
 	return "", false
 }
 
-func (f *Follower) avoid(address string) {
+func (f *Follower) avoid(address, prefix string, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	fields := zplog.Fields{"address": address, "prefix": prefix, "revision": f.seen[prefix], "avoided_ms": avoidFor.Milliseconds()}
+	if err != nil {
+		fields["error"] = err.Error()
+	}
+	f.Log.Emit(zplog.WatcherAvoided, fields)
 	if f.avoided == nil {
 		f.avoided = map[string]time.Time{}
 	}
--- a/internal/zprelay/follower_test.go
+++ b/internal/zprelay/follower_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
+	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zprelay"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zpobject"
 )
@@ -70,7 +71,7 @@
 	follower := func(self zpassign.Member) *zprelay.Follower {
 		return &zprelay.Follower{
 			API: store, Self: self, Pulse: prefix, Daemons: func() []zpassign.Member { return daemons },
-			Clock: func() time.Time { return now },
+			Log: zplog.Discard(), Clock: func() time.Time { return now },
 			Call: func(ctx context.Context, address, p string, since int64, wait time.Duration) (zprelay.Answer, error) {
 				if frozen[address] {
 					return zprelay.Answer{}, context.DeadlineExceeded
--- a/internal/zpretry/budget.go
+++ b/internal/zpretry/budget.go
@@ -6,6 +6,8 @@
 	"math/rand/v2"
 	"sync"
 	"time"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 )
 
 // Budget is the retry budget of one workspace and pool. It is safe for
@@ -33,7 +35,7 @@
 	defer b.mu.Unlock()
 	b.begin()
 	if b.saved < 1 {
-		return false
+		return zpmutant.Active(zpmutant.RetryBudget)
 	}
 	b.saved--
 	return true
--- a/internal/zpsoak/faults.go
+++ b/internal/zpsoak/faults.go
@@ -146,6 +146,8 @@
 		i.crash(ctx, f)
 	case EndpointDrain:
 		i.drain(ctx, f)
+	case AnswersBreak:
+		i.breakAnswers(ctx, f)
 	case Evacuate:
 		i.evacuate(ctx, f)
 	case Reconfigure:
@@ -232,6 +234,16 @@
 	i.site.register(e)
 }
 
+func (i *injector) breakAnswers(ctx context.Context, f Fault) {
+	for _, e := range i.site.endpoints {
+		e.SetBreaking(true)
+	}
+	pause(ctx, f.For)
+	for _, e := range i.site.endpoints {
+		e.SetBreaking(false)
+	}
+}
+
 func (i *injector) evacuate(ctx context.Context, f Fault) {
 	domain := domains[f.Target]
 	i.site.store.Put("evacuations", domain, "{}")
--- a/internal/zpsoak/judge.go
+++ b/internal/zpsoak/judge.go
@@ -32,13 +32,13 @@
 )
 
 // judge compares what callers and endpoints saw with the promises.
-func (r *run) judge() Report {
+func (r *run) judge() Outcome {
 	runs := r.site.log.Runs()
 	byRequest := map[string][]zpoutside.Run{}
 	for _, x := range runs {
 		byRequest[x.Request] = append(byRequest[x.Request], x)
 	}
-	report := Report{Faults: len(r.faults.troubles), Requests: len(r.seen.requests), Runs: len(runs)}
+	report := Outcome{Faults: len(r.faults.troubles), Requests: len(r.seen.requests), Runs: len(runs)}
 	count := map[string]int{}
 	violation := func(promise, format string, args ...any) {
 		if count[promise]++; count[promise] <= violationLimit {
@@ -86,7 +86,7 @@
 		return true
 	}
 	if r.isTroubled(q.Begun, q.Ended, func(t trouble) bool {
-		return t.Target == q.Daemon && (t.Kind == DaemonKill || t.Kind == DaemonPause)
+		return t.Kind == AnswersBreak || t.Target == q.Daemon && (t.Kind == DaemonKill || t.Kind == DaemonPause)
 	}) {
 		return true
 	}
--- a/internal/zpsoak/plan.go
+++ b/internal/zpsoak/plan.go
@@ -8,6 +8,8 @@
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"github.com/zinniapaddle/zinniapaddle/platform/zpoutside"
 )
 
 type (
@@ -43,6 +45,7 @@
 	EndpointSlow  Kind = "endpoint_slow"
 	EndpointCrash Kind = "endpoint_crash" // a new life under another id, cold
 	EndpointDrain Kind = "endpoint_drain"
+	AnswersBreak  Kind = "answers_break" // all endpoints run requests and break off the answers
 	Evacuate      Kind = "evacuate"
 	Reconfigure   Kind = "reconfigure"
 )
@@ -51,7 +54,8 @@
 type shape struct {
 	kind    Kind
 	weight  int
-	longest time.Duration
+	longest time.Duration // beyond its least
+	least   time.Duration // zero: shortestFor
 }
 
 const (
@@ -60,33 +64,34 @@
 	// quietEnd is the time without faults in which everything must recover.
 	quietEnd = 8 * time.Second
 	// meanGap is the mean pause between two faults, which lets them overlap.
-	meanGap     = 700 * time.Millisecond
+	meanGap     = 900 * time.Millisecond
 	shortestFor = 200 * time.Millisecond
 	// seriesShare is the part of faults, in hundredths, that come again at once.
 	seriesShare = 20
 )
 
 var shapes = []shape{
-	{DaemonStop, 3, 1500 * time.Millisecond},
-	{DaemonKill, 3, 1500 * time.Millisecond},
-	{DaemonPause, 3, 3 * time.Second},
-	{StoreCut, 2, 4 * time.Second},
-	{StoreOneWay, 2, 4 * time.Second},
-	{StoreReset, 2, time.Second},
-	{StoreDown, 2, 4 * time.Second},
-	{StoreLose, 2, 3 * time.Second},
-	{StoreLate, 2, 3 * time.Second},
-	{StoreSlow, 1, 3 * time.Second},
-	{PeerCut, 2, 3 * time.Second},
-	{PeerSlow, 1, 3 * time.Second},
-	{EndpointCut, 2, 3 * time.Second},
-	{EndpointMute, 2, 3 * time.Second},
-	{EndpointReset, 3, time.Second},
-	{EndpointSlow, 2, 3 * time.Second},
-	{EndpointCrash, 3, time.Second},
-	{EndpointDrain, 2, 4 * time.Second},
-	{Evacuate, 2, 5 * time.Second},
-	{Reconfigure, 4, 0},
+	{DaemonStop, 3, 1500 * time.Millisecond, 0},
+	{DaemonKill, 3, 1500 * time.Millisecond, 0},
+	{DaemonPause, 3, 3 * time.Second, 0},
+	{StoreCut, 2, 4 * time.Second, 0},
+	{StoreOneWay, 2, 4 * time.Second, 0},
+	{StoreReset, 2, time.Second, 0},
+	{StoreDown, 2, 4 * time.Second, 0},
+	{StoreLose, 2, 3 * time.Second, 0},
+	{StoreLate, 2, 3 * time.Second, 0},
+	{StoreSlow, 1, 3 * time.Second, 0},
+	{PeerCut, 2, 3 * time.Second, 0},
+	{PeerSlow, 1, 3 * time.Second, 0},
+	{EndpointCut, 2, 3 * time.Second, 0},
+	{EndpointMute, 2, 3 * time.Second, 0},
+	{EndpointReset, 3, time.Second, 0},
+	{EndpointSlow, 2, 3 * time.Second, 0},
+	{EndpointCrash, 3, time.Second, 0},
+	{EndpointDrain, 2, 4 * time.Second, zpoutside.DrainMS * time.Millisecond},
+	{AnswersBreak, 1, 3 * time.Second, time.Second},
+	{Evacuate, 2, 4 * time.Second, zpoutside.EvacuateMS*time.Millisecond + time.Second},
+	{Reconfigure, 4, 0, 0},
 }
 
 // Plan draws the faults of a run. Equal seeds give equal plans.
@@ -101,7 +106,7 @@
 		s := draw(random.IntN(total))
 		f := Fault{Kind: s.kind, At: at, Target: random.IntN(targets(s.kind, daemons, endpoints, domains))}
 		if s.longest > 0 {
-			f.For = shortestFor + time.Duration(random.Int64N(int64(s.longest)))
+			f.For = max(s.least, shortestFor) + time.Duration(random.Int64N(int64(s.longest)))
 			f.For = min(f.For, length-quietEnd-at)
 		}
 		out = append(out, f)
--- a/internal/zpsoak/run.go
+++ b/internal/zpsoak/run.go
@@ -17,8 +17,8 @@
 		ended  time.Time
 	}
 
-	// Report is what a run has shown.
-	Report struct {
+	// Outcome is what a run has shown.
+	Outcome struct {
 		Faults     int
 		Requests   int
 		Served     int
@@ -28,16 +28,16 @@
 )
 
 // Run plays one seed and judges what was seen.
-func Run(ctx context.Context, c Config) (Report, error) {
+func Run(ctx context.Context, c Config) (Outcome, error) {
 	s, err := newSite(c)
 	if s != nil {
 		defer s.stop()
 	}
 	if err != nil {
-		return Report{}, err
+		return Outcome{}, err
 	}
 	if err := s.awaitReady(ctx); err != nil {
-		return Report{}, err
+		return Outcome{}, err
 	}
 	r := &run{site: s, seen: &history{}, begun: time.Now()}
 	r.faults = &injector{
--- a/internal/zpsoak/site.go
+++ b/internal/zpsoak/site.go
@@ -50,7 +50,7 @@
 	key           = "key-of-w"
 	coldPerSecond = 6.0
 	coldFor       = 1500 * time.Millisecond
-	slots         = 8
+	slots         = 3 // few, so that cold endpoints are needed, too
 	work          = 30 * time.Millisecond
 	events        = 12 // of a stream
 	memoryMB      = 284
--- a/internal/zpusage/tracker.go
+++ b/internal/zpusage/tracker.go
@@ -23,6 +23,8 @@
 		mu      sync.Mutex
 		own     map[string]Use
 		peers   map[string]report
+		total   map[string]Use // of this daemon and all reports in peers
+		sweepAt time.Time      // when the oldest report may have grown too old
 		changed uint64
 	}
 
@@ -41,7 +43,7 @@
 
 // NewTracker returns a tracker without uses.
 func NewTracker(maxAge time.Duration) *Tracker {
-	return &Tracker{MaxAge: maxAge, own: map[string]Use{}, peers: map[string]report{}}
+	return &Tracker{MaxAge: maxAge, own: map[string]Use{}, peers: map[string]report{}, total: map[string]Use{}}
 }
 
 // Begin counts a request on an endpoint.
@@ -68,13 +70,32 @@
 func (t *Tracker) Total(endpoint string, now time.Time) Use {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	sum := t.own[endpoint]
-	for _, p := range t.peers {
-		if now.Sub(p.at) <= t.MaxAge {
-			sum = plus(sum, p.uses[endpoint], 1)
+	t.sweep(now)
+	return t.total[endpoint]
+}
+
+// sweep drops reports that have grown too old.
+func (t *Tracker) sweep(now time.Time) {
+	if now.Before(t.sweepAt) {
+		return
+	}
+	t.sweepAt = now.Add(t.MaxAge)
+	for name, p := range t.peers {
+		end := p.at.Add(t.MaxAge)
+		if now.After(end) {
+			t.drop(name)
+		} else if end.Before(t.sweepAt) {
+			t.sweepAt = end
 		}
 	}
-	return sum
+}
+
+// drop takes a peer's report out of the totals.
+func (t *Tracker) drop(name string) {
+	for endpoint, u := range t.peers[name].uses {
+		t.count(t.total, endpoint, u, -1)
+	}
+	delete(t.peers, name)
 }
 
 // Own returns a copy of this daemon's uses, and a number that changes with them.
@@ -99,24 +120,29 @@
 func (t *Tracker) SetPeer(instance string, uses map[string]Use, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.drop(instance)
 	t.peers[instance] = report{at: now, uses: uses}
-	for name, p := range t.peers {
-		if now.Sub(p.at) > t.MaxAge {
-			delete(t.peers, name)
-		}
+	for endpoint, u := range uses {
+		t.count(t.total, endpoint, u, 1)
 	}
+	t.sweep(now)
 }
 
 func (t *Tracker) add(endpoint string, u Use, sign int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	sum := plus(t.own[endpoint], u, sign)
+	t.count(t.own, endpoint, u, sign)
+	t.count(t.total, endpoint, u, sign)
+	t.changed++
+}
+
+func (t *Tracker) count(sums map[string]Use, endpoint string, u Use, sign int) {
+	sum := plus(sums[endpoint], u, sign)
 	if sum == (Use{}) {
-		delete(t.own, endpoint)
+		delete(sums, endpoint)
 	} else {
-		t.own[endpoint] = sum
+		sums[endpoint] = sum
 	}
-	t.changed++
 }
 
 func plus(a, b Use, sign int) Use {
