--- /dev/null
+++ b/internal/zpgateway/site_test.go
@@ -0,0 +1,216 @@
+package zpgateway_test
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpgateway"
+	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmetric"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpparts"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpplace"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpquarantine"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpregistry"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpretry"
+	"github.com/zinniapaddle/zinniapaddle/internal/zprollout"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpusage"
+	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
+)
+
+type (
+	// step is what an endpoint does with one run.
+	step func(ctx context.Context, gate *zpengine.Gate) (*zpgateway.Answer, error)
+
+	// fakeRunner answers the runs of one request by a script and keeps them.
+	fakeRunner struct {
+		mu    sync.Mutex
+		steps []step
+		runs  []zpgateway.Run
+	}
+
+	// fakeReply keeps what the caller gets.
+	fakeReply struct {
+		status  int
+		header  http.Header
+		body    bytes.Buffer
+		refused *zperror.Error
+		aborted bool
+		broken  bool // writes fail
+	}
+
+	// breaking is a body that breaks off after its text.
+	breaking struct{ io.Reader }
+)
+
+var errReset = errors.New("connection reset")
+
+func (f *fakeRunner) Run(ctx context.Context, run zpgateway.Run, gate *zpengine.Gate) (*zpgateway.Answer, error) {
+	f.mu.Lock()
+	f.runs = append(f.runs, run)
+	i := min(len(f.runs), len(f.steps)) - 1
+	f.mu.Unlock()
+	return f.steps[i](ctx, gate)
+}
+
+func (r *fakeReply) Begin(status int, header http.Header, _ int64) {
+	r.status, r.header = status, header
+}
+
+func (r *fakeReply) Write(p []byte) error {
+	if r.broken {
+		return errReset
+	}
+	_, err := r.body.Write(p)
+	return err
+}
+
+func (r *fakeReply) Refuse(e *zperror.Error) { r.refused = e }
+
+func (r *fakeReply) Abort() { r.aborted = true }
+
+func (b breaking) Read(p []byte) (int, error) {
+	n, err := b.Reader.Read(p)
+	if errors.Is(err, io.EOF) {
+		return n, errReset
+	}
+	return n, err
+}
+
+// sendByte opens the gate as the first byte of a run does.
+func sendByte(gate *zpengine.Gate) {
+	GinkgoHelper()
+	Expect(gate.Open()).To(Succeed())
+}
+
+func answers(status int, body string, change ...func(*zpgateway.Answer)) step {
+	return func(_ context.Context, gate *zpengine.Gate) (*zpgateway.Answer, error) {
+		sendByte(gate)
+		a := &zpgateway.Answer{
+			Status: status, Header: http.Header{"X-From": {"endpoint"}}, Body: io.NopCloser(strings.NewReader(body)), Length: -1, Sealed: true,
+		}
+		for _, c := range change {
+			c(a)
+		}
+		return a, nil
+	}
+}
+
+func breaksOff(text string) step {
+	return answers(http.StatusOK, "", func(a *zpgateway.Answer) { a.Body = io.NopCloser(breaking{strings.NewReader(text)}) })
+}
+
+func refuses(status int) step {
+	return answers(status, "", func(a *zpgateway.Answer) { a.NotRun, a.Sealed = true, false })
+}
+
+func noConnection(context.Context, *zpengine.Gate) (*zpgateway.Answer, error) { return nil, errReset }
+
+func silent(ctx context.Context, gate *zpengine.Gate) (*zpgateway.Answer, error) {
+	sendByte(gate)
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func resets(_ context.Context, gate *zpengine.Gate) (*zpgateway.Answer, error) {
+	sendByte(gate)
+	return nil, errReset
+}
+
+func route(name string, kind zpcatalog.Kind, attempts int, resumable bool) zpcatalog.Route {
+	return zpcatalog.Route{
+		Name: name, Host: "h", PathPrefix: "/" + name + "/", Kind: kind, Timeout: time.Second, Objective: 200 * time.Millisecond,
+		MaxAttempts: attempts, Resumable: resumable, Shares: []zpcatalog.Share{{Pool: "pool", Weight: 1}},
+	}
+}
+
+func newCatalog() *zpcatalog.Catalog {
+	c := &zpcatalog.Catalog{
+		Version: 1,
+		Routes: []zpcatalog.Route{
+			route("book", zpcatalog.KindNonIdempotent, 1, false),
+			route("read", zpcatalog.KindIdempotent, 2, false),
+			route("draft", zpcatalog.KindStream, 1, false),
+			route("tag", zpcatalog.KindStream, 2, true),
+		},
+		Pools: []zpcatalog.Pool{
+			{Name: "pool", Engine: &zpcatalog.Engine{CacheTokens: 1000, TokenBytes: 100, LinkMbps: 1000, Models: []string{"m"}}},
+			{Name: "kept", CacheStore: &zpcatalog.CacheStore{Address: "store", Domain: "a", Tokens: 1000, LinkMbps: 1000}},
+		},
+		Workspaces: []zpcatalog.Workspace{
+			{Name: "w", Keys: []string{"k"}, Priority: zpcatalog.NoPriority},
+			{Name: "walled", Keys: []string{"k2"}, Priority: zpcatalog.NoPriority, Isolated: true},
+		},
+	}
+	return c.Build()
+}
+
+// site is a gateway with three endpoints and a scripted runner.
+type site struct {
+	*zpgateway.Gateway
+	runner *fakeRunner
+}
+
+func newSite(steps ...step) site {
+	runner := &fakeRunner{steps: steps}
+	catalog := newCatalog()
+	registry := zpregistry.New(time.Second)
+	var list []zpregistry.Endpoint
+	for _, id := range []string{"e1", "e2", "e3"} {
+		list = append(list, zpregistry.Endpoint{
+			ID: id, Pool: "pool", Address: id + ":1", Domain: "a", Region: "n", Slots: 4, Weights: map[string]int64{"m": 1},
+		})
+	}
+	registry.Replace(list, time.Now())
+	return site{runner: runner, Gateway: &zpgateway.Gateway{
+		Domain: "a", Region: "n", RegionOf: func(string) string { return "n" },
+		Catalog: func() *zpcatalog.Catalog { return catalog }, Registry: registry,
+		Weights: zprollout.NewBoard(8 * time.Second), Usage: zpusage.NewTracker(time.Second), Parts: zpparts.NewDirectory(100),
+		Stores: zpparts.NewStores(time.Hour, 0), Announce: func(zpgateway.News) {}, LookUp: func(context.Context, [][]zpparts.Key) {}, Suspects: zpgateway.NewSuspects(),
+		Cold: &zpplace.ColdGate{Self: "d"}, Daemons: func() []string { return []string{"d"} },
+		Quarantine: zpquarantine.NewList(time.Hour), NoteCrash: func(string, string) {},
+		Retries: &zpretry.Book{Ratio: 0.1, Burst: 5}, Runner: runner, Rates: zpplace.DefaultRates(),
+		Log: zplog.Discard(), Metrics: zpmetric.New(), Clock: time.Now, Random: func() float64 { return 0 },
+	}}
+}
+
+func request(routeName string) *zpgateway.Request {
+	return &zpgateway.Request{
+		ID: "r", Host: "h", Method: http.MethodPost, Path: "/" + routeName + "/1", URL: "/" + routeName + "/1",
+		Header: http.Header{}, Key: "k", ReceivedAt: time.Now(), Wait: time.Second,
+	}
+}
+
+func (s site) serve(q *zpgateway.Request) *fakeReply {
+	reply := &fakeReply{}
+	s.Serve(context.Background(), q, reply)
+	return reply
+}
+
+func expectAnswer(r *fakeReply, status int, body string) {
+	GinkgoHelper()
+	Expect(r.refused).To(BeNil())
+	Expect(r.aborted).To(BeFalse())
+	Expect(r.status).To(Equal(status))
+	Expect(r.body.String()).To(Equal(body))
+}
+
+func expectRefused(r *fakeReply, status int, state zperror.RunState) {
+	GinkgoHelper()
+	Expect(r.refused).NotTo(BeNil())
+	Expect(r.refused.Kind.HTTPStatus()).To(Equal(status))
+	Expect(r.refused.RunState).To(Equal(state))
+	Expect(r.status).To(BeZero())
+}
+
+const events = "id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
