Tell other daemons of endpoints that do not answer; metrics of beliefs

Each of 59 daemons sends an engine a request every twelve seconds, so each finds out for itself, engine by engine, at 400 ms and one repeat of the shared budget each time. Change: a daemon that gets no answer tells the others, at most once a second; an endpoint of which daemons of two failure domains got no answer within two seconds is avoided for three. One domain alone may have lost its way. A whole answer ends it. Metrics tell endpoints by state, the age of the store's state, the duty, daemons that answer, requests in line and known parts; they are worked out when asked for.

--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -113,7 +113,7 @@
 		Weights: d.weights, Usage: zpusage.NewTracker(usageMaxAge), Parts: zpparts.NewDirectory(partsPerHolder),
 		Stores: zpparts.NewStores(storeStateAge, storeSettle), Announce: d.announceParts, LookUp: d.lookUp,
 		Suspects: zpgateway.NewSuspects(), Cold: &zpplace.ColdGate{Self: s.Name}, Daemons: d.members.Names,
-		Quarantine: zpquarantine.NewList(crashRetention), NoteCrash: d.announceCrash,
+		Quarantine: zpquarantine.NewList(crashRetention), NoteCrash: d.announceCrash, NoteSilent: d.announceSilent,
 		Retries: &zpretry.Book{Ratio: n.Bounds.RetryRatio * retryShare, Burst: retryBurst},
 		Runner:  &zpplatform.Runner{Sender: d.sender}, Rates: zpplace.DefaultRates(),
 		Log: log, Metrics: d.Metrics, Clock: zpclock.Now, Random: rand.Float64,
@@ -122,6 +122,7 @@
 	d.buildSharing()
 	d.buildRollout()
 	d.watches = newWatches(d)
+	d.Metrics.Registry.MustRegister(&beliefs{daemon: d})
 	d.buildServers()
 	return d
 }
--- /dev/null
+++ b/internal/zpapp/gateway_metrics.go
@@ -0,0 +1,76 @@
+package zpapp
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpclock"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpregistry"
+)
+
+// beliefs reports what the daemon believes, worked out when it is asked, so that
+// the way of a request pays nothing for it.
+type beliefs struct{ daemon *GatewayDaemon }
+
+var (
+	endpointsDesc = describe("endpoints", "Endpoints by pool and state as this daemon sees them; one may have several states.", "pool", "state")
+	storeAgeDesc  = describe("store_age_seconds", "Time since the configuration was last read or confirmed, by the store or a watcher.")
+	dutyDesc      = describe("duty_held", "1 while this daemon holds the duty of changing weights.")
+	peersDesc     = describe("answering_daemons", "Daemons that answered lately, this one too.")
+	waitingDesc   = describe("waiting_requests", "Requests in line for an endpoint.")
+	partsDesc     = describe("known_parts", "Entries of the directory of parts of prompts.")
+)
+
+func describe(name, help string, labels ...string) *prometheus.Desc {
+	return prometheus.NewDesc("zinniapaddle_"+name, help, labels, nil)
+}
+
+// Describe implements prometheus.Collector.
+func (b *beliefs) Describe(out chan<- *prometheus.Desc) { prometheus.DescribeByCollect(b, out) }
+
+// Collect implements prometheus.Collector.
+func (b *beliefs) Collect(out chan<- prometheus.Metric) {
+	d := b.daemon
+	now := zpclock.Now()
+	gauge := func(desc *prometheus.Desc, value float64, labels ...string) {
+		out <- prometheus.MustNewConstMetric(desc, prometheus.GaugeValue, value, labels...)
+	}
+	if c := d.catalog.Load(); c != nil {
+		for _, p := range c.Pools {
+			for state, n := range b.states(p.Name) {
+				gauge(endpointsDesc, float64(n), p.Name, state)
+			}
+		}
+	}
+	if at := d.follower.ReadAt(); !at.IsZero() {
+		gauge(storeAgeDesc, now.Sub(at).Seconds())
+	}
+	held := 0.0
+	if _, _, ok := d.rollout.Keeper.Holds(); ok {
+		held = 1
+	}
+	gauge(dutyDesc, held)
+	gauge(peersDesc, float64(len(d.answering.list())))
+	gauge(waitingDesc, float64(d.gateway.Waiting()))
+	gauge(partsDesc, float64(d.gateway.Parts.Len()))
+}
+
+// states counts a pool's endpoints by state.
+func (b *beliefs) states(pool string) map[string]int {
+	d := b.daemon
+	now := zpclock.Now()
+	out := map[string]int{"listed": 0, "draining": 0, "cold": 0, "avoided": 0, "shut": 0, "changing": 0}
+	for _, e := range d.registry.All(pool, now) {
+		out["listed"]++
+		count := func(state string, is bool) {
+			if is {
+				out[state]++
+			}
+		}
+		count("draining", e.State == zpregistry.StateDraining)
+		count("cold", now.Before(e.ColdUntil))
+		count("avoided", d.gateway.Suspects.Suspect(e.ID, now))
+		count("shut", d.gateway.Suspects.Shut(e.ID, now))
+		count("changing", d.weights.Changing(e.ID, now))
+	}
+	return out
+}
--- a/internal/zpapp/gateway_sharing.go
+++ b/internal/zpapp/gateway_sharing.go
@@ -90,6 +90,9 @@
 	for _, c := range m.Changing {
 		d.noteChanging(c.Endpoint, c.Left, now)
 	}
+	for _, endpoint := range m.Failing {
+		d.gateway.SilentTo(endpoint, m.Domain)
+	}
 	for _, c := range m.Crashes {
 		d.gateway.Quarantine.Note(c.Fingerprint, c.Crash, now)
 	}
@@ -129,6 +132,10 @@
 	d.sharer.Add(zpshare.Message{Crashes: []zpshare.Crash{{Fingerprint: fingerprint, Crash: crash}}})
 }
 
+func (d *GatewayDaemon) announceSilent(endpoint string) {
+	d.sharer.Add(zpshare.Message{Failing: []string{endpoint}})
+}
+
 func (d *GatewayDaemon) announceChange(endpoint string, left time.Duration) {
 	d.sharer.Add(zpshare.Message{Changing: []zpshare.Changing{{Endpoint: endpoint, Left: left}}})
 }
--- a/internal/zpgateway/room.go
+++ b/internal/zpgateway/room.go
@@ -140,6 +140,13 @@
 	}
 }
 
+// Waiting returns how many requests are in line.
+func (g *Gateway) Waiting() int {
+	g.room.mu.Lock()
+	defer g.room.mu.Unlock()
+	return g.room.line.Len()
+}
+
 // triesOf returns how many requests for a pool are tried in one look.
 func (g *Gateway) triesOf(pool string, now time.Time) int {
 	n := len(g.Registry.Serving(pool, now))
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -151,7 +151,7 @@
 			"weights": answer.WeightVersion,
 		}))
 	case resultFailed:
-		g.Suspects.Failed(c.endpoint.ID, FailureAnswer, g.Clock())
+		g.failed(c.endpoint.ID, FailureAnswer)
 	case resultBroken:
 		s = g.brokenAnswer(ctx, j, c, s)
 	}
@@ -164,7 +164,7 @@
 		if stopped, ok := g.stopped(ctx, j); ok {
 			return stopped
 		}
-		g.Suspects.Failed(c.endpoint.ID, FailureConnect, g.Clock())
+		g.failed(c.endpoint.ID, FailureConnect)
 		return sent{resultNotRun, fmt.Errorf("send to endpoint %s: %w", c.endpoint.ID, err)}
 	}
 	j.runs++
@@ -179,11 +179,11 @@
 	}
 	if stopped, ok := g.stopped(ctx, j); ok {
 		if stopped.result == resultSilent || errors.Is(stopped.err, errTimeout) {
-			g.Suspects.Failed(c.endpoint.ID, FailureSilence, g.Clock())
+			g.failed(c.endpoint.ID, FailureSilence)
 		}
 		return stopped
 	}
-	g.Suspects.Failed(c.endpoint.ID, FailureBroken, g.Clock())
+	g.failed(c.endpoint.ID, FailureBroken)
 	g.flights.note(c.endpoint.ID, j.fingerprint, g.Clock())
 	return sent{resultBroken, errBroken.WithCause(fmt.Errorf("endpoint %s: %w", c.endpoint.ID, s.err))}
 }
@@ -206,6 +206,24 @@
 	return sent{resultStopped, errTimeout}, true
 }
 
+// failed notes a failure of an endpoint, and has other daemons told if it does
+// not answer.
+func (g *Gateway) failed(endpoint string, f Failure) {
+	now := g.Clock()
+	if g.Suspects.Failed(endpoint, f, now) {
+		g.NoteSilent(endpoint)
+		g.SilentTo(endpoint, g.Domain)
+	}
+}
+
+// SilentTo takes over that an endpoint has not answered a daemon of a failure
+// domain.
+func (g *Gateway) SilentTo(endpoint, domain string) {
+	if g.Suspects.Silent(endpoint, domain, g.Clock()) {
+		g.Log.Emit(zplog.EndpointAvoided, zplog.Fields{"endpoint": endpoint, "failure_domain": domain, "avoided_ms": silentAvoidance.Milliseconds()})
+	}
+}
+
 // learn takes over what an answer says about its endpoint.
 func (g *Gateway) learn(j *job, c choice, a *Answer) {
 	if a.WeightVersion > 0 && j.request.Prompt != nil {
@@ -213,9 +231,9 @@
 	}
 	switch {
 	case a.OtherInstance && (a.WeightVersion == 0 || a.WeightVersion == c.weights):
-		g.Suspects.Failed(c.endpoint.ID, FailureOther, g.Clock())
+		g.failed(c.endpoint.ID, FailureOther)
 	case a.NotRun:
-		g.Suspects.Failed(c.endpoint.ID, FailureRefusal, g.Clock())
+		g.failed(c.endpoint.ID, FailureRefusal)
 	}
 }
 
--- a/internal/zpgateway/suspects.go
+++ b/internal/zpgateway/suspects.go
@@ -20,7 +20,9 @@
 		until    time.Time // costs more until then
 		shut     time.Time // takes nothing until then
 		inARow   int
-		failures float64 // moving average: 1 is a failure, 0 a success
+		told     time.Time            // when its silence was told to other daemons last
+		silentTo map[string]time.Time // failure domains whose daemons got no answer, and when
+		failures float64              // moving average: 1 is a failure, 0 a success
 	}
 )
 
@@ -43,6 +45,17 @@
 	firstAvoidance = 300 * time.Millisecond // doubles with each failure in a row
 	maxAvoidance   = 4 * time.Second
 
+	// tellPause is the pause between two messages about one endpoint.
+	tellPause = time.Second
+	// silentWindow is the time within which daemons of silentDomains failure domains
+	// must have got no answer, so that all avoid the endpoint. One domain alone may
+	// have lost its way to it.
+	silentWindow  = 2 * time.Second
+	silentDomains = 2
+	// silentAvoidance covers most of the time until the entry of an endpoint that
+	// fell is gone from the list.
+	silentAvoidance = 3 * time.Second
+
 	firstShut = 100 * time.Millisecond // doubles with each failure in a row
 	maxShut   = time.Second
 )
@@ -50,21 +63,53 @@
 // NewSuspects returns an empty list.
 func NewSuspects() *Suspects { return &Suspects{records: map[string]*suspect{}} }
 
-// Failed notes a failure.
-func (s *Suspects) Failed(endpoint string, f Failure, now time.Time) {
+// Failed notes a failure and reports whether other daemons should be told that
+// the endpoint does not answer.
+func (s *Suspects) Failed(endpoint string, f Failure, now time.Time) (tell bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.record(endpoint)
 	r.inARow++
 	r.failures += failureWeight * (1 - r.failures)
 	if f == FailureAnswer && r.failures < failureShare {
-		return
+		return false
 	}
 	r.until = now.Add(min(firstAvoidance<<min(r.inARow-1, 8), maxAvoidance))
 	switch f {
 	case FailureConnect, FailureRefusal, FailureOther:
 		r.shut = now.Add(min(firstShut<<min(r.inARow-1, 8), maxShut))
 	}
+	if (f != FailureConnect && f != FailureSilence) || now.Sub(r.told) < tellPause {
+		return false
+	}
+	r.told = now
+	return true
+}
+
+// Silent notes that an endpoint has not answered a daemon of a failure domain,
+// and reports whether that has it avoided from now on. A fleet of many daemons
+// and endpoints would otherwise find out one request at a time.
+func (s *Suspects) Silent(endpoint, domain string, now time.Time) (avoided bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	r := s.record(endpoint)
+	if r.silentTo == nil {
+		r.silentTo = map[string]time.Time{}
+	}
+	r.silentTo[domain] = now
+	for d, at := range r.silentTo {
+		if now.Sub(at) > silentWindow {
+			delete(r.silentTo, d)
+		}
+	}
+	if len(r.silentTo) < silentDomains {
+		return false
+	}
+	avoided = !now.Before(r.until)
+	if until := now.Add(silentAvoidance); until.After(r.until) {
+		r.until = until
+	}
+	return avoided
 }
 
 // Succeeded notes a whole answer.
@@ -72,7 +117,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.record(endpoint)
-	r.inARow = 0
+	r.inARow, r.silentTo = 0, nil
 	r.failures -= failureWeight * r.failures
 	if r.failures < failureShare && now.Before(r.until) {
 		r.until = now
--- a/internal/zprelay/follower.go
+++ b/internal/zprelay/follower.go
@@ -27,6 +27,7 @@
 	mu      sync.Mutex
 	avoided map[string]time.Time // address to the time until which it is not followed
 	seen    map[string]int64     // newest revision by prefix
+	readAt  time.Time            // when Pulse was read or confirmed last
 }
 
 const (
@@ -156,4 +157,15 @@
 		f.seen = map[string]int64{}
 	}
 	f.seen[prefix] = max(f.seen[prefix], revision)
+	if prefix == f.Pulse {
+		f.readAt = f.Clock()
+	}
+}
+
+// ReadAt returns when the objects under Pulse were read or confirmed last; zero:
+// never.
+func (f *Follower) ReadAt() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.readAt
 }
--- a/internal/zpshare/sharer.go
+++ b/internal/zpshare/sharer.go
@@ -191,7 +191,7 @@
 			// The snapshot asks who is alive, so it is made without the lock.
 			m = s.Snapshot(to)
 		}
-		m.Instance = s.Self
+		m.Instance, m.Domain = s.Self, s.Domain
 		if withUses {
 			m.Uses = uses
 		}
