Tell other daemons of dark endpoints alone

Engines that let prompts wait, or reset connections as they are full, were told of as well, and all avoiding them loaded the next ones. Ruled out: processor time (217 s and 235 s of 59 daemons) and the return of the dark engines by itself (18.5 s, no change then). Change: only an endpoint whose connect was not answered in time is told of.

--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -113,7 +113,7 @@
 		Weights: d.weights, Usage: zpusage.NewTracker(usageMaxAge), Parts: zpparts.NewDirectory(partsPerHolder),
 		Stores: zpparts.NewStores(storeStateAge, storeSettle), Announce: d.announceParts, LookUp: d.lookUp,
 		Suspects: zpgateway.NewSuspects(), Cold: &zpplace.ColdGate{Self: s.Name}, Daemons: d.members.Names,
-		Quarantine: zpquarantine.NewList(crashRetention), NoteCrash: d.announceCrash, NoteSilent: d.announceSilent,
+		Quarantine: zpquarantine.NewList(crashRetention), NoteCrash: d.announceCrash, NoteDark: d.announceDark,
 		Retries: &zpretry.Book{Ratio: n.Bounds.RetryRatio * retryShare, Burst: retryBurst},
 		Runner:  &zpplatform.Runner{Sender: d.sender}, Rates: zpplace.DefaultRates(),
 		Log: log, Metrics: d.Metrics, Clock: zpclock.Now, Random: rand.Float64,
--- a/internal/zpapp/gateway_sharing.go
+++ b/internal/zpapp/gateway_sharing.go
@@ -90,8 +90,8 @@
 	for _, c := range m.Changing {
 		d.noteChanging(c.Endpoint, c.Left, now)
 	}
-	for _, endpoint := range m.Failing {
-		d.gateway.SilentTo(endpoint, m.Domain)
+	for _, endpoint := range m.Dark {
+		d.gateway.DarkTo(endpoint, m.Domain)
 	}
 	for _, c := range m.Crashes {
 		d.gateway.Quarantine.Note(c.Fingerprint, c.Crash, now)
@@ -132,8 +132,8 @@
 	d.sharer.Add(zpshare.Message{Crashes: []zpshare.Crash{{Fingerprint: fingerprint, Crash: crash}}})
 }
 
-func (d *GatewayDaemon) announceSilent(endpoint string) {
-	d.sharer.Add(zpshare.Message{Failing: []string{endpoint}})
+func (d *GatewayDaemon) announceDark(endpoint string) {
+	d.sharer.Add(zpshare.Message{Dark: []string{endpoint}})
 }
 
 func (d *GatewayDaemon) announceChange(endpoint string, left time.Duration) {
--- a/internal/zpgateway/gateway.go
+++ b/internal/zpgateway/gateway.go
@@ -38,7 +38,7 @@
 	Daemons    func() []string // names of all daemons, this one too
 	Quarantine *zpquarantine.List
 	NoteCrash  func(fingerprint, crash string) // tells other daemons
-	NoteSilent func(endpoint string)           // tells other daemons
+	NoteDark   func(endpoint string)           // tells other daemons
 	Retries    *zpretry.Book
 	Runner     Runner
 	Rates      zpplace.Rates
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"net"
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
@@ -164,7 +165,11 @@
 		if stopped, ok := g.stopped(ctx, j); ok {
 			return stopped
 		}
-		g.failed(c.endpoint.ID, FailureConnect)
+		failure := FailureConnect
+		if late, ok := errors.AsType[net.Error](err); ok && late.Timeout() {
+			failure = FailureDark
+		}
+		g.failed(c.endpoint.ID, failure)
 		return sent{resultNotRun, fmt.Errorf("send to endpoint %s: %w", c.endpoint.ID, err)}
 	}
 	j.runs++
@@ -206,21 +211,20 @@
 	return sent{resultStopped, errTimeout}, true
 }
 
-// failed notes a failure of an endpoint, and has other daemons told if it does
-// not answer.
+// failed notes a failure of an endpoint, and has other daemons told if it is
+// dark.
 func (g *Gateway) failed(endpoint string, f Failure) {
 	now := g.Clock()
 	if g.Suspects.Failed(endpoint, f, now) {
-		g.NoteSilent(endpoint)
-		g.SilentTo(endpoint, g.Domain)
+		g.NoteDark(endpoint)
+		g.DarkTo(endpoint, g.Domain)
 	}
 }
 
-// SilentTo takes over that an endpoint has not answered a daemon of a failure
-// domain.
-func (g *Gateway) SilentTo(endpoint, domain string) {
-	if g.Suspects.Silent(endpoint, domain, g.Clock()) {
-		g.Log.Emit(zplog.EndpointAvoided, zplog.Fields{"endpoint": endpoint, "failure_domain": domain, "avoided_ms": silentAvoidance.Milliseconds()})
+// DarkTo takes over that an endpoint was dark to a daemon of a failure domain.
+func (g *Gateway) DarkTo(endpoint, domain string) {
+	if g.Suspects.Dark(endpoint, domain, g.Clock()) {
+		g.Log.Emit(zplog.EndpointAvoided, zplog.Fields{"endpoint": endpoint, "failure_domain": domain, "avoided_ms": darkAvoidance.Milliseconds()})
 	}
 }
 
--- a/internal/zpgateway/suspects.go
+++ b/internal/zpgateway/suspects.go
@@ -20,15 +20,16 @@
 		until    time.Time // costs more until then
 		shut     time.Time // takes nothing until then
 		inARow   int
-		told     time.Time            // when its silence was told to other daemons last
-		silentTo map[string]time.Time // failure domains whose daemons got no answer, and when
+		told     time.Time            // when other daemons were told of it last
+		darkTo   map[string]time.Time // failure domains to whose daemons it was dark, and when
 		failures float64              // moving average: 1 is a failure, 0 a success
 	}
 )
 
 // Failures.
 const (
-	FailureConnect Failure = iota // no connection
+	FailureConnect Failure = iota // no connection: refused, or reset as the endpoint is full
+	FailureDark                   // no connection: nothing came back in time
 	FailureBroken                 // the answer broke off
 	FailureSilence                // no answer in time
 	FailureRefusal                // not run
@@ -47,14 +48,14 @@
 
 	// tellPause is the pause between two messages about one endpoint.
 	tellPause = time.Second
-	// silentWindow is the time within which daemons of silentDomains failure domains
-	// must have got no answer, so that all avoid the endpoint. One domain alone may
+	// darkWindow is the time within which daemons of darkDomains failure domains
+	// must have found the endpoint dark, so that all avoid it. One domain alone may
 	// have lost its way to it.
-	silentWindow  = 2 * time.Second
-	silentDomains = 2
-	// silentAvoidance covers most of the time until the entry of an endpoint that
+	darkWindow  = 2 * time.Second
+	darkDomains = 2
+	// darkAvoidance covers most of the time until the entry of an endpoint that
 	// fell is gone from the list.
-	silentAvoidance = 3 * time.Second
+	darkAvoidance = 3 * time.Second
 
 	firstShut = 100 * time.Millisecond // doubles with each failure in a row
 	maxShut   = time.Second
@@ -64,7 +65,7 @@
 func NewSuspects() *Suspects { return &Suspects{records: map[string]*suspect{}} }
 
 // Failed notes a failure and reports whether other daemons should be told that
-// the endpoint does not answer.
+// the endpoint is dark.
 func (s *Suspects) Failed(endpoint string, f Failure, now time.Time) (tell bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -76,37 +77,39 @@
 	}
 	r.until = now.Add(min(firstAvoidance<<min(r.inARow-1, 8), maxAvoidance))
 	switch f {
-	case FailureConnect, FailureRefusal, FailureOther:
+	case FailureConnect, FailureDark, FailureRefusal, FailureOther:
 		r.shut = now.Add(min(firstShut<<min(r.inARow-1, 8), maxShut))
 	}
-	if (f != FailureConnect && f != FailureSilence) || now.Sub(r.told) < tellPause {
+	// An engine that lets a prompt wait, or resets connections, may be loaded; all
+	// avoiding it would load the next one. Only one that is dark is told of.
+	if f != FailureDark || now.Sub(r.told) < tellPause {
 		return false
 	}
 	r.told = now
 	return true
 }
 
-// Silent notes that an endpoint has not answered a daemon of a failure domain,
+// Dark notes that an endpoint was dark to a daemon of a failure domain,
 // and reports whether that has it avoided from now on. A fleet of many daemons
 // and endpoints would otherwise find out one request at a time.
-func (s *Suspects) Silent(endpoint, domain string, now time.Time) (avoided bool) {
+func (s *Suspects) Dark(endpoint, domain string, now time.Time) (avoided bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.record(endpoint)
-	if r.silentTo == nil {
-		r.silentTo = map[string]time.Time{}
+	if r.darkTo == nil {
+		r.darkTo = map[string]time.Time{}
 	}
-	r.silentTo[domain] = now
-	for d, at := range r.silentTo {
-		if now.Sub(at) > silentWindow {
-			delete(r.silentTo, d)
+	r.darkTo[domain] = now
+	for d, at := range r.darkTo {
+		if now.Sub(at) > darkWindow {
+			delete(r.darkTo, d)
 		}
 	}
-	if len(r.silentTo) < silentDomains {
+	if len(r.darkTo) < darkDomains {
 		return false
 	}
 	avoided = !now.Before(r.until)
-	if until := now.Add(silentAvoidance); until.After(r.until) {
+	if until := now.Add(darkAvoidance); until.After(r.until) {
 		r.until = until
 	}
 	return avoided
@@ -117,7 +120,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	r := s.record(endpoint)
-	r.inARow, r.silentTo = 0, nil
+	r.inARow, r.darkTo = 0, nil
 	r.failures -= failureWeight * r.failures
 	if r.failures < failureShare && now.Before(r.until) {
 		r.until = now
--- a/internal/zplog/event.go
+++ b/internal/zplog/event.go
@@ -82,7 +82,7 @@
 	WeightsLoaded     = Event{506, logrus.InfoLevel, "engine has the named weights", "none"}
 	OrderFailed       = Event{507, logrus.WarnLevel, "order or report of an engine failed; it is tried again", "check the engine if it persists"}
 	StoreState        = Event{508, logrus.InfoLevel, "state of a store of KV cache", "none; a store without room saves nothing"}
-	EndpointAvoided   = Event{509, logrus.WarnLevel, "endpoint is avoided: it does not answer daemons of several failure domains", "check the endpoint if it persists"}
+	EndpointAvoided   = Event{509, logrus.WarnLevel, "endpoint is avoided: it is dark to daemons of several failure domains", "check the endpoint if it persists"}
 	FingerprintBanned = Event{600, logrus.ErrorLevel, "request is quarantined after crashes of two endpoints", "see docs/operators/crashing_request.md"}
 	ClaimSettleFailed = Event{700, logrus.WarnLevel, "outcome of a claim could not be recorded yet", "check the platform if it persists"}
 	PeerFailed        = Event{800, logrus.DebugLevel, "call to another daemon failed", "none"}
--- a/internal/zppeer/sharing.go
+++ b/internal/zppeer/sharing.go
@@ -111,7 +111,7 @@
 }
 
 func encodeMessage(m zpshare.Message) *zppeerpb.ShareRequest {
-	out := &zppeerpb.ShareRequest{Instance: m.Instance, ResetHolders: m.Reset, WithoutUses: m.Uses == nil, FailureDomain: m.Domain, Failing: m.Failing}
+	out := &zppeerpb.ShareRequest{Instance: m.Instance, ResetHolders: m.Reset, WithoutUses: m.Uses == nil, FailureDomain: m.Domain, Dark: m.Dark}
 	for id, u := range m.Uses {
 		out.Uses = append(out.Uses, &zppeerpb.SharedUse{
 			Endpoint: id, Requests: int64(u.Requests), PrefillTokens: int64(u.PrefillTokens), MemoryTokens: int64(u.MemoryTokens),
@@ -131,7 +131,7 @@
 }
 
 func decodeMessage(in *zppeerpb.ShareRequest) zpshare.Message {
-	m := zpshare.Message{Instance: in.Instance, Reset: in.ResetHolders, Domain: in.FailureDomain, Failing: in.Failing}
+	m := zpshare.Message{Instance: in.Instance, Reset: in.ResetHolders, Domain: in.FailureDomain, Dark: in.Dark}
 	if !in.WithoutUses {
 		m.Uses = map[string]zpusage.Use{}
 	}
--- a/internal/zpshare/message.go
+++ b/internal/zpshare/message.go
@@ -23,7 +23,7 @@
 		Crashes  []Crash
 		Stores   []zpparts.Store
 		Domain   string   // failure domain of the sender
-		Failing  []string // endpoints that do not answer the sender
+		Dark     []string // endpoints that the sender got no connection to in time
 		Reset    []string // holders of which the parts in this message are all
 	}
 
@@ -42,7 +42,7 @@
 
 // IsEmpty reports whether a message says nothing but the sender's uses.
 func (m *Message) IsEmpty() bool {
-	return len(m.Parts) == 0 && len(m.Expected) == 0 && len(m.Saving) == 0 && len(m.Changing) == 0 && len(m.Crashes) == 0 && len(m.Stores) == 0 && len(m.Reset) == 0 && len(m.Failing) == 0
+	return len(m.Parts) == 0 && len(m.Expected) == 0 && len(m.Saving) == 0 && len(m.Changing) == 0 && len(m.Crashes) == 0 && len(m.Stores) == 0 && len(m.Reset) == 0 && len(m.Dark) == 0
 }
 
 // append adds another message's news.
@@ -54,5 +54,5 @@
 	m.Crashes = append(m.Crashes, n.Crashes...)
 	m.Stores = append(m.Stores, n.Stores...)
 	m.Reset = append(m.Reset, n.Reset...)
-	m.Failing = append(m.Failing, n.Failing...)
+	m.Dark = append(m.Dark, n.Dark...)
 }
