--- a/internal/zpsoak/plan.go
+++ b/internal/zpsoak/plan.go
@@ -36,9 +36,9 @@
 	StoreDown     Kind = "store_down"    // the store refuses all
 	StoreLose     Kind = "store_lose"    // answers to writes are lost
 	StoreLate     Kind = "store_late"    // writes take effect late
-	StoreSlow     Kind = "store_slow"    //
+	StoreSlow     Kind = "store_slow"    // each answer of the store is late
 	PeerCut       Kind = "peer_cut"      // nothing reaches one daemon from others
-	PeerSlow      Kind = "peer_slow"     //
+	PeerSlow      Kind = "peer_slow"     // messages to one daemon are late
 	EndpointCut   Kind = "endpoint_cut"  // nothing reaches an endpoint
 	EndpointMute  Kind = "endpoint_mute" // nothing comes back from it
 	EndpointReset Kind = "endpoint_reset"
