--- a/internal/zpsoak/faults.go
+++ b/internal/zpsoak/faults.go
@@ -222,14 +222,7 @@
 	e.SetState(zpoutside.StateDraining)
 	i.site.register(e)
 	name, _ := e.Entry()
-	i.mu.Lock()
-	i.drained = append(i.drained, change{Name: name, From: time.Now()})
-	n := len(i.drained) - 1
-	i.mu.Unlock()
-	pause(ctx, f.For)
-	i.mu.Lock()
-	i.drained[n].To = time.Now()
-	i.mu.Unlock()
+	i.keep(ctx, &i.drained, name, f.For)
 	e.SetState(zpoutside.StateReady)
 	i.site.register(e)
 }
@@ -247,15 +240,20 @@
 func (i *injector) evacuate(ctx context.Context, f Fault) {
 	domain := domains[f.Target]
 	i.site.store.Put("evacuations", domain, "{}")
+	i.keep(ctx, &i.evacuated, domain, f.For)
+	i.site.store.Remove("evacuations", domain)
+}
+
+// keep lets what was told hold for a while, and notes from when to when it does.
+func (i *injector) keep(ctx context.Context, list *[]change, name string, d time.Duration) {
 	i.mu.Lock()
-	i.evacuated = append(i.evacuated, change{Name: domain, From: time.Now()})
-	n := len(i.evacuated) - 1
+	*list = append(*list, change{Name: name, From: time.Now()})
+	n := len(*list) - 1
 	i.mu.Unlock()
-	pause(ctx, f.For)
+	pause(ctx, d)
 	i.mu.Lock()
-	i.evacuated[n].To = time.Now()
-	i.mu.Unlock()
-	i.site.store.Remove("evacuations", domain)
+	defer i.mu.Unlock()
+	(*list)[n].To = time.Now()
 }
 
 func (i *injector) reconfigure() {
