Log when a caller's close is seen, how long a request lay unread, and pauses of the daemon

The logs could not tell the three hypotheses apart. Now: 407 says when the close was seen and how far the request was; unread_ms in each line of a request says how long it lay at the VM before it was read; 402 says whether the caller had left when the request was sent; after_close_ms in 400 says how long the work went on; 902 and a histogram tell of pauses.

--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -33,6 +33,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpretry"
 	"github.com/zinniapaddle/zinniapaddle/internal/zprollout"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpshare"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpstall"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpusage"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
 	zpplatform "github.com/zinniapaddle/zinniapaddle/platform"
@@ -132,7 +133,7 @@
 		Handler: &zpplatform.Ingress{
 			Gateway: d.gateway, BodyLimit: d.bodyLimit, BodyTimeout: d.bodyTimeout, Clock: zpclock.Now, Leaving: d.leaving.Load,
 		},
-		ReadHeaderTimeout: defaultHeader, IdleTimeout: defaultIdle, MaxHeaderBytes: headerBytes,
+		ReadHeaderTimeout: defaultHeader, IdleTimeout: defaultIdle, MaxHeaderBytes: headerBytes, ConnContext: zpnet.WithPeer,
 	}
 	d.ready = &http.Server{Handler: http.HandlerFunc(d.answerReady), ReadHeaderTimeout: defaultHeader}
 	metrics := promhttp.HandlerFor(d.Metrics.Registry, promhttp.HandlerOpts{})
@@ -153,6 +154,8 @@
 	workers.Go(func() { d.sharer.Run(work) })
 	workers.Go(func() { d.servePeers(work, failed) })
 	workers.Go(func() { d.caches.run(work) })
+	stalls := &zpstall.Detector{Log: d.Log, Clock: zpclock.Now, Observe: func(late time.Duration) { d.Metrics.Stall.Observe(late.Seconds()) }}
+	workers.Go(func() { stalls.Run(work) })
 	duties, stopDuties := context.WithCancel(work)
 	defer stopDuties()
 	workers.Go(func() { d.rollout.Run(duties) })
--- /dev/null
+++ b/internal/zpgateway/caller.go
@@ -0,0 +1,38 @@
+package zpgateway
+
+import (
+	"context"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+)
+
+// stage is how far a request has come.
+type stage int32
+
+const (
+	stageAdmit  stage = iota
+	stagePlace        // an endpoint is looked for, or the request is in line
+	stageSend         // sent, no byte of the answer yet
+	stageAnswer       // the answer is on its way
+)
+
+func (s stage) String() string { return [...]string{"admit", "place", "send", "answer"}[s] }
+
+func (j *job) enter(s stage) { j.stage.Store(int32(s)) }
+
+// watchCaller notes when the caller's close is seen, and what was done for it
+// then. The result ends the watch.
+func (g *Gateway) watchCaller(ctx context.Context, j *job) (end func()) {
+	id, received, unread := j.request.ID, j.request.ReceivedAt, j.request.Unread
+	stop := context.AfterFunc(ctx, func() {
+		now := g.Clock()
+		j.leftAt.Store(&now)
+		reached := stage(j.stage.Load()).String()
+		g.Metrics.Abandoned.WithLabelValues(reached).Inc()
+		g.Log.Emit(zplog.RequestAbandoned, zplog.Fields{
+			"request": id, "stage": reached,
+			"age_ms": now.Sub(received).Milliseconds(), "unread_ms": unread.Milliseconds(),
+		})
+	})
+	return func() { stop() }
+}
--- a/internal/zpgateway/gateway.go
+++ b/internal/zpgateway/gateway.go
@@ -95,7 +95,8 @@
 func (g *Gateway) Serve(ctx context.Context, q *Request, reply Reply) {
 	g.Open.Add(1)
 	defer g.Open.Add(-1)
-	j := &job{request: q, tried: map[string]bool{}}
+	j := &job{request: q, caller: reply, tried: map[string]bool{}}
+	defer g.watchCaller(ctx, j)()
 	err := g.admit(j)
 	if err == nil {
 		err = g.run(ctx, j, reply)
@@ -138,9 +139,11 @@
 	if err != nil {
 		e := zperror.Of(err)
 		code, state = e.Code, e.RunState
-		g.Log.Emit(zplog.RequestFailed, g.fields(j, zplog.Fields{
-			"code": code, "run_state": state.String(), "error": err.Error(), "attempts": j.attempts, "begun": j.begun,
-		}))
+		fields := zplog.Fields{"code": code, "run_state": state.String(), "error": err.Error(), "attempts": j.attempts, "begun": j.begun}
+		if left := j.leftAt.Load(); left != nil {
+			fields["after_close_ms"] = g.Clock().Sub(*left).Milliseconds()
+		}
+		g.Log.Emit(zplog.RequestFailed, g.fields(j, fields))
 		if j.begun || e.Kind == zperror.KindCancelled {
 			reply.Abort()
 		} else {
@@ -161,6 +164,7 @@
 func (g *Gateway) fields(j *job, f zplog.Fields) zplog.Fields {
 	f["request"] = j.request.ID
 	f["age_ms"] = g.Clock().Sub(j.request.ReceivedAt).Milliseconds()
+	f["unread_ms"] = j.request.Unread.Milliseconds()
 	if j.catalog != nil {
 		f["catalog"] = j.catalog.Version
 	}
--- a/internal/zpgateway/job.go
+++ b/internal/zpgateway/job.go
@@ -1,6 +1,7 @@
 package zpgateway
 
 import (
+	"sync/atomic"
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
@@ -10,6 +11,7 @@
 // job is the state of one request on its way.
 type job struct {
 	request     *Request
+	caller      Reply
 	catalog     *zpcatalog.Catalog
 	route       *zpcatalog.Route
 	workspace   *zpcatalog.Workspace // nil on anonymous routes
@@ -26,6 +28,8 @@
 	lastEvent string    // last event that the caller has
 	first     time.Time // when the caller got the first byte of the body
 	lookedAt  time.Time // when the holders of the prompt's parts were looked up
+	stage     atomic.Int32
+	leftAt    atomic.Pointer[time.Time] // when the caller's close was seen; nil: it was not
 }
 
 func (j *job) workspaceName() string {
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -44,6 +44,7 @@
 	budget.Attempt()
 	refusals := 0
 	for {
+		j.enter(stagePlace)
 		g.lookUp(ctx, j)
 		c, err := g.place(ctx, j)
 		if err != nil {
@@ -124,7 +125,10 @@
 	defer watch.end()
 	j.attempts++
 	gate := &zpengine.Gate{Deadline: j.deadline, Clock: g.Clock}
-	g.Log.Emit(zplog.RequestPlaced, g.fields(j, c.fields()))
+	j.enter(stageSend)
+	placed := g.fields(j, c.fields())
+	placed["caller_left"] = j.caller.HasCallerLeft()
+	g.Log.Emit(zplog.RequestPlaced, placed)
 	answer, err := g.Runner.Run(ctx, c.run(j, left), gate)
 	if err != nil {
 		return g.noAnswer(ctx, j, c, gate, err)
@@ -138,6 +142,7 @@
 	j.runState = zperror.RunStateUnknown
 	var first time.Duration
 	s := g.deliver(ctx, j, answer, reply, func() {
+		j.enter(stageAnswer)
 		watch.stop()
 		first = g.Clock().Sub(now)
 		c.use.Started()
--- a/internal/zpgateway/site_test.go
+++ b/internal/zpgateway/site_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -47,6 +48,7 @@
 		refused *zperror.Error
 		aborted bool
 		broken  bool // writes fail
+		left    atomic.Bool
 	}
 
 	// breaking is a body that breaks off after its text.
@@ -79,6 +81,8 @@
 
 func (r *fakeReply) Abort() { r.aborted = true }
 
+func (r *fakeReply) HasCallerLeft() bool { return r.left.Load() }
+
 func (b breaking) Read(p []byte) (int, error) {
 	n, err := b.Reader.Read(p)
 	if errors.Is(err, io.EOF) {
--- a/internal/zpgateway/types.go
+++ b/internal/zpgateway/types.go
@@ -29,6 +29,7 @@
 		Prompt      *Prompt       // nil for requests without a prompt
 		LastEventID string        // the caller resumes a stream after this event
 		ReceivedAt  time.Time
+		Unread      time.Duration // how long it lay at this VM before it was read; zero: unknown
 	}
 
 	// Prompt describes the prompt of a request.
@@ -96,6 +97,9 @@
 		Refuse(e *zperror.Error)
 		// Abort ends the answer so that it cannot look complete.
 		Abort()
+		// HasCallerLeft asks the connection itself. The context of a request hears of
+		// a close later, as it is told by a read that waits for the processor.
+		HasCallerLeft() bool
 	}
 )
 
--- a/internal/zplog/event.go
+++ b/internal/zplog/event.go
@@ -72,6 +72,7 @@
 	CrashNoted        = Event{403, logrus.WarnLevel, "request was present at the fall of an endpoint", "see docs/operators/crashing_request.md"}
 	RequestAnswered   = Event{404, logrus.InfoLevel, "request answered", "none"}
 	RequestWaits      = Event{405, logrus.InfoLevel, "request waits for room at an endpoint", "see docs/operators/overload.md if many do"}
+	RequestAbandoned  = Event{407, logrus.InfoLevel, "caller closed its connection before it had the whole answer", "see docs/OPERATIONS.md if many do; compare age_ms and unread_ms"}
 	RequestSilent     = Event{406, logrus.InfoLevel, "endpoint sent no byte in time; the run is cancelled and repeated", "check the endpoint if it repeats"}
 	EndpointSuspect   = Event{500, logrus.WarnLevel, "endpoint shows signs of a cold start; new work is held", "none; check the endpoint if it persists"}
 	EndpointWarm      = Event{501, logrus.InfoLevel, "endpoint is warm", "none"}
@@ -91,6 +92,7 @@
 	OwnerSilent       = Event{803, logrus.WarnLevel, "owner of parts of prompts does not answer; what is known here is used", "none; check the VM if it persists"}
 	WatcherAvoided    = Event{804, logrus.WarnLevel, "store is not followed through this daemon for a while", "none; check the VM and its way to the store if it persists"}
 	ServerFailed      = Event{900, logrus.ErrorLevel, "a listener failed", "check that the address is free"}
+	DaemonStalled     = Event{902, logrus.WarnLevel, "daemon did not run for a while: paused, or short of processor time", "check the VM; its callers may have left meanwhile"}
 	LinesDropped      = Event{901, logrus.WarnLevel, "log lines were dropped because the destination is slow", "lower log.level"}
 )
 
@@ -100,10 +102,10 @@
 		Started, Stopping, Stopped, DrainTimedOut, Reloaded, ReloadFailed, LeaseRenewFailed, LeaseLost,
 		LeaseLapsed, MemberEnded, MemberNotWritten, PartitionTaken, PartitionLeft, DutyTaken, DutyLeft, ConfigApplied, ConfigRefused,
 		ConfigStale, ConfigFresh, WatchFailed, StoreAway, StoreBack, EntryIgnored, EvacuationChanged,
-		RequestFailed, RequestRetried, RequestPlaced, CrashNoted, RequestAnswered, RequestWaits, RequestSilent,
+		RequestFailed, RequestRetried, RequestPlaced, CrashNoted, RequestAnswered, RequestWaits, RequestSilent, RequestAbandoned,
 		EndpointSuspect, EndpointWarm, OrderGiven, EndpointChanged, EndpointGone, WeightsNamed, WeightsLoaded,
 		OrderFailed, StoreState, EndpointAvoided, FingerprintBanned, ClaimSettleFailed, PeerFailed, PeerLost, PeerBack, OwnerSilent, WatcherAvoided,
-		ServerFailed, LinesDropped,
+		ServerFailed, LinesDropped, DaemonStalled,
 	}
 }
 
--- a/internal/zpmetric/metric.go
+++ b/internal/zpmetric/metric.go
@@ -11,6 +11,8 @@
 		Registry      *prometheus.Registry
 		Requests      *prometheus.CounterVec   // by class, code, run_state
 		FirstToken    *prometheus.HistogramVec // seconds, by class
+		Abandoned     *prometheus.CounterVec   // by stage
+		Stall         prometheus.Histogram     // seconds
 		Open          prometheus.Gauge
 		PlatformCalls *prometheus.CounterVec // by call, result
 		PeerCalls     *prometheus.CounterVec // by call, result
@@ -32,6 +34,7 @@
 	m := &Metrics{
 		Registry:      prometheus.NewRegistry(),
 		Requests:      counterVec("requests_total", "Requests ended.", "class", "code", "run_state"),
+		Abandoned:     counterVec("abandoned_requests_total", "Requests whose caller closed its connection before it had the whole answer, by how far they had come.", "stage"),
 		Open:          gauge("open_requests", "Requests now open."),
 		PlatformCalls: counterVec("platform_calls_total", "Calls to the platform.", "call", "result"),
 		PeerCalls:     counterVec("peer_calls_total", "Calls to other daemons.", "call", "result"),
@@ -51,7 +54,12 @@
 		Help:    "Time from accept to the first token.",
 		Buckets: prometheus.ExponentialBuckets(0.002, 2, 14),
 	}, []string{"class"})
-	m.Registry.MustRegister(m.Requests, m.FirstToken, m.Open, m.PlatformCalls, m.PeerCalls,
+	m.Stall = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: "zinniapaddle", Name: "stall_seconds",
+		Help:    "How late a short sleep ended: the time for which the daemon did not run.",
+		Buckets: prometheus.ExponentialBuckets(0.001, 4, 8),
+	})
+	m.Registry.MustRegister(m.Requests, m.FirstToken, m.Abandoned, m.Stall, m.Open, m.PlatformCalls, m.PeerCalls,
 		m.Reservations, m.ConfigVersion, m.ConfigAge, m.Partitions, m.Retries, m.Quarantined,
 		m.LinkBytes, m.CrossRegion, m.ReusedTokens, m.PromptTokens)
 	return m
--- /dev/null
+++ b/internal/zpnet/peer.go
@@ -0,0 +1,75 @@
+package zpnet
+
+import (
+	"context"
+	"net"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Peer tells about the other end of an accepted connection without reading from
+// it. The zero value knows nothing.
+type Peer struct {
+	raw syscall.RawConn
+}
+
+type peerKey struct{}
+
+// WithPeer keeps an accepted connection in the context of its requests. It has
+// the form of http.Server.ConnContext.
+func WithPeer(ctx context.Context, conn net.Conn) context.Context {
+	c, ok := conn.(syscall.Conn)
+	if !ok {
+		return ctx
+	}
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return ctx
+	}
+	return context.WithValue(ctx, peerKey{}, Peer{raw: raw})
+}
+
+// PeerOf returns the peer that WithPeer has kept.
+func PeerOf(ctx context.Context) Peer {
+	p, _ := ctx.Value(peerKey{}).(Peer)
+	return p
+}
+
+// HasClosed reports whether the peer has closed or reset the connection. Bytes
+// that are not read yet hide a close, and an unknown peer counts as open.
+func (p Peer) HasClosed() bool {
+	if p.raw == nil {
+		return false
+	}
+	closed := false
+	err := p.raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch err {
+		case nil:
+			closed = n == 0
+		case unix.EAGAIN, unix.EINTR:
+		default:
+			closed = true
+		}
+	})
+	return closed || err != nil
+}
+
+// Unread returns how long ago the peer's last bytes arrived, zero if that is
+// unknown.
+func (p Peer) Unread() time.Duration {
+	if p.raw == nil {
+		return 0
+	}
+	var age time.Duration
+	// Where the kernel does not tell, the age stays unknown.
+	_ = p.raw.Control(func(fd uintptr) {
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			age = time.Duration(info.Last_data_recv) * time.Millisecond
+		}
+	})
+	return age
+}
