--- /dev/null
+++ b/e2e/departed_callers_test.go
@@ -0,0 +1,106 @@
+package e2e_test
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpsite"
+	"github.com/zinniapaddle/zinniapaddle/platform/zpoutside"
+)
+
+const (
+	departedNumber = 61 // second byte of all addresses
+	departedPool   = "orders"
+	departedKey    = "key-of-w"
+)
+
+// outside is one daemon as a process of its own on the users' platform, with a
+// store and an endpoint.
+type outside struct {
+	daemon   *zpsite.Process
+	endpoint *zpoutside.Endpoint
+	callers  string // address
+}
+
+func departedIP(i int) string { return fmt.Sprintf("127.%d.0.%d", departedNumber, i) }
+
+func serveAt(address string, h http.Handler) {
+	GinkgoHelper()
+	lis, err := net.Listen("tcp", address)
+	Expect(err).NotTo(HaveOccurred())
+	server := &http.Server{Handler: h, ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(lis) }() // ends with the spec
+	DeferCleanup(server.Close)
+}
+
+func startOutside(work time.Duration) *outside {
+	GinkgoHelper()
+	dir := GinkgoT().TempDir()
+	store := zpoutside.NewStore()
+	store.Put("config", "main", zpoutside.Config{Version: 1, Pool: departedPool, ColdPerSecond: 6, Key: departedKey}.Text())
+	serveAt(departedIP(1)+":7000", store)
+	o := &outside{callers: fmt.Sprintf("%s:%d", departedIP(3), zpoutside.CallersPort)}
+	o.endpoint = &zpoutside.Endpoint{
+		Pool: departedPool, Domain: "a", Address: departedIP(2) + ":9000", Slots: 400, Work: work, Events: 20, Log: &zpoutside.Log{},
+	}
+	o.endpoint.Start("i-0", 0)
+	serveAt(o.endpoint.Address, o.endpoint)
+	name, entry := o.endpoint.Entry()
+	store.Put("servers", name, entry)
+	node := zpoutside.Node{Name: "front-0", IP: departedIP(3), Domain: "a", Region: "n", Regions: map[string]string{"a": "n"}, Store: departedIP(1) + ":7000", MemoryMB: 284}
+	file := filepath.Join(dir, "front-0.toml")
+	Expect(os.WriteFile(file, []byte(node.Settings()), 0o600)).To(Succeed())
+	o.daemon = &zpsite.Process{
+		Name: "front-0", Path: filepath.Join(binDir, "zinniapaddle"), Args: []string{"serve"}, Dir: dir, Env: []string{"ZINNIAPADDLE_NODE_FILE=" + file},
+	}
+	Expect(o.daemon.Start()).To(Succeed())
+	DeferCleanup(o.daemon.Kill)
+	Eventually(func() int {
+		res, err := http.Get(fmt.Sprintf("http://%s:%d/", departedIP(3), zpoutside.ReadyPort))
+		if err != nil {
+			return 0
+		}
+		_ = res.Body.Close()
+		return res.StatusCode
+	}, "10s").Should(Equal(http.StatusOK))
+	return o
+}
+
+// send sends a whole request and returns its connection.
+func (o *outside) send(method, kind, id, body string) net.Conn {
+	GinkgoHelper()
+	conn, err := net.Dial("tcp", o.callers)
+	Expect(err).NotTo(HaveOccurred())
+	_, err = fmt.Fprintf(conn, "%s /%s/1 HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s",
+		method, kind, zpoutside.Host, id, departedKey, len(body), body)
+	Expect(err).NotTo(HaveOccurred())
+	return conn
+}
+
+var _ = Describe("Callers that leave", func() {
+	DescribeTable("have nothing sent to an endpoint by a daemon that reads their requests late",
+		func(method, kind, body string) {
+			const callers = 60
+			o := startOutside(time.Second)
+			Expect(o.daemon.Signal(syscall.SIGSTOP)).To(Succeed())
+			for n := range callers {
+				Expect(o.send(method, kind, fmt.Sprintf("late-%d", n), body).Close()).To(Succeed())
+			}
+			Expect(o.daemon.Signal(syscall.SIGCONT)).To(Succeed())
+			Eventually(o.daemon.Log, "5s").Should(ContainSubstring(fmt.Sprintf(`"request":"late-%d"`, callers-1)))
+			Consistently(o.endpoint.Log.Runs, "700ms").Should(BeEmpty())
+		},
+		Entry("bookings", http.MethodPost, "book", strings.Repeat("x", 12_000)),
+		Entry("reads", http.MethodGet, "read", ""),
+		Entry("streams", http.MethodPost, "stream", strings.Repeat("x", 12_000)),
+	)
+})
