Send no first byte for a caller that has left

What callers saw: endpoints worked on requests whose callers had closed before the request was sent. Cause: the permission to start work was taken when the request was read, from a context that hears of a close only through a read in the background. A daemon that was paused or starved reads request and close together and sends first. Ruled out: that the close is not delivered; a look at the socket sees it. Change: the gate that guards the first byte asks the connection whether the caller is there, just as it asks the deadline; so does each round of the gateway, before it looks for an endpoint.

--- a/internal/zpengine/gate.go
+++ b/internal/zpengine/gate.go
@@ -15,11 +15,13 @@
 
 type (
 	// Gate guards the first byte of one request. It opens only before the
-	// deadline, and remembers whether it opened.
+	// deadline and while the caller is there, and remembers whether it opened.
 	Gate struct {
 		Deadline time.Time
 		Clock    func() time.Time
 		OnSend   func() // called just before the deadline is checked and the first byte sent
+		// HasCallerLeft is asked before the first byte; nil: the caller stays.
+		HasCallerLeft func() bool
 
 		sent atomic.Bool
 	}
@@ -31,17 +33,25 @@
 	}
 )
 
-// ErrDeadline is returned by a write that would have come after the deadline.
-var ErrDeadline = errors.New("the reservation's deadline to start has passed")
+var (
+	// ErrDeadline is returned by a write that would have come after the deadline.
+	ErrDeadline = errors.New("the reservation's deadline to start has passed")
+	// ErrCallerLeft is returned by a write for a caller that has left.
+	ErrCallerLeft = errors.New("the caller closed its connection before the request was sent")
+)
 
 // Sent reports whether any byte may have been sent.
 func (g *Gate) Sent() bool { return g.sent.Load() }
 
-// Open is asked before the first byte. It fails once the deadline has passed.
+// Open is asked before the first byte. It fails once the deadline has passed or
+// the caller has left.
 func (g *Gate) Open() error {
 	if g.sent.Load() {
 		return nil
 	}
+	if g.HasCallerLeft != nil && g.HasCallerLeft() {
+		return ErrCallerLeft
+	}
 	// The order matters: once OnSend has registered the start, an owner that
 	// asks counts it; an owner that asked before did so after the deadline of
 	// any reservation that it must not miss.
--- a/internal/zpgateway/caller.go
+++ b/internal/zpgateway/caller.go
@@ -20,6 +20,10 @@
 
 func (j *job) enter(s stage) { j.stage.Store(int32(s)) }
 
+// hasLeft reports whether the caller of a request has left, as far as anything
+// here knows.
+func hasLeft(ctx context.Context, j *job) bool { return ctx.Err() != nil || j.caller.HasCallerLeft() }
+
 // watchCaller notes when the caller's close is seen, and what was done for it
 // then. The result ends the watch.
 func (g *Gateway) watchCaller(ctx context.Context, j *job) (end func()) {
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -44,6 +44,9 @@
 	budget.Attempt()
 	refusals := 0
 	for {
+		if hasLeft(ctx, j) {
+			return errCallerGone.WithState(j.runState)
+		}
 		j.enter(stagePlace)
 		g.lookUp(ctx, j)
 		c, err := g.place(ctx, j)
@@ -124,11 +127,9 @@
 	ctx, watch := g.watchFirstByte(ctx, j, c, budget)
 	defer watch.end()
 	j.attempts++
-	gate := &zpengine.Gate{Deadline: j.deadline, Clock: g.Clock}
+	gate := &zpengine.Gate{Deadline: j.deadline, Clock: g.Clock, HasCallerLeft: j.caller.HasCallerLeft}
 	j.enter(stageSend)
-	placed := g.fields(j, c.fields())
-	placed["caller_left"] = j.caller.HasCallerLeft()
-	g.Log.Emit(zplog.RequestPlaced, placed)
+	g.Log.Emit(zplog.RequestPlaced, g.fields(j, c.fields()))
 	answer, err := g.Runner.Run(ctx, c.run(j, left), gate)
 	if err != nil {
 		return g.noAnswer(ctx, j, c, gate, err)
@@ -170,6 +171,9 @@
 		if stopped, ok := g.stopped(ctx, j); ok {
 			return stopped
 		}
+		if j.caller.HasCallerLeft() {
+			return sent{resultStopped, errCallerGone.WithState(j.runState).WithCause(err)}
+		}
 		failure := FailureConnect
 		if late, ok := errors.AsType[net.Error](err); ok && late.Timeout() {
 			failure = FailureDark
