Bind a booking to its caller until its first byte is sent

What callers saw: a booking was sent to an endpoint, also again after refusals and connects without an answer, though its caller had closed long before. Cause: a booking is detached from its caller so that it is not cut midway, but it was detached for the whole send: connect (up to 400 ms each), first byte and the repeats after it. Ruled out: bookings that were sent go on as before (spec 'lets a booking finish'). Change: the gate can be shut; the caller's close shuts it unless a byte was sent, and only then cancels the send. Opening and shutting exclude each other. Before: spec 'no first byte sent on a connection that opens late: book' failed when the close is known from the context alone. After: green.

--- a/internal/zpengine/gate.go
+++ b/internal/zpengine/gate.go
@@ -23,7 +23,7 @@
 		// HasCallerLeft is asked before the first byte; nil: the caller stays.
 		HasCallerLeft func() bool
 
-		sent atomic.Bool
+		state atomic.Int32
 	}
 
 	// gatedConn asks the gate of the present request before the first byte.
@@ -33,6 +33,13 @@
 	}
 )
 
+// States of a gate.
+const (
+	gateUnused int32 = iota
+	gateSent         // a byte may have been sent
+	gateShut         // none was, and none will be
+)
+
 var (
 	// ErrDeadline is returned by a write that would have come after the deadline.
 	ErrDeadline = errors.New("the reservation's deadline to start has passed")
@@ -41,12 +48,18 @@
 )
 
 // Sent reports whether any byte may have been sent.
-func (g *Gate) Sent() bool { return g.sent.Load() }
+func (g *Gate) Sent() bool { return g.state.Load() == gateSent }
+
+// Shut shuts the gate for good unless a byte was sent, and reports whether it is
+// shut.
+func (g *Gate) Shut() bool {
+	return g.state.CompareAndSwap(gateUnused, gateShut) || g.state.Load() == gateShut
+}
 
 // Open is asked before the first byte. It fails once the deadline has passed or
 // the caller has left.
 func (g *Gate) Open() error {
-	if g.sent.Load() {
+	if g.Sent() {
 		return nil
 	}
 	if g.HasCallerLeft != nil && g.HasCallerLeft() {
@@ -61,7 +74,9 @@
 	if !g.Clock().Before(g.Deadline) {
 		return ErrDeadline
 	}
-	g.sent.Store(true)
+	if !g.state.CompareAndSwap(gateUnused, gateSent) && !g.Sent() {
+		return ErrCallerLeft
+	}
 	return nil
 }
 
--- /dev/null
+++ b/internal/zpengine/gate_test.go
@@ -0,0 +1,48 @@
+package zpengine_test
+
+import (
+	"sync"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
+)
+
+var _ = Describe("Gate", func() {
+	It("does not open for a caller that has left", func() {
+		g := openGate()
+		g.HasCallerLeft = func() bool { return true }
+		Expect(g.Open()).To(MatchError(zpengine.ErrCallerLeft))
+		Expect(g.Sent()).To(BeFalse())
+	})
+
+	It("stays open once a byte was sent", func() {
+		g := openGate()
+		Expect(g.Open()).To(Succeed())
+		g.HasCallerLeft = func() bool { return true }
+		Expect(g.Shut()).To(BeFalse())
+		Expect(g.Open()).To(Succeed())
+	})
+
+	It("stays shut", func() {
+		g := openGate()
+		Expect(g.Shut()).To(BeTrue())
+		Expect(g.Shut()).To(BeTrue())
+		Expect(g.Open()).To(MatchError(zpengine.ErrCallerLeft))
+		Expect(g.Sent()).To(BeFalse())
+	})
+
+	It("is either opened or shut when both are tried at once", func() {
+		for range 200 {
+			g := openGate()
+			var opened, shut bool
+			var both sync.WaitGroup
+			both.Go(func() { opened = g.Open() == nil })
+			both.Go(func() { shut = g.Shut() })
+			both.Wait()
+			Expect(opened).NotTo(Equal(shut))
+			Expect(g.Sent()).To(Equal(opened))
+		}
+	})
+})
--- a/internal/zpgateway/caller.go
+++ b/internal/zpgateway/caller.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
 )
 
@@ -24,6 +25,22 @@
 // here knows.
 func hasLeft(ctx context.Context, j *job) bool { return ctx.Err() != nil || j.caller.HasCallerLeft() }
 
+// detachOnceSent returns a context that ends with ctx until the first byte has
+// passed the gate. From then on the work goes on without the caller, so that a
+// booking is not cut midway.
+func detachOnceSent(ctx context.Context, gate *zpengine.Gate) (detached context.Context, end func()) {
+	detached, cancel := context.WithCancelCause(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(ctx, func() {
+		if gate.Shut() {
+			cancel(context.Cause(ctx))
+		}
+	})
+	return detached, func() {
+		stop()
+		cancel(nil)
+	}
+}
+
 // watchCaller notes when the caller's close is seen, and what was done for it
 // then. The result ends the watch.
 func (g *Gateway) watchCaller(ctx context.Context, j *job) (end func()) {
--- a/internal/zpgateway/caller_test.go
+++ b/internal/zpgateway/caller_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -12,8 +13,9 @@
 )
 
 // departure serves a request whose caller leaves during the first send, which
-// then ends as given, and returns how many sends reached an endpoint.
-func departure(routeName string, end step) (reached int, reply *fakeReply) {
+// then ends as given, and returns how many sends reached an endpoint. A hidden
+// close is known from the context alone.
+func departure(routeName string, hidden bool, end step) (reached int, reply *fakeReply) {
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	reply = &fakeReply{}
@@ -27,7 +29,7 @@
 		}
 	}
 	leave := func(ctx context.Context, gate *zpengine.Gate) (*zpgateway.Answer, error) {
-		reply.left.Store(true)
+		reply.left.Store(!hidden)
 		cancel()
 		return end(ctx, gate)
 	}
@@ -50,6 +52,17 @@
 	}
 }
 
+// afterCancel lets what a cancelled context sets off happen first.
+func afterCancel(next step) step {
+	return func(ctx context.Context, gate *zpengine.Gate) (*zpgateway.Answer, error) {
+		select {
+		case <-ctx.Done():
+		case <-time.After(100 * time.Millisecond):
+		}
+		return next(ctx, gate)
+	}
+}
+
 var _ = Describe("Callers that have left", func() {
 	for _, routeName := range []string{"book", "read", "draft", "tag"} {
 		It("have nothing sent to an endpoint: "+routeName, func() {
@@ -62,18 +75,20 @@
 		})
 
 		It("have no first byte sent on a connection that opens late: "+routeName, func() {
-			reached, reply := departure(routeName, opens(answers(http.StatusOK, "ok")))
-			Expect(reached).To(BeZero())
-			Expect(reply.aborted).To(BeTrue())
+			for _, hidden := range []bool{false, true} {
+				reached, reply := departure(routeName, hidden, afterCancel(opens(answers(http.StatusOK, "ok"))))
+				Expect(reached).To(BeZero())
+				Expect(reply.aborted).To(BeTrue())
+			}
 		})
 
 		It("have no send repeated without a connection: "+routeName, func() {
-			reached, _ := departure(routeName, noConnection)
+			reached, _ := departure(routeName, true, noConnection)
 			Expect(reached).To(BeZero())
 		})
 
 		It("have no refused send repeated: "+routeName, func() {
-			reached, _ := departure(routeName, func(_ context.Context, gate *zpengine.Gate) (*zpgateway.Answer, error) {
+			reached, _ := departure(routeName, true, func(_ context.Context, gate *zpengine.Gate) (*zpgateway.Answer, error) {
 				// The byte was on its way when the caller left.
 				return refuses(http.StatusServiceUnavailable)(context.Background(), &zpengine.Gate{Deadline: gate.Deadline, Clock: gate.Clock})
 			})
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -118,16 +118,17 @@
 	if left < minimalRun {
 		return sent{resultStopped, g.unanswered(j, errTooLate)}
 	}
-	// A booking goes on without its caller, so that it is not cut midway.
+	gate := &zpengine.Gate{Deadline: j.deadline, Clock: g.Clock, HasCallerLeft: j.caller.HasCallerLeft}
 	if j.route.Kind == zpcatalog.KindNonIdempotent {
-		ctx = context.WithoutCancel(ctx)
+		var end func()
+		ctx, end = detachOnceSent(ctx, gate)
+		defer end()
 	}
 	ctx, cancel := context.WithTimeoutCause(ctx, left, errTimeout)
 	defer cancel()
 	ctx, watch := g.watchFirstByte(ctx, j, c, budget)
 	defer watch.end()
 	j.attempts++
-	gate := &zpengine.Gate{Deadline: j.deadline, Clock: g.Clock, HasCallerLeft: j.caller.HasCallerLeft}
 	j.enter(stageSend)
 	g.Log.Emit(zplog.RequestPlaced, g.fields(j, c.fields()))
 	answer, err := g.Runner.Run(ctx, c.run(j, left), gate)
