The same on the product's own interface: no run for a caller that has left

Evidence: e2e, a daemon that was paused while 20 callers booked and left noticed none of them and ran the bookings (0 of 20 caller_gone). Change: the same gate asks the connection, also behind TLS, and each attempt begins with a look. A claim of a booking that was not sent is released, so its key can be used again: the spec books under all 20 keys afterwards.

--- a/e2e/departed_callers_test.go
+++ b/e2e/departed_callers_test.go
@@ -103,4 +103,30 @@
 		Entry("reads", http.MethodGet, "read", ""),
 		Entry("streams", http.MethodPost, "stream", strings.Repeat("x", 12_000)),
 	)
+
+	It("leave no booking behind on the product's own interface", func() {
+		const callers = 20
+		site := startSite(zpsite.Config{
+			Number: 62, Daemons: 1, Runners: 1, Services: 1, RequireKey: true,
+			Settings: map[string]string{"log.level": "debug", "config.cut_off_policy": "serve_last"},
+		})
+		address := strings.TrimPrefix(site.Target(0), "http://")
+		key := func(n int) string { return fmt.Sprintf("departed-%d", n) }
+		Expect(site.Daemons[0].Signal(syscall.SIGSTOP)).To(Succeed())
+		for n := range callers {
+			conn, err := net.Dial("tcp", address)
+			Expect(err).NotTo(HaveOccurred())
+			_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nIdempotency-Key: %s\r\nContent-Length: 2\r\n\r\n{}",
+				services, zpsite.Key(workspace), key(n))
+			Expect(err).NotTo(HaveOccurred())
+			Expect(conn.Close()).To(Succeed())
+		}
+		Expect(site.Daemons[0].Signal(syscall.SIGCONT)).To(Succeed())
+		Eventually(func() int { return strings.Count(site.Daemons[0].Log(), `"code":"caller_gone"`) }, "5s").Should(Equal(callers))
+		for n := range callers {
+			status, header, text := call(site, http.MethodPost, services, zpsite.Key(workspace), "{}", map[string]string{"Idempotency-Key": key(n)})
+			Expect(status).To(Equal(http.StatusOK), text)
+			Expect(header.Get("Idempotent-Replayed")).To(BeEmpty())
+		}
+	})
 })
--- a/internal/zpfront/front.go
+++ b/internal/zpfront/front.go
@@ -16,6 +16,7 @@
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpconfig"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpfleet"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpnet"
 	"github.com/zinniapaddle/zinniapaddle/internal/zppipeline"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpsettings"
 )
@@ -72,6 +73,7 @@
 		Handler:           app,
 		ReadHeaderTimeout: f.Settings.HeaderTimeout,
 		MaxHeaderBytes:    int(f.Settings.MaxHeader),
+		ConnContext:       zpnet.WithPeer,
 	}
 	return nil
 }
--- a/internal/zpnet/peer.go
+++ b/internal/zpnet/peer.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"syscall"
 	"time"
@@ -20,6 +21,9 @@
 // WithPeer keeps an accepted connection in the context of its requests. It has
 // the form of http.Server.ConnContext.
 func WithPeer(ctx context.Context, conn net.Conn) context.Context {
+	if secure, ok := conn.(*tls.Conn); ok {
+		conn = secure.NetConn()
+	}
 	c, ok := conn.(syscall.Conn)
 	if !ok {
 		return ctx
--- a/internal/zppipeline/generate.go
+++ b/internal/zppipeline/generate.go
@@ -38,6 +38,9 @@
 	tried := map[string]bool{}
 	reserve := p.reserveFirst
 	for attempt := 1; ; attempt++ {
+		if hasLeft(ctx) {
+			return afterDelivery(j, errCallerGone.WithState(j.RunState))
+		}
 		r, err := reserve(ctx, j, tried)
 		if err != nil {
 			return afterDelivery(j, err)
@@ -81,7 +84,7 @@
 	defer span.End()
 	ctx, firstToken := p.Tracer.Start(ctx, "first token")
 	started := false
-	o := p.Engine.Generate(ctx, p.generation(ctx, j, r), p.gate(r), func(piece zpengine.Piece) error {
+	o := p.Engine.Generate(ctx, p.generation(ctx, j, r), p.gate(ctx, r), func(piece zpengine.Piece) error {
 		if !started {
 			started = true
 			firstToken.End()
--- a/internal/zppipeline/reserve.go
+++ b/internal/zppipeline/reserve.go
@@ -9,6 +9,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpnet"
 	"github.com/zinniapaddle/zinniapaddle/internal/zproute"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zpmanifest"
@@ -138,14 +139,19 @@
 }
 
 // gate returns the gate before the first byte of a reserved request.
-func (p *Pipeline) gate(r Reservation) *zpengine.Gate {
+func (p *Pipeline) gate(ctx context.Context, r Reservation) *zpengine.Gate {
 	return &zpengine.Gate{
-		Deadline: r.Deadline,
-		Clock:    p.Clock,
-		OnSend:   func() { p.Holdings.Start(r.ID, r.Endpoint.Name) },
+		HasCallerLeft: zpnet.PeerOf(ctx).HasClosed,
+		Deadline:      r.Deadline,
+		Clock:         p.Clock,
+		OnSend:        func() { p.Holdings.Start(r.ID, r.Endpoint.Name) },
 	}
 }
 
+// hasLeft reports whether the caller of a request has left. It also knows of
+// callers from which ctx is detached.
+func hasLeft(ctx context.Context) bool { return ctx.Err() != nil || zpnet.PeerOf(ctx).HasClosed() }
+
 // release tells the owner how a reservation ended. A release that is lost is
 // made up for when the owner compares its ledger with what daemons hold.
 func (p *Pipeline) release(ctx context.Context, r Reservation, o zpengine.Outcome) {
--- a/internal/zppipeline/service.go
+++ b/internal/zppipeline/service.go
@@ -80,6 +80,9 @@
 	budget.Attempt()
 	tried := map[string]bool{}
 	for attempt := 1; ; attempt++ {
+		if hasLeft(ctx) {
+			return errCallerGone.WithState(j.RunState)
+		}
 		r, err := p.reserve(ctx, j, tried)
 		if err != nil {
 			return zperror.Of(err).WithState(j.RunState)
@@ -111,7 +114,7 @@
 		ContentType: j.Service.ContentType, Body: j.Service.Body, IdempotencyKey: j.Service.IdempotencyKey,
 		RequestID: r.ID, Workspace: j.Workspace.Name, Trace: traceHeaders(ctx),
 		Timeout: p.Settings.Endpoint.ServiceTimeout, Idempotent: j.Idempotent,
-	}, p.gate(r))
+	}, p.gate(ctx, r))
 }
 
 // repeat answers a request whose key another attempt has claimed.
