Cut off endpoints that send bytes without end, in bounded memory

Cause: each answer had a limit of its own (16 MB, heads 10 MB), and nothing bounded all of them together. Change: heads end at 64 KB; answers over 64 KB that are not whole yet share a tenth of the VM's memory, each at most a quarter of it; an event ends at 256 KB (1 MB before); text of a stream that is no event breaks it instead of reaching the caller; reports and lists have limits of their size. Both interfaces.

--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -116,7 +116,7 @@
 		Suspects: zpgateway.NewSuspects(), Cold: &zpplace.ColdGate{Self: s.Name}, Daemons: d.members.Names,
 		Quarantine: zpquarantine.NewList(crashRetention), NoteCrash: d.announceCrash, NoteDark: d.announceDark,
 		Retries: &zpretry.Book{Ratio: n.Bounds.RetryRatio * retryShare, Burst: retryBurst},
-		Runner:  &zpplatform.Runner{Sender: d.sender}, Rates: zpplace.DefaultRates(),
+		Runner:  &zpplatform.Runner{Sender: d.sender}, Answers: zpengine.NewMemory(answerMemory(n.Memory)), Rates: zpplace.DefaultRates(),
 		Log: log, Metrics: d.Metrics, Clock: zpclock.Now, Random: rand.Float64,
 	}
 	d.registry.OnGone = d.endpointGone
--- a/internal/zpapp/gateway_main.go
+++ b/internal/zpapp/gateway_main.go
@@ -8,6 +8,7 @@
 	"runtime/debug"
 	"syscall"
 
+	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
 	zpplatform "github.com/zinniapaddle/zinniapaddle/platform"
 )
@@ -16,6 +17,18 @@
 // garbage without regard to its cost. Unread bytes of sockets count too.
 const memoryShare = 0.6
 
+// answerShare is the part of the VM's memory for answers that are not whole yet.
+const answerShare = 0.1
+
+// answerMemory returns the bytes for answers on a VM with so much memory; zero:
+// unknown.
+func answerMemory(vm int64) int64 {
+	if vm <= 0 {
+		return zpengine.DefaultMemory
+	}
+	return int64(float64(vm) * answerShare)
+}
+
 // RunGateway runs a daemon by the platform's settings file until ctx ends.
 // SIGHUP reads the file again.
 func RunGateway(ctx context.Context, path string, out io.Writer) error {
--- a/internal/zpengine/client.go
+++ b/internal/zpengine/client.go
@@ -20,7 +20,8 @@
 		ConnectTimeout time.Duration
 		Clock          func() time.Time
 
-		sender Sender
+		sender  Sender
+		answers *Memory
 	}
 
 	wireReport struct {
@@ -51,7 +52,7 @@
 	idleTimeout     = 30 * time.Second
 	silence         = 15 * time.Second
 	reportTimeout   = 2 * time.Second
-	answerLimit     = 16 << 20
+	reportLimit     = 64 << 10 // bytes
 	errorTextLimit  = 4 << 10
 	priorityUrgent  = "urgent"
 	priorityOther   = "other"
@@ -62,6 +63,7 @@
 func (c *Client) Open() {
 	c.sender = Sender{ConnectTimeout: c.ConnectTimeout, Silence: silence, IdleTimeout: idleTimeout}
 	c.sender.Open()
+	c.answers = NewMemory(DefaultMemory)
 }
 
 // Close drops all idle connections.
@@ -85,7 +87,7 @@
 		return zpadmission.Report{}, fmt.Errorf("read report: status %d", res.StatusCode)
 	}
 	var w wireReport
-	if err := json.NewDecoder(io.LimitReader(res.Body, answerLimit)).Decode(&w); err != nil {
+	if err := json.NewDecoder(io.LimitReader(res.Body, reportLimit)).Decode(&w); err != nil {
 		return zpadmission.Report{}, fmt.Errorf("decode report: %w", err)
 	}
 	asOf := asked.Add(-time.Duration(w.AgeMS) * time.Millisecond)
--- a/internal/zpengine/export.go
+++ b/internal/zpengine/export.go
@@ -47,7 +47,7 @@
 		return Stored{}, fmt.Errorf("export order: status %d", res.StatusCode)
 	}
 	var w wireStored
-	if err := json.NewDecoder(io.LimitReader(res.Body, answerLimit)).Decode(&w); err != nil {
+	if err := json.NewDecoder(io.LimitReader(res.Body, reportLimit)).Decode(&w); err != nil {
 		return Stored{}, fmt.Errorf("decode export answer: %w", err)
 	}
 	return Stored(w), nil
--- a/internal/zpengine/sender.go
+++ b/internal/zpengine/sender.go
@@ -21,6 +21,10 @@
 	fresh *http.Client // a new connection for each request
 }
 
+// headLimit bounds the head of an answer, bytes; it also counts heads that are
+// only informational. Servers in trouble send heads without end.
+const headLimit = 64 << 10
+
 // Open prepares the connections.
 func (s *Sender) Open() {
 	s.kept = &http.Client{Transport: &http.Transport{
@@ -28,11 +32,15 @@
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     s.IdleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: headLimit,
 	}}
 	s.fresh = &http.Client{Transport: &http.Transport{
 		DialContext:        gatedDial(s.ConnectTimeout, s.Silence),
 		DisableKeepAlives:  true,
 		DisableCompression: true,
+
+		MaxResponseHeaderBytes: headLimit,
 	}}
 	for _, h := range []*http.Client{s.kept, s.fresh} {
 		h.CheckRedirect = func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
--- a/internal/zpengine/service.go
+++ b/internal/zpengine/service.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"io"
 	"net/http"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpadmission"
@@ -25,13 +23,12 @@
 	if res.Header.Get(HeaderNotStarted) == "true" {
 		return ServiceAnswer{}, c.finish(ctx, refusal(o, res), start)
 	}
-	body, err := io.ReadAll(io.LimitReader(res.Body, answerLimit+1))
+	body, counted, err := c.answers.ReadWhole(res.Body)
+	// The answer is handed on at once.
+	defer c.answers.Release(counted)
 	if err != nil {
 		return ServiceAnswer{}, c.finish(ctx, broken(o, err), start)
 	}
-	if len(body) > answerLimit {
-		return ServiceAnswer{}, c.finish(ctx, broken(o, fmt.Errorf("answer is larger than %d bytes", answerLimit)), start)
-	}
 	o.Done, o.Kind = true, zpadmission.OutcomeOK
 	answer := ServiceAnswer{Status: res.StatusCode, ContentType: res.Header.Get("Content-Type"), Body: body}
 	o = c.finish(ctx, o, start)
--- a/internal/zpgateway/deliver.go
+++ b/internal/zpgateway/deliver.go
@@ -6,7 +6,6 @@
 	"context"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 
@@ -22,8 +21,7 @@
 }
 
 const (
-	answerLimit    = 16 << 20 // bytes of an answer that is kept until it is whole
-	maxEventBytes  = 1 << 20
+	maxEventBytes  = 256 << 10
 	eventBuffer    = 16 << 10
 	serverErrors   = 500 // statuses from here on are failures of the endpoint
 	successes      = 200
@@ -33,9 +31,9 @@
 var (
 	errUnsigned  = errors.New("the answer is not signed by the endpoint")
 	errEncoded   = errors.New("the answer is compressed, which nobody asked for")
-	errTooLarge  = fmt.Errorf("the answer is larger than %d bytes", answerLimit)
 	errUntrue    = errors.New("the status says that the request has not run, and the endpoint does not")
 	errTornEvent = errors.New("the stream ended within an event")
+	errNoEvent   = errors.New("the stream has bytes that are no event")
 )
 
 // deliver hands an answer to the caller; started is called when its first byte
@@ -47,13 +45,11 @@
 	if j.route.Kind == zpcatalog.KindStream && isSuccess(a.Status) {
 		return g.deliverStream(ctx, j, a, reply, started)
 	}
-	body, err := io.ReadAll(io.LimitReader(a.Body, answerLimit+1))
+	body, counted, err := g.Answers.ReadWhole(a.Body)
+	j.keptBytes += counted
 	if err != nil {
 		return sent{resultBroken, err}
 	}
-	if len(body) > answerLimit {
-		return sent{resultBroken, errTooLarge}
-	}
 	started()
 	whole := &buffered{status: a.Status, header: a.Header, body: body}
 	if a.Status >= serverErrors && !j.begun {
@@ -104,6 +100,10 @@
 	fresh := true
 	for events.Scan() {
 		event := events.Bytes()
+		id := eventID(event)
+		if id == "" {
+			return sent{resultBroken, errNoEvent}
+		}
 		if fresh {
 			fresh = false
 			started()
@@ -116,9 +116,7 @@
 		if err := reply.Write(event); err != nil {
 			return sent{resultStopped, errCallerGone.WithState(j.runState).WithCause(err)}
 		}
-		if id := eventID(event); id != "" {
-			j.lastEvent = id
-		}
+		j.lastEvent = id
 	}
 	if err := events.Err(); err != nil {
 		return sent{resultBroken, err}
--- a/internal/zpgateway/gateway.go
+++ b/internal/zpgateway/gateway.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpmetric"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpparts"
@@ -41,6 +42,7 @@
 	NoteDark   func(endpoint string)           // tells other daemons
 	Retries    *zpretry.Book
 	Runner     Runner
+	Answers    *zpengine.Memory // for answers that are not whole yet
 	Rates      zpplace.Rates
 	Log        *zplog.Logger
 	Metrics    *zpmetric.Metrics
@@ -97,6 +99,7 @@
 	defer g.Open.Add(-1)
 	j := &job{request: q, caller: reply, tried: map[string]bool{}}
 	defer g.watchCaller(ctx, j)()
+	defer func() { g.Answers.Release(j.keptBytes) }()
 	err := g.admit(j)
 	if err == nil {
 		err = g.run(ctx, j, reply)
--- a/internal/zpgateway/job.go
+++ b/internal/zpgateway/job.go
@@ -24,6 +24,7 @@
 	tried     map[string]bool
 	runState  zperror.RunState
 	failure   *buffered // a failure that an endpoint answered
+	keptBytes int64     // of answers, to be released
 	begun     bool      // the caller has the head of the answer
 	lastEvent string    // last event that the caller has
 	first     time.Time // when the caller got the first byte of the body
--- a/internal/zpgateway/site_test.go
+++ b/internal/zpgateway/site_test.go
@@ -184,7 +184,7 @@
 		Stores: zpparts.NewStores(time.Hour, 0), Announce: func(zpgateway.News) {}, LookUp: func(context.Context, [][]zpparts.Key) {}, Suspects: zpgateway.NewSuspects(),
 		Cold: &zpplace.ColdGate{Self: "d"}, Daemons: func() []string { return []string{"d"} },
 		Quarantine: zpquarantine.NewList(time.Hour), NoteCrash: func(string, string) {}, NoteDark: func(string) {},
-		Retries: &zpretry.Book{Ratio: 0.1, Burst: 5}, Runner: runner, Rates: zpplace.DefaultRates(),
+		Retries: &zpretry.Book{Ratio: 0.1, Burst: 5}, Runner: runner, Answers: zpengine.NewMemory(1 << 20), Rates: zpplace.DefaultRates(),
 		Log: zplog.Discard(), Metrics: zpmetric.New(), Clock: time.Now, Random: func() float64 { return 0 },
 	}}
 }
