--- a/internal/zpgateway/caller.go
+++ b/internal/zpgateway/caller.go
@@ -21,6 +21,16 @@
 
 func (j *job) enter(s stage) { j.stage.Store(int32(s)) }
 
+// staying is the way back to a caller of which a mutant believes that it stays.
+type staying struct{ Reply }
+
+func (staying) HasCallerLeft() bool { return false }
+
+func (s staying) Write(p []byte) error {
+	_ = s.Reply.Write(p) // the mutant does not notice
+	return nil
+}
+
 // hasLeft reports whether the caller of a request has left, as far as anything
 // here knows.
 func hasLeft(ctx context.Context, j *job) bool { return ctx.Err() != nil || j.caller.HasCallerLeft() }
--- a/internal/zpgateway/gateway.go
+++ b/internal/zpgateway/gateway.go
@@ -9,6 +9,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpmetric"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpparts"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpplace"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpquarantine"
@@ -97,6 +98,9 @@
 func (g *Gateway) Serve(ctx context.Context, q *Request, reply Reply) {
 	g.Open.Add(1)
 	defer g.Open.Add(-1)
+	if zpmutant.Active(zpmutant.Departure) {
+		ctx, reply = context.WithoutCancel(ctx), staying{reply}
+	}
 	j := &job{request: q, caller: reply, tried: map[string]bool{}}
 	defer g.watchCaller(ctx, j)()
 	defer func() { g.Answers.Release(j.keptBytes) }()
--- a/internal/zpmutant/name.go
+++ b/internal/zpmutant/name.go
@@ -19,4 +19,5 @@
 	OutOfService  Name = "out_of_service" // domains and endpoints taken out still get work
 	Fencing       Name = "fencing"        // orders carry no fencing number and are not repaired
 	RetryBudget   Name = "retry_budget"   // repeats have no budget
+	Departure     Name = "departure"      // callers that leave are not noticed
 )
--- a/internal/zpsoak/callers.go
+++ b/internal/zpsoak/callers.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"strings"
 	"sync"
@@ -22,10 +23,11 @@
 		Version int // that the path of a question for the configuration names
 		Begun   time.Time
 		Ended   time.Time
-		Status  int    // zero: no answer
-		Whole   bool   // the body is that of a whole answer to this request
-		Broken  bool   // the connection or the body broke off
-		Body    string // if it is neither
+		Left    time.Time // when the caller closed its connection early; zero: it did not
+		Status  int       // zero: no answer
+		Whole   bool      // the body is that of a whole answer to this request
+		Broken  bool      // the connection or the body broke off
+		Body    string    // if it is neither
 	}
 
 	// history is what callers saw. It is safe for concurrent use.
@@ -39,6 +41,9 @@
 	callerPause   = 60 * time.Millisecond
 	callerTimeout = 7 * time.Second
 	askPause      = 250 * time.Millisecond
+	// leaveEvery is of how many requests the caller leaves one early.
+	leaveEvery = 5
+	leaveAfter = 500 * time.Millisecond // at most
 )
 
 func (h *history) add(r request) {
@@ -53,9 +58,14 @@
 	client := &http.Client{Transport: &http.Transport{MaxConnsPerHost: 1}, Timeout: callerTimeout}
 	defer client.CloseIdleConnections()
 	kinds := []string{"book", "read", "stream"}
+	random := rand.New(rand.NewPCG(r.site.Seed, uint64(daemon*r.site.Callers+caller)))
 	for n := 0; ctx.Err() == nil; n++ {
 		q := request{ID: fmt.Sprintf("r-%d-%d-%d", daemon, caller, n), Kind: kinds[(n+caller)%len(kinds)], Daemon: daemon}
-		r.send(ctx, client, &q, "/"+q.Kind+"/1")
+		if random.IntN(leaveEvery) == 0 {
+			r.sendAndLeave(ctx, client, &q, time.Duration(random.Int64N(int64(leaveAfter))))
+		} else {
+			r.send(ctx, client, &q, "/"+q.Kind+"/1")
+		}
 		pause(ctx, callerPause)
 	}
 }
@@ -73,13 +83,29 @@
 	}
 }
 
+// sendAndLeave sends a request of its own path whose caller closes its connection
+// after a while. Equal ones would never be served, and be in flight at crashes.
+func (r *run) sendAndLeave(ctx context.Context, client *http.Client, q *request, after time.Duration) {
+	ctx, leave := context.WithTimeout(context.WithoutCancel(ctx), after)
+	defer leave()
+	r.exchange(ctx, client, q, "/"+q.Kind+zpoutside.LongPath+q.ID)
+	if q.Broken {
+		q.Left = q.Ended
+	}
+	r.seen.add(*q)
+}
+
 func (r *run) send(ctx context.Context, client *http.Client, q *request, path string) {
+	// The run's end does not cut a request that is under way.
+	r.exchange(context.WithoutCancel(ctx), client, q, path)
+	r.seen.add(*q)
+}
+
+func (r *run) exchange(ctx context.Context, client *http.Client, q *request, path string) {
 	method := http.MethodGet
 	if q.Kind == "book" {
 		method = http.MethodPost
 	}
-	// The run's end does not cut a request that is under way.
-	ctx = context.WithoutCancel(ctx)
 	req, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s:%d%s", r.site.daemonIP(q.Daemon), zpoutside.CallersPort, path), nil)
 	if err != nil {
 		return
@@ -94,7 +120,6 @@
 	res, err := client.Do(req)
 	if err != nil {
 		q.Broken, q.Ended = true, time.Now()
-		r.seen.add(*q)
 		return
 	}
 	body, err := io.ReadAll(res.Body)
@@ -104,7 +129,6 @@
 	if !q.Whole && !q.Broken && q.Status == http.StatusOK {
 		q.Body = string(body)
 	}
-	r.seen.add(*q)
 }
 
 // whole returns the body of a whole answer.
--- a/internal/zpsoak/judge_test.go
+++ b/internal/zpsoak/judge_test.go
@@ -95,6 +95,34 @@
 		Entry("but by that of another", trouble{Kind: EndpointCrash, Target: 3}, true),
 	)
 
+	DescribeTable("notices work for a caller that has left",
+		func(kind string, begun, ended int, t trouble, isBroken bool) {
+			r := world(1)
+			t.From, t.To = at(0), at(20_000)
+			r.faults.troubles = []trouble{t}
+			r.seen.add(request{ID: "x", Kind: kind, Begun: at(10_000), Ended: at(10_100), Left: at(10_100), Broken: true})
+			x := zpoutside.Run{Request: "x", Endpoint: "i-0-1", Domain: "a", At: at(begun)}
+			if ended > 0 {
+				x.Ended = at(ended)
+			}
+			r.site.log.Note(x)
+			if isBroken {
+				expectBroken(r, "departed")
+			} else {
+				expectKept(r)
+			}
+		},
+		Entry("that began too late", "read", 10_950, 10_960, trouble{}, true),
+		Entry("that began too late at a daemon that was paused", "read", 10_950, 10_960, trouble{Kind: DaemonPause}, true),
+		Entry("a booking that began too late", "book", 10_950, 10_960, trouble{}, true),
+		Entry("that goes on", "stream", 10_050, 0, trouble{}, true),
+		Entry("that ended too late", "stream", 10_050, 11_000, trouble{}, true),
+		Entry("not of a booking that goes on", "book", 10_050, 11_000, trouble{}, false),
+		Entry("not of a daemon that was paused", "stream", 10_050, 11_000, trouble{Kind: DaemonPause}, false),
+		Entry("not behind a link that holds bytes back", "stream", 10_050, 11_000, trouble{Kind: EndpointCut}, false),
+		Entry("not work that ended in time", "stream", 10_050, 10_500, trouble{}, false),
+	)
+
 	DescribeTable("notices work for a failure domain that was taken out",
 		func(ms int, t trouble, isBroken bool) {
 			r := world(1)
