Write a log line's fields at once

Cause: each field of a line copied all fields before it. Found by reading, after the profile of a fleet in one process (BenchmarkFleet). Before, after (22 fields, BenchmarkEmit, beside other work): 99 us and 28 KB, 51 us and 9 KB a line.

--- a/internal/zplog/event.go
+++ b/internal/zplog/event.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"maps"
 	"strings"
 	"sync"
 	"time"
@@ -143,14 +144,13 @@
 	if !ok {
 		return
 	}
-	entry := l.out.WithField("event", e.Number)
+	all := make(logrus.Fields, len(fields)+2)
+	maps.Copy(all, fields)
+	all["event"] = e.Number
 	if suppressed > 0 {
-		entry = entry.WithField("suppressed", suppressed)
+		all["suppressed"] = suppressed
 	}
-	for k, v := range fields {
-		entry = entry.WithField(k, v)
-	}
-	entry.Log(e.Level, e.Text)
+	l.out.WithFields(all).Log(e.Level, e.Text)
 }
 
 // admit counts a line and reports whether it may be written, and how many of its
--- a/internal/zplog/event_test.go
+++ b/internal/zplog/event_test.go
@@ -3,9 +3,13 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
+	"io"
+	"testing"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"github.com/sirupsen/logrus"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
 )
@@ -53,3 +57,21 @@
 		Expect(err).To(HaveOccurred())
 	})
 })
+
+// BenchmarkEmit is the cost of a line with as many fields as that of a placed
+// request has.
+func BenchmarkEmit(b *testing.B) {
+	l, err := zplog.New(io.Discard, "info", "json")
+	if err != nil {
+		b.Fatal(err)
+	}
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		fields := zplog.Fields{}
+		for i := range 22 {
+			fields[fmt.Sprintf("field_%d", i)] = i
+		}
+		// Another event each time, so that no line is suppressed.
+		l.Emit(zplog.Event{Number: n, Level: logrus.InfoLevel, Text: "request sent to an endpoint"}, fields)
+	}
+}
