Remember why a gate did not open

What callers saw: a request that came too late for its reservation was taken for one that the endpoint had refused, about once in 500 such requests, and counted against the endpoint. Cause: when the gate refuses the first byte, the transport closes the connection; its reader and its writer race to report, and only the writer's error holds the gate's reason. Change: the gate keeps its reason, and the outcome is taken from it.

--- a/internal/zpengine/client.go
+++ b/internal/zpengine/client.go
@@ -114,9 +114,12 @@
 
 // classify maps a failed exchange to an outcome.
 func classify(g *Gate, err error) Outcome {
+	if refusal := g.Refusal(); refusal != nil {
+		err = fmt.Errorf("%w: %w", refusal, err)
+	}
 	o := Outcome{Sent: g.Sent(), Err: err}
 	switch {
-	case errors.Is(err, ErrDeadline):
+	case errors.Is(err, ErrDeadline), errors.Is(err, ErrCallerLeft):
 		o.Kind = zpadmission.OutcomeNotStarted
 	case errors.Is(err, context.Canceled) && !o.Sent:
 		o.Kind = zpadmission.OutcomeNotStarted
--- a/internal/zpengine/engine_test.go
+++ b/internal/zpengine/engine_test.go
@@ -123,6 +123,16 @@
 		Expect(calls.Load()).To(BeZero())
 	})
 
+	It("says that the deadline had passed whichever side of the connection reports first", func() {
+		address := serve(func(http.ResponseWriter, *http.Request) {})
+		for range 1500 {
+			g := &zpengine.Gate{Deadline: time.Now().Add(-time.Second), Clock: time.Now}
+			_, o := generate(address, g, keep)
+			Expect(o.Kind).To(Equal(zpadmission.OutcomeNotStarted))
+			Expect(o.Err).To(MatchError(zpengine.ErrDeadline))
+		}
+	})
+
 	It("registers the start before it looks at the deadline", func() {
 		order := []string{}
 		g := &zpengine.Gate{Deadline: time.Now().Add(time.Minute), OnSend: func() { order = append(order, "start") }}
--- a/internal/zpengine/gate.go
+++ b/internal/zpengine/gate.go
@@ -23,7 +23,8 @@
 		// HasCallerLeft is asked before the first byte; nil: the caller stays.
 		HasCallerLeft func() bool
 
-		state atomic.Int32
+		state   atomic.Int32
+		refusal atomic.Pointer[error]
 	}
 
 	// gatedConn asks the gate of the present request before the first byte.
@@ -56,12 +57,29 @@
 	return g.state.CompareAndSwap(gateUnused, gateShut) || g.state.Load() == gateShut
 }
 
+// Refusal returns why the gate did not open, nil if it did or was not asked. The
+// error of the connection may tell only that it was closed then.
+func (g *Gate) Refusal() error {
+	if err := g.refusal.Load(); err != nil && !g.Sent() {
+		return *err
+	}
+	return nil
+}
+
 // Open is asked before the first byte. It fails once the deadline has passed or
 // the caller has left.
 func (g *Gate) Open() error {
 	if g.Sent() {
 		return nil
 	}
+	err := g.open()
+	if err != nil {
+		g.refusal.Store(&err)
+	}
+	return err
+}
+
+func (g *Gate) open() error {
 	if g.HasCallerLeft != nil && g.HasCallerLeft() {
 		return ErrCallerLeft
 	}
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -172,7 +172,7 @@
 		if stopped, ok := g.stopped(ctx, j); ok {
 			return stopped
 		}
-		if j.caller.HasCallerLeft() {
+		if errors.Is(gate.Refusal(), zpengine.ErrCallerLeft) {
 			return sent{resultStopped, errCallerGone.WithState(j.runState).WithCause(err)}
 		}
 		failure := FailureConnect
