Soak: judge work for departed callers only as far as the run was watched

Cause: the judge. Both callers left within the last half second of the play (10:55:02 and 10:55:43 are also the last lines of the logs); their daemons ended the sends in the same millisecond (407 and 400), and the judge read the endpoints' log before they had noted the end. The bound lay in the future. Change: a run without an end counts only if the play went on beyond the bound; one with an end is judged as before. Spec failed before, green after.

--- a/internal/zpsoak/judge.go
+++ b/internal/zpsoak/judge.go
@@ -157,7 +157,8 @@
 			if x.At.After(bound) {
 				violation("departed", "%s of daemon %d began on %s %s after its caller had left", q.ID, q.Daemon, x.Endpoint, x.At.Sub(q.Left))
 			}
-			if goesOn := x.Ended.IsZero() || x.Ended.After(bound); goesOn && q.Kind != "book" && !r.isPaused(q.Daemon, q.Left, bound) {
+			// A run that has not ended is known to go on only up to the end of the play.
+			if goesOn := x.Ended.IsZero() && r.ended.After(bound) || x.Ended.After(bound); goesOn && q.Kind != "book" && !r.isPaused(q.Daemon, q.Left, bound) {
 				violation("departed", "%s of daemon %d went on on %s half a second after its caller had left", q.ID, q.Daemon, x.Endpoint)
 			}
 		}
--- a/internal/zpsoak/judge_test.go
+++ b/internal/zpsoak/judge_test.go
@@ -123,6 +123,13 @@
 		Entry("not work that ended in time", "stream", 10_050, 10_500, trouble{}, false),
 	)
 
+	It("does not judge work for a departed caller beyond the end of the run", func() {
+		r := world(1)
+		r.seen.add(request{ID: "x", Kind: "stream", Begun: at(59_000), Ended: at(59_500), Left: at(59_500), Broken: true})
+		r.site.log.Note(zpoutside.Run{Request: "x", Endpoint: "i-0-1", Domain: "a", At: at(59_010)})
+		expectKept(r)
+	})
+
 	DescribeTable("notices work for a failure domain that was taken out",
 		func(ms int, t trouble, isBroken bool) {
 			r := world(1)
