Soak: excuse a close that a cut link holds back

Cause: the judge. The plan cuts the link to endpoint 2 from 2.0 s to 4.2 s, after both runs had begun; the daemon ended both sends within 3 ms of the callers' close (407, 400), and the link held the close back, as the users' page allows. The judge looked for troubles of the endpoint only up to the run's begin. Troubles after the bound, or of other endpoints, excuse nothing.

--- a/internal/zpsoak/judge_test.go
+++ b/internal/zpsoak/judge_test.go
@@ -98,7 +98,9 @@
 	DescribeTable("notices work for a caller that has left",
 		func(kind string, begun, ended int, t trouble, isBroken bool) {
 			r := world(1)
-			t.From, t.To = at(0), at(20_000)
+			if t.From.IsZero() {
+				t.From, t.To = at(0), at(20_000)
+			}
 			r.faults.troubles = []trouble{t}
 			r.seen.add(request{ID: "x", Kind: kind, Begun: at(10_000), Ended: at(10_100), Left: at(10_100), Broken: true})
 			x := zpoutside.Run{Request: "x", Endpoint: "i-0-1", Domain: "a", At: at(begun)}
@@ -120,6 +122,9 @@
 		Entry("not of a booking that goes on", "book", 10_050, 11_000, trouble{}, false),
 		Entry("not of a daemon that was paused", "stream", 10_050, 11_000, trouble{Kind: DaemonPause}, false),
 		Entry("not behind a link that holds bytes back", "stream", 10_050, 11_000, trouble{Kind: EndpointCut}, false),
+		Entry("nor behind one that began to after the run", "stream", 10_050, 12_000, trouble{Kind: EndpointCut, From: at(10_060), To: at(11_900)}, false),
+		Entry("but behind one that began to after the bound", "stream", 10_050, 12_000, trouble{Kind: EndpointCut, From: at(10_950), To: at(11_900)}, true),
+		Entry("but behind that of another endpoint", "stream", 10_050, 12_000, trouble{Kind: EndpointCut, Target: 3, From: at(10_060), To: at(11_900)}, true),
 		Entry("not work that ended in time", "stream", 10_050, 10_500, trouble{}, false),
 	)
 
