Proof of the configuration: wait until the daemons have heard who owns endpoints

Cause: the site counts as ready once the store names an owner of each partition; the proof then asks the daemons, who hear of it a little later. Change: it asks for up to 5 s, and names what the daemons answered with. What is proved is the same.

--- a/internal/zpproof/configuration.go
+++ b/internal/zpproof/configuration.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"syscall"
@@ -228,8 +229,32 @@
 	return e.noLateArrival(taken)
 }
 
-// endpointOwner returns the index of a daemon that owns an endpoint.
+// endpointOwner returns the index of a daemon that owns an endpoint. The store
+// names owners before the daemons have heard of it, so they are asked for a while.
 func (e *Env) endpointOwner(ctx context.Context) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, ownersWithin)
+	defer cancel()
+	for {
+		owner, err := e.findOwner(ctx)
+		if err == nil {
+			return owner, nil
+		}
+		select {
+		case <-time.After(ownerPause):
+		case <-ctx.Done():
+			return 0, err
+		}
+	}
+}
+
+const (
+	ownersWithin = 5 * time.Second
+	ownerPause   = 100 * time.Millisecond
+)
+
+var errNoOwner = errors.New("no daemon owns an endpoint; the proof shows nothing")
+
+func (e *Env) findOwner(ctx context.Context) (int, error) {
 	var names []string
 	for i := range e.Site.Runners {
 		names = append(names, e.Site.Manifest.Endpoints[i].Name)
@@ -239,9 +264,11 @@
 	if err != nil {
 		return 0, err
 	}
+	var refused error
 	for _, s := range statuses {
 		owned, err := o.Exchange.At(s.Member.Address).Quote(ctx, names)
 		if err != nil || len(owned) == 0 {
+			refused = errors.Join(refused, err)
 			continue
 		}
 		for i := range e.Site.Daemons {
@@ -250,7 +277,7 @@
 			}
 		}
 	}
-	return 0, fmt.Errorf("no daemon owns an endpoint; the proof shows nothing")
+	return 0, errors.Join(errNoOwner, refused)
 }
 
 // noneTaken sends prompts to a daemon and fails if it takes one.
