A restart of a daemon no longer renews the grace period of old weights

Cause: versionEntry.at was the time when this life of the daemon learned of the version, so each restart granted the replaced version a whole new grace period. Ruled out: engines that ignore fencing (all orders were accepted in order, none came late), an endpoint's entry that is older than the engine's answer (the engine had the version that the daemon expected).

Change: daemons tell each other the recent targets with their age in each reply to a Share call; between measured ages the older counts. A daemon that finds a version when it starts, and is told by nobody, leaves 2 s to older ones. A daemon that has not read the target versions serves nothing (before: it knew no target, so nothing ever expired). A reply carries targets only while the grace period lasts.

Of the same kind, looked at: cold starts (counted anew from a restart, so longer), evacuations, endpoints and keys (read before the first request).

--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -222,7 +222,7 @@
 
 // serveReadiness is the readiness check of the load balancer.
 func (d *GatewayDaemon) serveReadiness(w http.ResponseWriter, _ *http.Request) {
-	if d.leaving.Load() || d.catalog.Load() == nil || !d.registry.HasSynced() {
+	if d.leaving.Load() || d.catalog.Load() == nil || !d.registry.HasSynced() || !d.weights.HasSynced() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/internal/zpapp/gateway_sharing.go
+++ b/internal/zpapp/gateway_sharing.go
@@ -8,10 +8,12 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpclock"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpgateway"
+	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplookup"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpparts"
 	"github.com/zinniapaddle/zinniapaddle/internal/zppeer"
 	"github.com/zinniapaddle/zinniapaddle/internal/zprelay"
+	"github.com/zinniapaddle/zinniapaddle/internal/zprollout"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpshare"
 	zpplatform "github.com/zinniapaddle/zinniapaddle/platform"
 )
@@ -26,7 +28,9 @@
 	d.sharer = &zpshare.Sharer{
 		Self: d.self.Instance, Domain: d.self.Domain, Region: d.self.Region, Usage: d.gateway.Usage, Others: d.members.Others,
 		Send: func(ctx context.Context, address string, m zpshare.Message) (string, error) {
-			return zppeer.Share(ctx, d.dialer, address, m)
+			reply, err := zppeer.Share(ctx, d.dialer, address, m)
+			d.mergeTargets(address, reply.Targets)
+			return reply.Instance, err
 		},
 		Snapshot: d.snapshot, Log: d.Log, Clock: zpclock.Now,
 	}
@@ -61,13 +65,26 @@
 func (d *GatewayDaemon) servePeers(ctx context.Context, failed chan<- error) {
 	lis, err := zppeer.Listen(d.Node.Settings.Peers.Listen, nil)
 	if err == nil {
-		err = zppeer.ServeSharing(ctx, lis, &zppeer.SharingHandler{Instance: d.self.Instance, Apply: d.applyMessage, LookUpParts: d.lookUpParts, WatchObjects: d.recorder.Follow})
+		err = zppeer.ServeSharing(ctx, lis, &zppeer.SharingHandler{
+			Instance: d.self.Instance, Apply: d.applyMessage, LookUpParts: d.lookUpParts, WatchObjects: d.recorder.Follow,
+			Targets: func() []zprollout.Target { return d.weights.Recent(zpclock.Now()) },
+		})
 	}
 	if err != nil && ctx.Err() == nil {
 		failed <- err
 	}
 }
 
+// mergeTargets takes over the recent target weight versions that another daemon knows.
+func (d *GatewayDaemon) mergeTargets(address string, targets []zprollout.Target) {
+	now := zpclock.Now()
+	for _, t := range targets {
+		if d.weights.MergeTarget(t, now) {
+			d.Log.Emit(zplog.WeightsNamed, zplog.Fields{"model": t.Model, "version": t.Version, "address": address, "age_ms": t.Age.Milliseconds(), "estimated": t.Estimated})
+		}
+	}
+}
+
 // applyMessage applies a state message from another daemon.
 func (d *GatewayDaemon) applyMessage(m zpshare.Message) {
 	now := zpclock.Now()
--- a/internal/zpapp/gateway_watches.go
+++ b/internal/zpapp/gateway_watches.go
@@ -47,7 +47,7 @@
 	w.others = []*zpmirror.Mirror{
 		{API: d.follower, Prefix: zpplatform.EndpointPrefix, WatchWait: otherWatchWait, ChangeDelay: listPause, OnList: w.endpointsListed, OnChange: w.endpointChanged},
 		{API: d.follower, Prefix: zpplatform.EvacuationPrefix, WatchWait: otherWatchWait, OnList: w.evacuationsListed, OnChange: w.evacuationChanged},
-		{API: d.follower, Prefix: zpplatform.WeightVersionPrefix, WatchWait: otherWatchWait, OnList: forEach(w.weightsChanged), OnChange: w.weightsChanged},
+		{API: d.follower, Prefix: zpplatform.WeightVersionPrefix, WatchWait: otherWatchWait, OnList: w.weightsListed, OnChange: w.weightsChanged},
 		{API: d.follower, Prefix: gatewayMemberPrefix, WatchWait: otherWatchWait, ChangeDelay: listPause, OnList: w.membersListed, OnChange: w.memberChanged},
 	}
 	return w
@@ -154,7 +154,20 @@
 	w.daemon.Log.Emit(zplog.EvacuationChanged, zplog.Fields{"failure_domains": domains})
 }
 
-func (w *watches) weightsChanged(o zpobject.Object) {
+func (w *watches) weightsListed(objects []zpobject.Object) {
+	setTarget := w.daemon.weights.SetTarget
+	if !w.daemon.weights.HasSynced() {
+		setTarget = w.daemon.weights.SetInitialTarget
+	}
+	for _, o := range objects {
+		w.applyTarget(o, setTarget)
+	}
+	w.daemon.weights.SetListed()
+}
+
+func (w *watches) weightsChanged(o zpobject.Object) { w.applyTarget(o, w.daemon.weights.SetTarget) }
+
+func (w *watches) applyTarget(o zpobject.Object, setTarget func(model string, version int64, now time.Time) bool) {
 	if o.Deleted {
 		return
 	}
@@ -163,8 +176,10 @@
 		w.daemon.Log.Emit(zplog.EntryIgnored, zplog.Fields{"object": o.Name, "revision": o.Revision, "error": err.Error()})
 		return
 	}
-	if w.daemon.weights.SetTarget(model, version, zpclock.Now()) {
-		w.daemon.Log.Emit(zplog.WeightsNamed, zplog.Fields{"model": model, "version": version, "revision": o.Revision})
+	if setTarget(model, version, zpclock.Now()) {
+		w.daemon.Log.Emit(zplog.WeightsNamed, zplog.Fields{
+			"model": model, "version": version, "revision": o.Revision, "estimated": !w.daemon.weights.HasSynced(),
+		})
 	}
 }
 
--- a/internal/zpgateway/gateway.go
+++ b/internal/zpgateway/gateway.go
@@ -113,7 +113,7 @@
 // admit resolves route, workspace and pool, and rejects quarantined requests.
 func (g *Gateway) admit(j *job) error {
 	q := j.request
-	if j.catalog = g.Catalog(); j.catalog == nil || !g.Registry.HasSynced() {
+	if j.catalog = g.Catalog(); j.catalog == nil || !g.Registry.HasSynced() || !g.Weights.HasSynced() {
 		return errNoConfiguration.WithRetryAfter(retryAfterUnavailable)
 	}
 	var ok bool
--- a/internal/zpgateway/gateway_test.go
+++ b/internal/zpgateway/gateway_test.go
@@ -13,6 +13,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpgateway"
+	"github.com/zinniapaddle/zinniapaddle/internal/zprollout"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
 )
 
@@ -51,6 +52,14 @@
 		Entry("a stream that is not resumable is not sent again even before its first event", "draft", []step{resets}, 502, zperror.RunStateUnknown, 1),
 	)
 
+	It("refuses requests until the target weight versions were read", func() {
+		s := newTestGateway(responds(http.StatusOK, "ok"))
+		s.Weights = zprollout.NewWeightVersions(8 * time.Second)
+		expectRefused(s.serve(request("book")), http.StatusServiceUnavailable, zperror.RunStateNotRun)
+		s.Weights.SetListed()
+		expectResponse(s.serve(request("book")), http.StatusOK, "ok")
+	})
+
 	It("does not report a request as not run if a later connect fails", func() {
 		s := newTestGateway(resets, dialFails)
 		expectRefused(s.serve(request("read")), http.StatusBadGateway, zperror.RunStateUnknown)
--- a/internal/zppeer/sharing.go
+++ b/internal/zppeer/sharing.go
@@ -12,6 +12,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpparts"
 	"github.com/zinniapaddle/zinniapaddle/internal/zppeer/zppeerpb"
 	"github.com/zinniapaddle/zinniapaddle/internal/zprelay"
+	"github.com/zinniapaddle/zinniapaddle/internal/zprollout"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpshare"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpusage"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zpobject"
@@ -22,6 +23,7 @@
 type SharingHandler struct {
 	Instance     string
 	Apply        func(m zpshare.Message)
+	Targets      func() []zprollout.Target                  // recent target weight versions
 	LookUpParts  func(keys []zpparts.Key) zpparts.Knowledge // returns what is known of the requested parts
 	WatchObjects func(ctx context.Context, prefix string, since int64, wait time.Duration) (zprelay.Update, error)
 }
@@ -29,7 +31,11 @@
 // Share implements zppeerpb.DRPCSharingServer.
 func (h *SharingHandler) Share(_ context.Context, in *zppeerpb.ShareRequest) (*zppeerpb.ShareReply, error) {
 	h.Apply(decodeMessage(in))
-	return &zppeerpb.ShareReply{Instance: h.Instance}, nil
+	out := &zppeerpb.ShareReply{Instance: h.Instance}
+	for _, t := range h.Targets() {
+		out.Targets = append(out.Targets, &zppeerpb.SharedTarget{Model: t.Model, Version: t.Version, AgeMs: t.Age.Milliseconds(), Estimated: t.Estimated})
+	}
+	return out, nil
 }
 
 // Recall implements zppeerpb.DRPCSharingServer.
@@ -60,16 +66,22 @@
 	return drpcserver.New(mux).Serve(ctx, lis)
 }
 
-// Share sends a state update to the daemon at address and returns the instance id
-// of that daemon.
-func Share(ctx context.Context, d *Dialer, address string, m zpshare.Message) (string, error) {
+// Share sends a state update to the daemon at address and returns its reply. The ages
+// of the targets are those at the time when the reply was sent.
+func Share(ctx context.Context, d *Dialer, address string, m zpshare.Message) (zpshare.Reply, error) {
 	out, err := doWithConn(ctx, d, address, "share", 0, func(ctx context.Context, conn Conn) (*zppeerpb.ShareReply, error) {
 		return zppeerpb.NewDRPCSharingClient(conn).Share(ctx, encodeMessage(m))
 	})
 	if err != nil {
-		return "", err
+		return zpshare.Reply{}, err
+	}
+	reply := zpshare.Reply{Instance: out.Instance}
+	for _, t := range out.Targets {
+		reply.Targets = append(reply.Targets, zprollout.Target{
+			Model: t.Model, Version: t.Version, Age: time.Duration(t.AgeMs) * time.Millisecond, Estimated: t.Estimated,
+		})
 	}
-	return out.Instance, nil
+	return reply, nil
 }
 
 // Recall returns what the daemon at address knows of the given parts.
--- /dev/null
+++ b/internal/zppeer/sharing_test.go
@@ -0,0 +1,49 @@
+package zppeer_test
+
+import (
+	"context"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zppeer"
+	"github.com/zinniapaddle/zinniapaddle/internal/zprollout"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpshare"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpusage"
+)
+
+// serveSharing serves the sharing service on loopback and returns its address.
+func serveSharing(h *zppeer.SharingHandler) string {
+	GinkgoHelper()
+	lis, err := zppeer.Listen("127.0.0.1:0", nil)
+	Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- zppeer.ServeSharing(ctx, lis, h) }()
+	DeferCleanup(func() {
+		cancel()
+		Eventually(done).Should(Receive())
+	})
+	return lis.Addr().String()
+}
+
+var _ = Describe("Share", func() {
+	It("carries the load of endpoints there and recent target weight versions back", func() {
+		received := make(chan zpshare.Message, 1)
+		targets := []zprollout.Target{
+			{Model: "m", Version: 3, Age: 1500 * time.Millisecond}, {Model: "n", Version: 7, Age: 20 * time.Millisecond, Estimated: true},
+		}
+		address := serveSharing(&zppeer.SharingHandler{
+			Instance: "b.1", Apply: func(m zpshare.Message) { received <- m }, Targets: func() []zprollout.Target { return targets },
+		})
+		d := &zppeer.Dialer{Timeout: time.Second}
+		d.Open()
+		DeferCleanup(d.Close)
+		uses := map[string]zpusage.Usage{"e": {Requests: 2, PrefillTokens: 5, MemoryTokens: 7}}
+		reply, err := zppeer.Share(context.Background(), d, address, zpshare.Message{Instance: "a.1", Domain: "x", Uses: uses})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply).To(Equal(zpshare.Reply{Instance: "b.1", Targets: targets}))
+		Expect(<-received).To(Equal(zpshare.Message{Instance: "a.1", Domain: "x", Uses: uses}))
+	})
+})
--- a/internal/zprollout/plan_test.go
+++ b/internal/zprollout/plan_test.go
@@ -91,6 +91,79 @@
 		Expect(b.ReplacedFor("m", 3, now)).To(BeZero())
 	})
 
+	Describe("after a restart", func() {
+		const gracePeriod = 8 * time.Second
+		var restarted *zprollout.WeightVersions
+		at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+		expectExpiresAt := func(version int64, expiry time.Time) {
+			GinkgoHelper()
+			Expect(restarted.Expired("m", version, expiry.Add(-time.Millisecond))).To(BeFalse(), "before %s", expiry.Sub(start))
+			Expect(restarted.Expired("m", version, expiry)).To(BeTrue(), "at %s", expiry.Sub(start))
+		}
+
+		BeforeEach(func() {
+			restarted = zprollout.NewWeightVersions(gracePeriod)
+			Expect(restarted.HasSynced()).To(BeFalse())
+			Expect(restarted.SetInitialTarget("m", 2, start)).To(BeTrue())
+			restarted.SetListed()
+			Expect(restarted.HasSynced()).To(BeTrue())
+		})
+
+		It("leaves little time to old weights if no daemon knows when they were replaced", func() {
+			expectExpiresAt(1, at(2000))
+		})
+
+		It("measures from the time that another daemon knows", func() {
+			restarted.MergeTarget(zprollout.Target{Model: "m", Version: 2, Age: time.Second}, at(100))
+			expectExpiresAt(1, at(7100))
+		})
+
+		It("takes the oldest of several measured ages, and a measured one before estimates", func() {
+			restarted.MergeTarget(zprollout.Target{Model: "m", Version: 2, Age: time.Second}, at(100))
+			restarted.MergeTarget(zprollout.Target{Model: "m", Version: 2, Age: 3 * time.Second}, at(200))
+			restarted.MergeTarget(zprollout.Target{Model: "m", Version: 2, Age: 2 * time.Second}, at(300))
+			restarted.MergeTarget(zprollout.Target{Model: "m", Version: 2, Age: 7 * time.Second, Estimated: true}, at(400))
+			expectExpiresAt(1, at(5200))
+		})
+
+		It("takes the older of two estimates, so that restarts in turn do not prolong the grace period", func() {
+			restarted.MergeTarget(zprollout.Target{Model: "m", Version: 2, Age: 7 * time.Second, Estimated: true}, at(100))
+			expectExpiresAt(1, at(1100))
+		})
+
+		It("learns of versions that it has not read from the store", func() {
+			Expect(restarted.MergeTarget(zprollout.Target{Model: "m", Version: 4, Age: time.Second}, at(100))).To(BeTrue())
+			Expect(restarted.MergeTarget(zprollout.Target{Model: "m", Version: 3, Age: 3 * time.Second}, at(100))).To(BeFalse())
+			Expect(restarted.Target("m")).To(BeEquivalentTo(4))
+			expectExpiresAt(2, at(5100))
+			expectExpiresAt(3, at(7100))
+			Expect(restarted.SetInitialTarget("m", 4, at(200))).To(BeFalse())
+		})
+
+		It("counts from when a version named later was learned", func() {
+			restarted.SetTarget("m", 3, at(500))
+			expectExpiresAt(2, at(8500))
+		})
+	})
+
+	It("corrects the time of a version that a paused daemon learned late", func() {
+		b := zprollout.NewWeightVersions(8 * time.Second)
+		b.SetTarget("m", 2, start.Add(5*time.Second))
+		b.MergeTarget(zprollout.Target{Model: "m", Version: 2, Age: 5 * time.Second}, start.Add(5*time.Second))
+		Expect(b.Expired("m", 1, start.Add(8*time.Second))).To(BeTrue())
+	})
+
+	It("tells only targets for which the grace period lasts", func() {
+		b := zprollout.NewWeightVersions(8 * time.Second)
+		b.SetTarget("m", 2, start)
+		b.SetTarget("m", 3, start.Add(5*time.Second))
+		Expect(b.Recent(start.Add(6 * time.Second))).To(ConsistOf(
+			zprollout.Target{Model: "m", Version: 2, Age: 6 * time.Second}, zprollout.Target{Model: "m", Version: 3, Age: time.Second},
+		))
+		Expect(b.Recent(start.Add(8 * time.Second))).To(ConsistOf(zprollout.Target{Model: "m", Version: 3, Age: 3 * time.Second}))
+		Expect(b.Recent(start.Add(time.Minute))).To(BeEmpty())
+	})
+
 	It("ends a change after its timeout", func() {
 		b := zprollout.NewWeightVersions(0)
 		b.SetChanging("e", start.Add(time.Second))
--- a/internal/zpshare/message.go
+++ b/internal/zpshare/message.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpparts"
+	"github.com/zinniapaddle/zinniapaddle/internal/zprollout"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpusage"
 )
 
@@ -27,6 +28,12 @@
 		ResetHolders []string // holders whose earlier entries are replaced by Parts
 	}
 
+	// Reply is the answer of a daemon to a message.
+	Reply struct {
+		Instance string             // of the daemon that received the message
+		Targets  []zprollout.Target // target weight versions that became so recently
+	}
+
 	// Changing announces that an engine receives no requests for some time.
 	Changing struct {
 		Endpoint string
