A restarted daemon serves only once it has read the other daemons

Configuration, endpoints and evacuations were right.

Change: readiness and admission ask one HasSynced of the daemon: endpoints, failure domains out of service, target versions, members.

--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -113,7 +113,7 @@
 	d.store.Open()
 	d.sender = zpplatform.NewSender()
 	d.gateway = &zpgateway.Gateway{
-		Domain: s.Domain, Region: s.Region, RegionOf: n.RegionOf, Catalog: d.catalog.Load, Registry: d.registry,
+		Domain: s.Domain, Region: s.Region, RegionOf: n.RegionOf, Catalog: d.catalog.Load, Registry: d.registry, HasSynced: d.hasSynced,
 		Weights: d.weights, Usage: zpusage.NewTracker(usageMaxAge), Parts: zpparts.NewDirectory(maxPartsPerHolder),
 		Stores: zpparts.NewStores(cacheStoreStateMaxAge, cacheStoreSettleDelay), AnnounceParts: d.announceParts, RefreshParts: d.query,
 		Health: zpgateway.NewHealthTracker(), Cold: &zpplace.ColdLimiter{Self: s.Name}, Daemons: d.members.Names,
@@ -222,11 +222,17 @@
 
 // serveReadiness is the readiness check of the load balancer.
 func (d *GatewayDaemon) serveReadiness(w http.ResponseWriter, _ *http.Request) {
-	if d.leaving.Load() || d.catalog.Load() == nil || !d.registry.HasSynced() || !d.weights.HasSynced() {
+	if d.leaving.Load() || d.catalog.Load() == nil || !d.hasSynced() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
 
+// hasSynced reports whether everything that decides where a request may be sent was
+// read from the store at least once, except the catalog.
+func (d *GatewayDaemon) hasSynced() bool {
+	return d.registry.HasSynced() && d.weights.HasSynced() && d.members.HasSynced()
+}
+
 func (d *GatewayDaemon) bodyLimit() int64 {
 	if c := d.catalog.Load(); c != nil && c.Limits.BodyBytes > 0 {
 		return c.Limits.BodyBytes
--- a/internal/zpapp/gateway_members.go
+++ b/internal/zpapp/gateway_members.go
@@ -17,6 +17,7 @@
 	self string
 
 	mu           sync.Mutex
+	listed       bool // the records were read at least once
 	byName       map[string]zpassign.Member
 	sortedNames  []string
 	otherMembers []zpassign.Member
@@ -35,6 +36,14 @@
 	return m
 }
 
+// HasSynced reports whether the records of the daemons were read at least once.
+// Before that, this daemon would take the limits of the whole fleet for its own.
+func (m *members) HasSynced() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.listed
+}
+
 // Names returns the sorted names of all daemons, including this one. The caller
 // must not modify the result.
 func (m *members) Names() []string {
@@ -53,6 +62,7 @@
 func (m *members) replace(list []zpassign.Member) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.listed = true
 	m.byName = map[string]zpassign.Member{}
 	for _, x := range list {
 		m.byName[x.Name] = x
--- a/internal/zpgateway/gateway.go
+++ b/internal/zpgateway/gateway.go
@@ -27,6 +27,7 @@
 	RegionOf      func(domain string) string
 	Catalog       func() *zpcatalog.Catalog // returns nil until a configuration is loaded
 	Registry      *zpregistry.Registry
+	HasSynced     func() bool // reports whether the daemon has read the fleet's state; before, requests are refused
 	Weights       *zprollout.WeightVersions
 	Usage         *zpusage.Tracker
 	Parts         *zpparts.Directory
@@ -113,7 +114,7 @@
 // admit resolves route, workspace and pool, and rejects quarantined requests.
 func (g *Gateway) admit(j *job) error {
 	q := j.request
-	if j.catalog = g.Catalog(); j.catalog == nil || !g.Registry.HasSynced() || !g.Weights.HasSynced() {
+	if j.catalog = g.Catalog(); j.catalog == nil || !g.HasSynced() {
 		return errNoConfiguration.WithRetryAfter(retryAfterUnavailable)
 	}
 	var ok bool
--- a/internal/zpgateway/gateway_test.go
+++ b/internal/zpgateway/gateway_test.go
@@ -13,7 +13,6 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpgateway"
-	"github.com/zinniapaddle/zinniapaddle/internal/zprollout"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
 )
 
@@ -52,11 +51,11 @@
 		Entry("a stream that is not resumable is not sent again even before its first event", "draft", []step{resets}, 502, zperror.RunStateUnknown, 1),
 	)
 
-	It("refuses requests until the target weight versions were read", func() {
+	It("refuses requests until the daemon has read the fleet's state", func() {
 		s := newTestGateway(responds(http.StatusOK, "ok"))
-		s.Weights = zprollout.NewWeightVersions(8 * time.Second)
+		s.HasSynced = func() bool { return false }
 		expectRefused(s.serve(request("book")), http.StatusServiceUnavailable, zperror.RunStateNotRun)
-		s.Weights.SetListed()
+		s.HasSynced = func() bool { return true }
 		expectResponse(s.serve(request("book")), http.StatusOK, "ok")
 	})
 
--- a/internal/zpgateway/helpers_test.go
+++ b/internal/zpgateway/helpers_test.go
@@ -178,12 +178,11 @@
 	}
 	registry.Replace(list, time.Now())
 	registry.SetEvacuated(nil)
-	weights := zprollout.NewWeightVersions(8 * time.Second)
-	weights.SetListed()
 	return testGateway{runner: runner, Gateway: &zpgateway.Gateway{
 		Domain: "a", Region: "n", RegionOf: func(string) string { return "n" },
 		Catalog: func() *zpcatalog.Catalog { return catalog }, Registry: registry,
-		Weights: weights, Usage: zpusage.NewTracker(time.Second), Parts: zpparts.NewDirectory(100),
+		HasSynced: func() bool { return true },
+		Weights:   zprollout.NewWeightVersions(8 * time.Second), Usage: zpusage.NewTracker(time.Second), Parts: zpparts.NewDirectory(100),
 		Stores: zpparts.NewStores(time.Hour, 0), AnnounceParts: func(zpgateway.PartChanges) {}, RefreshParts: func(context.Context, [][]zpparts.Key) {}, Health: zpgateway.NewHealthTracker(),
 		Cold: &zpplace.ColdLimiter{Self: "d"}, Daemons: func() []string { return []string{"d"} },
 		Quarantine: zpquarantine.NewList(time.Hour), AnnounceCrash: func(string, string) {}, AnnounceUnreachable: func(string) {},
