A daemon learns when it starts which requests crash endpoints

Cause, by reading (what a restart does to each belief): crashes are told once, to the daemons that are there.

Suspects are not in it.

--- a/internal/zpapp/gateway_sharing.go
+++ b/internal/zpapp/gateway_sharing.go
@@ -161,8 +161,8 @@
 }
 
 // snapshot returns the initial state for a daemon that has none: the states of
-// the stores that this daemon follows, and those of their parts that the new
-// daemon owns.
+// the stores that this daemon follows, those of their parts that the new daemon
+// owns, and the requests that are refused because they crash endpoints.
 func (d *GatewayDaemon) snapshot(to zpassign.Member) zpshare.Message {
 	m := zpshare.Message{Stores: d.caches.states()}
 	owners := zplookup.NewOwners(append(slices.Clone(d.live.list()), to))
@@ -170,6 +170,11 @@
 		m.ResetHolders = append(m.ResetHolders, x.Holder())
 		m.Parts = append(m.Parts, owners.Group(d.gateway.Parts.HeldBy(x.Holder()), d.self.Name)[to.PeerAddress]...)
 	}
+	for fingerprint, crashes := range d.gateway.Quarantine.Banned(zpclock.Now()) {
+		for _, crash := range crashes {
+			m.Crashes = append(m.Crashes, zpshare.Crash{Fingerprint: fingerprint, Crash: crash})
+		}
+	}
 	return m
 }
 
--- a/internal/zpquarantine/list.go
+++ b/internal/zpquarantine/list.go
@@ -96,6 +96,20 @@
 	}
 }
 
+// Banned returns the crash ids of the banned fingerprints, by fingerprint.
+func (l *List) Banned(now time.Time) map[string][]string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := map[string][]string{}
+	for _, fingerprint := range l.entries.Keys() {
+		r, _ := l.entries.Peek(fingerprint)
+		if crashes := l.recent(r, now); len(crashes) >= banThreshold {
+			out[fingerprint] = crashes
+		}
+	}
+	return out
+}
+
 // Crashes returns the crash ids of a fingerprint that are within the retention.
 func (l *List) Crashes(fingerprint string, now time.Time) []string {
 	l.mu.Lock()
@@ -104,6 +118,12 @@
 	if !ok {
 		return nil
 	}
+	return l.recent(r, now)
+}
+
+// recent returns the crash ids of a record that are within the retention, and removes
+// the others. The lock must be held.
+func (l *List) recent(r *record, now time.Time) []string {
 	var out []string
 	for id, at := range r.crashes {
 		if now.Sub(at) > l.Retention {
--- a/internal/zpquarantine/quarantine_test.go
+++ b/internal/zpquarantine/quarantine_test.go
@@ -55,6 +55,16 @@
 		Expect(l.Status("f", start.Add(2*time.Second))).To(Equal(zpquarantine.StatusClear))
 	})
 
+	It("lists the banned fingerprints within the retention", func() {
+		l := zpquarantine.NewList(time.Hour)
+		l.RecordCrash("suspect", "c1", start)
+		l.RecordCrash("f", "c1", start)
+		l.RecordCrash("f", "c2", start)
+		Expect(l.Banned(start)).To(HaveLen(1))
+		Expect(l.Banned(start)).To(HaveKeyWithValue("f", ConsistOf("c1", "c2")))
+		Expect(l.Banned(start.Add(2 * time.Hour))).To(BeEmpty())
+	})
+
 	It("drops crashes after the retention", func() {
 		l := zpquarantine.NewList(time.Hour)
 		l.RecordCrash("f", "c1", start)
