A request that was never sent no longer counts as overdue

Cause: the timer of the first token ran from before the send, so a process that stood still for 0.3 s let it expire before the gate was asked; its outcome then replaced "not started". Change: the timer starts when the gate lets the first byte pass; until then the gate's deadline and the connect timeout bound the time.

--- a/internal/zpengine/engine_test.go
+++ b/internal/zpengine/engine_test.go
@@ -133,6 +133,23 @@
 		}
 	})
 
+	It("returns ErrDeadline although the first token is overdue meanwhile", func() {
+		address := serve(func(http.ResponseWriter, *http.Request) {})
+		gen := zpengine.GenerationRequest{Address: address, Body: []byte("{}"), FirstTokenTimeout: time.Millisecond, StallTimeout: time.Second}
+		// The check of the deadline outlasts the timeout of the first token.
+		slowClock := func() time.Time {
+			timeoutPassed := make(chan struct{})
+			time.AfterFunc(20*gen.FirstTokenTimeout, func() { close(timeoutPassed) })
+			<-timeoutPassed
+			return time.Now()
+		}
+		g := &zpengine.Gate{Deadline: time.Now().Add(-time.Second), Clock: slowClock}
+		o := newClient().Generate(ctx, gen, g, acceptPiece)
+		Expect(o.Err).To(MatchError(zpengine.ErrDeadline))
+		Expect(o.Kind).To(Equal(zpadmission.OutcomeNotStarted))
+		Expect(o.RunState()).To(Equal(zperror.RunStateNotRun))
+	})
+
 	It("calls OnSend before it checks the deadline", func() {
 		order := []string{}
 		g := &zpengine.Gate{Deadline: time.Now().Add(time.Minute), OnSend: func() { order = append(order, "start") }}
--- a/internal/zpengine/gate.go
+++ b/internal/zpengine/gate.go
@@ -24,6 +24,7 @@
 		// is always connected.
 		HasCallerLeft func() bool
 
+		onOpened   func() // called once when the first byte may be sent; may be nil
 		state      atomic.Int32
 		refusedErr atomic.Pointer[error]
 	}
@@ -93,7 +94,13 @@
 	if !g.Clock().Before(g.Deadline) {
 		return ErrDeadline
 	}
-	if !g.state.CompareAndSwap(gateUnused, gateSent) && !g.Sent() {
+	if g.state.CompareAndSwap(gateUnused, gateSent) {
+		if g.onOpened != nil {
+			g.onOpened()
+		}
+		return nil
+	}
+	if !g.Sent() {
 		return ErrCallerDisconnected
 	}
 	return nil
--- a/internal/zpengine/generate.go
+++ b/internal/zpengine/generate.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -65,9 +66,11 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	start := c.Clock()
-	wd := &watchdog{stall: gen.StallTimeout}
-	wd.timer = time.AfterFunc(gen.FirstTokenTimeout, func() { cancel(errStalled) })
+	wd := newWatchdog(gen.StallTimeout, func() { cancel(errStalled) })
 	defer wd.timer.Stop()
+	// The endpoint is not responsible for the time until the request is sent, which
+	// the gate limits.
+	g.onOpened = func() { wd.timer.Reset(gen.FirstTokenTimeout) }
 
 	res, err := c.sendOnce(ctx, true, http.MethodPost, gen.Address+gen.Path, gen.Body, generationHeader(gen), g)
 	if err != nil {
@@ -126,6 +129,13 @@
 	return o
 }
 
+// newWatchdog returns a watchdog whose timer is not running yet.
+func newWatchdog(stall time.Duration, expired func()) *watchdog {
+	d := &watchdog{stall: stall, timer: time.AfterFunc(math.MaxInt64, expired)}
+	d.timer.Stop()
+	return d
+}
+
 func (d *watchdog) reset() { d.timer.Reset(d.stall) }
 
 func brokenOutcome(o Outcome, err error) Outcome {
--- a/internal/zpengine/types.go
+++ b/internal/zpengine/types.go
@@ -22,7 +22,7 @@
 		ImportFrom        string // store to import cached blocks from, "" for none
 		ImportBlocks      []ImportBlock
 		Trace             map[string]string // trace propagation headers
-		FirstTokenTimeout time.Duration
+		FirstTokenTimeout time.Duration     // from the first byte sent
 		StallTimeout      time.Duration
 	}
 
