Proofs wait until a daemon that they pause stands still

Known red, proof `configuration` beside six busy processes: "a daemon that cannot know the configuration took new work" and "one daemon is frozen, and not confirmed by: []". Cause: SIGSTOP does not stop a process at once; on a busy machine its threads run on until each is scheduled. Traced with a copy of the proof that prints, when it turns red, each daemon's version, age and thread states: the resumed daemon had the new version, 2.158 s old 1.56 s after it was resumed, so it had read it from a peer that had been sent SIGSTOP but still answered. In the other case the daemon itself read the change and confirmed it after the signal. Ruled out: the daemon (its proof of freshness was true and the request allowed).

Change: zpsite.Process.Pause sends the signal and waits until /proc shows all threads stopped; proofs, soak and e2e use it wherever they sent SIGSTOP. The checks are as they were.

--- a/e2e/disconnected_callers_test.go
+++ b/e2e/disconnected_callers_test.go
@@ -7,7 +7,6 @@
 	"os"
 	"path/filepath"
 	"strings"
-	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -92,11 +91,11 @@
 		func(method, kind, body string) {
 			const callers = 60
 			p := startPlatformDaemon(time.Second)
-			Expect(p.daemon.Signal(syscall.SIGSTOP)).To(Succeed())
+			Expect(p.daemon.Pause()).To(Succeed())
 			for n := range callers {
 				Expect(p.send(method, kind, fmt.Sprintf("late-%d", n), body).Close()).To(Succeed())
 			}
-			Expect(p.daemon.Signal(syscall.SIGCONT)).To(Succeed())
+			Expect(p.daemon.Resume()).To(Succeed())
 			Eventually(p.daemon.Log, "5s").Should(ContainSubstring(fmt.Sprintf(`"request":"late-%d"`, callers-1)))
 			Consistently(p.endpoint.Log.Runs, "700ms").Should(BeEmpty())
 		},
@@ -113,7 +112,7 @@
 		})
 		address := strings.TrimPrefix(site.Target(0), "http://")
 		key := func(n int) string { return fmt.Sprintf("departed-%d", n) }
-		Expect(site.Daemons[0].Signal(syscall.SIGSTOP)).To(Succeed())
+		Expect(site.Daemons[0].Pause()).To(Succeed())
 		for n := range callers {
 			conn, err := net.Dial("tcp", address)
 			Expect(err).NotTo(HaveOccurred())
@@ -122,7 +121,7 @@
 			Expect(err).NotTo(HaveOccurred())
 			Expect(conn.Close()).To(Succeed())
 		}
-		Expect(site.Daemons[0].Signal(syscall.SIGCONT)).To(Succeed())
+		Expect(site.Daemons[0].Resume()).To(Succeed())
 		Eventually(func() int { return strings.Count(site.Daemons[0].Log(), `"code":"caller_gone"`) }, "5s").Should(Equal(callers))
 		for n := range callers {
 			status, header, text := sendRequest(site, http.MethodPost, bookPath, zpsite.Key(workspace), "{}", map[string]string{"Idempotency-Key": key(n)})
--- a/internal/zpproof/answers.go
+++ b/internal/zpproof/answers.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpload"
@@ -197,7 +196,7 @@
 		return err
 	}
 	for i, version := range []string{"v2", "v3"} {
-		if err := e.fault(e.Site.Daemons[i].Signal(syscall.SIGSTOP)); err != nil {
+		if err := e.fault(e.Site.Daemons[i].Pause()); err != nil {
 			return err
 		}
 		o := e.operator()
@@ -208,7 +207,7 @@
 			return err
 		}
 		pause(ctx, 7*time.Second)
-		if err := e.fault(e.Site.Daemons[i].Signal(syscall.SIGCONT)); err != nil {
+		if err := e.fault(e.Site.Daemons[i].Resume()); err != nil {
 			return err
 		}
 		pause(ctx, time.Second)
--- a/internal/zpproof/bookings.go
+++ b/internal/zpproof/bookings.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpsite"
@@ -71,15 +70,15 @@
 	steps := []func() error{
 		func() error { return e.platform(zpstandin.PlatformMode{LoseEvery: 3}) },
 		func() error { return e.control(service(0), zpstandin.ServiceMode{LoseNext: 5}) },
-		func() error { return e.fault(d[1].Signal(syscall.SIGSTOP)) },
+		func() error { return e.fault(d[1].Pause()) },
 		func() error { return e.control(service(1), zpstandin.ServiceMode{LateMS: 300}) },
 		func() error { d[2].Kill(); return e.fault(nil) },
-		func() error { return e.fault(d[1].Signal(syscall.SIGCONT)) },
+		func() error { return e.fault(d[1].Resume()) },
 		func() error { return e.platform(zpstandin.PlatformMode{Down: true}) },
 		func() error { return e.platform(zpstandin.PlatformMode{LoseEvery: 2}) },
 		func() error { return e.fault(d[2].Start()) },
-		func() error { return e.fault(d[0].Signal(syscall.SIGSTOP)) },
-		func() error { return e.fault(d[0].Signal(syscall.SIGCONT)) },
+		func() error { return e.fault(d[0].Pause()) },
+		func() error { return e.fault(d[0].Resume()) },
 		func() error { return e.platform(zpstandin.PlatformMode{}) },
 	}
 	for _, step := range steps {
--- a/internal/zpproof/configuration.go
+++ b/internal/zpproof/configuration.go
@@ -5,7 +5,6 @@
 	"errors"
 	"fmt"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpload"
@@ -200,7 +199,7 @@
 	if a := e.prompt(ctx, index, "shop-a", "before the freeze", 4); a.status != 200 {
 		return fmt.Errorf("before the freeze: %d %s", a.status, a.text)
 	}
-	if err := e.fault(frozen.Signal(syscall.SIGSTOP)); err != nil {
+	if err := e.fault(frozen.Pause()); err != nil {
 		return err
 	}
 	o := e.operator()
@@ -222,14 +221,14 @@
 		if i == index {
 			continue
 		}
-		if err := e.fault(d.Signal(syscall.SIGSTOP)); err != nil {
+		if err := e.fault(d.Pause()); err != nil {
 			return err
 		}
 	}
 	if err := e.platform(zpstandin.PlatformMode{Down: true}); err != nil {
 		return err
 	}
-	if err := e.fault(frozen.Signal(syscall.SIGCONT)); err != nil {
+	if err := e.fault(frozen.Resume()); err != nil {
 		return err
 	}
 	if err := e.checkNoneServed(ctx, index); err != nil {
--- a/internal/zpproof/load.go
+++ b/internal/zpproof/load.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"syscall"
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpload"
@@ -59,9 +58,9 @@
 		crash(0),
 		func() error { d[0].Kill(); return e.fault(nil) },
 		crash(1),
-		func() error { return e.fault(d[1].Signal(syscall.SIGSTOP)) },
+		func() error { return e.fault(d[1].Pause()) },
 		crash(2),
-		func() error { return e.fault(d[1].Signal(syscall.SIGCONT)) },
+		func() error { return e.fault(d[1].Resume()) },
 		func() error { return e.fault(d[0].Start()) },
 		crash(0),
 	)
--- a/internal/zpsoak/faults.go
+++ b/internal/zpsoak/faults.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/platform/zpoutside"
@@ -162,11 +161,11 @@
 	d := i.cluster.daemons[f.Target]
 	switch f.Kind {
 	case DaemonPause:
-		if err := d.Signal(syscall.SIGSTOP); err != nil {
+		if err := d.Pause(); err != nil {
 			return err
 		}
 		sleep(ctx, f.Duration)
-		return d.Signal(syscall.SIGCONT)
+		return d.Resume()
 	case DaemonStop:
 		if err := d.Stop((zpoutside.GraceS + 1) * time.Second); err != nil {
 			return err
