The rollout of weights orders all engines before the old weights expire

A holder of the duty that is frozen or killed adds 4.1 s, which the rule of one holder at a time demands. What is left expires at once: 13 of 18 engines get no requests. Change: the number that changes at a time is at least what spreads the outdated engines over the time left (3 s a change).

--- a/internal/zprollout/plan.go
+++ b/internal/zprollout/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 )
@@ -14,7 +15,8 @@
 		Weights        int64 // version that it has loaded
 		Load           int   // running requests
 		Domain         string
-		WeightsExpired bool // receives no requests until it loads newer weights
+		WeightsExpired bool          // receives no requests until it loads newer weights
+		ExpiresIn      time.Duration // until its weights expire; zero if never, or if they have expired
 	}
 
 	// Change tracks the orders to one engine. It is not safe for concurrent use.
@@ -45,6 +47,9 @@
 	// largePoolFraction is the fraction of a large pool that may change at a time.
 	// Engines load more slowly when over a fifth of a large pool does so at once.
 	largePoolFraction = 0.25
+	// usualChangeTime is the usual time from an order until the weights are loaded. Most
+	// of it is spent on the runs that the engine finishes first.
+	usualChangeTime = 3 * time.Second
 )
 
 // MaxChanging returns how many of the given number of engines may change at a
@@ -55,6 +60,25 @@
 	return max(minChanging, min(small, max(smallPoolMaxChanging, large)))
 }
 
+// pacedLimit returns how many engines have to change at a time so that all outdated
+// ones are ordered before the weights of the first expire. Otherwise the rest of a pool
+// would stop to receive requests at the same time.
+//
+// It answers a change that begins late or whose engines have long runs to finish.
+func pacedLimit(outdated []Engine) int {
+	left := time.Duration(0)
+	for _, e := range outdated {
+		if e.ExpiresIn > 0 && (left == 0 || e.ExpiresIn < left) {
+			left = e.ExpiresIn
+		}
+	}
+	if left == 0 {
+		return 0
+	}
+	rounds := 1 + float64(left)/float64(usualChangeTime)
+	return int(math.Ceil(float64(len(outdated)) / rounds))
+}
+
 // Pick returns the engines whose change should start now, up to the number that
 // may change at a time. It prefers the oldest weights, then the failure domain
 // with the fewest changing engines, then the lowest load. Engines whose weights
@@ -74,7 +98,8 @@
 			outdated = append(outdated, e)
 		}
 	}
-	for free := MaxChanging(len(engines)) - len(changing) - len(out); free > 0 && len(outdated) > 0; free-- {
+	limit := max(MaxChanging(len(engines)), pacedLimit(outdated))
+	for free := limit - len(changing) - len(out); free > 0 && len(outdated) > 0; free-- {
 		next := 0
 		for i := range outdated {
 			if before(outdated[i], outdated[next], changingByDomain) {
--- a/internal/zprollout/plan_test.go
+++ b/internal/zprollout/plan_test.go
@@ -37,6 +37,21 @@
 		Entry("one engine", 1, 1),
 	)
 
+	DescribeTable("orders all engines before their weights expire",
+		func(n int, expiresIn time.Duration, want int) {
+			list := engines(n, 1)
+			for i := range list {
+				list[i].ExpiresIn = expiresIn
+			}
+			Expect(zprollout.Pick(list, targets, nil)).To(HaveLen(want))
+		},
+		Entry("18 engines with time left", 18, 6*time.Second, 6),
+		Entry("18 engines when half of the time has passed", 18, 3*time.Second, 9),
+		Entry("18 engines just before the end", 18, time.Millisecond, 18),
+		Entry("a small pool with much time", 12, 8*time.Second, 5),
+		Entry("a large pool with much time", 140, 10*time.Second, 35),
+	)
+
 	It("selects engines with the oldest weights first", func() {
 		list := append(engines(8, 2), zprollout.Engine{ID: "old", Model: "m", Weights: 1, Load: 99})
 		Expect(zprollout.Pick(list, map[string]int64{"m": 3}, nil)[0].ID).To(Equal("old"))
--- a/internal/zprollout/rollout.go
+++ b/internal/zprollout/rollout.go
@@ -150,6 +150,7 @@
 			out = append(out, Engine{
 				ID: e.ID, Model: model, Weights: e.Weights[model], Load: r.Load(e.ID, now),
 				Domain: e.FailureDomain, WeightsExpired: r.WeightVersions.Expired(model, e.Weights[model], now),
+				ExpiresIn: r.WeightVersions.ExpiresIn(model, e.Weights[model], now),
 			})
 		}
 	}
--- a/internal/zprollout/weight_versions.go
+++ b/internal/zprollout/weight_versions.go
@@ -179,6 +179,16 @@
 	return b.GracePeriod > 0 && b.ReplacedFor(model, version, now) >= b.GracePeriod
 }
 
+// ExpiresIn returns the time until a version expires, or 0 if it has expired or is not
+// replaced.
+func (b *WeightVersions) ExpiresIn(model string, version int64, now time.Time) time.Duration {
+	replaced := b.ReplacedFor(model, version, now)
+	if replaced == 0 {
+		return 0
+	}
+	return max(b.GracePeriod-replaced, 0)
+}
+
 // SetChanging records that an engine receives no requests until its weights are
 // loaded, or until the given time at the latest. A zero time removes the record.
 func (b *WeightVersions) SetChanging(endpoint string, until time.Time) {
