Claims: room for answers, writes in order, no decision after the caller left

A page is now sealed when the largest answers of its open claims would fill half of an object. - The changed pages of a batch were written in random order. The oldest goes first. - Acquire read its decision while the batch could still write it (race detector; a caller that left got a decision beside its error). Of the same kind: Settle that returns nil without a write came from a key on two pages; no other way was found.

--- a/internal/zpapp/daemon.go
+++ b/internal/zpapp/daemon.go
@@ -130,7 +130,7 @@
 	}
 	d.local = &zpnode.Local{
 		Fleet: d.fleet, Owner: d.owner, Holdings: holdings, Hints: hints, Quarantine: quarantine,
-		RunGuard: zpquarantine.NewRunGuard(), API: api, Retention: s.Claims.Retention, NewID: newID, Metrics: d.Metrics, Log: d.Log,
+		RunGuard: zpquarantine.NewRunGuard(), API: api, Retention: s.Claims.Retention, MaxAnswerBytes: s.Claims.MaxAnswerBytes, NewID: newID, Metrics: d.Metrics, Log: d.Log,
 		Clock: time.Now, Open: &d.openRequests,
 	}
 	d.exchange.Local = d.local
--- a/internal/zpclaim/table.go
+++ b/internal/zpclaim/table.go
@@ -21,12 +21,14 @@
 		WriteID        string // unique id of the write that stored this content
 		Claims         map[string]Claim
 		estimatedBytes int
+		openClaims     int // claims whose answer may still come
 	}
 
 	// Table is one reader's copy of all pages of a shard.
 	Table struct {
-		Shard int
-		Pages map[int]*Page
+		Shard          int
+		Pages          map[int]*Page
+		MaxAnswerBytes int64 // size of the largest answer that a claim may get
 	}
 
 	pageJSON struct {
@@ -49,6 +51,10 @@
 const (
 	// PageSealBytes is the estimated size from which a page is sealed.
 	PageSealBytes = 64 << 10
+	// PageReserveBytes is the estimated size, with the largest answers for all open
+	// claims, from which a page is sealed. It leaves room below the size limit of an
+	// object for one more claim and for errors of the estimate.
+	PageReserveBytes = zpobject.MaxBodyBytes / 2
 	// MaxShardPages is the number of pages of a shard from which new claims are
 	// refused.
 	MaxShardPages = 512
@@ -103,7 +109,8 @@
 }
 
 // Acquire decides whether a key may be claimed. If so, it adds an open claim to the
-// newest page and returns that page, which must then be stored.
+// newest page and returns that page, which must then be stored. The page is sealed if it
+// has no room for further claims and their answers.
 func (t *Table) Acquire(a AcquireRequest, now time.Time) (Decision, *Page) {
 	if c, _, ok := t.Find(a.Key); ok {
 		return decideExisting(a, c), nil
@@ -113,6 +120,7 @@
 	}
 	p := t.Newest()
 	p.setClaim(a.Key, Claim{Token: a.Token, Holder: a.Holder, BodyHash: a.BodyHash, State: StateOpen, CreatedAt: now})
+	p.Sealed = p.IsFull(t.MaxAnswerBytes)
 	return Decision{Result: ResultGranted}, p
 }
 
@@ -130,11 +138,15 @@
 	}
 	c.State, c.Status, c.ContentType, c.Answer = s.State, s.Status, s.ContentType, s.Answer
 	p.setClaim(s.Key, c)
+	p.Sealed = p.Sealed || p.IsFull(t.MaxAnswerBytes)
 	return p
 }
 
-// Full reports whether the page must be sealed by its next write.
-func (p *Page) Full() bool { return p.estimatedBytes >= PageSealBytes }
+// IsFull reports whether the page must be sealed by its next write.
+func (p *Page) IsFull(maxAnswerBytes int64) bool {
+	reserved := p.estimatedBytes + p.openClaims*encodedAnswerBytes(maxAnswerBytes)
+	return p.estimatedBytes >= PageSealBytes || reserved >= PageReserveBytes
+}
 
 // Expired reports whether the page is sealed and all its claims have reached the
 // retention time.
@@ -167,21 +179,29 @@
 	p.deleteClaim(key)
 	p.Claims[key] = c
 	p.estimatedBytes += c.estimatedBytes()
+	if c.State == StateOpen {
+		p.openClaims++
+	}
 }
 
 func (p *Page) deleteClaim(key string) {
 	if c, ok := p.Claims[key]; ok {
 		p.estimatedBytes -= c.estimatedBytes()
+		if c.State == StateOpen {
+			p.openClaims--
+		}
 		delete(p.Claims, key)
 	}
 }
 
-// estimatedBytes estimates the size of the encoded claim; base64 adds a third to
-// the answer.
+// estimatedBytes estimates the size of the encoded claim.
 func (c Claim) estimatedBytes() int {
-	return claimOverheadBytes + len(c.Token) + len(c.Holder) + len(c.ContentType) + len(c.Answer)*4/3
+	return claimOverheadBytes + len(c.Token) + len(c.Holder) + len(c.ContentType) + encodedAnswerBytes(int64(len(c.Answer)))
 }
 
+// encodedAnswerBytes returns the size of an answer in base64, which adds a third.
+func encodedAnswerBytes(n int64) int { return int(n * 4 / 3) }
+
 // decideExisting decides an ask for a key that is already claimed. The same token
 // is granted again while the claim is open, because the reply to its first ask
 // may have been lost.
--- a/internal/zpclaim/writer.go
+++ b/internal/zpclaim/writer.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,8 +19,11 @@
 		API       zpobject.API
 		Shard     int
 		Retention time.Duration
-		NewID     func() string
-		Clock     func() time.Time
+		// MaxAnswerBytes is the size of the largest answer that is kept. Pages leave room for
+		// the answers of the claims that are open.
+		MaxAnswerBytes int64
+		NewID          func() string
+		Clock          func() time.Time
 
 		mu      sync.Mutex
 		pending []*operation
@@ -53,8 +58,10 @@
 // Acquire tries to claim a key, which grants the right to run its request.
 func (w *Writer) Acquire(ctx context.Context, a AcquireRequest) (Decision, error) {
 	op := &operation{acquire: &a, done: make(chan struct{})}
-	err := w.submit(ctx, op)
-	return op.decision, err
+	if err := w.submit(ctx, op); err != nil {
+		return Decision{}, err // the batch may still write op.decision
+	}
+	return op.decision, nil
 }
 
 // Settle stores the outcome of an attempt.
@@ -146,7 +153,12 @@
 	if err != nil {
 		return nil, err
 	}
-	return NewTable(w.Shard, l.Objects)
+	t, err := NewTable(w.Shard, l.Objects)
+	if err != nil {
+		return nil, err
+	}
+	t.MaxAnswerBytes = w.MaxAnswerBytes
+	return t, nil
 }
 
 // applyBatch applies a batch to the table in memory and returns the changed pages.
@@ -173,8 +185,11 @@
 // storePages writes the changed pages to the platform. After an error the table in
 // memory may be newer than the stored pages and must be reloaded.
 func (w *Writer) storePages(ctx context.Context, changed map[int]*Page) error {
-	for _, p := range changed {
-		p.Sealed = p.Sealed || p.Full()
+	// The oldest page first: a claim that is released and made anew in one batch must be
+	// gone from its old page before it is in the newest one, and a page must be sealed
+	// before the next one is written.
+	for _, i := range slices.Sorted(maps.Keys(changed)) {
+		p := changed[i]
 		p.WriteID = w.NewID()
 		body, err := p.Encode()
 		if err != nil {
--- a/internal/zpclaim/writer_test.go
+++ b/internal/zpclaim/writer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -144,6 +145,74 @@
 		Entry("for reads", failingStore("list", zpobject.FaultRejected)),
 	)
 
+	It("does not store a key on two pages when it is released and claimed anew while a write fails", func() {
+		sealed, err := zpclaim.NewTable(1, nil)
+		Expect(err).NotTo(HaveOccurred())
+		_, page := sealed.Acquire(newRequest("k", "t1"), now)
+		page.Sealed = true
+		body, err := page.Encode()
+		Expect(err).NotTo(HaveOccurred())
+		for range 100 { // the order of the writes was random
+			m := zpobject.NewMemory()
+			_, err := m.Put(context.Background(), zpclaim.PageObjectName(1, 0), body, 0)
+			Expect(err).NotTo(HaveOccurred())
+			w := newWriter(m)
+			// The first write blocks, so that the two calls after it are in one batch.
+			var puts atomic.Int64
+			release := make(chan struct{})
+			m.Fault = func(call, name string) zpobject.Fault {
+				if call == "put" && puts.Add(1) == 1 {
+					<-release
+				} else if call == "put" && name == zpclaim.PageObjectName(1, 0) {
+					return zpobject.FaultRejected
+				}
+				return zpobject.FaultNone
+			}
+			var wg sync.WaitGroup
+			wg.Go(func() { _, _ = w.Acquire(context.Background(), newRequest("other", "t0")) })
+			Eventually(puts.Load).Should(BeEquivalentTo(1))
+			wg.Go(func() {
+				_ = w.Settle(context.Background(), zpclaim.Settlement{Key: "k", Token: "t1", State: zpclaim.StateReleased})
+			})
+			Eventually(w.Pending).Should(Equal(1))
+			wg.Go(func() { _, _ = w.Acquire(context.Background(), newRequest("k", "t2")) })
+			Eventually(w.Pending).Should(Equal(2))
+			close(release)
+			wg.Wait()
+			m.Fault = nil
+			l, err := m.List(context.Background(), zpclaim.ShardPrefix(1))
+			Expect(err).NotTo(HaveOccurred())
+			pages := 0
+			for _, o := range l.Objects {
+				if strings.Contains(string(o.Body), `"k":`) {
+					pages++
+				}
+			}
+			Expect(pages).To(BeNumerically("<=", 1))
+		}
+	})
+
+	It("returns no decision to a caller that has left", func() {
+		m := zpobject.NewMemory()
+		var puts atomic.Int64
+		m.Fault = func(call, _ string) zpobject.Fault {
+			if call == "put" {
+				puts.Add(1)
+			}
+			return zpobject.FaultNone
+		}
+		w := newWriter(m)
+		for i := range 200 {
+			ctx, cancel := context.WithCancel(context.Background())
+			go cancel()
+			d, err := w.Acquire(ctx, newRequest(fmt.Sprintf("k%d", i), "t"))
+			if err != nil {
+				Expect(d).To(BeZero())
+			}
+		}
+		Expect(puts.Load()).To(BeNumerically(">", 0))
+	})
+
 	It("stores calls that arrive during a write with a single further write", func() {
 		m := zpobject.NewMemory()
 		var puts atomic.Int64
@@ -198,6 +267,30 @@
 		Expect(expectResult(newWriter(m), newRequest("key-0000", "other"), zpclaim.ResultExists).State).To(Equal(zpclaim.StateFinished))
 	})
 
+	It("leave room for the answers of claims that are open", func() {
+		m := zpobject.NewMemory()
+		w := newWriter(m)
+		w.MaxAnswerBytes = 8 << 10
+		const claims = 120 // their answers together exceed the size limit of an object
+		key := func(i int) string { return fmt.Sprintf("key-%04d", i) }
+		var wg sync.WaitGroup
+		for i := range claims {
+			wg.Go(func() {
+				defer GinkgoRecover()
+				expectResult(w, newRequest(key(i), "t"), zpclaim.ResultGranted)
+			})
+		}
+		wg.Wait()
+		for i := range claims {
+			Expect(w.Settle(context.Background(), zpclaim.Settlement{
+				Key: key(i), Token: "t", State: zpclaim.StateFinished, Status: 200, Answer: make([]byte, w.MaxAnswerBytes),
+			})).To(Succeed(), key(i))
+		}
+		for i := range claims {
+			Expect(expectResult(newWriter(m), newRequest(key(i), "u"), zpclaim.ResultExists).Answer).To(HaveLen(8 << 10))
+		}
+	})
+
 	It("cannot be written by a writer that loaded the table before they were sealed", func() {
 		m := zpobject.NewMemory()
 		stale := newWriter(m)
--- a/internal/zpnode/local.go
+++ b/internal/zpnode/local.go
@@ -33,11 +33,13 @@
 	RunGuard   *zpquarantine.RunGuard
 	API        zpobject.API
 	Retention  time.Duration // of claims
-	NewID      func() string
-	Metrics    *zpmetric.Metrics
-	Log        *zplog.Logger
-	Clock      func() time.Time
-	Open       *atomic.Int64 // number of open requests
+	// MaxAnswerBytes is the size of the largest answer kept with a claim.
+	MaxAnswerBytes int64
+	NewID          func() string
+	Metrics        *zpmetric.Metrics
+	Log            *zplog.Logger
+	Clock          func() time.Time
+	Open           *atomic.Int64 // number of open requests
 
 	mu      sync.Mutex
 	writers map[int]*zpclaim.Writer
@@ -164,7 +166,7 @@
 	}
 	w := l.writers[shard]
 	if w == nil {
-		w = &zpclaim.Writer{API: l.API, Shard: shard, Retention: l.Retention, NewID: l.NewID, Clock: l.Clock}
+		w = &zpclaim.Writer{API: l.API, Shard: shard, Retention: l.Retention, MaxAnswerBytes: l.MaxAnswerBytes, NewID: l.NewID, Clock: l.Clock}
 		l.writers[shard] = w
 	}
 	return w
