A canceled call no longer drops a request for which a newer call waits

Found by reading: zpowner.cancel dropped the request by its id, also when the requester had called again with the same id meanwhile; the newer call then waited for a decision that never came.

--- a/internal/zpowner/owner.go
+++ b/internal/zpowner/owner.go
@@ -197,7 +197,7 @@
 	case <-timer.C:
 		return o.detach(endpoint, r.ID, answer)
 	case <-ctx.Done():
-		o.cancel(endpoint, r.ID)
+		o.cancel(endpoint, r.ID, answer)
 		return zpadmission.Decision{ID: r.ID, Code: zpadmission.CodeExpired}
 	}
 }
@@ -255,13 +255,18 @@
 	return answer, zpadmission.Decision{}, true
 }
 
-func (o *Owner) cancel(endpoint, id string) {
+// cancel drops a request whose call was canceled, unless a newer call waits for the same
+// request.
+func (o *Owner) cancel(endpoint, id string, answer chan zpadmission.Decision) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	s := o.endpoints[endpoint]
 	if s == nil {
 		return
 	}
+	if newer, waits := s.pending[id]; waits && newer != answer {
+		return
+	}
 	s.drop(id, o.Clock())
 }
 
