--- a/Makefile
+++ b/Makefile
@@ -83,6 +83,7 @@
 	go test -run XXX -fuzz FuzzStream -fuzztime 10s ./internal/zpengine
 	go test -run XXX -fuzz FuzzReadPrompt -fuzztime 10s ./internal/zpfront
 	go test -run XXX -fuzz FuzzDecode -fuzztime 10s ./platform
+	go test -run XXX -fuzz FuzzMessage -fuzztime 10s ./internal/zppeer
 
 # End-to-end tests with separate processes.
 e2e: build mutants
--- a/internal/zpbench/prove.go
+++ b/internal/zpbench/prove.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpproof"
@@ -18,6 +20,9 @@
 
 // Run prints one line per guarantee and returns an error if a proof failed.
 func (c *proveCommand) Run(out *console) error {
+	if err := checkProofNames(c.Only); err != nil {
+		return err
+	}
 	failed := 0
 	for i, p := range zpproof.All() {
 		if !c.selected(p.Name) {
@@ -64,6 +69,20 @@
 	return true
 }
 
+// checkProofNames returns an error if one of the names is not that of a proof.
+func checkProofNames(names []string) error {
+	var known []string
+	for _, p := range zpproof.All() {
+		known = append(known, p.Name)
+	}
+	for _, n := range names {
+		if !slices.Contains(known, n) {
+			return fmt.Errorf("there is no proof %q; the proofs are %s", n, strings.Join(known, ", "))
+		}
+	}
+	return nil
+}
+
 func (c *proveCommand) selected(name string) bool {
 	for _, n := range c.Only {
 		if n == name {
--- a/internal/zpconfig/freshness.go
+++ b/internal/zpconfig/freshness.go
@@ -82,8 +82,8 @@
 //   - those are more than half of the region's members, or include at least
 //     minStalePeers other members.
 //
-// This daemon counts as a stale member in both conditions. Members are asked at
-// random, so that a sample is representative of a large region.
+// If this daemon is a member of the region, it counts as a stale one in both conditions.
+// Members are asked at random, so that a sample is representative of a large region.
 func (j FreshnessPolicy) Decide(age time.Duration, members []zpassign.Member, contacts *Contacts, now time.Time) Mode {
 	if age <= j.MaxAge {
 		return ModeFresh
@@ -91,25 +91,31 @@
 	if age == unknownAge {
 		return ModeCutOff
 	}
-	total, asked, stale := 0, 1, 1 // this daemon counts as asked and stale
+	total, asked, stale, staleOthers := 0, 0, 0, 0
 	for _, m := range zpassign.MembersInStates(members, zpassign.MemberServing, zpassign.MemberLeaving) {
 		if m.Region != j.PlatformRegion {
 			continue
 		}
 		total++
+		if m.Instance == j.Self {
+			asked++
+			stale++
+			continue
+		}
 		contact, ok := contacts.Last(m.Instance)
-		if m.Instance == j.Self || !ok || now.Sub(contact.AskedAt) > j.ContactWindow {
+		if !ok || now.Sub(contact.AskedAt) > j.ContactWindow {
 			continue
 		}
 		asked++
 		if contact.Answered && contact.Age > j.MaxAge {
 			stale++
+			staleOthers++
 		}
 	}
 	if total < 2 && !j.ServeLast {
 		return ModeCutOff
 	}
-	if stale*2 > asked && (stale > total/2 || stale > minStalePeers) {
+	if stale*2 > asked && (stale > total/2 || staleOthers >= minStalePeers) {
 		return ModePlatformDown
 	}
 	return ModeCutOff
--- a/internal/zpconfig/freshness_test.go
+++ b/internal/zpconfig/freshness_test.go
@@ -49,6 +49,7 @@
 		Entry("the contacts with the stale majority are too old", "n0", 6, 5, 0, 0, time.Minute, 3*time.Second, zpconfig.ModeCutOff),
 		Entry("the other members are fresh", "n0", 6, 0, 5, 0, time.Minute, time.Second, zpconfig.ModeCutOff),
 		Entry("a daemon in another region reaches a stale majority", "south", 6, 4, 0, 0, time.Minute, time.Second, zpconfig.ModePlatformDown),
+		Entry("a daemon in another region reaches half of the members", "south", 4, 2, 0, 0, time.Minute, time.Second, zpconfig.ModeCutOff),
 		Entry("a daemon in another region reaches no member", "south", 6, 0, 0, 0, time.Minute, time.Second, zpconfig.ModeCutOff),
 		Entry("most members that were asked do not answer", "n0", 8, 3, 0, 4, time.Minute, time.Second, zpconfig.ModeCutOff),
 		Entry("a sufficient sample of a large region is stale", "n0", 800, 5, 0, 1, time.Minute, time.Second, zpconfig.ModePlatformDown),
