--- a/internal/zpmirror/mirror.go
+++ b/internal/zpmirror/mirror.go
@@ -48,7 +48,6 @@
 			retryDelay = min(2*retryDelay, maxRetryDelay)
 			continue
 		}
-		retryDelay = minRetryDelay
 		if unavailable {
 			unavailable = false
 			m.notifyAvailable()
@@ -56,7 +55,12 @@
 		m.OnList(listing.Objects)
 		// A watch may break while the store is available, so only a failed list is
 		// reported as an outage.
-		m.watch(ctx, listing.Revision)
+		if m.watch(ctx, listing.Revision) {
+			retryDelay = minRetryDelay
+			continue
+		}
+		sleep(ctx, retryDelay)
+		retryDelay = min(2*retryDelay, maxRetryDelay)
 	}
 }
 
@@ -69,8 +73,9 @@
 	}
 }
 
-// watch passes changes to OnChange until a watch call fails or Restart is called.
-func (m *Mirror) watch(ctx context.Context, revision int64) {
+// watch passes changes to OnChange until a watch call fails or Restart is called. It
+// reports whether any call has succeeded.
+func (m *Mirror) watch(ctx context.Context, revision int64) (succeeded bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	m.mu.Lock()
@@ -79,8 +84,9 @@
 	for {
 		listing, err := m.API.Watch(ctx, m.Prefix, revision, m.WatchWait)
 		if err != nil {
-			return
+			return succeeded
 		}
+		succeeded = true
 		for _, o := range listing.Objects {
 			m.OnChange(o)
 		}
--- a/internal/zpmirror/mirror_test.go
+++ b/internal/zpmirror/mirror_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"time"
 
@@ -14,18 +15,19 @@
 
 var _ = Describe("Mirror", func() {
 	var store *zpobject.Memory
-	var down atomic.Bool
+	var down, watchFails atomic.Bool
 	var lists, changes, outages, recoveries atomic.Int64
 	var mirror *zpmirror.Mirror
 
 	BeforeEach(func() {
 		store = zpobject.NewMemory()
 		down.Store(false)
+		watchFails.Store(false)
 		for _, n := range []*atomic.Int64{&lists, &changes, &outages, &recoveries} {
 			n.Store(0)
 		}
-		store.Fault = func(string, string) zpobject.Fault {
-			if down.Load() {
+		store.Fault = func(call, _ string) zpobject.Fault {
+			if down.Load() || watchFails.Load() && call == "watch" {
 				return zpobject.FaultRejected
 			}
 			return zpobject.FaultNone
@@ -70,6 +72,20 @@
 		Eventually(lists.Load).Should(BeEquivalentTo(2))
 	})
 
+	It("pauses between lists while watches fail at once", func() {
+		watchFails.Store(true)
+		mirror.Restart()
+		Eventually(lists.Load).Should(BeNumerically(">=", 2))
+		before := lists.Load()
+		Consistently(func() int64 { return lists.Load() - before }, "300ms").Should(BeNumerically("<=", 6))
+		Expect(outages.Load()).To(BeZero())
+		watchFails.Store(false)
+		Eventually(func() int64 {
+			put(fmt.Sprintf("kind/%d", lists.Load()+changes.Load()))
+			return changes.Load()
+		}, "2s", "100ms").Should(BeNumerically(">", 0))
+	})
+
 	It("lists the objects again when restarted, without reporting an outage", func() {
 		mirror.Restart()
 		Eventually(lists.Load).Should(BeEquivalentTo(2))
