The removal of a lapsed endpoint is reported when its grace period ends

Found by reading: OnRemoved of an endpoint whose entry lapsed in an outage came only with the next change of the list, so its broken responses were not attributed to its crash and its parts stayed in the directory. Serving, which removes it, reports it now; the new spec failed before.

--- a/internal/zpregistry/registry.go
+++ b/internal/zpregistry/registry.go
@@ -37,7 +37,7 @@
 		GracePeriod time.Duration
 		// OnRemoved is called for each endpoint that was removed or has restarted under
 		// its id. An endpoint removed at the end of the grace period is reported with
-		// the next call of Replace, Put or Remove. OnRemoved may be nil.
+		// the next call of Serving, Replace, Put or Remove. OnRemoved may be nil.
 		OnRemoved func(e Endpoint)
 
 		mu              sync.Mutex
@@ -180,8 +180,17 @@
 // by id. The result is shared between callers and must not be modified.
 func (r *Registry) Serving(pool string, now time.Time) []Endpoint {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.removeExpired(now)
+	serving, hasRemoved := r.servingLocked(pool), len(r.removed) > 0
+	r.mu.Unlock()
+	if hasRemoved {
+		r.notifyRemoved()
+	}
+	return serving
+}
+
+// servingLocked returns the endpoints of a pool that may receive new work; r.mu must be held.
+func (r *Registry) servingLocked(pool string) []Endpoint {
 	if r.servingByPool == nil {
 		r.servingByPool = map[string][]Endpoint{}
 		for _, x := range r.entries {
--- a/internal/zpregistry/registry_test.go
+++ b/internal/zpregistry/registry_test.go
@@ -83,6 +83,15 @@
 		expectServing(r, start, "x", "y")
 	})
 
+	It("reports the removal of a lapsed endpoint at the end of the grace period", func() {
+		r.StoreReturned(start)
+		r.Remove("x", start)
+		expectServing(r, start, "x", "y")
+		Expect(removed).To(BeEmpty())
+		expectServing(r, start.Add(time.Hour), "y")
+		Expect(removed).To(ConsistOf("x"))
+	})
+
 	It("reports the removal of an endpoint that restarted under its id", func() {
 		e := newEndpoint("x")
 		e.StartedAtMS = 6
