Loads go through relays of the failure domains in large fleets

Cause: each daemon called each other one; to bound the calls, their interval grew by 25 ms a daemon, so loads from other failure domains were up to 2 s old at 95 daemons (as old as they may be before they lapse) and processor time was spent on 160 calls a second a daemon.

Change: zpdigest, from 25 daemons on (docs/design/load_exchange.md). A report to a relay every 200 ms, the digest in the reply, sums between relays.

--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpclock"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpdigest"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpduty"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpgateway"
@@ -58,6 +59,8 @@
 	rollout  *zprollout.Rollout
 	dialer   *zppeer.Dialer
 	sharer   *zpshare.Sharer
+	hub      *zpdigest.Hub
+	exchange *zpdigest.Exchange
 	lookup   *zplookup.Client
 	recorder *zprelay.CachingStore
 	follower *zprelay.Follower
@@ -155,6 +158,7 @@
 	d.watches.start(work, &workers)
 	workers.Go(func() { d.join(work) })
 	workers.Go(func() { d.sharer.Run(work) })
+	workers.Go(func() { d.exchange.Run(work) })
 	workers.Go(func() { d.servePeers(work, failed) })
 	workers.Go(func() { d.caches.run(work) })
 	stalls := &zpstall.Detector{Log: d.Log, Clock: zpclock.Now, Observe: func(late time.Duration) { d.Metrics.StallSeconds.Observe(late.Seconds()) }}
--- a/internal/zpapp/gateway_caches.go
+++ b/internal/zpapp/gateway_caches.go
@@ -85,7 +85,7 @@
 		return out
 	}
 	names := []string{c.daemon.self.Name}
-	for name := range c.daemon.sharer.Alive() {
+	for name := range c.daemon.alive() {
 		names = append(names, name)
 	}
 	add := func(holder, address string, isStore bool) {
--- a/internal/zpapp/gateway_live_daemons.go
+++ b/internal/zpapp/gateway_live_daemons.go
@@ -45,7 +45,7 @@
 	if a.members != nil && now.Sub(a.refreshedAt) < liveDaemonsMaxAge {
 		return
 	}
-	alive := a.daemon.sharer.Alive()
+	alive := a.daemon.alive()
 	members := []zpassign.Member{a.daemon.self}
 	for _, m := range a.daemon.members.Others() {
 		if alive[m.Name] {
--- a/internal/zpapp/gateway_sharing.go
+++ b/internal/zpapp/gateway_sharing.go
@@ -7,6 +7,7 @@
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpclock"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpdigest"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpgateway"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplookup"
@@ -32,7 +33,20 @@
 			d.mergeTargets(address, reply.Targets)
 			return reply.Instance, err
 		},
-		Snapshot: d.snapshot, Log: d.Log, Clock: zpclock.Now,
+		SendsLoad: func() bool { return !d.exchange.IsActive() },
+		Snapshot:  d.snapshot, Log: d.Log, Clock: zpclock.Now,
+	}
+	d.hub = zpdigest.NewHub(d.self.Instance, d.self.Domain)
+	d.exchange = &zpdigest.Exchange{
+		Self: d.self, Hub: d.hub, Usage: d.gateway.Usage, Others: d.members.Others, Log: d.Log, Clock: zpclock.Now,
+		ReportLoad: func(ctx context.Context, address string, r zpdigest.Report) (zpdigest.Digest, error) {
+			digest, targets, err := zppeer.ReportLoad(ctx, d.dialer, address, r)
+			d.mergeTargets(address, targets)
+			return digest, err
+		},
+		ExchangeSums: func(ctx context.Context, address string, s zpdigest.Sum) (zpdigest.Sum, error) {
+			return zppeer.ExchangeSums(ctx, d.dialer, address, s)
+		},
 	}
 	d.live = &liveDaemons{daemon: d}
 	d.recorder = &zprelay.CachingStore{API: d.store, HeartbeatPrefix: zpplatform.ConfigPrefix, Clock: zpclock.Now}
@@ -68,6 +82,7 @@
 		err = zppeer.ServeSharing(ctx, lis, &zppeer.SharingHandler{
 			Instance: d.self.Instance, Apply: d.applyMessage, LookUpParts: d.lookUpParts, WatchObjects: d.recorder.Follow,
 			Targets: func() []zprollout.Target { return d.weights.Recent(zpclock.Now()) },
+			Digest:  d.answerReport, MergeSum: d.mergeSum,
 		})
 	}
 	if err != nil && ctx.Err() == nil {
@@ -85,10 +100,33 @@
 	}
 }
 
+// answerReport records the load that another daemon has reported and returns that of all
+// others.
+func (d *GatewayDaemon) answerReport(r zpdigest.Report) zpdigest.Digest {
+	now := zpclock.Now()
+	d.hub.AddReport(r, now)
+	return d.hub.Digest(r.Name, r.KnownAlive, now)
+}
+
+// mergeSum records the sum of another relay and returns that of this one.
+func (d *GatewayDaemon) mergeSum(s zpdigest.Sum) zpdigest.Sum {
+	now := zpclock.Now()
+	d.hub.AddSum(s, now)
+	return d.hub.Sum(now)
+}
+
+// alive returns the names of the other daemons that answered recently.
+func (d *GatewayDaemon) alive() map[string]bool {
+	if d.exchange.IsActive() {
+		return d.exchange.Alive()
+	}
+	return d.sharer.Alive()
+}
+
 // applyMessage applies a state message from another daemon.
 func (d *GatewayDaemon) applyMessage(m zpshare.Message) {
 	now := zpclock.Now()
-	if m.Uses != nil {
+	if m.Uses != nil && !d.exchange.IsActive() {
 		d.gateway.Usage.SetPeer(m.Instance, m.Uses, now)
 	}
 	for _, x := range m.Stores {
--- a/internal/zplog/event.go
+++ b/internal/zplog/event.go
@@ -91,6 +91,7 @@
 	PeerLost          = Event{801, logrus.WarnLevel, "another daemon does not answer", "none; check the VM if it persists"}
 	PeerRecovered     = Event{802, logrus.InfoLevel, "another daemon answers again", "none"}
 	OwnerUnresponsive = Event{803, logrus.WarnLevel, "owner of prompt parts does not answer; local data is used", "none; check the VM if it persists"}
+	RelayAvoided      = Event{805, logrus.WarnLevel, "loads are not exchanged through a relay for a while", "none; check the VM if it persists"}
 	WatcherAvoided    = Event{804, logrus.WarnLevel, "store is not watched through another daemon for a while", "none; check the VM and its connection to the store if it persists"}
 	ServerFailed      = Event{900, logrus.ErrorLevel, "a listener failed", "check that the address is free"}
 	DaemonStalled     = Event{902, logrus.WarnLevel, "daemon was not scheduled for a while: it was paused or short of CPU time", "check the VM; callers may have closed their connections meanwhile"}
@@ -105,7 +106,7 @@
 		ConfigStale, ConfigFresh, WatchFailed, StoreUnavailable, StoreRecovered, EntryIgnored, EvacuationChanged,
 		RequestFailed, RequestRetried, RequestPlaced, CrashRecorded, RequestAnswered, RequestWaits, RequestSilent, RequestAbandoned,
 		EndpointSuspect, EndpointWarm, OrderGiven, EndpointChanged, EndpointGone, WeightsNamed, WeightsLoaded,
-		OrderFailed, StoreState, EndpointAvoided, FingerprintBanned, ClaimSettleFailed, PeerFailed, PeerLost, PeerRecovered, OwnerUnresponsive, WatcherAvoided,
+		OrderFailed, StoreState, EndpointAvoided, FingerprintBanned, ClaimSettleFailed, PeerFailed, PeerLost, PeerRecovered, OwnerUnresponsive, WatcherAvoided, RelayAvoided,
 		ServerFailed, LinesDropped, DaemonStalled,
 	}
 }
--- a/internal/zppeer/sharing.go
+++ b/internal/zppeer/sharing.go
@@ -9,12 +9,12 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/zinniapaddle/zinniapaddle/internal/zpdigest"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpparts"
 	"github.com/zinniapaddle/zinniapaddle/internal/zppeer/zppeerpb"
 	"github.com/zinniapaddle/zinniapaddle/internal/zprelay"
 	"github.com/zinniapaddle/zinniapaddle/internal/zprollout"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpshare"
-	"github.com/zinniapaddle/zinniapaddle/internal/zpusage"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zpobject"
 )
 
@@ -25,17 +25,15 @@
 	Apply        func(m zpshare.Message)
 	Targets      func() []zprollout.Target                  // recent target weight versions
 	LookUpParts  func(keys []zpparts.Key) zpparts.Knowledge // returns what is known of the requested parts
+	Digest       func(r zpdigest.Report) zpdigest.Digest    // records a load and returns that of the others
+	MergeSum     func(s zpdigest.Sum) zpdigest.Sum          // records the sum of another relay and returns the own one
 	WatchObjects func(ctx context.Context, prefix string, since int64, wait time.Duration) (zprelay.Update, error)
 }
 
 // Share implements zppeerpb.DRPCSharingServer.
 func (h *SharingHandler) Share(_ context.Context, in *zppeerpb.ShareRequest) (*zppeerpb.ShareReply, error) {
 	h.Apply(decodeMessage(in))
-	out := &zppeerpb.ShareReply{Instance: h.Instance}
-	for _, t := range h.Targets() {
-		out.Targets = append(out.Targets, &zppeerpb.SharedTarget{Model: t.Model, Version: t.Version, AgeMs: t.Age.Milliseconds(), Estimated: t.Estimated})
-	}
-	return out, nil
+	return &zppeerpb.ShareReply{Instance: h.Instance, Targets: encodeTargets(h.Targets())}, nil
 }
 
 // Recall implements zppeerpb.DRPCSharingServer.
@@ -75,13 +73,7 @@
 	if err != nil {
 		return zpshare.Reply{}, err
 	}
-	reply := zpshare.Reply{Instance: out.Instance}
-	for _, t := range out.Targets {
-		reply.Targets = append(reply.Targets, zprollout.Target{
-			Model: t.Model, Version: t.Version, Age: time.Duration(t.AgeMs) * time.Millisecond, Estimated: t.Estimated,
-		})
-	}
-	return reply, nil
+	return zpshare.Reply{Instance: out.Instance, Targets: decodeTargets(out.Targets)}, nil
 }
 
 // Recall returns what the daemon at address knows of the given parts.
@@ -127,11 +119,7 @@
 
 func encodeMessage(m zpshare.Message) *zppeerpb.ShareRequest {
 	out := &zppeerpb.ShareRequest{Instance: m.Instance, ResetHolders: m.ResetHolders, WithoutUses: m.Uses == nil, FailureDomain: m.Domain, Dark: m.Unreachable}
-	for id, u := range m.Uses {
-		out.Uses = append(out.Uses, &zppeerpb.SharedUse{
-			Endpoint: id, Requests: int64(u.Requests), PrefillTokens: int64(u.PrefillTokens), MemoryTokens: int64(u.MemoryTokens),
-		})
-	}
+	out.Uses = encodeUses(m.Uses)
 	out.Parts, out.Expected, out.Saving = encodeParts(m.Parts), encodeParts(m.Expected), encodeParts(m.Saving)
 	for _, c := range m.Changing {
 		out.Changing = append(out.Changing, &zppeerpb.SharedChange{Endpoint: c.Endpoint, LeftMs: c.Left.Milliseconds()})
@@ -148,12 +136,7 @@
 func decodeMessage(in *zppeerpb.ShareRequest) zpshare.Message {
 	m := zpshare.Message{Instance: in.Instance, ResetHolders: in.ResetHolders, Domain: in.FailureDomain, Unreachable: in.Dark}
 	if !in.WithoutUses {
-		m.Uses = map[string]zpusage.Usage{}
-	}
-	for _, u := range in.Uses {
-		m.Uses[u.Endpoint] = zpusage.Usage{
-			Requests: int(u.Requests), PrefillTokens: int(u.PrefillTokens), MemoryTokens: int(u.MemoryTokens),
-		}
+		m.Uses = decodeUses(in.Uses)
 	}
 	m.Parts, m.Expected, m.Saving = decodeParts(in.Parts), decodeParts(in.Expected), decodeParts(in.Saving)
 	for _, c := range in.Changing {
--- a/internal/zpshare/sharer.go
+++ b/internal/zpshare/sharer.go
@@ -11,18 +11,20 @@
 )
 
 type (
-	// Sharer sends this daemon's updates to the daemons that need them, and its load
-	// to all other daemons. Set the exported fields before Run.
+	// Sharer sends this daemon's updates to the daemons that need them and, in a small
+	// fleet, its load to all other daemons. Set the exported fields before Run.
 	Sharer struct {
-		Self     string // instance
-		Domain   string // failure domain
-		Region   string
-		Usage    *zpusage.Tracker
-		Others   func() []zpassign.Member
-		Send     func(ctx context.Context, address string, m Message) (instance string, err error)
-		Snapshot func(to zpassign.Member) Message // initial state for a daemon that has none
-		Log      *zplog.Logger
-		Clock    func() time.Time
+		Self   string // instance
+		Domain string // failure domain
+		Region string
+		Usage  *zpusage.Tracker
+		Others func() []zpassign.Member
+		// SendsLoad reports whether loads are sent to each other daemon; nil: always.
+		SendsLoad func() bool
+		Send      func(ctx context.Context, address string, m Message) (instance string, err error)
+		Snapshot  func(to zpassign.Member) Message // initial state for a daemon that has none
+		Log       *zplog.Logger
+		Clock     func() time.Time
 
 		mu    sync.Mutex
 		peers map[string]*peer // by address
@@ -31,6 +33,7 @@
 	// peer is the sending state for another daemon.
 	peer struct {
 		instance    string // instance of the last answer
+		member      string // instance of the last member record
 		pending     Message
 		usesVersion uint64    // version of the uses sent last
 		usesSentAt  time.Time // when uses were sent last
@@ -130,6 +133,7 @@
 	known := map[string]bool{}
 	others := s.Others()
 	sameDomain, otherDomain := s.usesIntervals(others)
+	sendsLoad := s.SendsLoad == nil || s.SendsLoad()
 	for _, m := range others {
 		minIntervals := intervals{uses: otherDomain, news: otherRegionNewsInterval}
 		if m.Domain == s.Domain {
@@ -139,15 +143,11 @@
 			minIntervals.news = sameRegionNewsInterval
 		}
 		known[m.PeerAddress] = true
-		p, ok := s.peers[m.PeerAddress]
-		if !ok {
-			p = &peer{}
-			s.peers[m.PeerAddress] = p
-		}
+		p := s.peerFor(m)
 		if p.sending || now.Before(p.retryAt) {
 			continue
 		}
-		withUses := p.usesDue(usesVersion, now, minIntervals.uses)
+		withUses := sendsLoad && p.usesDue(usesVersion, now, minIntervals.uses)
 		if withUses || p.newsDue(now, minIntervals.news) {
 			s.sendAsync(ctx, m, p, uses, usesVersion, withUses, now)
 		}
@@ -159,6 +159,20 @@
 	}
 }
 
+// peerFor returns the sending state for a member; s.mu must be held. Without regular
+// messages, the member record alone shows that the daemon was restarted.
+func (s *Sharer) peerFor(m zpassign.Member) *peer {
+	p, ok := s.peers[m.PeerAddress]
+	if !ok {
+		p = &peer{member: m.Instance}
+		s.peers[m.PeerAddress] = p
+	}
+	if p.member != m.Instance {
+		p.member, p.hasSnapshot, p.pending = m.Instance, false, Message{}
+	}
+	return p
+}
+
 // usesIntervals returns the minimum intervals between two load reports to a daemon
 // in the same failure domain, and to one in another.
 func (s *Sharer) usesIntervals(others []zpassign.Member) (sameDomain, otherDomain time.Duration) {
@@ -222,7 +236,8 @@
 	}()
 }
 
-// Alive returns the names of the daemons that answered recently.
+// Alive returns the names of the daemons that answered recently, if loads are sent to
+// each other daemon.
 func (s *Sharer) Alive() map[string]bool {
 	now := s.Clock()
 	out := map[string]bool{}
--- a/internal/zpshare/sharer_test.go
+++ b/internal/zpshare/sharer_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -57,6 +59,13 @@
 	}
 }
 
+// messages returns the messages received so far.
+func (p *fakePeer) messages() []zpshare.Message {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.received)
+}
+
 func news(part string) zpshare.Message {
 	return zpshare.Message{Parts: []zpparts.Change{{Holder: "e", Key: zpparts.Key{Part: part}, Tokens: 1}}}
 }
@@ -65,14 +74,20 @@
 	var peer *fakePeer
 	var sharer *zpshare.Sharer
 	var usage *zpusage.Tracker
+	var sendsLoad atomic.Bool
+	var member atomic.Value // instance in the record of the peer
 
 	BeforeEach(func() {
+		sendsLoad.Store(true)
+		member.Store("p.1")
 		peer = &fakePeer{instance: "p.1"}
 		usage = zpusage.NewTracker(time.Second)
 		sharer = &zpshare.Sharer{
 			Self: "self", Domain: "a", Usage: usage,
-			Others: func() []zpassign.Member { return []zpassign.Member{{Name: "p", PeerAddress: "p:1", Domain: "a"}} },
-			Send:   peer.send,
+			Others: func() []zpassign.Member {
+				return []zpassign.Member{{Name: "p", Instance: member.Load().(string), PeerAddress: "p:1", Domain: "a"}}
+			},
+			SendsLoad: sendsLoad.Load, Send: peer.send,
 			Snapshot: func(zpassign.Member) zpshare.Message {
 				sharer.Alive()
 				return news("snapshot")
@@ -117,6 +132,21 @@
 		Eventually(peer.partCount("snapshot"), "3s").Should(Equal(2))
 	})
 
+	It("sends no messages without news when loads go another way", func() {
+		sendsLoad.Store(false)
+		before := len(peer.messages())
+		Consistently(func() int { return len(peer.messages()) }, "1200ms").Should(BeNumerically("<=", before+1))
+		sharer.Add(news("x"))
+		Eventually(peer.partCount("x")).Should(Equal(1))
+	})
+
+	It("sends a snapshot to a daemon whose record shows a restart", func() {
+		sendsLoad.Store(false)
+		member.Store("p.2")
+		Eventually(peer.partCount("snapshot"), "2s").Should(Equal(2))
+		Consistently(peer.partCount("snapshot"), "400ms").Should(Equal(2))
+	})
+
 	It("sends a snapshot to a restarted daemon", func() {
 		peer.update(func() { peer.instance = "p.2" })
 		sharer.Add(news("x"))
--- a/internal/zpusage/tracker.go
+++ b/internal/zpusage/tracker.go
@@ -151,6 +151,9 @@
 	}
 }
 
+// Plus returns the sum of two usages.
+func (u Usage) Plus(v Usage) Usage { return addSigned(u, v, 1) }
+
 func addSigned(a, b Usage, sign int) Usage {
 	return Usage{
 		Requests:      a.Requests + sign*b.Requests,
