The members are read first, so that a start reads the store less

Change: the members are read first; after a restart the others wait for them up to 0.3 s, at the first start of the fleet until the failure domain has registered, and another 0.4 s where others watch. Before a daemon has read anything it avoids a watcher for 0.3 s only.

--- a/internal/zpapp/gateway_watches.go
+++ b/internal/zpapp/gateway_watches.go
@@ -21,6 +21,7 @@
 // long wait and restart when the store recovers.
 type watches struct {
 	daemon    *GatewayDaemon
+	members   *zpmirror.Mirror
 	config    *zpmirror.Mirror
 	others    []*zpmirror.Mirror
 	storeDown atomic.Bool
@@ -36,6 +37,14 @@
 	// It is short compared with the time for which an endpoint that is leaving may
 	// still get requests.
 	listPause = 400 * time.Millisecond
+
+	// membersTimeout bounds the wait for the members after a restart.
+	membersTimeout = 300 * time.Millisecond
+	// registrationTimeout bounds the wait for the others at the first start of the fleet.
+	registrationTimeout = time.Second
+	// watcherStartDelay is the time in which the watchers read the store.
+	watcherStartDelay = 400 * time.Millisecond
+	conditionInterval = 20 * time.Millisecond
 )
 
 func newWatches(d *GatewayDaemon) *watches {
@@ -44,19 +53,61 @@
 		API: d.follower, Prefix: zpplatform.ConfigPrefix, WatchWait: configWatchWait,
 		OnList: forEach(w.configChanged), OnChange: w.configChanged, OnUnavailable: w.storeUnavailable, OnAvailable: w.storeRecovered,
 	}
+	w.members = &zpmirror.Mirror{
+		API: d.follower, Prefix: gatewayMemberPrefix, WatchWait: otherWatchWait, ChangeDelay: listPause, OnList: w.membersListed, OnChange: w.memberChanged,
+	}
 	w.others = []*zpmirror.Mirror{
 		{API: d.follower, Prefix: zpplatform.EndpointPrefix, WatchWait: otherWatchWait, ChangeDelay: listPause, OnList: w.endpointsListed, OnChange: w.endpointChanged},
 		{API: d.follower, Prefix: zpplatform.EvacuationPrefix, WatchWait: otherWatchWait, OnList: w.evacuationsListed, OnChange: w.evacuationChanged},
 		{API: d.follower, Prefix: zpplatform.WeightVersionPrefix, WatchWait: otherWatchWait, OnList: w.weightsListed, OnChange: w.weightsChanged},
-		{API: d.follower, Prefix: gatewayMemberPrefix, WatchWait: otherWatchWait, ChangeDelay: listPause, OnList: w.membersListed, OnChange: w.memberChanged},
+		w.members,
 	}
 	return w
 }
 
+// start starts the watches. That of the members comes first: it tells which daemons watch
+// the store, so that this daemon can follow them instead of reading the store itself.
 func (w *watches) start(ctx context.Context, workers *sync.WaitGroup) {
-	workers.Go(func() { w.config.Run(ctx) })
-	for _, m := range w.others {
-		workers.Go(func() { m.Run(ctx) })
+	workers.Go(func() { w.members.Run(ctx) })
+	workers.Go(func() {
+		w.awaitMembers(ctx)
+		var mirrors sync.WaitGroup
+		for _, m := range append([]*zpmirror.Mirror{w.config}, w.others...) {
+			if m != w.members {
+				mirrors.Go(func() { m.Run(ctx) })
+			}
+		}
+		mirrors.Wait()
+	})
+}
+
+// awaitMembers waits until the members are known, for a limited time. When the whole fleet
+// starts, it also waits until the members have registered and, unless this daemon watches
+// the store, until those that do have read it.
+func (w *watches) awaitMembers(ctx context.Context) {
+	d := w.daemon
+	if !d.Node.FirstStart {
+		waitUntil(ctx, membersTimeout, d.members.HasSynced)
+		return
+	}
+	waitUntil(ctx, registrationTimeout, d.follower.CanFollow)
+	if !d.follower.IsWatcher() {
+		waitUntil(ctx, watcherStartDelay, func() bool { return false })
+	}
+}
+
+// waitUntil waits until a condition holds, for at most the timeout or until ctx ends.
+func waitUntil(ctx context.Context, timeout time.Duration, holds func() bool) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	ticker := time.NewTicker(conditionInterval)
+	defer ticker.Stop()
+	for !holds() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
 	}
 }
 
--- a/internal/zprelay/follower.go
+++ b/internal/zprelay/follower.go
@@ -42,8 +42,10 @@
 	// frozen watcher goes undetected.
 	maxWatchWait          = time.Second
 	maxHeartbeatWatchWait = 400 * time.Millisecond // for the heartbeat prefix
-	// avoidDuration is how long a failed watcher is not followed.
-	avoidDuration = 3 * time.Second
+	// avoidDuration is how long a failed watcher is not followed, and startAvoidDuration
+	// how long before this daemon has read anything: the watcher may just be starting, too.
+	avoidDuration      = 3 * time.Second
+	startAvoidDuration = 300 * time.Millisecond
 )
 
 // errRelist ends a watch that cannot continue from its revision.
@@ -103,16 +105,31 @@
 	}
 }
 
-// chooseWatcher returns the address of the daemon to follow; ok is false if this
-// daemon should watch the store itself.
-func (f *Follower) chooseWatcher() (address string, ok bool) {
-	now := f.Clock()
-	var sameDomain []zpassign.Member
+// CanFollow reports whether enough daemons of this failure domain are known for some of
+// them to watch the store for the others.
+func (f *Follower) CanFollow() bool { return len(f.sameDomain()) >= minFollowDomainSize }
+
+// IsWatcher reports whether this daemon watches the store itself.
+func (f *Follower) IsWatcher() bool {
+	_, ok := f.chooseWatcher()
+	return !ok
+}
+
+func (f *Follower) sameDomain() []zpassign.Member {
+	var out []zpassign.Member
 	for _, d := range f.Daemons() {
 		if d.Domain == f.Self.Domain {
-			sameDomain = append(sameDomain, d)
+			out = append(out, d)
 		}
 	}
+	return out
+}
+
+// chooseWatcher returns the address of the daemon to follow; ok is false if this
+// daemon should watch the store itself.
+func (f *Follower) chooseWatcher() (address string, ok bool) {
+	now := f.Clock()
+	sameDomain := f.sameDomain()
 	if len(sameDomain) < minFollowDomainSize {
 		return "", false
 	}
@@ -135,6 +152,10 @@
 func (f *Follower) avoid(address, prefix string, err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	avoidDuration := avoidDuration
+	if f.readAt.IsZero() {
+		avoidDuration = startAvoidDuration
+	}
 	fields := zplog.Fields{"address": address, "prefix": prefix, "revision": f.newestRevisions[prefix], "avoided_ms": avoidDuration.Milliseconds()}
 	if err != nil {
 		fields["error"] = err.Error()
--- a/internal/zprelay/follower_test.go
+++ b/internal/zprelay/follower_test.go
@@ -125,6 +125,34 @@
 		Expect(store.calls).To(Equal(1))
 	})
 
+	It("avoids a watcher only briefly before it has read anything itself, as the watcher may be starting too", func() {
+		f := follower(daemons[4])
+		for _, w := range daemons[:2] {
+			frozen[w.PeerAddress] = true
+		}
+		Expect(f.IsWatcher()).To(BeFalse())
+		store.down = true
+		for range 2 {
+			_, err := f.List(context.Background(), prefix)
+			Expect(err).To(HaveOccurred())
+		}
+		Expect(f.IsWatcher()).To(BeTrue())
+		now = now.Add(500 * time.Millisecond)
+		Expect(f.IsWatcher()).To(BeFalse())
+		Expect(f.CanFollow()).To(BeTrue())
+		store.down = false
+		for range 2 {
+			_, err := f.List(context.Background(), prefix)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		// From now on a failure counts for longer.
+		now = now.Add(500 * time.Millisecond)
+		_, err := f.List(context.Background(), prefix)
+		Expect(err).NotTo(HaveOccurred())
+		now = now.Add(500 * time.Millisecond)
+		Expect(f.IsWatcher()).To(BeTrue())
+	})
+
 	It("does not follow a watcher that has lost contact with the store", func() {
 		now = now.Add(2 * time.Second)
 		_, err := follower(daemons[4]).List(context.Background(), prefix)
