Proofs that could pass with nothing checked fail then

Found by reading. Now: a post that is refused fails the proof; at least two of the racing changes must be accepted; domain b must have had requests before it was taken out; the daemon that has not confirmed must be the frozen one; a crashing prompt must have crashed an engine.

--- a/internal/zpproof/answers.go
+++ b/internal/zpproof/answers.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strings"
 	"sync"
@@ -82,6 +83,9 @@
 	for _, s := range stats {
 		crashes += s.Crashes
 	}
+	if crashes == 0 {
+		return errors.New("the crashing prompt crashed no engine, so the proof shows nothing")
+	}
 	if crashes > 2 {
 		return fmt.Errorf("one request crashed engines %d times", crashes)
 	}
--- a/internal/zpproof/configuration.go
+++ b/internal/zpproof/configuration.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"sync"
 	"time"
 
@@ -155,6 +156,9 @@
 	if err != nil {
 		return err
 	}
+	if n := countTrue(accepted); n < minAcceptedChanges {
+		return fmt.Errorf("only %d of %d concurrent changes were accepted, so the proof shows nothing", n, len(accepted))
+	}
 	for name, ok := range accepted {
 		if endpoint, _ := stored.Manifest.EndpointByName(name); ok && !endpoint.Out {
 			return fmt.Errorf("the accepted change of %s was lost", name)
@@ -191,13 +195,16 @@
 func (e *Env) freezeDuringChange(ctx context.Context) error {
 	// Only a daemon that owns an endpoint could grant new work by itself, so
 	// any other daemon would pass whether or not the mechanism works.
-	index, err := e.endpointOwner(ctx)
+	index, instance, err := e.endpointOwner(ctx)
 	if err != nil {
 		return err
 	}
 	frozen := e.Site.Daemons[index]
-	if a := e.prompt(ctx, index, "shop-a", "before the freeze", 4); a.status != 200 {
-		return fmt.Errorf("before the freeze: %d %s", a.status, a.text)
+	for i := range promptsBeforeFreeze {
+		// Each daemon prefers engines of its own failure domain.
+		if a := e.prompt(ctx, i%len(e.Site.Daemons), "shop-a", fmt.Sprintf("before the freeze %d", i), 4); a.status != 200 {
+			return fmt.Errorf("before the freeze: %d %s", a.status, a.text)
+		}
 	}
 	if err := e.fault(frozen.Pause()); err != nil {
 		return err
@@ -213,8 +220,8 @@
 	if err != nil {
 		return err
 	}
-	if len(c.Unconfirmed) != 1 {
-		return fmt.Errorf("one daemon is frozen, and not confirmed by: %v", c.Unconfirmed)
+	if !slices.Equal(c.Unconfirmed, []string{instance}) {
+		return fmt.Errorf("%s is frozen, and not confirmed by: %v", instance, c.Unconfirmed)
 	}
 	confirmed := time.Now()
 	for i, d := range e.Site.Daemons {
@@ -237,32 +244,38 @@
 	return e.checkNoLateArrival(confirmed)
 }
 
-// endpointOwner returns the index of a daemon that owns an endpoint. It retries,
-// because the store names the owners before the daemons learn of it.
-func (e *Env) endpointOwner(ctx context.Context) (int, error) {
+// endpointOwner returns the index and instance of a daemon that owns an endpoint. It
+// retries, because the store names the owners before the daemons learn of it.
+func (e *Env) endpointOwner(ctx context.Context) (index int, instance string, err error) {
 	ctx, cancel := context.WithTimeout(ctx, ownerTimeout)
 	defer cancel()
 	for {
-		owner, err := e.findOwner(ctx)
+		index, instance, err = e.findOwner(ctx)
 		if err == nil {
-			return owner, nil
+			return index, instance, nil
 		}
 		select {
 		case <-time.After(ownerPollInterval):
 		case <-ctx.Done():
-			return 0, err
+			return 0, "", err
 		}
 	}
 }
 
 const (
+	// minAcceptedChanges is the number of concurrent changes that must be accepted for the
+	// race to show anything.
+	minAcceptedChanges = 2
+	// promptsBeforeFreeze reach the engines of all failure domains.
+	promptsBeforeFreeze = 20
+
 	ownerTimeout      = 5 * time.Second
 	ownerPollInterval = 100 * time.Millisecond
 )
 
 var errNoOwner = errors.New("no daemon owns an endpoint; the proof needs an owner")
 
-func (e *Env) findOwner(ctx context.Context) (int, error) {
+func (e *Env) findOwner(ctx context.Context) (index int, instance string, err error) {
 	var names []string
 	for i := range e.Site.Runners {
 		names = append(names, e.Site.Manifest.Endpoints[i].Name)
@@ -270,7 +283,7 @@
 	o := e.operator()
 	statuses, err := o.Status(ctx)
 	if err != nil {
-		return 0, err
+		return 0, "", err
 	}
 	var queryErr error
 	for _, s := range statuses {
@@ -281,11 +294,11 @@
 		}
 		for i := range e.Site.Daemons {
 			if e.Site.Target(i) == "http://"+s.Member.CallerAddress {
-				return i, nil
+				return i, s.Member.Instance, nil
 			}
 		}
 	}
-	return 0, errors.Join(errNoOwner, queryErr)
+	return 0, "", errors.Join(errNoOwner, queryErr)
 }
 
 // checkNoneServed sends prompts to a daemon and returns an error if it answers one
@@ -305,22 +318,41 @@
 	return nil
 }
 
+// checkNoLateArrival checks that domain b received no request after it was taken out, and
+// that it received some before.
 func (e *Env) checkNoLateArrival(after time.Time) error {
 	stats, err := e.runnerStats()
 	if err != nil {
 		return err
 	}
+	arrivals := 0
 	for name, s := range stats {
+		if endpoint, _ := e.Site.Manifest.EndpointByName(name); endpoint.Domain != "b" {
+			continue
+		}
 		for _, a := range s.Arrivals {
-			endpoint, _ := e.Site.Manifest.EndpointByName(name)
-			if endpoint.Domain == "b" && time.UnixMilli(a.AtUnixMS).After(after.Add(startDeadline)) {
+			arrivals++
+			if time.UnixMilli(a.AtUnixMS).After(after.Add(startDeadline)) {
 				return fmt.Errorf("%s received a request after its domain was taken out", name)
 			}
 		}
 	}
+	if arrivals == 0 {
+		return errors.New("domain b received no request at all, so the proof shows nothing")
+	}
 	return nil
 }
 
+func countTrue(m map[string]bool) int {
+	n := 0
+	for _, ok := range m {
+		if ok {
+			n++
+		}
+	}
+	return n
+}
+
 // watchVersions polls every daemon until ctx ends and returns an error if the
 // manifest version of one decreases.
 func (e *Env) watchVersions(ctx context.Context) error {
--- a/internal/zpproof/proof.go
+++ b/internal/zpproof/proof.go
@@ -303,5 +303,11 @@
 	if err != nil {
 		return err
 	}
-	return res.Body.Close()
+	if err := res.Body.Close(); err != nil {
+		return err
+	}
+	if res.StatusCode >= http.StatusMultipleChoices {
+		return fmt.Errorf("post to %s: status %d", url, res.StatusCode)
+	}
+	return nil
 }
