The soak's client no longer sends bookings again by itself

Found by reading: X-Idempotency-Key set to nil was meant to stop net/http from repeating reads, but its mere presence makes a request repeatable, so bookings went out twice when a kept connection failed, and the judge could blame a daemon or miss a double run.

--- a/internal/zpsoak/requests.go
+++ b/internal/zpsoak/requests.go
@@ -104,20 +104,10 @@
 }
 
 func (r *run) roundTrip(ctx context.Context, client *http.Client, q *request, path string) {
-	method := http.MethodGet
-	if q.Kind == "book" {
-		method = http.MethodPost
-	}
-	req, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s:%d%s", r.cluster.daemonIP(q.Daemon), zpoutside.CallersPort, path), nil)
+	req, err := newHTTPRequest(ctx, q, fmt.Sprintf("http://%s:%d%s", r.cluster.daemonIP(q.Daemon), zpoutside.CallersPort, path))
 	if err != nil {
 		return
 	}
-	req.Host = zpoutside.Host
-	req.Header.Set("Request-Id", q.ID)
-	req.Header.Set("Authorization", "Bearer "+apiKey)
-	// Meant to stop net/http from retrying a read when a keep-alive connection fails.
-	req.GetBody = nil
-	req.Header["X-Idempotency-Key"] = nil
 	q.SentAt, q.Incarnation = time.Now(), r.faults.incarnation(q.Daemon)
 	res, err := client.Do(req)
 	if err != nil {
@@ -133,6 +123,23 @@
 	}
 }
 
+// newHTTPRequest returns the HTTP request for q. net/http sends a read again when a
+// kept connection fails, but not a booking.
+func newHTTPRequest(ctx context.Context, q *request, url string) (*http.Request, error) {
+	method := http.MethodGet
+	if q.Kind == "book" {
+		method = http.MethodPost
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, nil)
+	if err != nil {
+		return nil, err
+	}
+	req.Host = zpoutside.Host
+	req.Header.Set("Request-Id", q.ID)
+	req.Header.Set("Authorization", "Bearer "+apiKey)
+	return req, nil
+}
+
 // expectedBody returns the body of a complete response.
 func expectedBody(q *request) string {
 	if q.Kind != "stream" {
