--- a/internal/zpdigest/exchange.go
+++ b/internal/zpdigest/exchange.go
@@ -38,8 +38,9 @@
 
 const (
 	// MinFleet is the number of other daemons from which loads go through relays. In a
-	// smaller fleet each daemon tells all others, which is faster.
-	MinFleet = 24
+	// smaller fleet each daemon tells all others; in a larger one, such loads would come
+	// when they are about to lapse.
+	MinFleet = 80
 
 	// reportInterval and sumInterval are the intervals between calls to a relay, and
 	// between calls from one relay to another.
