zpmirror: the spec puts a new object with each try

Traced: the spec named its objects by the number of lists and changes; while neither grew between two tries it wrote the same name again as a new object, and the store refused it as a conflict. The names are counted now.

--- a/internal/zpmirror/mirror_test.go
+++ b/internal/zpmirror/mirror_test.go
@@ -80,8 +80,10 @@
 		Consistently(func() int64 { return lists.Load() - before }, "300ms").Should(BeNumerically("<=", 6))
 		Expect(outages.Load()).To(BeZero())
 		watchFails.Store(false)
+		puts := 0
 		Eventually(func() int64 {
-			put(fmt.Sprintf("kind/%d", lists.Load()+changes.Load()))
+			puts++
+			put(fmt.Sprintf("kind/%d", puts))
 			return changes.Load()
 		}, "2s", "100ms").Should(BeNumerically(">", 0))
 	})
