--- a/internal/zpdigest/exchange.go
+++ b/internal/zpdigest/exchange.go
@@ -39,8 +39,8 @@
 const (
 	// MinFleet is the number of other daemons from which loads go through relays. In a
 	// smaller fleet each daemon tells all others; in a larger one, such loads would come
-	// when they are about to lapse.
-	MinFleet = 80
+	// only when they lapse.
+	MinFleet = 90
 
 	// reportInterval and sumInterval are the intervals between calls to a relay, and
 	// between calls from one relay to another.
