--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -116,7 +116,7 @@
 	d.store.Open()
 	d.sender = zpplatform.NewSender()
 	d.gateway = &zpgateway.Gateway{
-		Domain: s.Domain, Region: s.Region, RegionOf: n.RegionOf, Catalog: d.catalog.Load, Registry: d.registry, HasSynced: d.hasSynced,
+		Domain: s.Domain, Region: s.Region, RegionOf: n.RegionOf, Catalog: d.catalog.Load, CatalogConfirmedAt: func() time.Time { return d.follower.ReadAt() }, Registry: d.registry, HasSynced: d.hasSynced,
 		Weights: d.weights, Usage: zpusage.NewTracker(usageMaxAge), Parts: zpparts.NewDirectory(maxPartsPerHolder),
 		Stores: zpparts.NewStores(cacheStoreStateMaxAge, cacheStoreSettleDelay), AnnounceParts: d.announceParts, RefreshParts: d.query,
 		Health: zpgateway.NewHealthTracker(), Cold: &zpplace.ColdLimiter{Self: s.Name}, Daemons: d.members.Names,
--- a/internal/zpapp/gateway_watches.go
+++ b/internal/zpapp/gateway_watches.go
@@ -140,7 +140,7 @@
 	}
 	d.catalog.Store(c)
 	d.Metrics.ConfigVersion.Set(float64(c.Version))
-	d.Log.Emit(zplog.ConfigApplied, zplog.Fields{"version": c.Version, "revision": o.Revision, "routes": len(c.Routes)})
+	d.Log.Emit(zplog.ConfigApplied, zplog.Fields{"version": c.Version, "revision": o.Revision, "routes": len(c.Routes), "restricted_routes": c.RestrictedRoutes()})
 }
 
 func (w *watches) endpointsListed(objects []zpobject.Object) {
@@ -164,7 +164,7 @@
 		w.daemon.registry.Put(e)
 		w.daemon.weights.Loaded(e.ID, e.Weights)
 		w.daemon.Log.Emit(zplog.EndpointChanged, zplog.Fields{
-			"endpoint": e.ID, "pool": e.Pool, "address": e.Address, "draining": e.State == zpregistry.StateDraining,
+			"endpoint": e.ID, "pool": e.Pool, "address": e.Address, "region": e.Region, "draining": e.State == zpregistry.StateDraining,
 			"cold_ms": max(e.ColdUntil.Sub(now), 0).Milliseconds(), "weights": e.Weights, "born": e.StartedAtMS, "revision": o.Revision,
 		})
 	}
--- a/internal/zpcatalog/catalog.go
+++ b/internal/zpcatalog/catalog.go
@@ -149,6 +149,17 @@
 	return w, ok
 }
 
+// RestrictedRoutes returns the number of routes that restrict the regions.
+func (c *Catalog) RestrictedRoutes() int {
+	n := 0
+	for _, r := range c.Routes {
+		if len(r.Regions) > 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // PoolOf returns the named pool.
 func (c *Catalog) PoolOf(name string) (*Pool, bool) {
 	p, ok := c.byPool[name]
--- a/internal/zpcatalog/catalog_test.go
+++ b/internal/zpcatalog/catalog_test.go
@@ -17,4 +17,15 @@
 		Entry("only the route lists other regions", []string{"s"}, nil, false),
 		Entry("the workspace lists other regions", []string{"n"}, []string{"s"}, false),
 	)
+
+	DescribeTable("names the allowed regions",
+		func(route, workspace []string, name string) {
+			Expect(zpcatalog.RegionFilter{Route: route, Workspace: workspace}.String()).To(Equal(name))
+		},
+		Entry("neither lists regions", nil, nil, ""),
+		Entry("only the route lists regions", []string{"s", "n"}, nil, "n+s"),
+		Entry("only the workspace lists regions", nil, []string{"n"}, "n"),
+		Entry("both list regions", []string{"n", "s"}, []string{"s", "t"}, "s"),
+		Entry("they have no region in common", []string{"n"}, []string{"s"}, "none"),
+	)
 })
--- a/internal/zpcatalog/region.go
+++ b/internal/zpcatalog/region.go
@@ -1,6 +1,9 @@
 package zpcatalog
 
-import "slices"
+import (
+	"slices"
+	"strings"
+)
 
 // RegionFilter restricts a request to the regions that both its route and its
 // workspace allow. An empty list allows all regions.
@@ -14,3 +17,25 @@
 	return (len(f.Route) == 0 || slices.Contains(f.Route, region)) &&
 		(len(f.Workspace) == 0 || slices.Contains(f.Workspace, region))
 }
+
+// IsEmpty reports whether all regions are allowed.
+func (f RegionFilter) IsEmpty() bool { return len(f.Route) == 0 && len(f.Workspace) == 0 }
+
+// String returns the allowed regions in sorted order, separated by "+". It is empty if all
+// are allowed, and "none" if route and workspace have no region in common.
+func (f RegionFilter) String() string {
+	if f.IsEmpty() {
+		return ""
+	}
+	var out []string
+	for _, region := range slices.Concat(f.Route, f.Workspace) {
+		if f.Allows(region) {
+			out = append(out, region)
+		}
+	}
+	if len(out) == 0 {
+		return "none"
+	}
+	slices.Sort(out)
+	return strings.Join(slices.Compact(out), "+")
+}
--- a/internal/zpgateway/choice.go
+++ b/internal/zpgateway/choice.go
@@ -21,6 +21,7 @@
 	salt           string
 	fetch          []Transfer
 	source         string // holder that the last fetched part comes from
+	sourceRegion   string
 	save           []Transfer
 	candidateCount int
 	use            *zpusage.RunningRequest
@@ -150,12 +151,23 @@
 	}
 }
 
+// choiceFields returns the data behind a choice for the log. The age of the catalog is that
+// of its last confirmation by the store.
+func (g *Gateway) choiceFields(j *job, c choice) zplog.Fields {
+	f := c.logFields()
+	f["region"], f["catalog_ms"] = c.endpoint.Region, g.Clock().Sub(g.CatalogConfirmedAt()).Milliseconds()
+	if regions := j.regions(); !regions.IsEmpty() {
+		f["allowed_regions"] = regions.String()
+	}
+	return f
+}
+
 func (c choice) logFields() zplog.Fields {
 	return zplog.Fields{
 		"endpoint": c.endpoint.ID, "cost_ms": c.cost.Milliseconds(), "candidates": c.candidateCount,
 		"running": c.candidate.Use.Requests, "prefill": c.candidate.Use.PrefillTokens, "memory": c.candidate.Use.MemoryTokens,
 		"prompt": c.demand.PromptTokens, "shared": c.demand.SharedTokens, "cached": c.candidate.CachedTokens, "fetch": c.candidate.FetchTokens,
-		"fetch_ms": c.candidate.FetchTime.Milliseconds(), "save": len(c.save) > 0, "source": c.source,
+		"fetch_ms": c.candidate.FetchTime.Milliseconds(), "save": len(c.save) > 0, "source": c.source, "source_region": c.sourceRegion,
 		"weights": c.weights, "cold": c.candidate.Cold, "suspect": c.candidate.Suspect,
 	}
 }
--- a/internal/zpgateway/gateway.go
+++ b/internal/zpgateway/gateway.go
@@ -22,17 +22,19 @@
 
 // Gateway serves routed requests. The exported fields must be set before use.
 type Gateway struct {
-	Domain        string // failure domain of this daemon
-	Region        string
-	RegionOf      func(domain string) string
-	Catalog       func() *zpcatalog.Catalog // returns nil until a configuration is loaded
-	Registry      *zpregistry.Registry
-	HasSynced     func() bool // reports whether the daemon has read the fleet's state; before, requests are refused
-	Weights       *zprollout.WeightVersions
-	Usage         *zpusage.Tracker
-	Parts         *zpparts.Directory
-	Stores        *zpparts.Stores
-	AnnounceParts func(news PartChanges) // sends changes of parts to other daemons
+	Domain   string // failure domain of this daemon
+	Region   string
+	RegionOf func(domain string) string
+	Catalog  func() *zpcatalog.Catalog // returns nil until a configuration is loaded
+	// CatalogConfirmedAt returns when the store last confirmed the catalog; for the log.
+	CatalogConfirmedAt func() time.Time
+	Registry           *zpregistry.Registry
+	HasSynced          func() bool // reports whether the daemon has read the fleet's state; before, requests are refused
+	Weights            *zprollout.WeightVersions
+	Usage              *zpusage.Tracker
+	Parts              *zpparts.Directory
+	Stores             *zpparts.Stores
+	AnnounceParts      func(news PartChanges) // sends changes of parts to other daemons
 	// RefreshParts refreshes the directory's entries of the given parts. Each part is
 	// given as its keys, one for each weight version in use.
 	RefreshParts        func(ctx context.Context, parts [][]zpparts.Key)
--- a/internal/zpgateway/parts.go
+++ b/internal/zpgateway/parts.go
@@ -14,6 +14,7 @@
 	source struct {
 		holder   string
 		address  string
+		region   string
 		duration time.Duration // of the transfer
 	}
 
@@ -117,7 +118,7 @@
 		c.fetch[i] = Transfer{Address: s.address, Tokens: part.tokens}
 		c.candidate.FetchTokens += part.tokens - held
 		c.candidate.FetchTime += s.duration
-		c.source = s.holder
+		c.source, c.sourceRegion = s.holder, s.region
 	}
 }
 
@@ -191,7 +192,7 @@
 			return source{}, false
 		}
 		return source{
-			holder: holder, address: e.Address,
+			holder: holder, address: e.Address, region: e.Region,
 			duration: transferTime(tokens, engine.TokenBytes, engine.LinkMbps, location{e.FailureDomain, e.Region}, to),
 		}, true
 	}
@@ -205,7 +206,7 @@
 	}
 	link := min(p.CacheStore.LinkMbps, engine.LinkMbps)
 	return source{
-		holder: holder, address: p.CacheStore.Address,
+		holder: holder, address: p.CacheStore.Address, region: from.region,
 		duration: storeLatency + transferTime(tokens, engine.TokenBytes, link, from, to),
 	}, true
 }
