A request that has waited across a change of regions goes where it is allowed now

Callers saw nothing; operators that moved a route to another region saw its requests run in the old one for as long as they had waited in a daemon's queue, or until they were sent again: up to the timeout of the route after the daemon had applied the change. Cause: the regions came from the catalog that the request was admitted under (decided once). Now each choice of an endpoint, of a source and of a store asks the current catalog. Test failed before: 'go to the region that is allowed now when they have waited across a change' (deadline_passed: it waited for the old region to the end). Checked by: go test ./internal/zpgateway, also under the race detector.

--- a/internal/zpgateway/choice.go
+++ b/internal/zpgateway/choice.go
@@ -16,6 +16,7 @@
 	endpoint       zpregistry.Endpoint
 	candidate      zpplace.Candidate
 	demand         zpplace.Request
+	regions        zpcatalog.RegionFilter // allowed for the request and its parts
 	cost           time.Duration
 	weights        int64 // version that the engine must have loaded; zero: any
 	salt           string
@@ -49,14 +50,14 @@
 // capacity, and counts the request in its usage. The lock of the queue must be
 // held.
 func (g *Gateway) choose(j *job, now time.Time) (choice, choiceStatus) {
-	demand := g.demandOf(j)
+	demand, regions := g.demandOf(j), g.regionsOf(j)
 	v := choiceNoEndpoint
 	// The buffers are reused to save allocations: choices among many engines are
 	// frequent.
 	choices, candidates := g.queue.choices[:0], g.queue.candidates[:0]
 	states := partStates{}
 	for _, e := range g.Registry.Serving(j.pool.Name, now) {
-		c, ok := g.evaluate(j, e, demand, now)
+		c, ok := g.evaluate(j, e, demand, regions, now)
 		if !ok {
 			continue
 		}
@@ -87,11 +88,11 @@
 
 // evaluate returns an endpoint as a candidate, or false if the endpoint must not
 // be used. It does not look up which parts of the prompt the endpoint holds.
-func (g *Gateway) evaluate(j *job, e zpregistry.Endpoint, demand zpplace.Request, now time.Time) (choice, bool) {
-	if j.tried[e.ID] || !j.regions().Allows(e.Region) || g.Weights.Changing(e.ID, now) {
+func (g *Gateway) evaluate(j *job, e zpregistry.Endpoint, demand zpplace.Request, regions zpcatalog.RegionFilter, now time.Time) (choice, bool) {
+	if j.tried[e.ID] || !regions.Allows(e.Region) || g.Weights.Changing(e.ID, now) {
 		return choice{}, false
 	}
-	c := choice{endpoint: e, demand: demand}
+	c := choice{endpoint: e, demand: demand, regions: regions}
 	c.candidate = zpplace.Candidate{
 		ID: e.ID, Domain: e.FailureDomain, Region: e.Region, Use: g.Usage.Total(e.ID, now), Slots: e.Slots,
 		Cold: now.Before(e.ColdUntil), Suspect: g.Health.IsAvoided(e.ID, now),
@@ -153,11 +154,11 @@
 
 // choiceFields returns the data behind a choice for the log. The age of the catalog is that
 // of its last confirmation by the store.
-func (g *Gateway) choiceFields(j *job, c choice) zplog.Fields {
+func (g *Gateway) choiceFields(c choice) zplog.Fields {
 	f := c.logFields()
 	f["region"], f["catalog_ms"] = c.endpoint.Region, g.Clock().Sub(g.CatalogConfirmedAt()).Milliseconds()
-	if regions := j.regions(); !regions.IsEmpty() {
-		f["allowed_regions"] = regions.String()
+	if !c.regions.IsEmpty() {
+		f["allowed_regions"] = c.regions.String()
 	}
 	return f
 }
--- a/internal/zpgateway/job.go
+++ b/internal/zpgateway/job.go
@@ -40,14 +40,6 @@
 	return j.workspace.Name
 }
 
-func (j *job) regions() zpcatalog.RegionFilter {
-	f := zpcatalog.RegionFilter{Route: j.route.Regions}
-	if j.workspace != nil {
-		f.Workspace = j.workspace.Regions
-	}
-	return f
-}
-
 // priority returns the priority of the request at an engine: ordered by the
 // priority of the workspace, then by that of the route. 0 is the highest.
 func (j *job) priority() int {
--- a/internal/zpgateway/parts.go
+++ b/internal/zpgateway/parts.go
@@ -188,7 +188,7 @@
 	to := location{c.endpoint.FailureDomain, c.endpoint.Region}
 	engine := j.pool.Engine
 	if e, ok := g.Registry.Find(holder); ok {
-		if g.Health.IsAvoided(e.ID, now) || g.Weights.Changing(e.ID, now) || !j.regions().Allows(e.Region) {
+		if g.Health.IsAvoided(e.ID, now) || g.Weights.Changing(e.ID, now) || !c.regions.Allows(e.Region) {
 			return source{}, false
 		}
 		return source{
@@ -201,7 +201,7 @@
 		return source{}, false
 	}
 	from := location{p.CacheStore.Domain, g.RegionOf(p.CacheStore.Domain)}
-	if !j.regions().Allows(from.region) {
+	if !c.regions.Allows(from.region) {
 		return source{}, false
 	}
 	link := min(p.CacheStore.LinkMbps, engine.LinkMbps)
@@ -288,7 +288,7 @@
 			continue
 		}
 		at := location{p.CacheStore.Domain, g.RegionOf(p.CacheStore.Domain)}
-		if at.region != to.region || !j.regions().Allows(at.region) {
+		if at.region != to.region || !c.regions.Allows(at.region) {
 			continue
 		}
 		used := 1 - float64(free)/float64(max(p.CacheStore.Tokens, 1))
--- /dev/null
+++ b/internal/zpgateway/regions_test.go
@@ -0,0 +1,102 @@
+package zpgateway_test
+
+import (
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpregistry"
+)
+
+// regionGateway is a gateway with e1 and e2 in region "n", e3 in "s" and e4 in "t".
+type regionGateway struct {
+	testGateway
+	catalog atomic.Pointer[zpcatalog.Catalog]
+}
+
+func newRegionGateway(steps ...step) *regionGateway {
+	s := &regionGateway{testGateway: newTestGateway(steps...)}
+	s.catalog.Store(s.Catalog())
+	s.Catalog = s.catalog.Load
+	list := s.Registry.AllInPool("pool", time.Now())
+	list[2].Region = "s"
+	list = append(list, zpregistry.Endpoint{
+		ID: "e4", Pool: "pool", Address: "e4:1", FailureDomain: "d", Region: "t", Slots: 4, Weights: map[string]int64{"m": 1},
+	})
+	s.Registry.Replace(list, time.Now())
+	return s
+}
+
+// allow applies a configuration whose routes, and workspace "w", allow the given regions.
+func (s *regionGateway) allow(routes, workspace []string) {
+	old := s.catalog.Load()
+	c := newCatalog()
+	c.Version = old.Version + 1
+	for i := range c.Routes {
+		c.Routes[i].Regions = routes
+	}
+	c.Workspaces[0].Regions = workspace
+	s.catalog.Store(c.BuildIndexes())
+}
+
+// fill uses up the capacity of endpoints.
+func (s *regionGateway) fill(ids ...string) {
+	for _, id := range ids {
+		for range 8 {
+			s.Usage.Begin(id, 0, 0)
+		}
+	}
+}
+
+func (s *regionGateway) endpoints() []string {
+	s.runner.mu.Lock()
+	defer s.runner.mu.Unlock()
+	var out []string
+	for _, run := range s.runner.runs {
+		out = append(out, run.Endpoint.ID)
+	}
+	return out
+}
+
+var _ = Describe("Requests with restricted regions", func() {
+	DescribeTable("run only in regions that route and workspace allow",
+		func(routes, workspace []string, allowed ...string) {
+			s := newRegionGateway(responds(http.StatusOK, "done"))
+			s.allow(routes, workspace)
+			seen := map[string]bool{}
+			for range 40 {
+				s.serve(request("read"))
+			}
+			for _, run := range s.runner.runs {
+				seen[run.Endpoint.Region] = true
+			}
+			for region := range seen {
+				Expect(allowed).To(ContainElement(region))
+			}
+			Expect(s.runner.runs).To(HaveLen(40))
+		},
+		Entry("one of the route", []string{"s"}, nil, "s"),
+		Entry("two of the route", []string{"s", "t"}, nil, "s", "t"),
+		Entry("one of the workspace", nil, []string{"t"}, "t"),
+		Entry("two of the workspace", nil, []string{"t", "s"}, "s", "t"),
+		Entry("two of each, with one in common", []string{"n", "s"}, []string{"s", "t"}, "s"),
+	)
+
+	It("go to the region that is allowed now when they have waited across a change", func() {
+		s := newRegionGateway(responds(http.StatusOK, "done"))
+		s.allow([]string{"n"}, nil)
+		s.fill("e1", "e2")
+		done := make(chan *fakeReply, 1)
+		go func() { done <- s.serve(request("read")) }()
+		Eventually(s.QueuedRequests).Should(Equal(1))
+		s.allow([]string{"s"}, nil)
+		var reply *fakeReply
+		Eventually(done).Should(Receive(&reply))
+		expectResponse(reply, http.StatusOK, "done")
+		Expect(s.endpoints()).To(Equal([]string{"e3"}))
+	})
+})
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -131,7 +131,7 @@
 	defer timer.end()
 	j.attempts++
 	j.setStage(stageSend)
-	g.Log.Emit(zplog.RequestPlaced, g.logFields(j, g.choiceFields(j, c)))
+	g.Log.Emit(zplog.RequestPlaced, g.logFields(j, g.choiceFields(c)))
 	answer, err := g.Runner.Run(ctx, c.newRun(j, left), gate)
 	if err != nil {
 		return g.handleNoResponse(ctx, j, c, gate, err)
