A request is not sent to a region that a change has excluded while it was connecting

What callers saw: nothing; a request reached an endpoint outside the regions of its route, up to a connect timeout (400 ms), or the length of a freeze, after its daemon had applied the configuration that excluded the region. Cause: the region was checked when the endpoint was chosen and not again when the first byte was due (check and use apart), the class of 'work for departed callers'. The gate before the first byte now asks the current catalog. Nothing was sent, so another endpoint is chosen without a repeat from the budget, and no failure is held against the first. New event 410. Tests failed before: 'are not sent to a region that a change has excluded while they were connecting', booking, read and stream: the one run went to the excluded region. Checked by: go test ./internal/zpgateway ./internal/zpengine.

--- a/internal/zpengine/gate.go
+++ b/internal/zpengine/gate.go
@@ -14,8 +14,8 @@
 )
 
 type (
-	// Gate allows the first byte of one request to be sent only before the
-	// deadline and while the caller is connected, and records whether it was.
+	// Gate allows the first byte of one request to be sent only before the deadline,
+	// while the caller is connected and MaySend agrees, and records whether it was.
 	Gate struct {
 		Deadline time.Time
 		Clock    func() time.Time
@@ -23,6 +23,9 @@
 		// HasCallerLeft is called before the first byte; nil means that the caller
 		// is always connected.
 		HasCallerLeft func() bool
+		// MaySend is called before the first byte; an error keeps the gate closed. It may
+		// be nil.
+		MaySend func() error
 
 		onOpened   func() // called once when the first byte may be sent; may be nil
 		state      atomic.Int32
@@ -68,8 +71,8 @@
 	return nil
 }
 
-// Open allows the first byte to be sent, or fails once the deadline has passed
-// or the caller has disconnected.
+// Open allows the first byte to be sent, or fails once the deadline has passed,
+// the caller has disconnected or MaySend fails.
 func (g *Gate) Open() error {
 	if g.Sent() {
 		return nil
@@ -85,6 +88,11 @@
 	if g.HasCallerLeft != nil && g.HasCallerLeft() {
 		return ErrCallerDisconnected
 	}
+	if g.MaySend != nil {
+		if err := g.MaySend(); err != nil {
+			return err
+		}
+	}
 	// OnSend must come before the deadline check: an owner that queries later
 	// counts the registered start, and an owner that queried earlier did so
 	// after the deadline of any reservation that it must not miss.
--- a/internal/zpgateway/regions.go
+++ b/internal/zpgateway/regions.go
@@ -1,6 +1,21 @@
 package zpgateway
 
-import "github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
+import (
+	"errors"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
+)
+
+var errRegionExcluded = errors.New("the configuration no longer allows the endpoint's region")
+
+// checkRegion returns an error if the current catalog does not allow the region of the
+// chosen endpoint.
+func (g *Gateway) checkRegion(j *job, c choice) error {
+	if !g.regionsOf(j).Allows(c.endpoint.Region) {
+		return errRegionExcluded
+	}
+	return nil
+}
 
 // regionsOf returns the regions that the current catalog allows a request. It may be newer
 // than the catalog under which the request was admitted. What it no longer lists keeps the
--- a/internal/zpgateway/regions_test.go
+++ b/internal/zpgateway/regions_test.go
@@ -1,6 +1,7 @@
 package zpgateway_test
 
 import (
+	"context"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -9,6 +10,8 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpgateway"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpregistry"
 )
 
@@ -99,4 +102,25 @@
 		expectResponse(reply, http.StatusOK, "done")
 		Expect(s.endpoints()).To(Equal([]string{"e3"}))
 	})
+
+	DescribeTable("are not sent to a region that a change has excluded while they were connecting",
+		func(routeName string) {
+			var s *regionGateway
+			connects := func(ctx context.Context, gate *zpengine.Gate) (*zpgateway.Response, error) {
+				s.allow([]string{"s"}, nil)
+				if err := gate.Open(); err != nil {
+					return nil, err
+				}
+				return responds(http.StatusOK, events)(ctx, gate)
+			}
+			s = newRegionGateway(connects)
+			s.allow([]string{"t"}, nil)
+			reply := s.serve(request(routeName))
+			Expect(reply.status).To(Equal(http.StatusOK))
+			Expect(s.endpoints()).To(Equal([]string{"e4", "e3"}))
+		},
+		Entry("a booking", "book"),
+		Entry("a read", "read"),
+		Entry("a stream", "draft"),
+	)
 })
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -35,6 +35,7 @@
 	outcomeBroken                 // the request may have run, but its response is lost
 	outcomeSilent                 // no byte arrived in time; the run was cancelled and may be retried
 	outcomeStopped                // the caller disconnected or the deadline passed
+	outcomeUnsent                 // the choice no longer held when the first byte was due; another may be made
 )
 
 // run sends the request until it has a response or must not be sent again.
@@ -63,6 +64,8 @@
 			if refusals > maxRefusals || !budget.Take() {
 				return g.giveUp(j, reply, sendResult{err: g.withRunState(j, errOverloaded.WithRetryAfter(retryAfterOverloaded).WithCause(s.err))})
 			}
+		case outcomeUnsent:
+			continue
 		case outcomeSilent:
 			// The first-byte timer has taken the retry from the budget.
 		case outcomeFailed, outcomeBroken:
@@ -119,7 +122,7 @@
 	if left < minRunTime {
 		return sendResult{outcomeStopped, g.withRunState(j, errDeadlinePassed)}
 	}
-	gate := &zpengine.Gate{Deadline: j.deadline, Clock: g.Clock, HasCallerLeft: j.caller.HasCallerLeft}
+	gate := &zpengine.Gate{Deadline: j.deadline, Clock: g.Clock, HasCallerLeft: j.caller.HasCallerLeft, MaySend: func() error { return g.checkRegion(j, c) }}
 	if j.route.Kind == zpcatalog.KindNonIdempotent {
 		var end func()
 		ctx, end = detachAfterSend(ctx, gate)
@@ -176,6 +179,13 @@
 		if errors.Is(gate.Err(), zpengine.ErrCallerDisconnected) {
 			return sendResult{outcomeStopped, errCallerGone.WithState(j.runState).WithCause(err)}
 		}
+		if errors.Is(gate.Err(), errRegionExcluded) {
+			g.Log.Emit(zplog.ChoiceRevoked, g.logFields(j, zplog.Fields{
+				"endpoint": c.endpoint.ID, "region": c.endpoint.Region, "allowed_regions": g.regionsOf(j).String(), "current_catalog": g.Catalog().Version,
+			}))
+			j.attempts--
+			return sendResult{outcomeUnsent, gate.Err()}
+		}
 		failure := FailureConnect
 		if netErr, ok := errors.AsType[net.Error](err); ok && netErr.Timeout() {
 			failure = FailureConnectTimeout
@@ -270,5 +280,5 @@
 }
 
 func (o outcome) String() string {
-	return [...]string{"done", "not_run", "failed", "broken", "silent", "stopped"}[o]
+	return [...]string{"done", "not_run", "failed", "broken", "silent", "stopped", "unsent"}[o]
 }
--- a/internal/zplog/event.go
+++ b/internal/zplog/event.go
@@ -75,6 +75,7 @@
 	RequestWaits      = Event{405, logrus.InfoLevel, "request waits for capacity at an endpoint", "see docs/operators/overload.md if many do"}
 	RequestAbandoned  = Event{407, logrus.InfoLevel, "caller closed its connection before it had the whole answer", "see docs/OPERATIONS.md if many do; compare age_ms and unread_ms"}
 	RequestSilent     = Event{406, logrus.InfoLevel, "endpoint sent no first byte within the expected time; the run is cancelled and repeated", "check the endpoint if it repeats"}
+	ChoiceRevoked     = Event{410, logrus.InfoLevel, "the configuration has excluded the chosen endpoint before the request was sent; another is chosen", "none"}
 	EndpointSuspect   = Event{500, logrus.WarnLevel, "endpoint shows signs of a cold start; new work is held", "none; check the endpoint if it persists"}
 	EndpointWarm      = Event{501, logrus.InfoLevel, "endpoint is warm", "none"}
 	OrderGiven        = Event{502, logrus.InfoLevel, "order given to an engine", "check the engine if it repeats"}
