The regions of a workspace count also on routes that need no key

A request on an anonymous route that carried a workspace's key ran in any region, although the workspace allows only some: the key was ignored there, and the regions with it. The regions of the key's workspace now bind on every route; the endpoint still learns no workspace on an anonymous one. Test failed before: 'keep the regions of their workspace on a route without keys' (ran on e1 in region n, allowed was t). Checked by: go test ./internal/zpgateway.

--- a/internal/zpgateway/regions.go
+++ b/internal/zpgateway/regions.go
@@ -19,20 +19,16 @@
 
 // regionsOf returns the regions that the current catalog allows a request. It may be newer
 // than the catalog under which the request was admitted. What it no longer lists keeps the
-// regions of the older one.
+// regions of the older one. The workspace of a key counts also on routes that need none.
 func (g *Gateway) regionsOf(j *job) zpcatalog.RegionFilter {
 	f := zpcatalog.RegionFilter{Route: j.route.Regions}
-	if j.workspace != nil {
-		f.Workspace = j.workspace.Regions
-	}
 	current := g.Catalog()
-	if current == j.catalog {
-		return f
-	}
 	if r, ok := current.RouteOf(j.request.Host, j.request.Path); ok {
 		f.Route = r.Regions
 	}
-	if w, ok := current.WorkspaceOf(j.request.APIKey); ok && j.workspace != nil {
+	if w, ok := current.WorkspaceOf(j.request.APIKey); ok {
+		f.Workspace = w.Regions
+	} else if w, ok := j.catalog.WorkspaceOf(j.request.APIKey); ok {
 		f.Workspace = w.Regions
 	}
 	return f
--- a/internal/zpgateway/regions_test.go
+++ b/internal/zpgateway/regions_test.go
@@ -123,4 +123,15 @@
 		Entry("a read", "read"),
 		Entry("a stream", "draft"),
 	)
+
+	It("keep the regions of their workspace on a route without keys", func() {
+		s := newRegionGateway(responds(http.StatusOK, "done"))
+		s.allow(nil, []string{"t"})
+		for i := range s.Catalog().Routes {
+			s.Catalog().Routes[i].Anonymous = true
+		}
+		s.serve(request("read"))
+		Expect(s.endpoints()).To(Equal([]string{"e4"}))
+		Expect(s.runner.runs[0].Workspace).To(BeEmpty())
+	})
 })
