Parts of prompts with restricted regions have a cache salt of their own

A part that was computed for a request whose route or workspace allows only some regions was found, fetched and copied by any other request with that part: sources and stores were filtered by the regions of the reader, and a reader without restrictions could move the part to another region. Class: the restriction belonged to the reader, not to the data. The allowed regions are now part of the salt, as isolation is, so engines and stores find such parts only for requests with the same regions. Cost: restricted and unrestricted requests no longer share parts. Test failed before: 'do not let others fetch the parts that were computed for them' (both had salt v1.m).

--- a/internal/zpgateway/choice.go
+++ b/internal/zpgateway/choice.go
@@ -104,7 +104,7 @@
 		}
 		c.candidate.MemoryTokens = j.pool.Engine.CacheTokens
 		c.candidate.OldWeights = c.weights < g.Weights.Target(p.Model)
-		c.salt = g.saltFor(j, c.weights)
+		c.salt = g.saltFor(j, c.weights, regions)
 	}
 	return c, true
 }
@@ -121,8 +121,9 @@
 }
 
 // saltFor returns the cache salt of the request's parts. It differs by model and
-// weight version, and for each isolated workspace.
-func (g *Gateway) saltFor(j *job, weights int64) string {
+// weight version, for each isolated workspace, and for each set of allowed regions:
+// otherwise a request without restrictions could move parts of one with them elsewhere.
+func (g *Gateway) saltFor(j *job, weights int64, regions zpcatalog.RegionFilter) string {
 	if weights == 0 {
 		// Parts computed with unknown weights must not be reused by other requests.
 		return "once-" + j.request.ID
@@ -131,7 +132,7 @@
 	if j.workspace != nil && j.workspace.Isolated {
 		isolated = j.workspace.Name
 	}
-	return formatSalt(j.request.Prompt.Model, weights, isolated)
+	return formatSalt(j.request.Prompt.Model, weights, isolated, regions.String())
 }
 
 // prefillTokens returns the number of prompt tokens that the engine must process
--- a/internal/zpgateway/parts.go
+++ b/internal/zpgateway/parts.go
@@ -78,8 +78,9 @@
 		return
 	}
 	var salts []string
+	regions := g.regionsOf(j)
 	for _, version := range g.Registry.Versions(j.pool.Name, j.request.Prompt.Model, g.Clock()) {
-		salts = append(salts, g.saltFor(j, version))
+		salts = append(salts, g.saltFor(j, version, regions))
 	}
 	keys := make([][]zpparts.Key, len(parts))
 	for i, part := range parts {
--- a/internal/zpgateway/regions_test.go
+++ b/internal/zpgateway/regions_test.go
@@ -12,6 +12,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpgateway"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpparts"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpregistry"
 )
 
@@ -134,4 +135,31 @@
 		Expect(s.endpoints()).To(Equal([]string{"e4"}))
 		Expect(s.runner.runs[0].Workspace).To(BeEmpty())
 	})
+
+	It("do not let others fetch the parts that were computed for them", func() {
+		prompt := func() *zpgateway.Request {
+			q := request("tag")
+			q.Prompt = &zpgateway.Prompt{Model: "m", Tokens: 60, OutputTokens: 5, Parts: []zpgateway.Part{{"p0", 20}, {"own", 10}}}
+			return q
+		}
+		salt := func(s *regionGateway) string {
+			s.serve(prompt())
+			return s.runner.runs[len(s.runner.runs)-1].Salt
+		}
+		s := newRegionGateway(responds(http.StatusOK, events))
+		salts := []string{salt(s)}
+		for _, regions := range [][]string{{"s"}, {"s", "t"}} {
+			s.allow(regions, nil)
+			salts = append(salts, salt(s))
+		}
+		for i, a := range salts {
+			for _, b := range salts[i+1:] {
+				Expect(a).NotTo(Equal(b))
+			}
+		}
+		s.allow(nil, []string{"t", "s"})
+		Expect(salt(s)).To(Equal(salts[2]))
+		s.Weights.SetTarget("m", 2, time.Now())
+		Expect(s.IsStalePart(zpparts.Key{Salt: salts[1], Part: "p0"})).To(BeFalse())
+	})
 })
--- a/internal/zpgateway/salt.go
+++ b/internal/zpgateway/salt.go
@@ -5,13 +5,17 @@
 	"strings"
 )
 
-// formatSalt returns the cache salt of one model and weight version. isolated is
-// the name of an isolated workspace, which has its own salt, or empty.
-func formatSalt(model string, weights int64, isolated string) string {
+// formatSalt returns the cache salt of one model and weight version. isolated is the name
+// of an isolated workspace, and regions names the only regions that may hold the parts;
+// each of these has its own salt. Both may be empty.
+func formatSalt(model string, weights int64, isolated, regions string) string {
 	salt := "v" + strconv.FormatInt(weights, 10) + "." + model
 	if isolated != "" {
 		salt += "." + isolated
 	}
+	if regions != "" {
+		salt += "@" + regions
+	}
 	return salt
 }
 
@@ -23,6 +27,7 @@
 		return "", 0, false
 	}
 	weights, err := strconv.ParseInt(version[1:], 10, 64)
+	rest, _, _ = strings.Cut(rest, "@")
 	model, _, _ = strings.Cut(rest, ".")
 	return model, weights, err == nil
 }
