A daemon that the store turns away learns newer configurations from other daemons

Class: old state believed although newer is within reach. Replies between daemons now carry the version of the configuration in use, as they do for weights; a daemon that is behind and hears nothing from the store for 0.8 s reads it from the other. In force is still only what the store has accepted; versions never go back. Checked by: go test ./internal/zppeer ./internal/zplog ./platform.

--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -65,6 +65,7 @@
 	recorder *zprelay.CachingStore
 	follower *zprelay.Follower
 	live     *liveDaemons
+	catalogs *catalogs
 	caches   *cacheFollowers
 	leaving  atomic.Bool
 	callers  *http.Server
@@ -126,6 +127,7 @@
 		Log: log, Metrics: d.Metrics, Clock: zpclock.Now, Random: rand.Float64,
 	}
 	d.registry.OnRemoved = d.endpointGone
+	d.catalogs = &catalogs{daemon: d}
 	d.buildSharing()
 	d.buildRollout()
 	d.watches = newWatches(d)
--- a/internal/zpapp/gateway_watches.go
+++ b/internal/zpapp/gateway_watches.go
@@ -125,23 +125,7 @@
 	}
 }
 
-func (w *watches) configChanged(o zpobject.Object) {
-	d := w.daemon
-	if o.Name != zpplatform.ConfigName || o.Deleted {
-		return
-	}
-	c, err := zpplatform.DecodeCatalog(o.Body)
-	if err != nil {
-		d.Log.Emit(zplog.ConfigRefused, zplog.Fields{"error": err.Error(), "revision": o.Revision})
-		return
-	}
-	if c.Version <= d.catalogVersion() || zpmutant.Active(zpmutant.Freshness) && d.catalogVersion() > 0 {
-		return
-	}
-	d.catalog.Store(c)
-	d.Metrics.ConfigVersion.Set(float64(c.Version))
-	d.Log.Emit(zplog.ConfigApplied, zplog.Fields{"version": c.Version, "revision": o.Revision, "routes": len(c.Routes), "restricted_routes": c.RestrictedRoutes()})
-}
+func (w *watches) configChanged(o zpobject.Object) { w.daemon.catalogs.apply(o, "") }
 
 func (w *watches) endpointsListed(objects []zpobject.Object) {
 	now := zpclock.Now()
@@ -262,13 +246,6 @@
 	return m, err == nil
 }
 
-func (d *GatewayDaemon) catalogVersion() int64 {
-	if c := d.catalog.Load(); c != nil {
-		return c.Version
-	}
-	return 0
-}
-
 // forEach adapts a function for one object to a list of objects.
 func forEach(change func(zpobject.Object)) func([]zpobject.Object) {
 	return func(objects []zpobject.Object) {
--- a/internal/zplog/event.go
+++ b/internal/zplog/event.go
@@ -67,6 +67,7 @@
 	StoreRecovered    = Event{306, logrus.InfoLevel, "the store answers again", "none"}
 	EntryIgnored      = Event{307, logrus.WarnLevel, "object in the store is not valid and is ignored", "find out what wrote it"}
 	EvacuationChanged = Event{308, logrus.InfoLevel, "failure domains out of service changed", "none"}
+	PeerCatalogUnread = Event{309, logrus.WarnLevel, "newer configuration of another daemon could not be read", "check the store and the other daemon if it persists"}
 	RequestFailed     = Event{400, logrus.WarnLevel, "request failed", "look up the code in docs/operators/errors.md"}
 	RequestRetried    = Event{401, logrus.InfoLevel, "request sent again to another endpoint", "none"}
 	RequestPlaced     = Event{402, logrus.InfoLevel, "request sent to an endpoint", "none"}
@@ -104,8 +105,8 @@
 	return []Event{
 		Started, Stopping, Stopped, DrainTimedOut, Reloaded, ReloadFailed, LeaseRenewFailed, LeaseLost,
 		LeaseLapsed, MemberEnded, MemberNotWritten, PartitionTaken, PartitionLeft, DutyTaken, DutyLeft, ConfigApplied, ConfigRefused,
-		ConfigStale, ConfigFresh, WatchFailed, StoreUnavailable, StoreRecovered, EntryIgnored, EvacuationChanged,
-		RequestFailed, RequestRetried, RequestPlaced, CrashRecorded, RequestAnswered, RequestWaits, RequestSilent, RequestAbandoned,
+		ConfigStale, ConfigFresh, WatchFailed, StoreUnavailable, StoreRecovered, EntryIgnored, EvacuationChanged, PeerCatalogUnread,
+		RequestFailed, RequestRetried, RequestPlaced, CrashRecorded, RequestAnswered, RequestWaits, RequestSilent, RequestAbandoned, ChoiceRevoked,
 		EndpointSuspect, EndpointWarm, OrderGiven, EndpointChanged, EndpointGone, WeightsNamed, WeightsLoaded,
 		OrderFailed, StoreState, EndpointAvoided, FingerprintBanned, ClaimSettleFailed, PeerFailed, PeerLost, PeerRecovered, OwnerUnresponsive, WatcherAvoided, RelayAvoided,
 		ServerFailed, LinesDropped, DaemonStalled,
--- a/internal/zppeer/digest.go
+++ b/internal/zppeer/digest.go
@@ -7,6 +7,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpdigest"
 	"github.com/zinniapaddle/zinniapaddle/internal/zppeer/zppeerpb"
 	"github.com/zinniapaddle/zinniapaddle/internal/zprollout"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpshare"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpusage"
 )
 
@@ -15,6 +16,7 @@
 	d := h.Digest(zpdigest.Report{Name: in.Name, Instance: in.Instance, Uses: decodeUses(in.Uses), KnownAlive: in.KnownAlive})
 	return &zppeerpb.LoadDigest{
 		Uses: encodeUses(d.Uses), Alive: d.Alive, AliveUnchanged: d.AliveUnchanged, Incomplete: d.Incomplete, Targets: encodeTargets(h.Targets()),
+		CatalogVersion: h.CatalogVersion(),
 	}, nil
 }
 
@@ -24,17 +26,17 @@
 }
 
 // ReportLoad sends the load of this daemon to the relay at address. It returns the load of
-// the other daemons, and recent target weight versions.
-func ReportLoad(ctx context.Context, d *Dialer, address string, r zpdigest.Report) (zpdigest.Digest, []zprollout.Target, error) {
+// the other daemons, and what the relay knows of weights and configuration.
+func ReportLoad(ctx context.Context, d *Dialer, address string, r zpdigest.Report) (zpdigest.Digest, zpshare.Reply, error) {
 	in := &zppeerpb.LoadReport{Name: r.Name, Instance: r.Instance, Uses: encodeUses(r.Uses), KnownAlive: r.KnownAlive}
 	out, err := doWithConn(ctx, d, address, "report_load", 0, func(ctx context.Context, conn Conn) (*zppeerpb.LoadDigest, error) {
 		return zppeerpb.NewDRPCSharingClient(conn).ReportLoad(ctx, in)
 	})
 	if err != nil {
-		return zpdigest.Digest{}, nil, err
+		return zpdigest.Digest{}, zpshare.Reply{}, err
 	}
 	digest := zpdigest.Digest{Uses: decodeUses(out.Uses), Alive: out.Alive, AliveUnchanged: out.AliveUnchanged, Incomplete: out.Incomplete}
-	return digest, decodeTargets(out.Targets), nil
+	return digest, zpshare.Reply{Targets: decodeTargets(out.Targets), CatalogVersion: out.CatalogVersion}, nil
 }
 
 // ExchangeSums sends the sum of this relay to the relay at address and returns its sum.
--- a/internal/zppeer/sharing.go
+++ b/internal/zppeer/sharing.go
@@ -21,19 +21,26 @@
 // SharingHandler serves the sharing RPCs, by which daemons that serve routed
 // requests exchange soft state.
 type SharingHandler struct {
-	Instance     string
-	Apply        func(m zpshare.Message)
-	Targets      func() []zprollout.Target                  // recent target weight versions
-	LookUpParts  func(keys []zpparts.Key) zpparts.Knowledge // returns what is known of the requested parts
-	Digest       func(r zpdigest.Report) zpdigest.Digest    // records a load and returns that of the others
-	MergeSum     func(s zpdigest.Sum) zpdigest.Sum          // records the sum of another relay and returns the own one
-	WatchObjects func(ctx context.Context, prefix string, since int64, wait time.Duration) (zprelay.Update, error)
+	Instance       string
+	Apply          func(m zpshare.Message)
+	Targets        func() []zprollout.Target                  // recent target weight versions
+	CatalogVersion func() int64                               // in use; zero: none yet
+	Catalog        func() zpobject.Object                     // the configuration in use
+	LookUpParts    func(keys []zpparts.Key) zpparts.Knowledge // returns what is known of the requested parts
+	Digest         func(r zpdigest.Report) zpdigest.Digest    // records a load and returns that of the others
+	MergeSum       func(s zpdigest.Sum) zpdigest.Sum          // records the sum of another relay and returns the own one
+	WatchObjects   func(ctx context.Context, prefix string, since int64, wait time.Duration) (zprelay.Update, error)
 }
 
 // Share implements zppeerpb.DRPCSharingServer.
 func (h *SharingHandler) Share(_ context.Context, in *zppeerpb.ShareRequest) (*zppeerpb.ShareReply, error) {
 	h.Apply(decodeMessage(in))
-	return &zppeerpb.ShareReply{Instance: h.Instance, Targets: encodeTargets(h.Targets())}, nil
+	return &zppeerpb.ShareReply{Instance: h.Instance, Targets: encodeTargets(h.Targets()), CatalogVersion: h.CatalogVersion()}, nil
+}
+
+// ReadCatalog implements zppeerpb.DRPCSharingServer.
+func (h *SharingHandler) ReadCatalog(context.Context, *zppeerpb.ReadCatalogRequest) (*zppeerpb.ReadCatalogReply, error) {
+	return &zppeerpb.ReadCatalogReply{Object: encodeObject(h.Catalog())}, nil
 }
 
 // Recall implements zppeerpb.DRPCSharingServer.
@@ -50,7 +57,7 @@
 	}
 	out := &zppeerpb.FollowReply{Revision: a.Revision, Whole: a.Complete}
 	for _, o := range a.Objects {
-		out.Objects = append(out.Objects, &zppeerpb.FollowedObject{Name: o.Name, Revision: o.Revision, Body: o.Body, Deleted: o.Deleted})
+		out.Objects = append(out.Objects, encodeObject(o))
 	}
 	return out, nil
 }
@@ -73,7 +80,18 @@
 	if err != nil {
 		return zpshare.Reply{}, err
 	}
-	return zpshare.Reply{Instance: out.Instance, Targets: decodeTargets(out.Targets)}, nil
+	return zpshare.Reply{Instance: out.Instance, Targets: decodeTargets(out.Targets), CatalogVersion: out.CatalogVersion}, nil
+}
+
+// ReadCatalog returns the configuration that the daemon at address uses.
+func ReadCatalog(ctx context.Context, d *Dialer, address string) (zpobject.Object, error) {
+	out, err := doWithConn(ctx, d, address, "read_catalog", 0, func(ctx context.Context, conn Conn) (*zppeerpb.ReadCatalogReply, error) {
+		return zppeerpb.NewDRPCSharingClient(conn).ReadCatalog(ctx, &zppeerpb.ReadCatalogRequest{})
+	})
+	if err != nil {
+		return zpobject.Object{}, err
+	}
+	return decodeObject(out.Object), nil
 }
 
 // Recall returns what the daemon at address knows of the given parts.
@@ -104,11 +122,20 @@
 	}
 	a := zprelay.Update{Complete: out.Whole, Listing: zpobject.Listing{Revision: out.Revision}}
 	for _, o := range out.Objects {
-		a.Objects = append(a.Objects, zpobject.Object{Name: o.Name, Revision: o.Revision, Body: o.Body, Deleted: o.Deleted})
+		a.Objects = append(a.Objects, decodeObject(o))
 	}
 	return a, nil
 }
 
+func encodeObject(o zpobject.Object) *zppeerpb.FollowedObject {
+	return &zppeerpb.FollowedObject{Name: o.Name, Revision: o.Revision, Body: o.Body, Deleted: o.Deleted}
+}
+
+// decodeObject returns an object without a name if there is none.
+func decodeObject(o *zppeerpb.FollowedObject) zpobject.Object {
+	return zpobject.Object{Name: o.GetName(), Revision: o.GetRevision(), Body: o.GetBody(), Deleted: o.GetDeleted()}
+}
+
 func partKeys(changes []zpparts.Change) []zpparts.Key {
 	out := make([]zpparts.Key, 0, len(changes))
 	for _, c := range changes {
--- a/internal/zppeer/sharing_test.go
+++ b/internal/zppeer/sharing_test.go
@@ -11,6 +11,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zprollout"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpshare"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpusage"
+	"github.com/zinniapaddle/zinniapaddle/pkg/zpobject"
 )
 
 // serveSharing serves the sharing service on loopback and returns its address.
@@ -29,13 +30,15 @@
 }
 
 var _ = Describe("Share", func() {
-	It("carries the load of endpoints there and recent target weight versions back", func() {
+	It("carries the load of endpoints there, and recent target weight versions and the version of the configuration back", func() {
+		object := zpobject.Object{Name: "config/main", Revision: 5, Body: []byte("{}")}
 		received := make(chan zpshare.Message, 1)
 		targets := []zprollout.Target{
 			{Model: "m", Version: 3, Age: 1500 * time.Millisecond}, {Model: "n", Version: 7, Age: 20 * time.Millisecond, Estimated: true},
 		}
 		address := serveSharing(&zppeer.SharingHandler{
 			Instance: "b.1", Apply: func(m zpshare.Message) { received <- m }, Targets: func() []zprollout.Target { return targets },
+			CatalogVersion: func() int64 { return 9 }, Catalog: func() zpobject.Object { return object },
 		})
 		d := &zppeer.Dialer{Timeout: time.Second}
 		d.Open()
@@ -43,7 +46,8 @@
 		uses := map[string]zpusage.Usage{"e": {Requests: 2, PrefillTokens: 5, MemoryTokens: 7}}
 		reply, err := zppeer.Share(context.Background(), d, address, zpshare.Message{Instance: "a.1", Domain: "x", Uses: uses})
 		Expect(err).NotTo(HaveOccurred())
-		Expect(reply).To(Equal(zpshare.Reply{Instance: "b.1", Targets: targets}))
+		Expect(reply).To(Equal(zpshare.Reply{Instance: "b.1", Targets: targets, CatalogVersion: 9}))
 		Expect(<-received).To(Equal(zpshare.Message{Instance: "a.1", Domain: "x", Uses: uses}))
+		Expect(zppeer.ReadCatalog(context.Background(), d, address)).To(Equal(object))
 	})
 })
