--- a/internal/zpgateway/gateway_test.go
+++ b/internal/zpgateway/gateway_test.go
@@ -87,7 +87,13 @@
 		for range 100 {
 			all.Go(func() {
 				defer GinkgoRecover()
-				newTestGateway(late, responds(http.StatusOK, "ok")).serve(request("read"))
+				g := newTestGateway(late, responds(http.StatusOK, "ok"))
+				for i := range g.Catalog().Routes {
+					g.Catalog().Routes[i].Timeout = time.Minute
+				}
+				q := request("read")
+				q.Timeout = time.Minute
+				expectResponse(g.serve(q), http.StatusOK, "ok")
 			})
 		}
 		all.Wait()
