A daemon that was paused confirms its configuration before it runs restricted requests

Callers saw nothing; operators that had moved a route to another region more than 2.5 s before saw daemons that woke from a pause run requests in the old one. Now a pause of a second or more (missed signs of activity, on a clock that counts suspension) leaves the catalog unconfirmed. The daemon reads the configuration from the store at once, beside what it follows, and takes the word of daemons that the store has confirmed recently. Requests wait for that for up to 0.5 s; then those with restricted regions are refused as not run until it is confirmed, and all others are served as before, so an outage of the store costs them nothing more. Checked by: go test -race ./internal/zpgateway ./internal/zpcatalog ./internal/zppeer, go test ./platform, the e2e spec.

--- a/e2e/disconnected_callers_test.go
+++ b/e2e/disconnected_callers_test.go
@@ -26,8 +26,9 @@
 // an endpoint served by the test.
 type platformDaemon struct {
 	daemon         *zpsite.Process
-	endpoint       *zpoutside.Endpoint
-	callersAddress string // address that callers connect to
+	store          *zpoutside.Store
+	endpoint       *zpoutside.Endpoint // in failure domain "a", region "n"
+	callersAddress string              // address that callers connect to
 }
 
 func disconnectIP(i int) string { return fmt.Sprintf("127.%d.0.%d", disconnectSiteNumber, i) }
@@ -47,15 +48,9 @@
 	store := zpoutside.NewStore()
 	store.Put("config", "main", zpoutside.Config{Version: 1, Pool: disconnectPool, ColdPerSecond: 6, Key: disconnectAPIKey}.Text())
 	serveHTTP(disconnectIP(1)+":7000", store)
-	p := &platformDaemon{callersAddress: fmt.Sprintf("%s:%d", disconnectIP(3), zpoutside.CallersPort)}
-	p.endpoint = &zpoutside.Endpoint{
-		Pool: disconnectPool, Domain: "a", Address: disconnectIP(2) + ":9000", Slots: 400, Work: work, Events: 20, Log: &zpoutside.Log{},
-	}
-	p.endpoint.Start("i-0", 0)
-	serveHTTP(p.endpoint.Address, p.endpoint)
-	name, entry := p.endpoint.Entry()
-	store.Put("servers", name, entry)
-	node := zpoutside.Node{Name: "front-0", IP: disconnectIP(3), Domain: "a", Region: "n", Regions: map[string]string{"a": "n"}, Store: disconnectIP(1) + ":7000", MemoryMB: 284}
+	p := &platformDaemon{store: store, callersAddress: fmt.Sprintf("%s:%d", disconnectIP(3), zpoutside.CallersPort)}
+	p.endpoint = p.addEndpoint("i-0", "a", disconnectIP(2)+":9000", work)
+	node := zpoutside.Node{Name: "front-0", IP: disconnectIP(3), Domain: "a", Region: "n", Regions: map[string]string{"a": "n", "b": "s"}, Store: disconnectIP(1) + ":7000", MemoryMB: 284}
 	file := filepath.Join(dir, "front-0.toml")
 	Expect(os.WriteFile(file, []byte(node.Settings()), 0o600)).To(Succeed())
 	p.daemon = &zpsite.Process{
@@ -74,6 +69,17 @@
 	return p
 }
 
+// addEndpoint starts an endpoint that logs its own runs.
+func (p *platformDaemon) addEndpoint(id, domain, address string, work time.Duration) *zpoutside.Endpoint {
+	GinkgoHelper()
+	e := &zpoutside.Endpoint{Pool: disconnectPool, Domain: domain, Address: address, Slots: 400, Work: work, Events: 20, Log: &zpoutside.Log{}}
+	e.Start(id, 0)
+	serveHTTP(address, e)
+	name, entry := e.Entry()
+	p.store.Put("servers", name, entry)
+	return e
+}
+
 // send writes a complete request, does not read the response, and returns the
 // connection.
 func (p *platformDaemon) send(method, kind, id, body string) net.Conn {
--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -117,7 +117,8 @@
 	d.store.Open()
 	d.sender = zpplatform.NewSender()
 	d.gateway = &zpgateway.Gateway{
-		Domain: s.Domain, Region: s.Region, RegionOf: n.RegionOf, Catalog: d.catalog.Load, CatalogConfirmedAt: func() time.Time { return d.follower.ReadAt() }, Registry: d.registry, HasSynced: d.hasSynced,
+		Domain: s.Domain, Region: s.Region, RegionOf: n.RegionOf, Catalog: d.catalog.Load, CatalogConfirmedAt: func() time.Time { return d.follower.ReadAt() },
+		AwaitCatalog: func(ctx context.Context) { d.catalogs.await(ctx) }, IsCatalogConfirmed: func() bool { return d.catalogs.guard.IsConfirmed() }, Registry: d.registry, HasSynced: d.hasSynced,
 		Weights: d.weights, Usage: zpusage.NewTracker(usageMaxAge), Parts: zpparts.NewDirectory(maxPartsPerHolder),
 		Stores: zpparts.NewStores(cacheStoreStateMaxAge, cacheStoreSettleDelay), AnnounceParts: d.announceParts, RefreshParts: d.query,
 		Health: zpgateway.NewHealthTracker(), Cold: &zpplace.ColdLimiter{Self: s.Name}, Daemons: d.members.Names,
@@ -128,6 +129,7 @@
 	}
 	d.registry.OnRemoved = d.endpointGone
 	d.catalogs = &catalogs{daemon: d}
+	d.catalogs.recordActive(zpclock.Now())
 	d.buildSharing()
 	d.buildRollout()
 	d.watches = newWatches(d)
@@ -163,7 +165,10 @@
 	workers.Go(func() { d.exchange.Run(work) })
 	workers.Go(func() { d.servePeers(work, failed) })
 	workers.Go(func() { d.caches.run(work) })
-	stalls := &zpstall.Detector{Log: d.Log, Clock: zpclock.Now, Observe: func(late time.Duration) { d.Metrics.StallSeconds.Observe(late.Seconds()) }}
+	stalls := &zpstall.Detector{Log: d.Log, Clock: zpclock.Now, Observe: func(late time.Duration) {
+		d.Metrics.StallSeconds.Observe(late.Seconds())
+		d.catalogs.recordActive(zpclock.Now())
+	}}
 	workers.Go(func() { stalls.Run(work) })
 	duties, stopDuties := context.WithCancel(work)
 	defer stopDuties()
--- a/internal/zpapp/gateway_catalogs.go
+++ b/internal/zpapp/gateway_catalogs.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
+	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpclock"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 	"github.com/zinniapaddle/zinniapaddle/internal/zppeer"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpshare"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zpobject"
 	zpplatform "github.com/zinniapaddle/zinniapaddle/platform"
 )
@@ -16,10 +20,12 @@
 // concurrent use.
 type catalogs struct {
 	daemon *GatewayDaemon
+	guard  zpcatalog.PauseGuard
 
-	mu        sync.Mutex
-	object    zpobject.Object // of the configuration in use
-	isFetched bool            // a newer configuration is being fetched from another daemon
+	mu           sync.Mutex
+	object       zpobject.Object // of the configuration in use
+	isFetching   bool            // a newer configuration is being fetched from another daemon
+	isConfirming bool            // confirm runs
 }
 
 // peerCatalogDelay is the time in which the store should report a configuration that
@@ -27,6 +33,13 @@
 // store may be out of reach. It is well below the time in which a change must apply.
 const peerCatalogDelay = 800 * time.Millisecond
 
+const (
+	confirmRetryDelay = 200 * time.Millisecond
+	// maxCatalogAge is the time since the last word of the store up to which this daemon
+	// confirms the catalog of another one: one watch and the time of a slow response.
+	maxCatalogAge = configWatchWait + 500*time.Millisecond
+)
+
 // apply applies a configuration unless it is older than the one in use. address is that of
 // the daemon that it was read from, or empty for the store.
 func (c *catalogs) apply(o zpobject.Object, address string) {
@@ -59,25 +72,34 @@
 	return c.object
 }
 
-// learnVersion learns the version that another daemon uses. If it is newer and the store
-// does not report it, the configuration is read from that daemon.
-func (c *catalogs) learnVersion(address string, version int64) {
-	if version <= c.daemon.catalogVersion() {
+// learn learns from the reply of another daemon to a call that began at startedAt which
+// version that daemon uses. If it is newer and the store does not report it, the
+// configuration is read from that daemon.
+func (c *catalogs) learn(address string, reply zpshare.Reply, startedAt time.Time) {
+	if reply.CatalogVersion <= c.daemon.catalogVersion() {
+		if reply.CatalogConfirmed && reply.CatalogVersion > 0 {
+			c.guard.RecordConfirmed(startedAt)
+		}
 		return
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.isFetched {
-		c.isFetched = true
-		time.AfterFunc(peerCatalogDelay, func() { c.fetch(address, version) })
+	if c.isFetching {
+		return
 	}
+	c.isFetching = true
+	delay := peerCatalogDelay
+	if !c.guard.IsConfirmed() {
+		delay = 0
+	}
+	time.AfterFunc(delay, func() { c.fetch(address, reply.CatalogVersion) })
 }
 
 func (c *catalogs) fetch(address string, version int64) {
 	defer func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
-		c.isFetched = false
+		c.isFetching = false
 	}()
 	if version <= c.daemon.catalogVersion() {
 		return
@@ -92,6 +114,72 @@
 	c.apply(o, address)
 }
 
+// await waits until the catalog is confirmed after a pause of the process, for at most
+// zpcatalog.MaxPauseWait.
+func (c *catalogs) await(ctx context.Context) {
+	now := zpclock.Now()
+	c.recordActive(now)
+	if c.guard.MustWait(now) {
+		waitUntil(ctx, zpcatalog.MaxPauseWait, func() bool { return !c.guard.MustWait(zpclock.Now()) })
+	}
+}
+
+// recordActive records that the process runs. After a pause it reads the configuration from
+// the store itself, as what it follows may have been paused, too.
+func (c *catalogs) recordActive(now time.Time) {
+	if !c.guard.RecordActive(now) {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.isConfirming {
+		c.isConfirming = true
+		go c.confirm()
+	}
+}
+
+// confirm reads the configuration until it is confirmed or the daemon stops.
+func (c *catalogs) confirm() {
+	defer func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.isConfirming = false
+	}()
+	resumedAt, before := zpclock.Now(), c.daemon.catalogVersion()
+	for attempts := 1; !c.daemon.leaving.Load(); attempts++ {
+		err := c.read()
+		if c.guard.IsConfirmed() {
+			c.daemon.Log.Emit(zplog.CatalogConfirmed, zplog.Fields{
+				"before": before, "catalog": c.daemon.catalogVersion(), "attempts": attempts, "took_ms": zpclock.Now().Sub(resumedAt).Milliseconds(),
+			})
+			return
+		}
+		c.daemon.Log.Emit(zplog.CatalogUnconfirmed, zplog.Fields{"catalog": c.daemon.catalogVersion(), "attempts": attempts, "error": fmt.Sprint(err)})
+		time.Sleep(confirmRetryDelay)
+	}
+}
+
+func (c *catalogs) read() error {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	startedAt := zpclock.Now()
+	l, err := c.daemon.store.List(ctx, zpplatform.ConfigPrefix)
+	if err != nil {
+		return err
+	}
+	for _, o := range l.Objects {
+		c.apply(o, "")
+	}
+	c.guard.RecordConfirmed(startedAt)
+	return nil
+}
+
+// isRecent reports whether the store has confirmed the catalog recently, and since the last
+// pause.
+func (c *catalogs) isRecent() bool {
+	return c.guard.IsConfirmed() && zpclock.Now().Sub(c.daemon.follower.ReadAt()) <= maxCatalogAge
+}
+
 func (d *GatewayDaemon) catalogVersion() int64 {
 	if c := d.catalog.Load(); c != nil {
 		return c.Version
--- a/internal/zpapp/gateway_sharing.go
+++ b/internal/zpapp/gateway_sharing.go
@@ -29,9 +29,10 @@
 	d.sharer = &zpshare.Sharer{
 		Self: d.self.Instance, Domain: d.self.Domain, Region: d.self.Region, Usage: d.gateway.Usage, Others: d.members.Others,
 		Send: func(ctx context.Context, address string, m zpshare.Message) (string, error) {
+			startedAt := zpclock.Now()
 			reply, err := zppeer.Share(ctx, d.dialer, address, m)
 			d.mergeTargets(address, reply.Targets)
-			d.catalogs.learnVersion(address, reply.CatalogVersion)
+			d.catalogs.learn(address, reply, startedAt)
 			return reply.Instance, err
 		},
 		SendsLoad: func() bool { return !d.exchange.IsActive() },
@@ -41,9 +42,10 @@
 	d.exchange = &zpdigest.Exchange{
 		Self: d.self, Hub: d.hub, Usage: d.gateway.Usage, Others: d.members.Others, Log: d.Log, Clock: zpclock.Now,
 		ReportLoad: func(ctx context.Context, address string, r zpdigest.Report) (zpdigest.Digest, error) {
+			startedAt := zpclock.Now()
 			digest, reply, err := zppeer.ReportLoad(ctx, d.dialer, address, r)
 			d.mergeTargets(address, reply.Targets)
-			d.catalogs.learnVersion(address, reply.CatalogVersion)
+			d.catalogs.learn(address, reply, startedAt)
 			return digest, err
 		},
 		ExchangeSums: func(ctx context.Context, address string, s zpdigest.Sum) (zpdigest.Sum, error) {
@@ -82,7 +84,7 @@
 	lis, err := zppeer.Listen(d.Node.Settings.Peers.Listen, nil)
 	if err == nil {
 		err = zppeer.ServeSharing(ctx, lis, &zppeer.SharingHandler{
-			Instance: d.self.Instance, Apply: d.applyMessage, CatalogVersion: d.catalogVersion, Catalog: d.catalogs.current, LookUpParts: d.lookUpParts, WatchObjects: d.recorder.Follow,
+			Instance: d.self.Instance, Apply: d.applyMessage, CatalogVersion: d.catalogVersion, CatalogConfirmed: d.catalogs.isRecent, Catalog: d.catalogs.current, LookUpParts: d.lookUpParts, WatchObjects: d.recorder.Follow,
 			Targets: func() []zprollout.Target { return d.weights.Recent(zpclock.Now()) },
 			Digest:  d.answerReport, MergeSum: d.mergeSum,
 		})
--- /dev/null
+++ b/internal/zpcatalog/pause_guard_test.go
@@ -0,0 +1,54 @@
+package zpcatalog_test
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
+)
+
+var _ = Describe("PauseGuard", func() {
+	start := time.Unix(1000, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	var g *zpcatalog.PauseGuard
+
+	BeforeEach(func() {
+		g = &zpcatalog.PauseGuard{}
+		for ms := 0; ms <= 600; ms += 200 {
+			Expect(g.RecordActive(at(ms))).To(BeFalse())
+		}
+	})
+
+	It("lets requests pass while the process runs", func() {
+		Expect(g.MustWait(at(700))).To(BeFalse())
+		Expect(g.IsConfirmed()).To(BeTrue())
+	})
+
+	It("makes requests wait after a pause until a call that began after it has confirmed the catalog", func() {
+		Expect(g.RecordActive(at(5000))).To(BeTrue())
+		Expect(g.MustWait(at(5000))).To(BeTrue())
+		g.RecordConfirmed(at(700))
+		Expect(g.MustWait(at(5010))).To(BeTrue())
+		g.RecordConfirmed(at(5000))
+		Expect(g.MustWait(at(5020))).To(BeFalse())
+	})
+
+	It("lets requests pass after a while if the store does not answer, without a confirmation", func() {
+		g.RecordActive(at(5000))
+		Expect(g.MustWait(at(5499))).To(BeTrue())
+		Expect(g.MustWait(at(5500))).To(BeFalse())
+		Expect(g.IsConfirmed()).To(BeFalse())
+		g.RecordConfirmed(at(9000))
+		Expect(g.IsConfirmed()).To(BeTrue())
+	})
+
+	It("tells one pause once, and each further one again", func() {
+		Expect(g.RecordActive(at(5000))).To(BeTrue())
+		Expect(g.RecordActive(at(5001))).To(BeFalse())
+		g.RecordConfirmed(at(5001))
+		Expect(g.RecordActive(at(6001))).To(BeTrue())
+		Expect(g.MustWait(at(6002))).To(BeTrue())
+	})
+})
--- a/internal/zpgateway/gateway.go
+++ b/internal/zpgateway/gateway.go
@@ -26,6 +26,10 @@
 	Region   string
 	RegionOf func(domain string) string
 	Catalog  func() *zpcatalog.Catalog // returns nil until a configuration is loaded
+	// IsCatalogConfirmed is false after a pause of the process until the catalog is known to
+	// be the newest again. AwaitCatalog waits for that, for a limited time.
+	IsCatalogConfirmed func() bool
+	AwaitCatalog       func(ctx context.Context)
 	// CatalogConfirmedAt returns when the store last confirmed the catalog; for the log.
 	CatalogConfirmedAt func() time.Time
 	Registry           *zpregistry.Registry
@@ -82,6 +86,8 @@
 		"the route's pool is not configured", "correct the configuration")
 	errNoEndpoint = zperror.New(zperror.KindUnavailable, "no_endpoint",
 		"no endpoint may take the request now", "send the request again after the time in Retry-After")
+	errRegionUnconfirmed = zperror.New(zperror.KindUnavailable, "region_unconfirmed",
+		"this VM was paused and cannot confirm yet which regions may run the request", "send the request again after the time in Retry-After")
 	errOverloaded = zperror.New(zperror.KindUnavailable, "overloaded",
 		"no endpoint can answer the request in time", "send the request again after the time in Retry-After")
 	errDeadlinePassed = zperror.New(zperror.KindUnavailable, "deadline_passed",
@@ -106,6 +112,7 @@
 	j := &job{request: q, caller: reply, tried: map[string]bool{}}
 	defer g.watchDisconnect(ctx, j)()
 	defer func() { g.ResponseMemory.Release(j.bufferedBytes) }()
+	g.AwaitCatalog(ctx)
 	err := g.admit(j)
 	if err == nil {
 		err = g.run(ctx, j, reply)
--- a/internal/zpgateway/helpers_test.go
+++ b/internal/zpgateway/helpers_test.go
@@ -180,7 +180,7 @@
 	registry.SetEvacuated(nil)
 	return testGateway{runner: runner, Gateway: &zpgateway.Gateway{
 		Domain: "a", Region: "n", RegionOf: func(string) string { return "n" },
-		Catalog: func() *zpcatalog.Catalog { return catalog }, CatalogConfirmedAt: time.Now, Registry: registry,
+		Catalog: func() *zpcatalog.Catalog { return catalog }, CatalogConfirmedAt: time.Now, AwaitCatalog: func(context.Context) {}, IsCatalogConfirmed: func() bool { return true }, Registry: registry,
 		HasSynced: func() bool { return true },
 		Weights:   zprollout.NewWeightVersions(8 * time.Second), Usage: zpusage.NewTracker(time.Second), Parts: zpparts.NewDirectory(100),
 		Stores: zpparts.NewStores(time.Hour, 0), AnnounceParts: func(zpgateway.PartChanges) {}, RefreshParts: func(context.Context, [][]zpparts.Key) {}, Health: zpgateway.NewHealthTracker(),
--- a/internal/zpgateway/regions.go
+++ b/internal/zpgateway/regions.go
@@ -6,12 +6,21 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
 )
 
-var errRegionExcluded = errors.New("the configuration no longer allows the endpoint's region")
+var errRegionExcluded = errors.New("the endpoint's region is no longer allowed, or this is not confirmed")
 
-// checkRegion returns an error if the current catalog does not allow the region of the
-// chosen endpoint.
+// checkRegionsConfirmed returns an error if the regions of a request are restricted and may
+// have changed during a pause of the process.
+func (g *Gateway) checkRegionsConfirmed(j *job) error {
+	if g.IsCatalogConfirmed() || g.regionsOf(j).IsEmpty() {
+		return nil
+	}
+	return errRegionUnconfirmed.WithRetryAfter(retryAfterUnavailable)
+}
+
+// checkRegion returns an error if the chosen endpoint is not, or may no longer be, in a
+// region that the request is allowed.
 func (g *Gateway) checkRegion(j *job, c choice) error {
-	if !g.regionsOf(j).Allows(c.endpoint.Region) {
+	if !g.regionsOf(j).Allows(c.endpoint.Region) || g.checkRegionsConfirmed(j) != nil {
 		return errRegionExcluded
 	}
 	return nil
--- a/internal/zpgateway/regions_test.go
+++ b/internal/zpgateway/regions_test.go
@@ -14,6 +14,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpgateway"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpparts"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpregistry"
+	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
 )
 
 // regionGateway is a gateway with e1 and e2 in region "n", e3 in "s" and e4 in "t".
@@ -125,6 +126,28 @@
 		Entry("a stream", "draft"),
 	)
 
+	It("are refused as not run while the daemon cannot confirm its catalog after a pause, and others are served", func() {
+		s := newRegionGateway(responds(http.StatusOK, "done"))
+		s.IsCatalogConfirmed = func() bool { return false }
+		expectResponse(s.serve(request("read")), http.StatusOK, "done")
+		s.allow([]string{"s"}, nil)
+		expectRefused(s.serve(request("read")), http.StatusServiceUnavailable, zperror.RunStateNotRun)
+		Expect(s.runner.runs).To(HaveLen(1))
+	})
+
+	It("are not sent by a daemon that was paused while they were connecting", func() {
+		var s *regionGateway
+		isConfirmed := true
+		connects := func(ctx context.Context, gate *zpengine.Gate) (*zpgateway.Response, error) {
+			isConfirmed = false
+			return nil, gate.Open()
+		}
+		s = newRegionGateway(connects)
+		s.IsCatalogConfirmed = func() bool { return isConfirmed }
+		s.allow([]string{"t"}, nil)
+		expectRefused(s.serve(request("book")), http.StatusServiceUnavailable, zperror.RunStateNotRun)
+	})
+
 	It("keep the regions of their workspace on a route without keys", func() {
 		s := newRegionGateway(responds(http.StatusOK, "done"))
 		s.allow(nil, []string{"t"})
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -48,6 +48,10 @@
 			return errCallerGone.WithState(j.runState)
 		}
 		j.setStage(stagePlace)
+		g.AwaitCatalog(ctx)
+		if err := g.checkRegionsConfirmed(j); err != nil {
+			return g.giveUp(j, reply, sendResult{err: g.withRunState(j, err)})
+		}
 		g.refreshParts(ctx, j)
 		c, err := g.place(ctx, j)
 		if err != nil {
--- a/internal/zppeer/digest.go
+++ b/internal/zppeer/digest.go
@@ -16,7 +16,7 @@
 	d := h.Digest(zpdigest.Report{Name: in.Name, Instance: in.Instance, Uses: decodeUses(in.Uses), KnownAlive: in.KnownAlive})
 	return &zppeerpb.LoadDigest{
 		Uses: encodeUses(d.Uses), Alive: d.Alive, AliveUnchanged: d.AliveUnchanged, Incomplete: d.Incomplete, Targets: encodeTargets(h.Targets()),
-		CatalogVersion: h.CatalogVersion(),
+		CatalogVersion: h.CatalogVersion(), CatalogConfirmed: h.CatalogConfirmed(),
 	}, nil
 }
 
@@ -36,7 +36,7 @@
 		return zpdigest.Digest{}, zpshare.Reply{}, err
 	}
 	digest := zpdigest.Digest{Uses: decodeUses(out.Uses), Alive: out.Alive, AliveUnchanged: out.AliveUnchanged, Incomplete: out.Incomplete}
-	return digest, zpshare.Reply{Targets: decodeTargets(out.Targets), CatalogVersion: out.CatalogVersion}, nil
+	return digest, zpshare.Reply{Targets: decodeTargets(out.Targets), CatalogVersion: out.CatalogVersion, CatalogConfirmed: out.CatalogConfirmed}, nil
 }
 
 // ExchangeSums sends the sum of this relay to the relay at address and returns its sum.
--- a/internal/zppeer/message_fuzz_test.go
+++ b/internal/zppeer/message_fuzz_test.go
@@ -22,7 +22,7 @@
 	}
 	f.Add(inconsistent)
 	h := &zppeer.SharingHandler{
-		Instance: "b", Apply: func(zpshare.Message) {}, Targets: func() []zprollout.Target { return nil }, CatalogVersion: func() int64 { return 0 },
+		Instance: "b", Apply: func(zpshare.Message) {}, Targets: func() []zprollout.Target { return nil }, CatalogVersion: func() int64 { return 0 }, CatalogConfirmed: func() bool { return true },
 		Digest: func(zpdigest.Report) zpdigest.Digest { return zpdigest.Digest{} }, MergeSum: func(s zpdigest.Sum) zpdigest.Sum { return s },
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
--- a/internal/zppeer/sharing.go
+++ b/internal/zppeer/sharing.go
@@ -21,21 +21,22 @@
 // SharingHandler serves the sharing RPCs, by which daemons that serve routed
 // requests exchange soft state.
 type SharingHandler struct {
-	Instance       string
-	Apply          func(m zpshare.Message)
-	Targets        func() []zprollout.Target                  // recent target weight versions
-	CatalogVersion func() int64                               // in use; zero: none yet
-	Catalog        func() zpobject.Object                     // the configuration in use
-	LookUpParts    func(keys []zpparts.Key) zpparts.Knowledge // returns what is known of the requested parts
-	Digest         func(r zpdigest.Report) zpdigest.Digest    // records a load and returns that of the others
-	MergeSum       func(s zpdigest.Sum) zpdigest.Sum          // records the sum of another relay and returns the own one
-	WatchObjects   func(ctx context.Context, prefix string, since int64, wait time.Duration) (zprelay.Update, error)
+	Instance         string
+	Apply            func(m zpshare.Message)
+	Targets          func() []zprollout.Target                  // recent target weight versions
+	CatalogVersion   func() int64                               // in use; zero: none yet
+	CatalogConfirmed func() bool                                // the store has confirmed the configuration recently
+	Catalog          func() zpobject.Object                     // the configuration in use
+	LookUpParts      func(keys []zpparts.Key) zpparts.Knowledge // returns what is known of the requested parts
+	Digest           func(r zpdigest.Report) zpdigest.Digest    // records a load and returns that of the others
+	MergeSum         func(s zpdigest.Sum) zpdigest.Sum          // records the sum of another relay and returns the own one
+	WatchObjects     func(ctx context.Context, prefix string, since int64, wait time.Duration) (zprelay.Update, error)
 }
 
 // Share implements zppeerpb.DRPCSharingServer.
 func (h *SharingHandler) Share(_ context.Context, in *zppeerpb.ShareRequest) (*zppeerpb.ShareReply, error) {
 	h.Apply(decodeMessage(in))
-	return &zppeerpb.ShareReply{Instance: h.Instance, Targets: encodeTargets(h.Targets()), CatalogVersion: h.CatalogVersion()}, nil
+	return &zppeerpb.ShareReply{Instance: h.Instance, Targets: encodeTargets(h.Targets()), CatalogVersion: h.CatalogVersion(), CatalogConfirmed: h.CatalogConfirmed()}, nil
 }
 
 // ReadCatalog implements zppeerpb.DRPCSharingServer.
@@ -80,7 +81,7 @@
 	if err != nil {
 		return zpshare.Reply{}, err
 	}
-	return zpshare.Reply{Instance: out.Instance, Targets: decodeTargets(out.Targets), CatalogVersion: out.CatalogVersion}, nil
+	return zpshare.Reply{Instance: out.Instance, Targets: decodeTargets(out.Targets), CatalogVersion: out.CatalogVersion, CatalogConfirmed: out.CatalogConfirmed}, nil
 }
 
 // ReadCatalog returns the configuration that the daemon at address uses.
--- a/internal/zppeer/sharing_test.go
+++ b/internal/zppeer/sharing_test.go
@@ -38,7 +38,7 @@
 		}
 		address := serveSharing(&zppeer.SharingHandler{
 			Instance: "b.1", Apply: func(m zpshare.Message) { received <- m }, Targets: func() []zprollout.Target { return targets },
-			CatalogVersion: func() int64 { return 9 }, Catalog: func() zpobject.Object { return object },
+			CatalogVersion: func() int64 { return 9 }, CatalogConfirmed: func() bool { return true }, Catalog: func() zpobject.Object { return object },
 		})
 		d := &zppeer.Dialer{Timeout: time.Second}
 		d.Open()
@@ -46,7 +46,7 @@
 		uses := map[string]zpusage.Usage{"e": {Requests: 2, PrefillTokens: 5, MemoryTokens: 7}}
 		reply, err := zppeer.Share(context.Background(), d, address, zpshare.Message{Instance: "a.1", Domain: "x", Uses: uses})
 		Expect(err).NotTo(HaveOccurred())
-		Expect(reply).To(Equal(zpshare.Reply{Instance: "b.1", Targets: targets, CatalogVersion: 9}))
+		Expect(reply).To(Equal(zpshare.Reply{Instance: "b.1", Targets: targets, CatalogVersion: 9, CatalogConfirmed: true}))
 		Expect(<-received).To(Equal(zpshare.Message{Instance: "a.1", Domain: "x", Uses: uses}))
 		Expect(zppeer.ReadCatalog(context.Background(), d, address)).To(Equal(object))
 	})
--- a/internal/zpshare/message.go
+++ b/internal/zpshare/message.go
@@ -30,9 +30,10 @@
 
 	// Reply is the answer of a daemon to a message.
 	Reply struct {
-		Instance       string             // of the daemon that received the message
-		Targets        []zprollout.Target // target weight versions that became so recently
-		CatalogVersion int64              // of the configuration in use; zero: none yet
+		Instance         string             // of the daemon that received the message
+		Targets          []zprollout.Target // target weight versions that became so recently
+		CatalogVersion   int64              // of the configuration in use; zero: none yet
+		CatalogConfirmed bool               // the store has confirmed it to the daemon recently
 	}
 
 	// Changing announces that an engine receives no requests for some time.
