--- a/internal/zpgateway/regions_test.go
+++ b/internal/zpgateway/regions_test.go
@@ -138,7 +138,7 @@
 	It("are not sent by a daemon that was paused while they were connecting", func() {
 		var s *regionGateway
 		isConfirmed := true
-		connects := func(ctx context.Context, gate *zpengine.Gate) (*zpgateway.Response, error) {
+		connects := func(_ context.Context, gate *zpengine.Gate) (*zpgateway.Response, error) {
 			isConfirmed = false
 			return nil, gate.Open()
 		}
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -48,12 +48,7 @@
 			return errCallerGone.WithState(j.runState)
 		}
 		j.setStage(stagePlace)
-		g.AwaitCatalog(ctx)
-		if err := g.checkRegionsConfirmed(j); err != nil {
-			return g.giveUp(j, reply, sendResult{err: g.withRunState(j, err)})
-		}
-		g.refreshParts(ctx, j)
-		c, err := g.place(ctx, j)
+		c, err := g.placeAllowed(ctx, j)
 		if err != nil {
 			return g.giveUp(j, reply, sendResult{err: g.withRunState(j, err)})
 		}
@@ -88,6 +83,16 @@
 	}
 }
 
+// placeAllowed chooses an endpoint once it is known which endpoints the request is allowed.
+func (g *Gateway) placeAllowed(ctx context.Context, j *job) (choice, error) {
+	g.AwaitCatalog(ctx)
+	if err := g.checkRegionsConfirmed(j); err != nil {
+		return choice{}, err
+	}
+	g.refreshParts(ctx, j)
+	return g.place(ctx, j)
+}
+
 // mayRetry reports whether a request may be sent again although it may have run.
 func (g *Gateway) mayRetry(j *job) bool {
 	if zpmutant.Active(zpmutant.Claim) {
