--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -80,7 +80,7 @@
 	maxPartsPerHolder     = 1024                    // directory entries for one engine or KV cache store
 	cacheStoreStateMaxAge = 2 * time.Second         // age at which the reported state of a KV cache store expires
 	cacheStoreSettleDelay = 3 * time.Second         // from a restart of a KV cache store until parts are saved to it; longer than any daemon uses an outdated state
-	crashRetention        = 5 * time.Minute
+	crashRetention        = time.Hour
 	retryShare            = 0.9                    // share of the fleet's retry budget in use; leaves room for daemons whose views differ
 	retryBurst            = 4                      // unused retries that a daemon may accumulate
 	shutdownMargin        = 300 * time.Millisecond // time left between the end of the shutdown and SIGKILL
@@ -122,7 +122,7 @@
 		Weights: d.weights, Usage: zpusage.NewTracker(usageMaxAge), Parts: zpparts.NewDirectory(maxPartsPerHolder),
 		Stores: zpparts.NewStores(cacheStoreStateMaxAge, cacheStoreSettleDelay), AnnounceParts: d.announceParts, RefreshParts: d.query,
 		Health: zpgateway.NewHealthTracker(), Cold: &zpplace.ColdLimiter{Self: s.Name}, Daemons: d.members.Names,
-		Quarantine: zpquarantine.NewList(crashRetention), AnnounceCrash: d.announceCrash, AnnounceUnreachable: d.announceUnreachable,
+		Quarantine: zpquarantine.NewTracker(crashRetention), AnnounceCrash: d.announceCrash, AnnounceHarmless: d.announceHarmless, AnnounceUnreachable: d.announceUnreachable,
 		Retries: &zpretry.Budgets{Ratio: n.Bounds.RetryRatio * retryShare, Burst: retryBurst},
 		Runner:  &zpplatform.Runner{Sender: d.sender}, ResponseMemory: zpengine.NewMemory(answerBufferBytes(n.Memory)), Rates: zpplace.DefaultRates(),
 		Log: log, Metrics: d.Metrics, Clock: zpclock.Now, Random: rand.Float64,
--- a/internal/zpapp/gateway_sharing.go
+++ b/internal/zpapp/gateway_sharing.go
@@ -13,6 +13,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zplookup"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpparts"
 	"github.com/zinniapaddle/zinniapaddle/internal/zppeer"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpquarantine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zprelay"
 	"github.com/zinniapaddle/zinniapaddle/internal/zprollout"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpshare"
@@ -155,8 +156,9 @@
 		d.gateway.RecordUnreachable(endpoint, m.Domain)
 	}
 	for _, c := range m.Crashes {
-		d.gateway.Quarantine.RecordCrash(c.Fingerprint, c.Crash, now)
+		d.gateway.MergeCrash(c, m.Instance)
 	}
+	d.gateway.MergeHarmless(m.Harmless, m.Instance)
 }
 
 // setStore records the state of a KV cache store. The parts of the store are removed
@@ -190,8 +192,12 @@
 	}
 }
 
-func (d *GatewayDaemon) announceCrash(fingerprint, crash string) {
-	d.sharer.Add(zpshare.Message{Crashes: []zpshare.Crash{{Fingerprint: fingerprint, Crash: crash}}})
+func (d *GatewayDaemon) announceCrash(r zpquarantine.Report) {
+	d.sharer.Add(zpshare.Message{Crashes: []zpquarantine.Report{r}})
+}
+
+func (d *GatewayDaemon) announceHarmless(fingerprints []string) {
+	d.sharer.Add(zpshare.Message{Harmless: fingerprints})
 }
 
 func (d *GatewayDaemon) announceUnreachable(endpoint string) {
@@ -204,7 +210,7 @@
 
 // snapshot returns the initial state for a daemon that has none: the states of
 // the stores that this daemon follows, those of their parts that the new daemon
-// owns, and the requests that are refused because they crash endpoints.
+// owns, and what is known of crashes of endpoints.
 func (d *GatewayDaemon) snapshot(to zpassign.Member) zpshare.Message {
 	m := zpshare.Message{Stores: d.caches.states()}
 	owners := zplookup.NewOwners(append(slices.Clone(d.live.list()), to))
@@ -212,11 +218,7 @@
 		m.ResetHolders = append(m.ResetHolders, x.Holder())
 		m.Parts = append(m.Parts, owners.Group(d.gateway.Parts.HeldBy(x.Holder()), d.self.Name)[to.PeerAddress]...)
 	}
-	for fingerprint, crashes := range d.gateway.Quarantine.Banned(zpclock.Now()) {
-		for _, crash := range crashes {
-			m.Crashes = append(m.Crashes, zpshare.Crash{Fingerprint: fingerprint, Crash: crash})
-		}
-	}
+	m.Crashes = d.gateway.Quarantine.Reports(zpclock.Now())
 	return m
 }
 
--- a/internal/zpgateway/broken_responses.go
+++ b/internal/zpgateway/broken_responses.go
@@ -1,11 +1,10 @@
 package zpgateway
 
 import (
-	"strings"
 	"sync"
 	"time"
 
-	"github.com/zinniapaddle/zinniapaddle/internal/zpprefix"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpquarantine"
 )
 
 type (
@@ -18,8 +17,8 @@
 	}
 
 	brokenResponse struct {
-		fingerprint string
-		at          time.Time
+		report zpquarantine.Report
+		at     time.Time
 	}
 )
 
@@ -29,23 +28,23 @@
 const crashWindow = 6 * time.Second
 
 // add records a request whose response broke off.
-func (r *brokenResponses) add(endpoint, fingerprint string, now time.Time) {
+func (r *brokenResponses) add(endpoint string, report zpquarantine.Report, now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.byEndpoint == nil {
 		r.byEndpoint = map[string][]brokenResponse{}
 	}
-	r.byEndpoint[endpoint] = append(recent(r.byEndpoint[endpoint], now), brokenResponse{fingerprint, now})
+	r.byEndpoint[endpoint] = append(recent(r.byEndpoint[endpoint], now), brokenResponse{report, now})
 }
 
-// take returns the fingerprints of the requests that broke off shortly before an
-// endpoint was removed, and deletes its records.
-func (r *brokenResponses) take(endpoint string, now time.Time) []string {
+// take returns the requests that broke off shortly before an endpoint was removed, and
+// deletes its records.
+func (r *brokenResponses) take(endpoint string, now time.Time) []zpquarantine.Report {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	var out []string
+	var out []zpquarantine.Report
 	for _, b := range recent(r.byEndpoint[endpoint], now) {
-		out = append(out, b.fingerprint)
+		out = append(out, b.report)
 	}
 	delete(r.byEndpoint, endpoint)
 	return out
@@ -60,17 +59,3 @@
 	}
 	return out
 }
-
-// fingerprint identifies the content of a request. Equal requests of different
-// workspaces have different fingerprints.
-func fingerprint(j *job) string {
-	q := j.request
-	parts := make([]string, 0, 8)
-	if q.Prompt != nil {
-		for _, p := range q.Prompt.Parts {
-			parts = append(parts, p.ID)
-		}
-	}
-	content := strings.Join([]string{q.Method, q.Host, q.URL, strings.Join(parts, ","), string(q.Body)}, "\x00")
-	return zpprefix.Fingerprint(zpprefix.NewSalt(j.workspaceName(), j.workspaceName(), "", ""), []byte(content))
-}
--- a/internal/zpgateway/deliver.go
+++ b/internal/zpgateway/deliver.go
@@ -97,16 +97,18 @@
 	events := bufio.NewScanner(a.Body)
 	events.Buffer(make([]byte, 0, eventBufferBytes), maxEventBytes)
 	events.Split(splitEvents)
-	first := true
 	for events.Scan() {
 		event := events.Bytes()
 		id := eventID(event)
 		if id == "" {
 			return sendResult{outcomeBroken, errNoEventID}
 		}
-		if first {
-			first = false
+		j.events++
+		switch j.events {
+		case 1:
 			started()
+		case harmlessEvents:
+			g.recordHarmless(j, j.partFingerprints())
 		}
 		if !j.headerSent {
 			j.headerSent = true
--- a/internal/zpgateway/gateway.go
+++ b/internal/zpgateway/gateway.go
@@ -45,9 +45,10 @@
 	Health              *HealthTracker
 	Cold                *zpplace.ColdLimiter
 	Daemons             func() []string // names of all daemons, including this one
-	Quarantine          *zpquarantine.List
-	AnnounceCrash       func(fingerprint, crash string) // reports a crash to other daemons
-	AnnounceUnreachable func(endpoint string)           // reports an unreachable endpoint to other daemons
+	Quarantine          *zpquarantine.Tracker
+	AnnounceCrash       func(r zpquarantine.Report) // reports a crash to other daemons
+	AnnounceHarmless    func(fingerprints []string) // tells other daemons what is no longer suspected
+	AnnounceUnreachable func(endpoint string)       // reports an unreachable endpoint to other daemons
 	Retries             *zpretry.Budgets
 	Runner              Runner
 	ResponseMemory      *zpengine.Memory // bounds the memory of buffered responses
@@ -96,8 +97,8 @@
 		"the endpoint did not answer in time", "ask the service what became of the request").WithState(zperror.RunStateUnknown)
 	errEndpointFailed = zperror.New(zperror.KindEndpoint, "endpoint_failed",
 		"the endpoint's answer was lost or damaged", "ask the service what became of the request").WithState(zperror.RunStateUnknown)
-	errQuarantined = zperror.New(zperror.KindUnavailable, "request_quarantined",
-		"equal requests crashed several endpoints", "change the request; see docs/operators/crashing_request.md")
+	errQuarantined = zperror.New(zperror.KindInvalid, "request_quarantined",
+		"requests like this one crashed several endpoints", "do not send it again; see docs/operators/crashing_request.md")
 	errCallerGone = zperror.New(zperror.KindCancelled, "caller_gone",
 		"the caller closed the connection", "none")
 )
@@ -142,11 +143,8 @@
 	if j.pool, ok = j.catalog.PoolOf(j.route.PickPool(g.Random())); !ok {
 		return errUnknownPool.WithRetryAfter(retryAfterUnavailable)
 	}
-	j.fingerprint = fingerprint(j)
-	if g.Quarantine.Status(j.fingerprint, g.Clock()) == zpquarantine.StatusBanned {
-		return errQuarantined
-	}
-	return nil
+	j.fingerprints = fingerprintsOf(j)
+	return g.checkQuarantine(j)
 }
 
 // finish writes the error response of a failed request and updates the metrics.
--- a/internal/zpgateway/job.go
+++ b/internal/zpgateway/job.go
@@ -10,17 +10,19 @@
 
 // job is the state of one request while it is served.
 type job struct {
-	request     *Request
-	caller      Reply
-	catalog     *zpcatalog.Catalog
-	route       *zpcatalog.Route
-	workspace   *zpcatalog.Workspace // nil on anonymous routes
-	pool        *zpcatalog.Pool
-	deadline    time.Time
-	fingerprint string
+	request      *Request
+	caller       Reply
+	catalog      *zpcatalog.Catalog
+	route        *zpcatalog.Route
+	workspace    *zpcatalog.Workspace // nil on anonymous routes
+	pool         *zpcatalog.Pool
+	deadline     time.Time
+	fingerprints []string // of the whole request, then of its shared parts
 
-	attempts         int // number of sends
-	possibleRuns     int // number of sends that may have run
+	attempts         int       // number of sends
+	sentAt           time.Time // of the last send
+	events           int       // complete events received since the last send
+	possibleRuns     int       // number of sends that may have run
 	tried            map[string]bool
 	runState         zperror.RunState
 	failure          *bufferedResponse // last 5xx response of an endpoint
--- /dev/null
+++ b/internal/zpgateway/quarantine.go
@@ -0,0 +1,132 @@
+package zpgateway
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpprefix"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpquarantine"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpregistry"
+)
+
+const (
+	// harmlessEvents is the number of events after which the parts of a prompt count as
+	// harmless. An engine may still send the first event before it crashes.
+	harmlessEvents = 2
+	// maxReportedFingerprints bounds the size of a crash report.
+	maxReportedFingerprints = 256
+)
+
+// fingerprintsOf returns what a request may crash an endpoint with: all of its content,
+// which differs between workspaces, and then each shared part of its prompt.
+func fingerprintsOf(j *job) []string {
+	q := j.request
+	var ids []string
+	if q.Prompt != nil {
+		for _, p := range q.Prompt.Parts {
+			ids = append(ids, p.ID)
+		}
+	}
+	content := strings.Join([]string{q.Method, q.Host, q.URL, strings.Join(ids, ","), string(q.Body)}, "\x00")
+	out := []string{zpprefix.Fingerprint(zpprefix.NewSalt(j.workspaceName(), j.workspaceName(), "", ""), []byte(content))}
+	for _, p := range q.Prompt.SharedParts() {
+		out = append(out, zpquarantine.PartFingerprint(q.Prompt.Model, p.ID))
+	}
+	return out
+}
+
+// partFingerprints returns the fingerprints of the prompt's parts.
+func (j *job) partFingerprints() []string { return j.fingerprints[1:] }
+
+// checkQuarantine returns an error if the request would probably crash an endpoint.
+func (g *Gateway) checkQuarantine(j *job) error {
+	if f := g.Quarantine.Check(j.workspaceName(), j.fingerprints, g.Clock()); f.Status == zpquarantine.StatusBanned {
+		return errQuarantined.WithCause(fmt.Errorf("%d crashes with %s", f.Crashes, f.Fingerprint))
+	}
+	return nil
+}
+
+// hasSuspectedPart reports whether the request could crash another endpoint because of a
+// part. The request as a whole may be sent once more after a crash, as most of those that
+// were running at it did not cause it.
+func (g *Gateway) hasSuspectedPart(j *job) bool {
+	return g.Quarantine.Check(j.workspaceName(), j.partFingerprints(), g.Clock()).Status != zpquarantine.StatusClear
+}
+
+// recordHarmless records that what the fingerprints stand for does not crash endpoints,
+// and tells other daemons if it was suspected.
+func (g *Gateway) recordHarmless(j *job, fingerprints []string) {
+	cleared := g.Quarantine.RecordHarmless(fingerprints, g.Clock())
+	if len(cleared) == 0 {
+		return
+	}
+	g.Log.Emit(zplog.SuspicionCleared, g.logFields(j, zplog.Fields{"fingerprints": cleared}))
+	g.AnnounceHarmless(cleared)
+}
+
+// recordBroken records a request whose response broke off. A crash is attributed to it if
+// the store removes the endpoint soon after.
+func (g *Gateway) recordBroken(j *job, e zpregistry.Endpoint) {
+	if zpmutant.Active(zpmutant.Quarantine) {
+		return
+	}
+	now := g.Clock()
+	r := zpquarantine.Report{
+		Crash: crashOf(e), CrashedAt: now, SentAt: j.sentAt, Workspace: j.workspaceName(),
+		Fingerprints: j.fingerprints[:min(len(j.fingerprints), maxReportedFingerprints)],
+	}
+	if j.events >= harmlessEvents {
+		r.Fingerprints = r.Fingerprints[:1]
+	}
+	g.brokenResponses.add(e.ID, r, now)
+}
+
+// recordCrash attributes a crash to a request and tells other daemons.
+func (g *Gateway) recordCrash(r zpquarantine.Report) {
+	if recorded := g.MergeCrash(r, ""); len(recorded) > 0 {
+		g.Metrics.Crashes.Inc()
+		r.Fingerprints = recorded
+		g.AnnounceCrash(r)
+	}
+}
+
+// MergeCrash records a report of a crash, from this daemon or from the one named, and
+// returns the fingerprints for which it is news.
+func (g *Gateway) MergeCrash(r zpquarantine.Report, daemon string) []string {
+	now := g.Clock()
+	recorded := g.Quarantine.RecordCrash(r, now)
+	if len(recorded) == 0 {
+		return nil
+	}
+	g.Log.Emit(zplog.CrashRecorded, zplog.Fields{
+		"crash": r.Crash, "workspace": r.Workspace, "fingerprints": recorded, "daemon": daemon,
+		"crash_age_ms": now.Sub(r.CrashedAt).Milliseconds(), "ran_ms": r.CrashedAt.Sub(r.SentAt).Milliseconds(),
+	})
+	if f := g.Quarantine.Check(r.Workspace, r.Fingerprints, now); f.Status == zpquarantine.StatusBanned {
+		g.Log.Emit(zplog.RequestsQuarantined, zplog.Fields{"fingerprint": f.Fingerprint, "crashes": f.Crashes, "workspace": r.Workspace})
+		g.Metrics.Quarantined.Inc()
+	}
+	return recorded
+}
+
+// MergeHarmless records fingerprints that another daemon has found to be harmless.
+func (g *Gateway) MergeHarmless(fingerprints []string, daemon string) {
+	if cleared := g.Quarantine.RecordHarmless(fingerprints, g.Clock()); len(cleared) > 0 {
+		g.Log.Emit(zplog.SuspicionCleared, zplog.Fields{"fingerprints": cleared, "daemon": daemon})
+	}
+}
+
+// HandleEndpointRemoved handles the removal of an endpoint. It attributes the crash to the
+// requests whose responses broke off just before.
+func (g *Gateway) HandleEndpointRemoved(e zpregistry.Endpoint) {
+	for _, r := range g.brokenResponses.take(e.ID, g.Clock()) {
+		g.recordCrash(r)
+	}
+	g.Health.Forget(e.ID)
+	g.Parts.Forget(e.ID)
+}
+
+// crashOf returns the id of the crash that ends a run of an endpoint.
+func crashOf(e zpregistry.Endpoint) string { return fmt.Sprintf("%s/%d", e.ID, e.StartedAtMS) }
--- /dev/null
+++ b/internal/zpgateway/quarantine_test.go
@@ -0,0 +1,135 @@
+package zpgateway_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpgateway"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpquarantine"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpregistry"
+	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
+)
+
+const deadlyPart = "deadly"
+
+// crashingFleet is a gateway whose endpoints crash when they begin to respond to a prompt
+// with the deadly part, and are back at once.
+type crashingFleet struct {
+	testGateway
+	requests   int
+	reports    []zpquarantine.Report
+	harmless   []string
+	deadlyRuns int
+	beforeEOF  string // sent before the crash
+	crashed    zpregistry.Endpoint
+}
+
+func newCrashingFleet() *crashingFleet {
+	f := &crashingFleet{testGateway: newTestGateway()}
+	f.Runner = runnerFunc(f.run)
+	f.AnnounceCrash = func(r zpquarantine.Report) { f.reports = append(f.reports, r) }
+	f.AnnounceHarmless = func(fingerprints []string) { f.harmless = append(f.harmless, fingerprints...) }
+	return f
+}
+
+type runnerFunc func(ctx context.Context, run zpgateway.Run, gate *zpengine.Gate) (*zpgateway.Response, error)
+
+func (f runnerFunc) Run(ctx context.Context, run zpgateway.Run, gate *zpengine.Gate) (*zpgateway.Response, error) {
+	return f(ctx, run, gate)
+}
+
+func (f *crashingFleet) run(ctx context.Context, run zpgateway.Run, gate *zpengine.Gate) (*zpgateway.Response, error) {
+	for _, p := range run.Request.Prompt.SharedParts() {
+		if p.ID != deadlyPart {
+			continue
+		}
+		if err := gate.Open(); err != nil {
+			return nil, err
+		}
+		f.deadlyRuns++
+		f.crashed = run.Endpoint
+		return resetsAfter(f.beforeEOF)(ctx, gate)
+	}
+	return responds(http.StatusOK, events)(ctx, gate)
+}
+
+// restart starts another run of the endpoint that crashed last, which ends its former run.
+func (f *crashingFleet) restart() {
+	if f.crashed.ID == "" {
+		return
+	}
+	f.HandleEndpointRemoved(f.crashed)
+	f.crashed.StartedAtMS++
+	f.Registry.Put(f.crashed)
+	f.crashed = zpregistry.Endpoint{}
+}
+
+// send serves a request with the given shared parts and a last part of its own.
+func (f *crashingFleet) send(routeName, key string, parts ...string) *fakeReply {
+	f.requests++
+	defer f.restart()
+	q := request(routeName)
+	q.APIKey = key
+	q.Prompt = &zpgateway.Prompt{Model: "m", Tokens: 10, OutputTokens: 2}
+	for _, id := range append(parts, fmt.Sprint("own", f.requests)) {
+		q.Prompt.Parts = append(q.Prompt.Parts, zpgateway.Part{ID: id, Tokens: 5})
+	}
+	return f.serve(q)
+}
+
+var _ = Describe("A part that crashes each engine", func() {
+	It("does not reach another engine after three crashes, whichever requests have it", func() {
+		f := newCrashingFleet()
+		for i := range 10 {
+			f.send("draft", "k", fmt.Sprint("library", i), deadlyPart)
+		}
+		Expect(f.deadlyRuns).To(Equal(3))
+		refused := f.send("draft", "k", deadlyPart)
+		expectRefused(refused, http.StatusBadRequest, zperror.RunStateNotRun)
+		Expect(refused.refused.Code).To(Equal("request_quarantined"))
+		Expect(refused.refused.RetryAfter).To(BeZero())
+	})
+
+	It("leaves requests with the other parts and of the same workspace alone", func() {
+		f := newCrashingFleet()
+		expectResponse(f.send("draft", "k", "library"), http.StatusOK, events)
+		for range 5 {
+			f.send("draft", "k", "library", "guide", deadlyPart)
+			expectResponse(f.send("draft", "k", "library"), http.StatusOK, events)
+			expectResponse(f.send("draft", "k", "library", "guide"), http.StatusOK, events)
+		}
+		Expect(f.deadlyRuns).To(Equal(3))
+		Expect(f.harmless).To(ConsistOf(zpquarantine.PartFingerprint("m", "guide")))
+	})
+
+	It("is found although an engine sends the first event before it crashes", func() {
+		f := newCrashingFleet()
+		f.beforeEOF = "id: 1\ndata: a\n\n"
+		for i := range 10 {
+			f.send("draft", "k", fmt.Sprint("library", i), deadlyPart)
+		}
+		Expect(f.deadlyRuns).To(Equal(3))
+	})
+
+	It("is refused by a daemon that learned of its crashes while the request was connecting", func() {
+		f := newCrashingFleet()
+		run := f.Runner
+		f.Runner = runnerFunc(func(ctx context.Context, r zpgateway.Run, gate *zpengine.Gate) (*zpgateway.Response, error) {
+			for i := range 3 {
+				at := time.Now().Add(time.Duration(i) * time.Second)
+				f.MergeCrash(zpquarantine.Report{
+					Crash: fmt.Sprint(i), CrashedAt: at, SentAt: at.Add(-time.Millisecond), Workspace: "w", Fingerprints: []string{zpquarantine.PartFingerprint("m", deadlyPart)},
+				}, "another")
+			}
+			return run.Run(ctx, r, gate)
+		})
+		expectRefused(f.send("draft", "k", deadlyPart), http.StatusBadRequest, zperror.RunStateNotRun)
+		Expect(f.deadlyRuns).To(BeZero())
+	})
+})
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -11,8 +11,6 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
-	"github.com/zinniapaddle/zinniapaddle/internal/zpquarantine"
-	"github.com/zinniapaddle/zinniapaddle/internal/zpregistry"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpretry"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
 )
@@ -71,7 +69,7 @@
 			if !g.mayRetry(j) || !budget.Take() {
 				return g.giveUp(j, reply, s)
 			}
-			if g.Quarantine.Status(j.fingerprint, g.Clock()) != zpquarantine.StatusClear {
+			if g.hasSuspectedPart(j) {
 				return g.giveUp(j, reply, s)
 			}
 		}
@@ -89,6 +87,9 @@
 	if err := g.checkRegionsConfirmed(j); err != nil {
 		return choice{}, err
 	}
+	if err := g.checkQuarantine(j); err != nil {
+		return choice{}, err
+	}
 	g.refreshParts(ctx, j)
 	return g.place(ctx, j)
 }
@@ -131,7 +132,7 @@
 	if left < minRunTime {
 		return sendResult{outcomeStopped, g.withRunState(j, errDeadlinePassed)}
 	}
-	gate := &zpengine.Gate{Deadline: j.deadline, Clock: g.Clock, HasCallerLeft: j.caller.HasCallerLeft, MaySend: func() error { return g.checkRegion(j, c) }}
+	gate := &zpengine.Gate{Deadline: j.deadline, Clock: g.Clock, HasCallerLeft: j.caller.HasCallerLeft, MaySend: func() error { return g.checkSend(j, c) }}
 	if j.route.Kind == zpcatalog.KindNonIdempotent {
 		var end func()
 		ctx, end = detachAfterSend(ctx, gate)
@@ -142,6 +143,7 @@
 	ctx, timer := g.startFirstByteTimer(ctx, j, c, budget)
 	defer timer.end()
 	j.attempts++
+	j.sentAt, j.events = now, 0
 	j.setStage(stageSend)
 	g.Log.Emit(zplog.RequestPlaced, g.logFields(j, g.choiceFields(c)))
 	answer, err := g.Runner.Run(ctx, c.newRun(j, left), gate)
@@ -166,7 +168,9 @@
 	switch s.outcome {
 	case outcomeDone:
 		g.Health.RecordSuccess(c.endpoint.ID, g.Clock())
-		g.Quarantine.RecordSuccess(j.fingerprint, g.Clock())
+		if isSuccess(answer.Status) {
+			g.recordHarmless(j, j.fingerprints)
+		}
 		g.Log.Emit(zplog.RequestAnswered, g.logFields(j, zplog.Fields{
 			"endpoint": c.endpoint.ID, "status": answer.Status, "first_ms": firstByteTime.Milliseconds(), "expected_ms": c.cost.Milliseconds(),
 			"weights": answer.WeightVersion,
@@ -188,6 +192,9 @@
 		if errors.Is(gate.Err(), zpengine.ErrCallerDisconnected) {
 			return sendResult{outcomeStopped, errCallerGone.WithState(j.runState).WithCause(err)}
 		}
+		if zperror.Is(gate.Err(), errQuarantined.Code) {
+			return sendResult{outcomeStopped, g.withRunState(j, gate.Err())}
+		}
 		if errors.Is(gate.Err(), errRegionExcluded) {
 			g.Log.Emit(zplog.ChoiceRevoked, g.logFields(j, zplog.Fields{
 				"endpoint": c.endpoint.ID, "region": c.endpoint.Region, "allowed_regions": g.regionsOf(j).String(), "current_catalog": g.Catalog().Version,
@@ -220,7 +227,7 @@
 		return stopped
 	}
 	g.recordFailure(c.endpoint.ID, FailureBroken)
-	g.brokenResponses.add(c.endpoint.ID, j.fingerprint, g.Clock())
+	g.recordBroken(j, c.endpoint)
 	return sendResult{outcomeBroken, errEndpointFailed.WithCause(fmt.Errorf("endpoint %s: %w", c.endpoint.ID, s.err))}
 }
 
@@ -273,19 +280,13 @@
 	}
 }
 
-// HandleEndpointRemoved handles the removal of an endpoint. It attributes the crash to the
-// requests whose responses broke off just before.
-func (g *Gateway) HandleEndpointRemoved(e zpregistry.Endpoint) {
-	now := g.Clock()
-	crash := fmt.Sprintf("%s/%d", e.ID, e.StartedAtMS)
-	for _, fingerprint := range g.brokenResponses.take(e.ID, now) {
-		if g.Quarantine.RecordCrash(fingerprint, crash, now) {
-			g.Log.Emit(zplog.CrashRecorded, zplog.Fields{"endpoint": e.ID, "fingerprint": fingerprint})
-			g.AnnounceCrash(fingerprint, crash)
-		}
+// checkSend returns an error if the request must not be sent to the chosen endpoint after
+// all, because of what this daemon has learned since it was chosen.
+func (g *Gateway) checkSend(j *job, c choice) error {
+	if err := g.checkQuarantine(j); err != nil {
+		return err
 	}
-	g.Health.Forget(e.ID)
-	g.Parts.Forget(e.ID)
+	return g.checkRegion(j, c)
 }
 
 func (o outcome) String() string {
--- a/internal/zplog/event.go
+++ b/internal/zplog/event.go
@@ -43,63 +43,65 @@
 
 // Events. The number of a removed event is never reused.
 var (
-	Started            = Event{100, logrus.InfoLevel, "daemon started", "none"}
-	Stopping           = Event{101, logrus.InfoLevel, "graceful shutdown began", "none"}
-	Stopped            = Event{102, logrus.InfoLevel, "daemon stopped", "none"}
-	DrainTimedOut      = Event{103, logrus.ErrorLevel, "open requests were interrupted at the end of drain.timeout_ms", "raise drain.timeout_ms above the longest request"}
-	Reloaded           = Event{104, logrus.InfoLevel, "settings file read again", "none"}
-	ReloadFailed       = Event{105, logrus.ErrorLevel, "settings file is not valid; the last valid settings stay in effect", "correct the file"}
-	LeaseRenewFailed   = Event{200, logrus.WarnLevel, "lease renewal failed", "check the platform if it persists"}
-	LeaseLost          = Event{201, logrus.ErrorLevel, "lease was ended by another daemon; a new instance is registered", "look for pauses of this VM"}
-	LeaseLapsed        = Event{202, logrus.WarnLevel, "own lease expired according to the local clock; budgets are reduced", "check the platform"}
-	MemberEnded        = Event{203, logrus.WarnLevel, "another daemon's lease was ended after it expired", "none; the VM may be replaced"}
-	MemberNotWritten   = Event{204, logrus.WarnLevel, "record of this daemon could not be written or removed", "check the store if it persists; other daemons may not know this one"}
-	PartitionTaken     = Event{210, logrus.InfoLevel, "partition taken over", "none"}
-	PartitionLeft      = Event{211, logrus.InfoLevel, "partition given up", "none"}
-	DutyTaken          = Event{220, logrus.InfoLevel, "exclusive duty taken", "none"}
-	DutyLeft           = Event{221, logrus.InfoLevel, "exclusive duty given up", "none"}
-	ConfigApplied      = Event{300, logrus.InfoLevel, "configuration applied", "none"}
-	ConfigRefused      = Event{301, logrus.ErrorLevel, "configuration refused; the last valid one stays in effect", "correct the manifest and apply it again"}
-	ConfigStale        = Event{302, logrus.WarnLevel, "proof of freshness is too old", "see docs/operators/platform_outage.md"}
-	ConfigFresh        = Event{303, logrus.InfoLevel, "proof of freshness is good again", "none"}
-	WatchFailed        = Event{304, logrus.WarnLevel, "watch of the platform failed", "check the platform if it persists"}
-	StoreUnavailable   = Event{305, logrus.WarnLevel, "the store does not answer; the last known state is used", "see docs/operators/platform_outage.md"}
-	StoreRecovered     = Event{306, logrus.InfoLevel, "the store answers again", "none"}
-	EntryIgnored       = Event{307, logrus.WarnLevel, "object in the store is not valid and is ignored", "find out what wrote it"}
-	EvacuationChanged  = Event{308, logrus.InfoLevel, "failure domains out of service changed", "none"}
-	CatalogConfirmed   = Event{310, logrus.InfoLevel, "configuration confirmed after a pause; until then, requests with restricted regions were held or refused", "none"}
-	CatalogUnconfirmed = Event{311, logrus.WarnLevel, "configuration cannot be confirmed after a pause", "check the store and the way to it"}
-	PeerCatalogUnread  = Event{309, logrus.WarnLevel, "newer configuration of another daemon could not be read", "check the store and the other daemon if it persists"}
-	RequestFailed      = Event{400, logrus.WarnLevel, "request failed", "look up the code in docs/operators/errors.md"}
-	RequestRetried     = Event{401, logrus.InfoLevel, "request sent again to another endpoint", "none"}
-	RequestPlaced      = Event{402, logrus.InfoLevel, "request sent to an endpoint", "none"}
-	CrashRecorded      = Event{403, logrus.WarnLevel, "request was in flight when an endpoint failed", "see docs/operators/crashing_request.md"}
-	RequestAnswered    = Event{404, logrus.InfoLevel, "request answered", "none"}
-	RequestWaits       = Event{405, logrus.InfoLevel, "request waits for capacity at an endpoint", "see docs/operators/overload.md if many do"}
-	RequestAbandoned   = Event{407, logrus.InfoLevel, "caller closed its connection before it had the whole answer", "see docs/OPERATIONS.md if many do; compare age_ms and unread_ms"}
-	RequestSilent      = Event{406, logrus.InfoLevel, "endpoint sent no first byte within the expected time; the run is cancelled and repeated", "check the endpoint if it repeats"}
-	ChoiceRevoked      = Event{410, logrus.InfoLevel, "the configuration has excluded the chosen endpoint before the request was sent; another is chosen", "none"}
-	EndpointSuspect    = Event{500, logrus.WarnLevel, "endpoint shows signs of a cold start; new work is held", "none; check the endpoint if it persists"}
-	EndpointWarm       = Event{501, logrus.InfoLevel, "endpoint is warm", "none"}
-	OrderGiven         = Event{502, logrus.InfoLevel, "order given to an engine", "check the engine if it repeats"}
-	EndpointChanged    = Event{503, logrus.InfoLevel, "endpoint registered or changed", "none"}
-	EndpointGone       = Event{504, logrus.InfoLevel, "endpoint left", "none"}
-	WeightsNamed       = Event{505, logrus.InfoLevel, "new weight version is configured", "none"}
-	WeightsLoaded      = Event{506, logrus.InfoLevel, "engine has loaded the configured weights", "none"}
-	OrderFailed        = Event{507, logrus.WarnLevel, "order to an engine or its report failed; it is retried", "check the engine if it persists"}
-	StoreState         = Event{508, logrus.InfoLevel, "state of a KV cache store", "none; a full store saves nothing"}
-	EndpointAvoided    = Event{509, logrus.WarnLevel, "endpoint is avoided: connections to it from several failure domains timed out", "check the endpoint if it persists"}
-	FingerprintBanned  = Event{600, logrus.ErrorLevel, "request is quarantined after crashes of two endpoints", "see docs/operators/crashing_request.md"}
-	ClaimSettleFailed  = Event{700, logrus.WarnLevel, "outcome of a claim could not be recorded yet", "check the platform if it persists"}
-	PeerFailed         = Event{800, logrus.DebugLevel, "call to another daemon failed", "none"}
-	PeerLost           = Event{801, logrus.WarnLevel, "another daemon does not answer", "none; check the VM if it persists"}
-	PeerRecovered      = Event{802, logrus.InfoLevel, "another daemon answers again", "none"}
-	OwnerUnresponsive  = Event{803, logrus.WarnLevel, "owner of prompt parts does not answer; local data is used", "none; check the VM if it persists"}
-	RelayAvoided       = Event{805, logrus.WarnLevel, "loads are not exchanged through a relay for a while", "none; check the VM if it persists"}
-	WatcherAvoided     = Event{804, logrus.WarnLevel, "store is not watched through another daemon for a while", "none; check the VM and its connection to the store if it persists"}
-	ServerFailed       = Event{900, logrus.ErrorLevel, "a listener failed", "check that the address is free"}
-	DaemonStalled      = Event{902, logrus.WarnLevel, "daemon was not scheduled for a while: it was paused or short of CPU time", "check the VM; callers may have closed their connections meanwhile"}
-	LinesDropped       = Event{901, logrus.WarnLevel, "log lines were dropped because the destination is slow", "lower log.level"}
+	Started             = Event{100, logrus.InfoLevel, "daemon started", "none"}
+	Stopping            = Event{101, logrus.InfoLevel, "graceful shutdown began", "none"}
+	Stopped             = Event{102, logrus.InfoLevel, "daemon stopped", "none"}
+	DrainTimedOut       = Event{103, logrus.ErrorLevel, "open requests were interrupted at the end of drain.timeout_ms", "raise drain.timeout_ms above the longest request"}
+	Reloaded            = Event{104, logrus.InfoLevel, "settings file read again", "none"}
+	ReloadFailed        = Event{105, logrus.ErrorLevel, "settings file is not valid; the last valid settings stay in effect", "correct the file"}
+	LeaseRenewFailed    = Event{200, logrus.WarnLevel, "lease renewal failed", "check the platform if it persists"}
+	LeaseLost           = Event{201, logrus.ErrorLevel, "lease was ended by another daemon; a new instance is registered", "look for pauses of this VM"}
+	LeaseLapsed         = Event{202, logrus.WarnLevel, "own lease expired according to the local clock; budgets are reduced", "check the platform"}
+	MemberEnded         = Event{203, logrus.WarnLevel, "another daemon's lease was ended after it expired", "none; the VM may be replaced"}
+	MemberNotWritten    = Event{204, logrus.WarnLevel, "record of this daemon could not be written or removed", "check the store if it persists; other daemons may not know this one"}
+	PartitionTaken      = Event{210, logrus.InfoLevel, "partition taken over", "none"}
+	PartitionLeft       = Event{211, logrus.InfoLevel, "partition given up", "none"}
+	DutyTaken           = Event{220, logrus.InfoLevel, "exclusive duty taken", "none"}
+	DutyLeft            = Event{221, logrus.InfoLevel, "exclusive duty given up", "none"}
+	ConfigApplied       = Event{300, logrus.InfoLevel, "configuration applied", "none"}
+	ConfigRefused       = Event{301, logrus.ErrorLevel, "configuration refused; the last valid one stays in effect", "correct the manifest and apply it again"}
+	ConfigStale         = Event{302, logrus.WarnLevel, "proof of freshness is too old", "see docs/operators/platform_outage.md"}
+	ConfigFresh         = Event{303, logrus.InfoLevel, "proof of freshness is good again", "none"}
+	WatchFailed         = Event{304, logrus.WarnLevel, "watch of the platform failed", "check the platform if it persists"}
+	StoreUnavailable    = Event{305, logrus.WarnLevel, "the store does not answer; the last known state is used", "see docs/operators/platform_outage.md"}
+	StoreRecovered      = Event{306, logrus.InfoLevel, "the store answers again", "none"}
+	EntryIgnored        = Event{307, logrus.WarnLevel, "object in the store is not valid and is ignored", "find out what wrote it"}
+	EvacuationChanged   = Event{308, logrus.InfoLevel, "failure domains out of service changed", "none"}
+	CatalogConfirmed    = Event{310, logrus.InfoLevel, "configuration confirmed after a pause; until then, requests with restricted regions were held or refused", "none"}
+	CatalogUnconfirmed  = Event{311, logrus.WarnLevel, "configuration cannot be confirmed after a pause", "check the store and the way to it"}
+	PeerCatalogUnread   = Event{309, logrus.WarnLevel, "newer configuration of another daemon could not be read", "check the store and the other daemon if it persists"}
+	RequestFailed       = Event{400, logrus.WarnLevel, "request failed", "look up the code in docs/operators/errors.md"}
+	RequestRetried      = Event{401, logrus.InfoLevel, "request sent again to another endpoint", "none"}
+	RequestPlaced       = Event{402, logrus.InfoLevel, "request sent to an endpoint", "none"}
+	CrashRecorded       = Event{403, logrus.WarnLevel, "request was running when an endpoint crashed", "see docs/operators/crashing_request.md"}
+	RequestAnswered     = Event{404, logrus.InfoLevel, "request answered", "none"}
+	RequestWaits        = Event{405, logrus.InfoLevel, "request waits for capacity at an endpoint", "see docs/operators/overload.md if many do"}
+	RequestAbandoned    = Event{407, logrus.InfoLevel, "caller closed its connection before it had the whole answer", "see docs/OPERATIONS.md if many do; compare age_ms and unread_ms"}
+	RequestSilent       = Event{406, logrus.InfoLevel, "endpoint sent no first byte within the expected time; the run is cancelled and repeated", "check the endpoint if it repeats"}
+	RequestsQuarantined = Event{411, logrus.ErrorLevel, "requests with this fingerprint are refused after several crashes", "see docs/operators/crashing_request.md"}
+	SuspicionCleared    = Event{412, logrus.InfoLevel, "requests with these fingerprints run without a crash", "none"}
+	ChoiceRevoked       = Event{410, logrus.InfoLevel, "the configuration has excluded the chosen endpoint before the request was sent; another is chosen", "none"}
+	EndpointSuspect     = Event{500, logrus.WarnLevel, "endpoint shows signs of a cold start; new work is held", "none; check the endpoint if it persists"}
+	EndpointWarm        = Event{501, logrus.InfoLevel, "endpoint is warm", "none"}
+	OrderGiven          = Event{502, logrus.InfoLevel, "order given to an engine", "check the engine if it repeats"}
+	EndpointChanged     = Event{503, logrus.InfoLevel, "endpoint registered or changed", "none"}
+	EndpointGone        = Event{504, logrus.InfoLevel, "endpoint left", "none"}
+	WeightsNamed        = Event{505, logrus.InfoLevel, "new weight version is configured", "none"}
+	WeightsLoaded       = Event{506, logrus.InfoLevel, "engine has loaded the configured weights", "none"}
+	OrderFailed         = Event{507, logrus.WarnLevel, "order to an engine or its report failed; it is retried", "check the engine if it persists"}
+	StoreState          = Event{508, logrus.InfoLevel, "state of a KV cache store", "none; a full store saves nothing"}
+	EndpointAvoided     = Event{509, logrus.WarnLevel, "endpoint is avoided: connections to it from several failure domains timed out", "check the endpoint if it persists"}
+	FingerprintBanned   = Event{600, logrus.ErrorLevel, "request is quarantined after crashes of two endpoints", "see docs/operators/crashing_request.md"}
+	ClaimSettleFailed   = Event{700, logrus.WarnLevel, "outcome of a claim could not be recorded yet", "check the platform if it persists"}
+	PeerFailed          = Event{800, logrus.DebugLevel, "call to another daemon failed", "none"}
+	PeerLost            = Event{801, logrus.WarnLevel, "another daemon does not answer", "none; check the VM if it persists"}
+	PeerRecovered       = Event{802, logrus.InfoLevel, "another daemon answers again", "none"}
+	OwnerUnresponsive   = Event{803, logrus.WarnLevel, "owner of prompt parts does not answer; local data is used", "none; check the VM if it persists"}
+	RelayAvoided        = Event{805, logrus.WarnLevel, "loads are not exchanged through a relay for a while", "none; check the VM if it persists"}
+	WatcherAvoided      = Event{804, logrus.WarnLevel, "store is not watched through another daemon for a while", "none; check the VM and its connection to the store if it persists"}
+	ServerFailed        = Event{900, logrus.ErrorLevel, "a listener failed", "check that the address is free"}
+	DaemonStalled       = Event{902, logrus.WarnLevel, "daemon was not scheduled for a while: it was paused or short of CPU time", "check the VM; callers may have closed their connections meanwhile"}
+	LinesDropped        = Event{901, logrus.WarnLevel, "log lines were dropped because the destination is slow", "lower log.level"}
 )
 
 // Catalogue returns all events in order of their numbers.
@@ -108,7 +110,7 @@
 		Started, Stopping, Stopped, DrainTimedOut, Reloaded, ReloadFailed, LeaseRenewFailed, LeaseLost,
 		LeaseLapsed, MemberEnded, MemberNotWritten, PartitionTaken, PartitionLeft, DutyTaken, DutyLeft, ConfigApplied, ConfigRefused,
 		ConfigStale, ConfigFresh, WatchFailed, StoreUnavailable, StoreRecovered, EntryIgnored, EvacuationChanged, PeerCatalogUnread, CatalogConfirmed, CatalogUnconfirmed,
-		RequestFailed, RequestRetried, RequestPlaced, CrashRecorded, RequestAnswered, RequestWaits, RequestSilent, RequestAbandoned, ChoiceRevoked,
+		RequestFailed, RequestRetried, RequestPlaced, CrashRecorded, RequestAnswered, RequestWaits, RequestSilent, RequestAbandoned, ChoiceRevoked, RequestsQuarantined, SuspicionCleared,
 		EndpointSuspect, EndpointWarm, OrderGiven, EndpointChanged, EndpointGone, WeightsNamed, WeightsLoaded,
 		OrderFailed, StoreState, EndpointAvoided, FingerprintBanned, ClaimSettleFailed, PeerFailed, PeerLost, PeerRecovered, OwnerUnresponsive, WatcherAvoided, RelayAvoided,
 		ServerFailed, LinesDropped, DaemonStalled,
--- a/internal/zpmetric/metric.go
+++ b/internal/zpmetric/metric.go
@@ -22,6 +22,7 @@
 		PartitionsOwned   prometheus.Gauge
 		Retries           *prometheus.CounterVec // by reason
 		Quarantined       prometheus.Counter
+		Crashes           prometheus.Counter
 		LinkBytes         *prometheus.CounterVec // by link
 		CrossRegion       prometheus.Counter     // bytes of requests and responses
 		ReusedTokens      prometheus.Counter
@@ -44,6 +45,7 @@
 		PartitionsOwned:   gauge("partitions_owned", "Partitions owned by this daemon."),
 		Retries:           counterVec("retries_total", "Requests sent again.", "reason"),
 		Quarantined:       counter("quarantined_total", "Fingerprints quarantined."),
+		Crashes:           counter("crash_reports_total", "Requests that were running when an endpoint crashed, on this daemon."),
 		LinkBytes:         counterVec("link_granted_bytes_total", "Bytes granted on an inter-region link.", "link"),
 		CrossRegion:       counter("cross_region_bytes_total", "Bytes of requests to and responses from endpoints in another region."),
 		ReusedTokens:      counter("reused_tokens_total", "Prompt tokens found in a cache."),
@@ -60,7 +62,7 @@
 		Buckets: prometheus.ExponentialBuckets(0.001, 4, 8),
 	})
 	m.Registry.MustRegister(m.Requests, m.FirstToken, m.AbandonedRequests, m.StallSeconds, m.OpenRequests, m.PlatformCalls, m.PeerCalls,
-		m.Reservations, m.ConfigVersion, m.ConfigAge, m.PartitionsOwned, m.Retries, m.Quarantined,
+		m.Reservations, m.ConfigVersion, m.ConfigAge, m.PartitionsOwned, m.Retries, m.Quarantined, m.Crashes,
 		m.LinkBytes, m.CrossRegion, m.ReusedTokens, m.PromptTokens)
 	return m
 }
--- a/internal/zppeer/sharing.go
+++ b/internal/zppeer/sharing.go
@@ -9,9 +9,11 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/zinniapaddle/zinniapaddle/internal/zpclock"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpdigest"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpparts"
 	"github.com/zinniapaddle/zinniapaddle/internal/zppeer/zppeerpb"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpquarantine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zprelay"
 	"github.com/zinniapaddle/zinniapaddle/internal/zprollout"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpshare"
@@ -35,7 +37,7 @@
 
 // Share implements zppeerpb.DRPCSharingServer.
 func (h *SharingHandler) Share(_ context.Context, in *zppeerpb.ShareRequest) (*zppeerpb.ShareReply, error) {
-	h.Apply(decodeMessage(in))
+	h.Apply(decodeMessage(in, zpclock.Now()))
 	return &zppeerpb.ShareReply{Instance: h.Instance, Targets: encodeTargets(h.Targets()), CatalogVersion: h.CatalogVersion(), CatalogConfirmed: h.CatalogConfirmed()}, nil
 }
 
@@ -76,7 +78,7 @@
 // of the targets are those at the time when the reply was sent.
 func Share(ctx context.Context, d *Dialer, address string, m zpshare.Message) (zpshare.Reply, error) {
 	out, err := doWithConn(ctx, d, address, "share", 0, func(ctx context.Context, conn Conn) (*zppeerpb.ShareReply, error) {
-		return zppeerpb.NewDRPCSharingClient(conn).Share(ctx, encodeMessage(m))
+		return zppeerpb.NewDRPCSharingClient(conn).Share(ctx, encodeMessage(m, zpclock.Now()))
 	})
 	if err != nil {
 		return zpshare.Reply{}, err
@@ -145,15 +147,19 @@
 	return out
 }
 
-func encodeMessage(m zpshare.Message) *zppeerpb.ShareRequest {
-	out := &zppeerpb.ShareRequest{Instance: m.Instance, ResetHolders: m.ResetHolders, WithoutUses: m.Uses == nil, FailureDomain: m.Domain, Dark: m.Unreachable}
+// encodeMessage encodes times as their ages at now.
+func encodeMessage(m zpshare.Message, now time.Time) *zppeerpb.ShareRequest {
+	out := &zppeerpb.ShareRequest{Instance: m.Instance, ResetHolders: m.ResetHolders, WithoutUses: m.Uses == nil, FailureDomain: m.Domain, Dark: m.Unreachable, Harmless: m.Harmless}
 	out.Uses = encodeUses(m.Uses)
 	out.Parts, out.Expected, out.Saving = encodeParts(m.Parts), encodeParts(m.Expected), encodeParts(m.Saving)
 	for _, c := range m.Changing {
 		out.Changing = append(out.Changing, &zppeerpb.SharedChange{Endpoint: c.Endpoint, LeftMs: c.Left.Milliseconds()})
 	}
 	for _, c := range m.Crashes {
-		out.Crashes = append(out.Crashes, &zppeerpb.SharedCrash{Fingerprint: c.Fingerprint, Crash: c.Crash})
+		out.Crashes = append(out.Crashes, &zppeerpb.SharedCrash{
+			Crash: c.Crash, Fingerprints: c.Fingerprints, Workspace: c.Workspace,
+			CrashAgeMs: now.Sub(c.CrashedAt).Milliseconds(), SentAgeMs: now.Sub(c.SentAt).Milliseconds(),
+		})
 	}
 	for _, x := range m.Stores {
 		out.Stores = append(out.Stores, &zppeerpb.SharedStore{Name: x.Name, Epoch: x.Epoch, Readable: x.Readable, FreeTokens: int64(x.Free)})
@@ -161,8 +167,8 @@
 	return out
 }
 
-func decodeMessage(in *zppeerpb.ShareRequest) zpshare.Message {
-	m := zpshare.Message{Instance: in.Instance, ResetHolders: in.ResetHolders, Domain: in.FailureDomain, Unreachable: in.Dark}
+func decodeMessage(in *zppeerpb.ShareRequest, now time.Time) zpshare.Message {
+	m := zpshare.Message{Instance: in.Instance, ResetHolders: in.ResetHolders, Domain: in.FailureDomain, Unreachable: in.Dark, Harmless: in.Harmless}
 	if !in.WithoutUses {
 		m.Uses = decodeUses(in.Uses)
 	}
@@ -171,7 +177,10 @@
 		m.Changing = append(m.Changing, zpshare.Changing{Endpoint: c.Endpoint, Left: time.Duration(c.LeftMs) * time.Millisecond})
 	}
 	for _, c := range in.Crashes {
-		m.Crashes = append(m.Crashes, zpshare.Crash{Fingerprint: c.Fingerprint, Crash: c.Crash})
+		m.Crashes = append(m.Crashes, zpquarantine.Report{
+			Crash: c.Crash, Fingerprints: c.Fingerprints, Workspace: c.Workspace,
+			CrashedAt: now.Add(-milliseconds(c.CrashAgeMs)), SentAt: now.Add(-milliseconds(c.SentAgeMs)),
+		})
 	}
 	for _, x := range in.Stores {
 		m.Stores = append(m.Stores, zpparts.Store{Name: x.Name, Epoch: x.Epoch, Readable: x.Readable, Free: int(x.FreeTokens)})
@@ -194,3 +203,5 @@
 	}
 	return out
 }
+
+func milliseconds(n int64) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/internal/zpquarantine/tracker.go
@@ -0,0 +1,337 @@
+package zpquarantine
+
+import (
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/golang-lru/v2"
+)
+
+type (
+	// Tracker finds what crashes endpoints: a request as a whole, or a part that it
+	// shares with other requests. Each of these has a fingerprint. A fingerprint is
+	// suspected if its requests were running at crashes and none of them has begun a
+	// response since. It is safe for concurrent use.
+	Tracker struct {
+		Retention time.Duration // how long a crash or a harmless run counts
+
+		mu       sync.Mutex
+		crashes  map[string]*crash              // by id
+		suspects map[string]map[string]struct{} // crash ids by fingerprint
+		entries  int                            // number of fingerprints in all crashes
+		harmless *lru.Cache[string, time.Time]  // last harmless run, by fingerprint
+	}
+
+	// Report is one request that was running when an endpoint crashed.
+	Report struct {
+		Crash        string    // identifies the crash; equal in all reports of it
+		CrashedAt    time.Time // when the endpoint crashed
+		SentAt       time.Time // when the request was sent to the endpoint
+		Workspace    string
+		Fingerprints []string // that may have caused the crash
+	}
+
+	// Finding is the status of a request, with the fingerprint that it is due to.
+	Finding struct {
+		Status      Status
+		Fingerprint string // empty if the status is StatusClear
+		Crashes     int    // crashes that count against the fingerprint
+	}
+
+	crash struct {
+		at       time.Time
+		suspects map[string]map[string]time.Time // last send, by fingerprint and workspace
+	}
+)
+
+const (
+	// partBanThreshold is the number of crashes from which a part is refused. It is
+	// higher than banThreshold because a part belongs to many requests, of which some
+	// may have run beside the guilty one.
+	partBanThreshold = 3
+	// maxTrackedEntries bounds the fingerprints of all crashes, and maxTrackedHarmless
+	// those known to be harmless, and with them the memory.
+	maxTrackedEntries  = 16384
+	maxTrackedHarmless = 16384
+)
+
+// partPrefix distinguishes fingerprints of parts from those of whole requests, which are
+// hexadecimal.
+const partPrefix = "part/"
+
+// PartFingerprint returns the fingerprint of a part of a prompt for a model.
+func PartFingerprint(model, part string) string { return partPrefix + model + "/" + part }
+
+func isPart(fingerprint string) bool { return strings.HasPrefix(fingerprint, partPrefix) }
+
+// NewTracker returns a tracker without crashes.
+func NewTracker(retention time.Duration) *Tracker {
+	// New fails only for a size that is not positive.
+	harmless, _ := lru.New[string, time.Time](maxTrackedHarmless)
+	return &Tracker{Retention: retention, crashes: map[string]*crash{}, suspects: map[string]map[string]struct{}{}, harmless: harmless}
+}
+
+// RecordHarmless records that requests with the given fingerprints ran without a crash,
+// and returns those that were suspected until now. What crashes endpoints does so each
+// time, so their earlier crashes had another cause.
+func (t *Tracker) RecordHarmless(fingerprints []string, now time.Time) (cleared []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, f := range fingerprints {
+		t.harmless.Add(f, now)
+		if len(t.suspects[f]) > 0 {
+			cleared = append(cleared, f)
+			t.clear(f)
+		}
+	}
+	return cleared
+}
+
+// RecordCrash records a report and returns the fingerprints for which it is new. Those
+// of harmless runs are ignored.
+func (t *Tracker) RecordCrash(r Report, now time.Time) (recorded []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.removeExpired(now)
+	if now.Sub(r.CrashedAt) > t.Retention {
+		return nil
+	}
+	for _, f := range r.Fingerprints {
+		if at, ok := t.harmless.Get(f); ok && now.Sub(at) <= t.Retention {
+			continue
+		}
+		if t.add(f, r) {
+			recorded = append(recorded, f)
+		}
+	}
+	for t.entries > maxTrackedEntries {
+		t.removeCrash(t.oldestCrash())
+	}
+	return recorded
+}
+
+// add records one fingerprint of a report and reports whether it is new for the crash;
+// t.mu must be held.
+func (t *Tracker) add(fingerprint string, r Report) bool {
+	c, ok := t.crashes[r.Crash]
+	if !ok {
+		c = &crash{at: r.CrashedAt, suspects: map[string]map[string]time.Time{}}
+		t.crashes[r.Crash] = c
+	}
+	if r.CrashedAt.Before(c.at) {
+		c.at = r.CrashedAt
+	}
+	sends, known := c.suspects[fingerprint]
+	if !known {
+		sends = map[string]time.Time{}
+		c.suspects[fingerprint] = sends
+		t.entries++
+	}
+	if t.suspects[fingerprint] == nil {
+		t.suspects[fingerprint] = map[string]struct{}{}
+	}
+	t.suspects[fingerprint][r.Crash] = struct{}{}
+	if r.SentAt.After(sends[r.Workspace]) {
+		sends[r.Workspace] = r.SentAt
+	}
+	return !known
+}
+
+// Check returns the status of a request of a workspace. Of several crashes, each counts
+// only if the request was sent after the one before, so that endpoints that fail together
+// count once. Crashes of requests of a single workspace count only for that workspace,
+// which could otherwise have parts of others refused.
+//
+// A part is clear if another fingerprint was present at all of its crashes and at more.
+// Fingerprints with the same crashes cannot be told apart, so that only a request that
+// has all of them is banned.
+func (t *Tracker) Check(workspace string, fingerprints []string, now time.Time) Finding {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	worst := Finding{}
+	if len(t.crashes) == 0 {
+		return worst
+	}
+	for _, f := range fingerprints {
+		n := t.countCrashes(f, workspace, now)
+		if n == 0 || isPart(f) && t.isExplained(f) {
+			continue
+		}
+		status := statusOf(f, n)
+		if status == StatusBanned && isPart(f) && !t.isCoveredBy(f, fingerprints) {
+			status = StatusSuspect
+		}
+		if status > worst.Status || status == worst.Status && n > worst.Crashes {
+			worst = Finding{Status: status, Fingerprint: f, Crashes: n}
+		}
+	}
+	return worst
+}
+
+func statusOf(fingerprint string, crashes int) Status {
+	threshold := banThreshold
+	if isPart(fingerprint) {
+		threshold = partBanThreshold
+	}
+	switch {
+	case crashes >= threshold:
+		return StatusBanned
+	case crashes > 0:
+		return StatusSuspect
+	default:
+		return StatusClear
+	}
+}
+
+// Reports returns the recorded crashes as reports, for a daemon that has just started.
+func (t *Tracker) Reports(now time.Time) []Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.removeExpired(now)
+	type key struct {
+		crash, workspace string
+		sentAt           time.Time
+	}
+	byKey := map[key]*Report{}
+	var order []*Report
+	for id, c := range t.crashes {
+		for f, sends := range c.suspects {
+			for workspace, sentAt := range sends {
+				k := key{id, workspace, sentAt}
+				r, ok := byKey[k]
+				if !ok {
+					r = &Report{Crash: id, CrashedAt: c.at, SentAt: sentAt, Workspace: workspace}
+					byKey[k] = r
+					order = append(order, r)
+				}
+				r.Fingerprints = append(r.Fingerprints, f)
+			}
+		}
+	}
+	out := make([]Report, 0, len(order))
+	for _, r := range order {
+		out = append(out, *r)
+	}
+	return out
+}
+
+// countCrashes returns how many crashes of a fingerprint count for a workspace; t.mu must
+// be held.
+func (t *Tracker) countCrashes(fingerprint, workspace string, now time.Time) int {
+	if len(t.suspects[fingerprint]) == 0 {
+		return 0
+	}
+	type event struct{ sentAt, crashedAt time.Time }
+	var events []event
+	workspaces := map[string]struct{}{}
+	for id := range t.suspects[fingerprint] {
+		c := t.crashes[id]
+		if now.Sub(c.at) > t.Retention {
+			continue
+		}
+		e := event{crashedAt: c.at}
+		for w, sentAt := range c.suspects[fingerprint] {
+			workspaces[w] = struct{}{}
+			if sentAt.After(e.sentAt) {
+				e.sentAt = sentAt
+			}
+		}
+		events = append(events, e)
+	}
+	if _, own := workspaces[workspace]; len(workspaces) == 1 && !own {
+		return 0
+	}
+	slices.SortFunc(events, func(a, b event) int { return a.crashedAt.Compare(b.crashedAt) })
+	n, last := 0, time.Time{}
+	for _, e := range events {
+		if n == 0 || e.sentAt.After(last) {
+			n, last = n+1, e.crashedAt
+		}
+	}
+	return n
+}
+
+// isExplained reports whether another fingerprint was present at all crashes of this one
+// and at more; t.mu must be held.
+func (t *Tracker) isExplained(fingerprint string) bool {
+	return t.anyPresentWith(fingerprint, func(other string) bool { return len(t.suspects[other]) > len(t.suspects[fingerprint]) })
+}
+
+// isCoveredBy reports whether a request has all fingerprints that were present at exactly
+// the same crashes as the given one; t.mu must be held.
+func (t *Tracker) isCoveredBy(fingerprint string, fingerprints []string) bool {
+	return !t.anyPresentWith(fingerprint, func(other string) bool {
+		return len(t.suspects[other]) == len(t.suspects[fingerprint]) && !slices.Contains(fingerprints, other)
+	})
+}
+
+// anyPresentWith reports whether some other fingerprint that was present at all crashes
+// of the given one satisfies the condition; t.mu must be held.
+func (t *Tracker) anyPresentWith(fingerprint string, condition func(other string) bool) bool {
+	ids := t.suspects[fingerprint]
+	for first := range ids {
+		for other := range t.crashes[first].suspects {
+			if other != fingerprint && condition(other) && containsAll(t.suspects[other], ids) {
+				return true
+			}
+		}
+		return false // one crash names all candidates
+	}
+	return false
+}
+
+func containsAll(set, subset map[string]struct{}) bool {
+	for id := range subset {
+		if _, ok := set[id]; !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// clear removes a fingerprint from all crashes; t.mu must be held.
+func (t *Tracker) clear(fingerprint string) {
+	for id := range t.suspects[fingerprint] {
+		c := t.crashes[id]
+		delete(c.suspects, fingerprint)
+		t.entries--
+		if len(c.suspects) == 0 {
+			delete(t.crashes, id)
+		}
+	}
+	delete(t.suspects, fingerprint)
+}
+
+// removeExpired removes the crashes that are older than the retention; t.mu must be held.
+func (t *Tracker) removeExpired(now time.Time) {
+	for id, c := range t.crashes {
+		if now.Sub(c.at) > t.Retention {
+			t.removeCrash(id)
+		}
+	}
+}
+
+// oldestCrash returns the id of the oldest crash; t.mu must be held.
+func (t *Tracker) oldestCrash() string {
+	oldest := ""
+	for id, c := range t.crashes {
+		if oldest == "" || c.at.Before(t.crashes[oldest].at) {
+			oldest = id
+		}
+	}
+	return oldest
+}
+
+// removeCrash removes a crash; t.mu must be held.
+func (t *Tracker) removeCrash(id string) {
+	for f := range t.crashes[id].suspects {
+		delete(t.suspects[f], id)
+		if len(t.suspects[f]) == 0 {
+			delete(t.suspects, f)
+		}
+		t.entries--
+	}
+	delete(t.crashes, id)
+}
--- /dev/null
+++ b/internal/zpquarantine/tracker_test.go
@@ -0,0 +1,172 @@
+package zpquarantine_test
+
+import (
+	"fmt"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpquarantine"
+)
+
+var _ = Describe("Tracker", func() {
+	const workspace = "w"
+	start := time.Unix(1000, 0)
+	deadly, library := zpquarantine.PartFingerprint("m", "deadly"), zpquarantine.PartFingerprint("m", "library")
+	var t *zpquarantine.Tracker
+	var now time.Time
+	crashes := 0
+
+	BeforeEach(func() { t, now = zpquarantine.NewTracker(time.Hour), start })
+
+	// crashIn records a crash with one request of a workspace, a second after the crash before.
+	crashIn := func(workspace string, fingerprints ...string) {
+		now = now.Add(time.Second)
+		crashes++
+		t.RecordCrash(zpquarantine.Report{
+			Crash: fmt.Sprint(crashes), CrashedAt: now, SentAt: now.Add(-300 * time.Millisecond), Workspace: workspace, Fingerprints: fingerprints,
+		}, now)
+	}
+	crash := func(fingerprints ...string) { crashIn(workspace, fingerprints...) }
+	expectStatus := func(expected zpquarantine.Status, fingerprints ...string) {
+		GinkgoHelper()
+		Expect(t.Check(workspace, fingerprints, now).Status).To(Equal(expected))
+	}
+
+	It("bans a part that was in different requests at three crashes", func() {
+		for i := range 3 {
+			expectStatus([]zpquarantine.Status{zpquarantine.StatusClear, zpquarantine.StatusSuspect, zpquarantine.StatusSuspect}[i], deadly)
+			crash(fmt.Sprint("request", i), deadly)
+		}
+		expectStatus(zpquarantine.StatusBanned, "another request", deadly)
+		Expect(t.Check(workspace, []string{"r", deadly}, now)).To(Equal(zpquarantine.Finding{Status: zpquarantine.StatusBanned, Fingerprint: deadly, Crashes: 3}))
+	})
+
+	It("bans a request as a whole after two crashes, and no other request", func() {
+		crash("request", library)
+		expectStatus(zpquarantine.StatusSuspect, "request")
+		crash("request", library)
+		expectStatus(zpquarantine.StatusBanned, "request", library)
+		expectStatus(zpquarantine.StatusSuspect, "another", library)
+	})
+
+	It("clears the parts of requests that ran beside the one that crashed", func() {
+		crash("a", deadly)
+		crash("b", deadly, library)
+		expectStatus(zpquarantine.StatusClear, "c", library)
+		expectStatus(zpquarantine.StatusSuspect, "c", deadly)
+	})
+
+	It("bans only requests with all parts that cannot be told apart, until one is harmless", func() {
+		for range 3 {
+			crash(deadly, library)
+		}
+		expectStatus(zpquarantine.StatusBanned, deadly, library)
+		expectStatus(zpquarantine.StatusSuspect, library)
+		expectStatus(zpquarantine.StatusSuspect, deadly)
+		Expect(t.RecordHarmless([]string{library}, now)).To(ConsistOf(library))
+		expectStatus(zpquarantine.StatusClear, library)
+		expectStatus(zpquarantine.StatusBanned, deadly)
+	})
+
+	It("bans a part alone once it was at more crashes than its companions", func() {
+		for range 3 {
+			crash(deadly, library)
+		}
+		crash(deadly)
+		expectStatus(zpquarantine.StatusBanned, deadly)
+		expectStatus(zpquarantine.StatusClear, library)
+	})
+
+	It("ignores crashes of parts with which a response has begun", func() {
+		t.RecordHarmless([]string{library}, now)
+		for range 5 {
+			crash(library)
+		}
+		expectStatus(zpquarantine.StatusClear, library)
+		now = now.Add(2 * time.Hour)
+		crash(library)
+		expectStatus(zpquarantine.StatusSuspect, library)
+	})
+
+	It("counts endpoints that fail together once", func() {
+		for i := range 5 {
+			t.RecordCrash(zpquarantine.Report{
+				Crash: fmt.Sprint("e", i), CrashedAt: now.Add(time.Duration(i) * 100 * time.Millisecond), SentAt: now.Add(-time.Second), Workspace: workspace, Fingerprints: []string{library},
+			}, now)
+		}
+		expectStatus(zpquarantine.StatusSuspect, library)
+	})
+
+	It("counts a crash once, whoever reports it", func() {
+		for i := range 4 {
+			t.RecordCrash(zpquarantine.Report{
+				Crash: "one", CrashedAt: now.Add(time.Duration(i) * time.Second), SentAt: now.Add(time.Duration(i) * time.Second), Workspace: workspace, Fingerprints: []string{deadly},
+			}, now.Add(5*time.Second))
+		}
+		expectStatus(zpquarantine.StatusSuspect, deadly)
+	})
+
+	Describe("crashes of one workspace", func() {
+		It("do not have a part of another workspace refused", func() {
+			for range 5 {
+				crashIn("hostile", library)
+			}
+			expectStatus(zpquarantine.StatusClear, library)
+			Expect(t.Check("hostile", []string{library}, now).Status).To(Equal(zpquarantine.StatusBanned))
+		})
+
+		It("count for all once another workspace has a crash with the part", func() {
+			crashIn("a", deadly)
+			crashIn("a", deadly)
+			crashIn("b", deadly)
+			expectStatus(zpquarantine.StatusBanned, deadly)
+		})
+	})
+
+	It("forgets crashes after the retention", func() {
+		for range 3 {
+			crash(deadly)
+		}
+		now = now.Add(time.Hour)
+		expectStatus(zpquarantine.StatusSuspect, deadly)
+		now = now.Add(time.Minute)
+		expectStatus(zpquarantine.StatusClear, deadly)
+	})
+
+	It("is equal at a daemon that gets its reports", func() {
+		for range 3 {
+			crash(deadly, library)
+		}
+		t.RecordHarmless([]string{library}, now)
+		crashIn("other", "request")
+		reports := t.Reports(now)
+		t = zpquarantine.NewTracker(time.Hour)
+		for _, r := range reports {
+			t.RecordCrash(r, now)
+		}
+		expectStatus(zpquarantine.StatusBanned, deadly)
+		expectStatus(zpquarantine.StatusClear, library)
+		Expect(t.Check("other", []string{"request"}, now).Status).To(Equal(zpquarantine.StatusSuspect))
+	})
+
+	It("bounds its memory under a flood of parts, and keeps the newest crashes", func() {
+		for i := range 200 {
+			flood := make([]string, 256)
+			for k := range flood {
+				flood[k] = zpquarantine.PartFingerprint("m", fmt.Sprint(i, "-", k))
+			}
+			crash(flood...)
+		}
+		for range 3 {
+			crash(deadly)
+		}
+		expectStatus(zpquarantine.StatusBanned, deadly)
+		entries := 0
+		for _, r := range t.Reports(now) {
+			entries += len(r.Fingerprints)
+		}
+		Expect(entries).To(BeNumerically("<=", 16384))
+	})
+})
--- a/internal/zpshare/message.go
+++ b/internal/zpshare/message.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpparts"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpquarantine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zprollout"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpusage"
 )
@@ -21,7 +22,8 @@
 		Expected     []zpparts.Change // parts that an engine is about to prefill
 		Saving       []zpparts.Change // parts being saved to a store
 		Changing     []Changing
-		Crashes      []Crash
+		Crashes      []zpquarantine.Report
+		Harmless     []string // fingerprints of requests that run without a crash
 		Stores       []zpparts.Store
 		Domain       string   // failure domain of the sender
 		Unreachable  []string // endpoints to which the sender's connections timed out
@@ -41,17 +43,11 @@
 		Endpoint string
 		Left     time.Duration // remaining time; 0 when the change has ended
 	}
-
-	// Crash announces that a request was running when an endpoint crashed.
-	Crash struct {
-		Fingerprint string // of the request
-		Crash       string // id of the crash
-	}
 )
 
 // IsEmpty reports whether a message contains no updates other than Uses.
 func (m *Message) IsEmpty() bool {
-	return len(m.Parts) == 0 && len(m.Expected) == 0 && len(m.Saving) == 0 && len(m.Changing) == 0 && len(m.Crashes) == 0 && len(m.Stores) == 0 && len(m.ResetHolders) == 0 && len(m.Unreachable) == 0
+	return len(m.Parts) == 0 && len(m.Expected) == 0 && len(m.Saving) == 0 && len(m.Changing) == 0 && len(m.Crashes) == 0 && len(m.Harmless) == 0 && len(m.Stores) == 0 && len(m.ResetHolders) == 0 && len(m.Unreachable) == 0
 }
 
 // append adds the updates of another message, except Uses.
@@ -61,6 +57,7 @@
 	m.Saving = append(m.Saving, n.Saving...)
 	m.Changing = append(m.Changing, n.Changing...)
 	m.Crashes = append(m.Crashes, n.Crashes...)
+	m.Harmless = append(m.Harmless, n.Harmless...)
 	m.Stores = append(m.Stores, n.Stores...)
 	m.ResetHolders = append(m.ResetHolders, n.ResetHolders...)
 	m.Unreachable = append(m.Unreachable, n.Unreachable...)
