A crash is known as soon as an endpoint refuses connections

Class: late evidence.

After a response broke off, the daemon connects to the endpoint once: refused means that no process listens there any more. A request with a suspected part is then not sent again by this daemon. An endpoint that accepts the connection, or does not answer, is believed to have crashed when its entry is removed, as before.

--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -122,7 +122,7 @@
 		Weights: d.weights, Usage: zpusage.NewTracker(usageMaxAge), Parts: zpparts.NewDirectory(maxPartsPerHolder),
 		Stores: zpparts.NewStores(cacheStoreStateMaxAge, cacheStoreSettleDelay), AnnounceParts: d.announceParts, RefreshParts: d.query,
 		Health: zpgateway.NewHealthTracker(), Cold: &zpplace.ColdLimiter{Self: s.Name}, Daemons: d.members.Names,
-		Quarantine: zpquarantine.NewTracker(crashRetention), AnnounceCrash: d.announceCrash, AnnounceHarmless: d.announceHarmless, AnnounceUnreachable: d.announceUnreachable,
+		Quarantine: zpquarantine.NewTracker(crashRetention), AnnounceCrash: d.announceCrash, AnnounceHarmless: d.announceHarmless, IsRefusing: d.sender.IsRefusing, AnnounceUnreachable: d.announceUnreachable,
 		Retries: &zpretry.Budgets{Ratio: n.Bounds.RetryRatio * retryShare, Burst: retryBurst},
 		Runner:  &zpplatform.Runner{Sender: d.sender}, ResponseMemory: zpengine.NewMemory(answerBufferBytes(n.Memory)), Rates: zpplace.DefaultRates(),
 		Log: log, Metrics: d.Metrics, Clock: zpclock.Now, Random: rand.Float64,
--- a/internal/zpengine/sender.go
+++ b/internal/zpengine/sender.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpnet"
@@ -66,6 +68,16 @@
 // Do sends a request that may be repeated, over a pooled connection.
 func (s *Sender) Do(req *http.Request) (*http.Response, error) { return s.pooled.Do(req) }
 
+// IsRefusing reports whether an address refuses connections: its host is up, but no process
+// listens there.
+func (s *Sender) IsRefusing(ctx context.Context, address string) bool {
+	conn, err := newGatedDial(s.ConnectTimeout, s.AckTimeout)(ctx, "tcp", address)
+	if err == nil {
+		_ = conn.Close()
+	}
+	return errors.Is(err, syscall.ECONNREFUSED)
+}
+
 // newGatedDial returns a dial function whose connections can be guarded by a Gate.
 func newGatedDial(connectTimeout, ackTimeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
 	d := zpnet.NewDialer(connectTimeout, ackTimeout)
--- a/internal/zpgateway/gateway.go
+++ b/internal/zpgateway/gateway.go
@@ -41,14 +41,17 @@
 	AnnounceParts      func(news PartChanges) // sends changes of parts to other daemons
 	// RefreshParts refreshes the directory's entries of the given parts. Each part is
 	// given as its keys, one for each weight version in use.
-	RefreshParts        func(ctx context.Context, parts [][]zpparts.Key)
-	Health              *HealthTracker
-	Cold                *zpplace.ColdLimiter
-	Daemons             func() []string // names of all daemons, including this one
-	Quarantine          *zpquarantine.Tracker
-	AnnounceCrash       func(r zpquarantine.Report) // reports a crash to other daemons
-	AnnounceHarmless    func(fingerprints []string) // tells other daemons what is no longer suspected
-	AnnounceUnreachable func(endpoint string)       // reports an unreachable endpoint to other daemons
+	RefreshParts     func(ctx context.Context, parts [][]zpparts.Key)
+	Health           *HealthTracker
+	Cold             *zpplace.ColdLimiter
+	Daemons          func() []string // names of all daemons, including this one
+	Quarantine       *zpquarantine.Tracker
+	AnnounceCrash    func(r zpquarantine.Report) // reports a crash to other daemons
+	AnnounceHarmless func(fingerprints []string) // tells other daemons what is no longer suspected
+	// IsRefusing reports whether an address refuses connections, as that of an endpoint
+	// that has crashed does.
+	IsRefusing          func(ctx context.Context, address string) bool
+	AnnounceUnreachable func(endpoint string) // reports an unreachable endpoint to other daemons
 	Retries             *zpretry.Budgets
 	Runner              Runner
 	ResponseMemory      *zpengine.Memory // bounds the memory of buffered responses
--- a/internal/zpgateway/quarantine.go
+++ b/internal/zpgateway/quarantine.go
@@ -1,6 +1,7 @@
 package zpgateway
 
 import (
+	"context"
 	"fmt"
 	"strings"
 
@@ -66,9 +67,10 @@
 	g.AnnounceHarmless(cleared)
 }
 
-// recordBroken records a request whose response broke off. A crash is attributed to it if
-// the store removes the endpoint soon after.
-func (g *Gateway) recordBroken(j *job, e zpregistry.Endpoint) {
+// recordBroken records a request whose response broke off, and attributes a crash to it if
+// the endpoint accepts no connections any more. Otherwise the crash is detected when the
+// store removes the endpoint.
+func (g *Gateway) recordBroken(ctx context.Context, j *job, e zpregistry.Endpoint) {
 	if zpmutant.Active(zpmutant.Quarantine) {
 		return
 	}
@@ -81,6 +83,9 @@
 		r.Fingerprints = r.Fingerprints[:1]
 	}
 	g.brokenResponses.add(e.ID, r, now)
+	if g.IsRefusing(context.WithoutCancel(ctx), e.Address) {
+		g.recordCrash(r)
+	}
 }
 
 // recordCrash attributes a crash to a request and tells other daemons.
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -227,7 +227,7 @@
 		return stopped
 	}
 	g.recordFailure(c.endpoint.ID, FailureBroken)
-	g.recordBroken(j, c.endpoint)
+	g.recordBroken(ctx, j, c.endpoint)
 	return sendResult{outcomeBroken, errEndpointFailed.WithCause(fmt.Errorf("endpoint %s: %w", c.endpoint.ID, s.err))}
 }
 
