A daemon that nobody confirms runs no requests with restricted regions

What callers may have seen: requests in a region that a change had excluded seconds before.

Cause: belief without an age; the guard looked for pauses only. Now the catalog counts as confirmed for three seconds after the last word of the store, of a daemon that has heard of the store, or of one that has not: while the store answers nobody, no change is accepted, and serving goes on. A daemon without other daemons serves as before.

--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -118,7 +118,7 @@
 	d.sender = zpplatform.NewSender()
 	d.gateway = &zpgateway.Gateway{
 		Domain: s.Domain, Region: s.Region, RegionOf: n.RegionOf, Catalog: d.catalog.Load, CatalogConfirmedAt: func() time.Time { return d.follower.ReadAt() },
-		AwaitCatalog: func(ctx context.Context) { d.catalogs.await(ctx) }, IsCatalogConfirmed: func() bool { return d.catalogs.guard.IsConfirmed() }, Registry: d.registry, HasSynced: d.hasSynced,
+		AwaitCatalog: func(ctx context.Context) { d.catalogs.await(ctx) }, IsCatalogConfirmed: func() bool { return d.catalogs.isConfirmed() }, Registry: d.registry, HasSynced: d.hasSynced,
 		Weights: d.weights, Usage: zpusage.NewTracker(usageMaxAge), Parts: zpparts.NewDirectory(maxPartsPerHolder),
 		Stores: zpparts.NewStores(cacheStoreStateMaxAge, cacheStoreSettleDelay), AnnounceParts: d.announceParts, RefreshParts: d.query,
 		Health: zpgateway.NewHealthTracker(), Cold: &zpplace.ColdLimiter{Self: s.Name}, Daemons: d.members.Names,
--- a/internal/zpapp/gateway_catalogs.go
+++ b/internal/zpapp/gateway_catalogs.go
@@ -20,7 +20,7 @@
 // concurrent use.
 type catalogs struct {
 	daemon *GatewayDaemon
-	guard  zpcatalog.PauseGuard
+	guard  zpcatalog.FreshnessGuard
 
 	mu           sync.Mutex
 	object       zpobject.Object // of the configuration in use
@@ -79,6 +79,8 @@
 	if reply.CatalogVersion <= c.daemon.catalogVersion() {
 		if reply.CatalogConfirmed && reply.CatalogVersion > 0 {
 			c.guard.RecordConfirmed(startedAt)
+		} else if reply.CatalogVersion > 0 {
+			c.guard.RecordOutage(startedAt)
 		}
 		return
 	}
@@ -89,7 +91,7 @@
 	}
 	c.isFetching = true
 	delay := peerCatalogDelay
-	if !c.guard.IsConfirmed() {
+	if !c.isConfirmed() {
 		delay = 0
 	}
 	time.AfterFunc(delay, func() { c.fetch(address, reply.CatalogVersion) })
@@ -127,9 +129,23 @@
 // recordActive records that the process runs. After a pause it reads the configuration from
 // the store itself, as what it follows may have been paused, too.
 func (c *catalogs) recordActive(now time.Time) {
-	if !c.guard.RecordActive(now) {
-		return
+	if c.guard.RecordActive(now) {
+		c.startConfirming()
 	}
+}
+
+// isConfirmed reports whether the catalog is known to be the newest one. If not, it is
+// read again. A daemon without others cannot tell an outage of the store from its own.
+func (c *catalogs) isConfirmed() bool {
+	d := c.daemon
+	if c.guard.IsConfirmed() && (c.guard.IsRecent(d.follower.ReadAt(), zpclock.Now()) || len(d.members.Others()) == 0) {
+		return true
+	}
+	c.startConfirming()
+	return false
+}
+
+func (c *catalogs) startConfirming() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if !c.isConfirming {
@@ -148,7 +164,7 @@
 	resumedAt, before := zpclock.Now(), c.daemon.catalogVersion()
 	for attempts := 1; !c.daemon.leaving.Load(); attempts++ {
 		err := c.read()
-		if c.guard.IsConfirmed() {
+		if c.isConfirmed() {
 			c.daemon.Log.Emit(zplog.CatalogConfirmed, zplog.Fields{
 				"before": before, "catalog": c.daemon.catalogVersion(), "attempts": attempts, "took_ms": zpclock.Now().Sub(resumedAt).Milliseconds(),
 			})
--- /dev/null
+++ b/internal/zpcatalog/freshness_guard.go
@@ -0,0 +1,93 @@
+package zpcatalog
+
+import (
+	"sync"
+	"time"
+)
+
+// FreshnessGuard tells whether the catalog is confirmed to be the newest one. It is not after a
+// pause of the process, and when nothing has confirmed it for a while although other
+// daemons may still reach the store: the configuration may have been replaced meanwhile,
+// and a paused or starved process hears of that late. It is safe for concurrent use.
+type FreshnessGuard struct {
+	mu          sync.Mutex
+	activeAt    time.Time // when the process was last known to run; zero: never
+	resumedAt   time.Time // when it ran again after the last pause; zero: it was never paused
+	confirmedAt time.Time // when the call began that last confirmed the catalog
+	outageAt    time.Time // when another daemon last said that the store does not confirm its catalog either
+}
+
+const (
+	// minPause is the time without a sign of activity that counts as a pause. A change of
+	// the configuration may take longer to apply.
+	minPause = time.Second
+	// MaxPauseWait bounds the time for which requests wait for the confirmation: the store
+	// may be out of reach.
+	MaxPauseWait = 500 * time.Millisecond
+	// maxConfirmationAge is the time without a confirmation after which the catalog may be
+	// outdated. It is above the interval of the store's watches and of calls between
+	// daemons.
+	maxConfirmationAge = 3 * time.Second
+)
+
+// RecordActive records that the process runs, and reports whether it was paused just before.
+func (g *FreshnessGuard) RecordActive(now time.Time) (wasPaused bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	wasPaused = !g.activeAt.IsZero() && now.Sub(g.activeAt) >= minPause
+	if wasPaused {
+		g.resumedAt = now
+	}
+	if now.After(g.activeAt) {
+		g.activeAt = now
+	}
+	return wasPaused
+}
+
+// RecordConfirmed records that the catalog is the newest one by a call that began at
+// startedAt, to the store or to a daemon whose own catalog is confirmed.
+func (g *FreshnessGuard) RecordConfirmed(startedAt time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if startedAt.After(g.confirmedAt) {
+		g.confirmedAt = startedAt
+	}
+}
+
+// RecordOutage records that the store does not confirm the catalog of another daemon
+// either. While that is so for all, no change is accepted, and serving goes on.
+func (g *FreshnessGuard) RecordOutage(now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.outageAt = now
+}
+
+// IsConfirmed reports whether the catalog was confirmed since the last pause.
+func (g *FreshnessGuard) IsConfirmed() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.resumedAt.IsZero() || !g.confirmedAt.Before(g.resumedAt)
+}
+
+// IsRecent reports whether the catalog was confirmed recently, by the store at readAt or by
+// another daemon, or cannot be because the store is out of reach for others, too.
+func (g *FreshnessGuard) IsRecent(readAt, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, at := range []time.Time{readAt, g.confirmedAt, g.outageAt} {
+		if now.Sub(at) <= maxConfirmationAge {
+			return true
+		}
+	}
+	return false
+}
+
+// MustWait reports whether requests must wait for the confirmation.
+func (g *FreshnessGuard) MustWait(now time.Time) bool {
+	if g.IsConfirmed() {
+		return false
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return now.Sub(g.resumedAt) < MaxPauseWait
+}
--- a/internal/zpcatalog/pause_guard_test.go
+++ b/internal/zpcatalog/freshness_guard_test.go
@@ -9,13 +9,13 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
 )
 
-var _ = Describe("PauseGuard", func() {
+var _ = Describe("FreshnessGuard", func() {
 	start := time.Unix(1000, 0)
 	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
-	var g *zpcatalog.PauseGuard
+	var g *zpcatalog.FreshnessGuard
 
 	BeforeEach(func() {
-		g = &zpcatalog.PauseGuard{}
+		g = &zpcatalog.FreshnessGuard{}
 		for ms := 0; ms <= 600; ms += 200 {
 			Expect(g.RecordActive(at(ms))).To(BeFalse())
 		}
@@ -51,4 +51,15 @@
 		Expect(g.RecordActive(at(6001))).To(BeTrue())
 		Expect(g.MustWait(at(6002))).To(BeTrue())
 	})
+
+	DescribeTable("is recent for three seconds after", func(record func(at time.Time) (readAt time.Time)) {
+		Expect(g.IsRecent(start, at(3001))).To(BeFalse())
+		readAt := record(at(2000))
+		Expect(g.IsRecent(readAt, at(5000))).To(BeTrue())
+		Expect(g.IsRecent(readAt, at(5001))).To(BeFalse())
+	},
+		Entry("the store was read", func(at time.Time) time.Time { return at }),
+		Entry("another daemon confirmed the catalog", func(at time.Time) time.Time { g.RecordConfirmed(at); return start }),
+		Entry("another daemon was without the store, too", func(at time.Time) time.Time { g.RecordOutage(at); return start }),
+	)
 })
--- a/internal/zpgateway/gateway.go
+++ b/internal/zpgateway/gateway.go
@@ -26,8 +26,8 @@
 	Region   string
 	RegionOf func(domain string) string
 	Catalog  func() *zpcatalog.Catalog // returns nil until a configuration is loaded
-	// IsCatalogConfirmed is false after a pause of the process until the catalog is known to
-	// be the newest again. AwaitCatalog waits for that, for a limited time.
+	// IsCatalogConfirmed is false while the catalog may not be the newest one. AwaitCatalog
+	// waits after a pause of the process until it is, for a limited time.
 	IsCatalogConfirmed func() bool
 	AwaitCatalog       func(ctx context.Context)
 	// CatalogConfirmedAt returns when the store last confirmed the catalog; for the log.
@@ -91,7 +91,7 @@
 	errNoEndpoint = zperror.New(zperror.KindUnavailable, "no_endpoint",
 		"no endpoint may take the request now", "send the request again after the time in Retry-After")
 	errRegionUnconfirmed = zperror.New(zperror.KindUnavailable, "region_unconfirmed",
-		"this VM was paused and cannot confirm yet which regions may run the request", "send the request again after the time in Retry-After")
+		"this VM cannot confirm now which regions may run the request", "send the request again after the time in Retry-After")
 	errOverloaded = zperror.New(zperror.KindUnavailable, "overloaded",
 		"no endpoint can answer the request in time", "send the request again after the time in Retry-After")
 	errDeadlinePassed = zperror.New(zperror.KindUnavailable, "deadline_passed",
