--- a/internal/zpquarantine/list.go
+++ b/internal/zpquarantine/list.go
@@ -1,6 +1,7 @@
-// Package zpquarantine detects requests that crash the endpoints on which they
-// run. A request whose fingerprint was running at two crashes is refused
-// everywhere. After a single crash it is a suspect and runs alone.
+// Package zpquarantine detects what crashes the endpoints on which it runs. A request
+// whose fingerprint was running at two crashes is refused everywhere. List does this for
+// prompts of the project's own interface, where a request with one crash runs alone;
+// Tracker for routed requests, whose prompts have parts with fingerprints of their own.
 package zpquarantine
 
 import (
@@ -17,11 +18,10 @@
 	// List holds the fingerprints of requests that were running at crashes. It is
 	// safe for concurrent use.
 	List struct {
-		Retention time.Duration // how long a crash or a completed run counts
+		Retention time.Duration // how long a crash counts
 
-		mu        sync.Mutex
-		entries   *lru.Cache[string, *record]
-		completed *lru.Cache[string, time.Time] // last completed run, by fingerprint
+		mu      sync.Mutex
+		entries *lru.Cache[string, *record]
 	}
 
 	record struct {
@@ -37,10 +37,7 @@
 )
 
 const (
-	maxEntries = 65536
-	// maxCompleted is lower than maxEntries because only frequent requests need an
-	// entry, and they are soon added again.
-	maxCompleted = 4096
+	maxEntries   = 65536
 	banThreshold = 2
 )
 
@@ -48,30 +45,15 @@
 func NewList(retention time.Duration) *List {
 	// New fails only for a size that is not positive.
 	entries, _ := lru.New[string, *record](maxEntries)
-	completed, _ := lru.New[string, time.Time](maxCompleted)
-	return &List{Retention: retention, entries: entries, completed: completed}
-}
-
-// RecordSuccess records a completed run and removes the crashes of its fingerprint.
-// A request that crashes endpoints does so in each run, so its earlier crashes
-// were a coincidence: a request that many callers send is running at many crashes.
-func (l *List) RecordSuccess(fingerprint string, now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.completed.Add(fingerprint, now)
-	l.entries.Remove(fingerprint)
+	return &List{Retention: retention, entries: entries}
 }
 
 // RecordCrash records that a request was running at a crash and reports whether the
 // record is new. A crash id identifies one crash of one endpoint, so that repeated
-// reports of it count once. Crashes of a request that has completed here within
-// the retention are ignored.
+// reports of it count once.
 func (l *List) RecordCrash(fingerprint, crash string, now time.Time) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if at, ok := l.completed.Get(fingerprint); ok && now.Sub(at) <= l.Retention {
-		return false
-	}
 	r, ok := l.entries.Get(fingerprint)
 	if !ok {
 		r = &record{crashes: map[string]time.Time{}}
@@ -96,20 +78,6 @@
 	}
 }
 
-// Banned returns the crash ids of the banned fingerprints, by fingerprint.
-func (l *List) Banned(now time.Time) map[string][]string {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	out := map[string][]string{}
-	for _, fingerprint := range l.entries.Keys() {
-		r, _ := l.entries.Peek(fingerprint)
-		if crashes := l.recent(r, now); len(crashes) >= banThreshold {
-			out[fingerprint] = crashes
-		}
-	}
-	return out
-}
-
 // Crashes returns the crash ids of a fingerprint that are within the retention.
 func (l *List) Crashes(fingerprint string, now time.Time) []string {
 	l.mu.Lock()
--- a/internal/zpquarantine/quarantine_test.go
+++ b/internal/zpquarantine/quarantine_test.go
@@ -45,26 +45,6 @@
 		Expect(l.Status("f", start)).To(Equal(zpquarantine.StatusBanned))
 	})
 
-	It("ignores crashes of a completed request, as many callers may send it", func() {
-		l := zpquarantine.NewList(time.Hour)
-		l.RecordCrash("f", "c1", start)
-		l.RecordSuccess("f", start)
-		Expect(l.Status("f", start)).To(Equal(zpquarantine.StatusClear))
-		Expect(l.RecordCrash("f", "c2", start.Add(time.Second))).To(BeFalse())
-		Expect(l.RecordCrash("f", "c3", start.Add(2*time.Second))).To(BeFalse())
-		Expect(l.Status("f", start.Add(2*time.Second))).To(Equal(zpquarantine.StatusClear))
-	})
-
-	It("lists the banned fingerprints within the retention", func() {
-		l := zpquarantine.NewList(time.Hour)
-		l.RecordCrash("suspect", "c1", start)
-		l.RecordCrash("f", "c1", start)
-		l.RecordCrash("f", "c2", start)
-		Expect(l.Banned(start)).To(HaveLen(1))
-		Expect(l.Banned(start)).To(HaveKeyWithValue("f", ConsistOf("c1", "c2")))
-		Expect(l.Banned(start.Add(2 * time.Hour))).To(BeEmpty())
-	})
-
 	It("drops crashes after the retention", func() {
 		l := zpquarantine.NewList(time.Hour)
 		l.RecordCrash("f", "c1", start)
--- a/internal/zpquarantine/tracker_test.go
+++ b/internal/zpquarantine/tracker_test.go
@@ -90,6 +90,29 @@
 		expectStatus(zpquarantine.StatusSuspect, library)
 	})
 
+	It("ignores crashes of a completed request, as many callers may send it", func() {
+		crash("request")
+		Expect(t.RecordHarmless([]string{"request"}, now)).To(ConsistOf("request"))
+		expectStatus(zpquarantine.StatusClear, "request")
+		for i := range 2 {
+			now = now.Add(time.Second)
+			Expect(t.RecordCrash(zpquarantine.Report{
+				Crash: fmt.Sprint("later", i), CrashedAt: now, SentAt: now, Workspace: workspace, Fingerprints: []string{"request"},
+			}, now)).To(BeEmpty())
+		}
+		expectStatus(zpquarantine.StatusClear, "request")
+	})
+
+	It("reports the crashes within the retention", func() {
+		crash("suspect")
+		crash("banned")
+		crash("banned")
+		Expect(t.Reports(now)).To(ConsistOf(
+			HaveField("Fingerprints", ConsistOf("suspect")), HaveField("Fingerprints", ConsistOf("banned")), HaveField("Fingerprints", ConsistOf("banned")),
+		))
+		Expect(t.Reports(now.Add(2 * time.Hour))).To(BeEmpty())
+	})
+
 	It("counts endpoints that fail together once", func() {
 		for i := range 5 {
 			t.RecordCrash(zpquarantine.Report{
