A pause counts before the first sign of activity after it

Callers saw nothing; a request whose connection was established during a pause could be sent to a region that a change had excluded meanwhile. Cause: the check before the first byte asked only whether the catalog was confirmed since the last recorded pause. A pause is recorded by the activity sign each 200 ms or by the next request; a goroutine that was connecting may run before either. The same held for the word that a daemon gives others about its catalog (found by reading; only the guard was played). Checked by: go test -race ./internal/zpcatalog, go test ./internal/zpgateway. Not run: e2e.

--- a/internal/zpapp/gateway_catalogs.go
+++ b/internal/zpapp/gateway_catalogs.go
@@ -137,8 +137,8 @@
 // isConfirmed reports whether the catalog is known to be the newest one. If not, it is
 // read again. A daemon without others cannot tell an outage of the store from its own.
 func (c *catalogs) isConfirmed() bool {
-	d := c.daemon
-	if c.guard.IsConfirmed() && (c.guard.IsRecent(d.follower.ReadAt(), zpclock.Now()) || len(d.members.Others()) == 0) {
+	d, now := c.daemon, zpclock.Now()
+	if c.guard.IsConfirmed(now) && (c.guard.IsRecent(d.follower.ReadAt(), now) || len(d.members.Others()) == 0) {
 		return true
 	}
 	c.startConfirming()
@@ -193,7 +193,8 @@
 // isRecent reports whether the store has confirmed the catalog recently, and since the last
 // pause.
 func (c *catalogs) isRecent() bool {
-	return c.guard.IsConfirmed() && zpclock.Now().Sub(c.daemon.follower.ReadAt()) <= maxCatalogAge
+	now := zpclock.Now()
+	return c.guard.IsConfirmed(now) && now.Sub(c.daemon.follower.ReadAt()) <= maxCatalogAge
 }
 
 func (d *GatewayDaemon) catalogVersion() int64 {
--- a/internal/zpcatalog/freshness_guard.go
+++ b/internal/zpcatalog/freshness_guard.go
@@ -62,10 +62,15 @@
 	g.outageAt = now
 }
 
-// IsConfirmed reports whether the catalog was confirmed since the last pause.
-func (g *FreshnessGuard) IsConfirmed() bool {
+// IsConfirmed reports whether the catalog was confirmed since the last pause. It counts a
+// pause that has just ended and that RecordActive has not yet been told of: a connection may
+// be established during the pause, and its request is sent as soon as the process runs.
+func (g *FreshnessGuard) IsConfirmed(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if !g.activeAt.IsZero() && now.Sub(g.activeAt) >= minPause {
+		return false
+	}
 	return g.resumedAt.IsZero() || !g.confirmedAt.Before(g.resumedAt)
 }
 
@@ -84,7 +89,7 @@
 
 // MustWait reports whether requests must wait for the confirmation.
 func (g *FreshnessGuard) MustWait(now time.Time) bool {
-	if g.IsConfirmed() {
+	if g.IsConfirmed(now) {
 		return false
 	}
 	g.mu.Lock()
