The word of a daemon confirms the configuration version that it confirmed

Callers saw nothing; a daemon that had been paused could take its old configuration for confirmed and run restricted requests on it. Cause: a reply read the version before the confirmation. If the other daemon applied and confirmed a newer configuration in between, its reply confirmed the older one. Now the confirmation is read first; the version read after it is at least as new. Test failed before: zppeer 'does not confirm an older configuration than the one that was confirmed'. Checked by: go test -race ./internal/zppeer.

--- a/internal/zppeer/digest.go
+++ b/internal/zppeer/digest.go
@@ -14,9 +14,10 @@
 // ReportLoad implements zppeerpb.DRPCSharingServer.
 func (h *SharingHandler) ReportLoad(_ context.Context, in *zppeerpb.LoadReport) (*zppeerpb.LoadDigest, error) {
 	d := h.Digest(zpdigest.Report{Name: in.Name, Instance: in.Instance, Uses: decodeUses(in.Uses), KnownAlive: in.KnownAlive})
+	version, confirmed := h.catalogState()
 	return &zppeerpb.LoadDigest{
 		Uses: encodeUses(d.Uses), Alive: d.Alive, AliveUnchanged: d.AliveUnchanged, Incomplete: d.Incomplete, Targets: encodeTargets(h.Targets()),
-		CatalogVersion: h.CatalogVersion(), CatalogConfirmed: h.CatalogConfirmed(),
+		CatalogVersion: version, CatalogConfirmed: confirmed,
 	}, nil
 }
 
--- a/internal/zppeer/sharing.go
+++ b/internal/zppeer/sharing.go
@@ -38,7 +38,15 @@
 // Share implements zppeerpb.DRPCSharingServer.
 func (h *SharingHandler) Share(_ context.Context, in *zppeerpb.ShareRequest) (*zppeerpb.ShareReply, error) {
 	h.Apply(decodeMessage(in, zpclock.Now()))
-	return &zppeerpb.ShareReply{Instance: h.Instance, Targets: encodeTargets(h.Targets()), CatalogVersion: h.CatalogVersion(), CatalogConfirmed: h.CatalogConfirmed()}, nil
+	version, confirmed := h.catalogState()
+	return &zppeerpb.ShareReply{Instance: h.Instance, Targets: encodeTargets(h.Targets()), CatalogVersion: version, CatalogConfirmed: confirmed}, nil
+}
+
+// catalogState reads the confirmation first: read after the version, it could be that of a
+// newer one, and the receiver would take the older version for confirmed.
+func (h *SharingHandler) catalogState() (version int64, confirmed bool) {
+	confirmed = h.CatalogConfirmed()
+	return h.CatalogVersion(), confirmed
 }
 
 // ReadCatalog implements zppeerpb.DRPCSharingServer.
--- a/internal/zppeer/sharing_test.go
+++ b/internal/zppeer/sharing_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/zinniapaddle/zinniapaddle/internal/zpdigest"
 	"github.com/zinniapaddle/zinniapaddle/internal/zppeer"
 	"github.com/zinniapaddle/zinniapaddle/internal/zprollout"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpshare"
@@ -50,4 +51,27 @@
 		Expect(<-received).To(Equal(zpshare.Message{Instance: "a.1", Domain: "x", Uses: uses}))
 		Expect(zppeer.ReadCatalog(context.Background(), d, address)).To(Equal(object))
 	})
+
+	It("does not confirm an older configuration than the one that was confirmed", func() {
+		version := int64(9)
+		confirms := func() bool {
+			version = 10 // applied while the reply is made
+			return true
+		}
+		address := serveSharing(&zppeer.SharingHandler{
+			Instance: "b.1", Apply: func(zpshare.Message) {}, Targets: func() []zprollout.Target { return nil },
+			CatalogVersion: func() int64 { return version }, CatalogConfirmed: confirms,
+			Digest: func(zpdigest.Report) zpdigest.Digest { return zpdigest.Digest{} },
+		})
+		d := &zppeer.Dialer{Timeout: time.Second}
+		d.Open()
+		DeferCleanup(d.Close)
+		reply, err := zppeer.Share(context.Background(), d, address, zpshare.Message{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.CatalogVersion).To(BeEquivalentTo(10))
+		version = 9
+		_, reply, err = zppeer.ReportLoad(context.Background(), d, address, zpdigest.Report{})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(reply.CatalogVersion).To(BeEquivalentTo(10))
+	})
 })
