The first byte is not sent under the cache salt of other regions

Callers saw nothing; the parts of a prompt that a change had restricted could be fetched by requests that are allowed other regions. Cause: the salt was chosen with the endpoint. If the regions changed while the connection was made and still allowed the endpoint, the prompt was sent with the salt of before, which unrestricted requests share. Now the check before the first byte compares the regions of the salt too, and another choice is made if they differ. Test failed before: zpgateway 'are sent with the salt of the regions that are allowed now'. Checked by: go test ./internal/zpgateway.

--- a/internal/zpgateway/regions.go
+++ b/internal/zpgateway/regions.go
@@ -18,9 +18,12 @@
 }
 
 // checkRegion returns an error if the chosen endpoint is not, or may no longer be, in a
-// region that the request is allowed.
+// region that the request is allowed, or if its salt is that of other regions: requests that
+// allow those could then move its parts there.
 func (g *Gateway) checkRegion(j *job, c choice) error {
-	if !g.regionsOf(j).Allows(c.endpoint.Region) || g.checkRegionsConfirmed(j) != nil {
+	regions := g.regionsOf(j)
+	hasOtherSalt := c.salt != "" && regions.String() != c.regions.String()
+	if hasOtherSalt || !regions.Allows(c.endpoint.Region) || g.checkRegionsConfirmed(j) != nil {
 		return errRegionExcluded
 	}
 	return nil
--- a/internal/zpgateway/regions_test.go
+++ b/internal/zpgateway/regions_test.go
@@ -185,4 +185,22 @@
 		s.Weights.SetTarget("m", 2, time.Now())
 		Expect(s.IsStalePart(zpparts.Key{Salt: salts[1], Part: "p0"})).To(BeFalse())
 	})
+
+	It("are sent with the salt of the regions that are allowed now", func() {
+		var s *regionGateway
+		connects := func(ctx context.Context, gate *zpengine.Gate) (*zpgateway.Response, error) {
+			s.allow([]string{"n"}, nil)
+			if err := gate.Open(); err != nil {
+				return nil, err
+			}
+			return responds(http.StatusOK, events)(ctx, gate)
+		}
+		s = newRegionGateway(connects)
+		q := request("tag")
+		q.Prompt = &zpgateway.Prompt{Model: "m", Tokens: 60, OutputTokens: 5, Parts: []zpgateway.Part{{"p0", 20}, {"own", 10}}}
+		s.serve(q)
+		last := s.runner.runs[len(s.runner.runs)-1]
+		Expect(last.Endpoint.Region).To(Equal("n"))
+		Expect(last.Salt).To(Equal("v1.m@n"))
+	})
 })
