A request keeps the regions of the workspace that it is sent for

Callers saw nothing; a request whose key was revoked or moved to another workspace while it waited ran in a region that its workspace does not allow. Cause: the regions were looked up by key alone. For a revoked key they were those of the catalog under which the request was admitted, although the workspace may list others now; for a moved key they were those of the new holder, although the endpoint is told the old one. Now the regions that the current catalog lists for the workspace of the admission bind as well; a request that no region is left for is refused as not run. Test failed before: zpgateway 'run in the regions that their workspace has now when their key was revoked' and 'do not run outside the regions of the workspace that they are sent for when their key moved to another one'. Checked by: go test -race ./internal/zpcatalog ./internal/zpgateway.

--- a/internal/zpcatalog/catalog.go
+++ b/internal/zpcatalog/catalog.go
@@ -149,6 +149,16 @@
 	return w, ok
 }
 
+// WorkspaceNamed returns the named workspace.
+func (c *Catalog) WorkspaceNamed(name string) (*Workspace, bool) {
+	for i := range c.Workspaces {
+		if c.Workspaces[i].Name == name {
+			return &c.Workspaces[i], true
+		}
+	}
+	return nil, false
+}
+
 // RestrictedRoutes returns the number of routes that restrict the regions.
 func (c *Catalog) RestrictedRoutes() int {
 	n := 0
--- a/internal/zpcatalog/catalog_test.go
+++ b/internal/zpcatalog/catalog_test.go
@@ -28,4 +28,12 @@
 		Entry("both list regions", []string{"n", "s"}, []string{"s", "t"}, "s"),
 		Entry("they have no region in common", []string{"n"}, []string{"s"}, "none"),
 	)
+
+	It("is restricted by the lists of an older catalog, too", func() {
+		f := zpcatalog.RegionFilter{Route: []string{"n", "s"}, Admitted: [][]string{nil, {"s", "t"}}}
+		Expect(f.String()).To(Equal("s"))
+		Expect(f.Allows("n")).To(BeFalse())
+		Expect(zpcatalog.RegionFilter{Admitted: [][]string{{"s"}}}.IsEmpty()).To(BeFalse())
+		Expect(zpcatalog.RegionFilter{Admitted: [][]string{nil}}.IsEmpty()).To(BeTrue())
+	})
 })
--- a/internal/zpgateway/regions.go
+++ b/internal/zpgateway/regions.go
@@ -38,10 +38,18 @@
 	if r, ok := current.RouteOf(j.request.Host, j.request.Path); ok {
 		f.Route = r.Regions
 	}
-	if w, ok := current.WorkspaceOf(j.request.APIKey); ok {
-		f.Workspace = w.Regions
-	} else if w, ok := j.catalog.WorkspaceOf(j.request.APIKey); ok {
+	w, hasKey := current.WorkspaceOf(j.request.APIKey)
+	if hasKey {
 		f.Workspace = w.Regions
 	}
+	admitted, ok := j.catalog.WorkspaceOf(j.request.APIKey)
+	if !ok || hasKey && w.Name == admitted.Name {
+		return f
+	}
+	// The key was revoked or moved, but the request is sent for the workspace that had it.
+	if now, ok := current.WorkspaceNamed(admitted.Name); ok {
+		admitted = now
+	}
+	f.Admitted = append(f.Admitted, admitted.Regions)
 	return f
 }
--- a/internal/zpgateway/regions_test.go
+++ b/internal/zpgateway/regions_test.go
@@ -186,6 +186,42 @@
 		Expect(s.IsStalePart(zpparts.Key{Salt: salts[1], Part: "p0"})).To(BeFalse())
 	})
 
+	// changesWhileConnecting serves a read that finds another catalog when its connection is
+	// established than the one under which it was admitted.
+	changesWhileConnecting := func(admittedRoutes, admittedWorkspace []string, change func(c *zpcatalog.Catalog)) (*regionGateway, *fakeReply) {
+		var s *regionGateway
+		connects := func(ctx context.Context, gate *zpengine.Gate) (*zpgateway.Response, error) {
+			c := newCatalog()
+			c.Version = 3
+			change(c)
+			s.catalog.Store(c.BuildIndexes())
+			if err := gate.Open(); err != nil {
+				return nil, err
+			}
+			return responds(http.StatusOK, "done")(ctx, gate)
+		}
+		s = newRegionGateway(connects)
+		s.allow(admittedRoutes, admittedWorkspace)
+		return s, s.serve(request("read"))
+	}
+
+	It("run in the regions that their workspace has now when their key was revoked", func() {
+		s, reply := changesWhileConnecting(nil, []string{"t"}, func(c *zpcatalog.Catalog) {
+			c.Workspaces[0].Keys, c.Workspaces[0].Regions = []string{"k3"}, []string{"s"}
+		})
+		expectResponse(reply, http.StatusOK, "done")
+		Expect(s.endpoints()).To(Equal([]string{"e4", "e3"}))
+	})
+
+	It("do not run outside the regions of the workspace that they are sent for when their key moved to another one", func() {
+		s, reply := changesWhileConnecting(nil, []string{"t"}, func(c *zpcatalog.Catalog) {
+			c.Workspaces[0].Keys, c.Workspaces[0].Regions = nil, []string{"t"}
+			c.Workspaces[1].Keys, c.Workspaces[1].Regions = []string{"k"}, []string{"s"}
+		})
+		expectRefused(reply, http.StatusServiceUnavailable, zperror.RunStateNotRun)
+		Expect(s.endpoints()).To(Equal([]string{"e4"}))
+	})
+
 	It("are sent with the salt of the regions that are allowed now", func() {
 		var s *regionGateway
 		connects := func(ctx context.Context, gate *zpengine.Gate) (*zpgateway.Response, error) {
