A request is not run on the pool of its old route in the regions of a new one

Callers saw nothing; a request that waited while its route was dropped or moved to another pool ran on the old pool, in a region that the old route does not allow. Cause: the regions were those of the route that matches host and path now, also if that one sends to other pools (a shorter prefix, for example), while the request kept its pool. No version of the configuration allows that pair. Now the regions of the route of the admission bind as well if the current route does not have the request's pool; a request that no region is left for is refused as not run. Test failed before: zpgateway 'do not run on the pool of their old route in the regions of a route to another pool'. Checked by: go test -race ./internal/zpcatalog ./internal/zpgateway.

--- a/internal/zpcatalog/catalog.go
+++ b/internal/zpcatalog/catalog.go
@@ -4,6 +4,7 @@
 package zpcatalog
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -199,6 +200,11 @@
 	return r.Shares[len(r.Shares)-1].Pool
 }
 
+// HasPool reports whether the route sends requests to a pool.
+func (r *Route) HasPool(name string) bool {
+	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Pool == name })
+}
+
 // Repeatable reports whether a request of the route may run more than once.
 func (r *Route) Repeatable() bool {
 	return r.Kind == KindIdempotent || (r.Kind == KindStream && r.Resumable)
--- a/internal/zpgateway/regions.go
+++ b/internal/zpgateway/regions.go
@@ -37,6 +37,10 @@
 	current := g.Catalog()
 	if r, ok := current.RouteOf(j.request.Host, j.request.Path); ok {
 		f.Route = r.Regions
+		if !r.HasPool(j.pool.Name) {
+			// No catalog allows the old pool in the new regions.
+			f.Admitted = append(f.Admitted, j.route.Regions)
+		}
 	}
 	w, hasKey := current.WorkspaceOf(j.request.APIKey)
 	if hasKey {
--- a/internal/zpgateway/regions_test.go
+++ b/internal/zpgateway/regions_test.go
@@ -205,6 +205,16 @@
 		return s, s.serve(request("read"))
 	}
 
+	It("do not run on the pool of their old route in the regions of a route to another pool", func() {
+		s, reply := changesWhileConnecting([]string{"t"}, nil, func(c *zpcatalog.Catalog) {
+			other := route("all", zpcatalog.KindIdempotent, 2, false)
+			other.PathPrefix, other.Regions, other.Shares[0].Pool = "/", []string{"s"}, "other"
+			c.Routes = []zpcatalog.Route{other}
+		})
+		expectRefused(reply, http.StatusServiceUnavailable, zperror.RunStateNotRun)
+		Expect(s.endpoints()).To(Equal([]string{"e4"}))
+	})
+
 	It("run in the regions that their workspace has now when their key was revoked", func() {
 		s, reply := changesWhileConnecting(nil, []string{"t"}, func(c *zpcatalog.Catalog) {
 			c.Workspaces[0].Keys, c.Workspaces[0].Regions = []string{"k3"}, []string{"s"}
