Prompts of isolated workspaces keep a salt of their own on routes without keys

Callers of an isolated workspace that sent their key to a route that needs none shared cached parts with other workspaces there. Cause: the salt looked at the workspace of the admission, which such routes do not resolve; the same cause as that of the regions of workspaces on these routes. Now the salt looks up the workspace of the key, as the regions do. Test failed before: zpgateway 'separates parts of isolated workspaces also on a route without keys'. Checked by: go test ./internal/zpgateway.

--- a/internal/zpgateway/choice.go
+++ b/internal/zpgateway/choice.go
@@ -129,8 +129,9 @@
 		return "once-" + j.request.ID
 	}
 	isolated := ""
-	if j.workspace != nil && j.workspace.Isolated {
-		isolated = j.workspace.Name
+	// The workspace of a key counts also on routes that need none.
+	if w, ok := j.catalog.WorkspaceOf(j.request.APIKey); ok && w.Isolated {
+		isolated = w.Name
 	}
 	return formatSalt(j.request.Prompt.Model, weights, isolated, regions.String())
 }
--- a/internal/zpgateway/parts_test.go
+++ b/internal/zpgateway/parts_test.go
@@ -45,6 +45,17 @@
 		Expect(salts).To(HaveLen(3))
 	})
 
+	It("separates parts of isolated workspaces also on a route without keys", func() {
+		s := newTestGateway(responds(http.StatusOK, events))
+		for i := range s.Catalog().Routes {
+			s.Catalog().Routes[i].Anonymous = true
+		}
+		s.serve(promptRequest("k"))
+		s.serve(promptRequest("k2"))
+		Expect(s.runner.runs[0].Salt).To(Equal("v1.m"))
+		Expect(s.runner.runs[1].Salt).To(Equal("v1.m.isolated"))
+	})
+
 	It("requires the weight version of the salt", func() {
 		s := newTestGateway(responds(http.StatusOK, events))
 		s.serve(promptRequest("k"))
