catalogs: whether the catalog is confirmed is asked before the lock is taken

Callers saw configurations of seconds ago: with, learn asked isConfirmed with the lock held that startConfirming takes, so a daemon that learned of a newer configuration while nobody had confirmed its own stood still and applied none any more.

--- a/internal/zpapp/gateway_catalogs.go
+++ b/internal/zpapp/gateway_catalogs.go
@@ -84,16 +84,16 @@
 		}
 		return
 	}
+	delay := peerCatalogDelay
+	if !c.isConfirmed() {
+		delay = 0
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.isFetching {
 		return
 	}
 	c.isFetching = true
-	delay := peerCatalogDelay
-	if !c.isConfirmed() {
-		delay = 0
-	}
 	time.AfterFunc(delay, func() { c.fetch(address, reply.CatalogVersion) })
 }
 
@@ -136,6 +136,7 @@
 
 // isConfirmed reports whether the catalog is known to be the newest one. If not, it is
 // read again. A daemon without others cannot tell an outage of the store from its own.
+// c.mu must not be held.
 func (c *catalogs) isConfirmed() bool {
 	d, now := c.daemon, zpclock.Now()
 	if c.guard.IsConfirmed(now) && (c.guard.IsRecent(d.follower.ReadAt(), now) || len(d.members.Others()) == 0) {
