Parts known to be harmless are not displaced by requests that are sent once

What callers saw: nothing yet.

Cause: one cache of 16384 entries held the harmless runs of requests and of parts. Nearly all requests differ, so that a daemon with 100 requests per second displaced a part within three minutes of its last use, not after the retention of an hour.

Evidence: the spec 'remembers harmless parts however many different requests are harmless' failed before on (status 1, suspect, instead of clear) and passes now. Parts have a cache of their own, which requests cannot fill.

--- a/internal/zpquarantine/tracker.go
+++ b/internal/zpquarantine/tracker.go
@@ -21,7 +21,11 @@
 		crashes  map[string]*crash              // by id
 		suspects map[string]map[string]struct{} // crash ids by fingerprint
 		entries  int                            // number of fingerprints in all crashes
-		harmless *lru.Cache[string, time.Time]  // last harmless run, by fingerprint
+
+		// Last harmless runs, by fingerprint. Requests have a cache of their own, as most
+		// are sent once and would displace the parts.
+		harmlessRequests *lru.Cache[string, time.Time]
+		harmlessParts    *lru.Cache[string, time.Time]
 	}
 
 	// Report is one request that was running when an endpoint crashed.
@@ -52,7 +56,7 @@
 	// may have run beside the guilty one.
 	partBanThreshold = 3
 	// maxTrackedEntries bounds the fingerprints of all crashes, and maxTrackedHarmless
-	// those known to be harmless, and with them the memory.
+	// the requests and the parts known to be harmless, and with them the memory.
 	maxTrackedEntries  = 16384
 	maxTrackedHarmless = 16384
 )
@@ -69,8 +73,20 @@
 // NewTracker returns a tracker without crashes.
 func NewTracker(retention time.Duration) *Tracker {
 	// New fails only for a size that is not positive.
-	harmless, _ := lru.New[string, time.Time](maxTrackedHarmless)
-	return &Tracker{Retention: retention, crashes: map[string]*crash{}, suspects: map[string]map[string]struct{}{}, harmless: harmless}
+	requests, _ := lru.New[string, time.Time](maxTrackedHarmless)
+	parts, _ := lru.New[string, time.Time](maxTrackedHarmless)
+	return &Tracker{
+		Retention: retention, crashes: map[string]*crash{}, suspects: map[string]map[string]struct{}{},
+		harmlessRequests: requests, harmlessParts: parts,
+	}
+}
+
+// harmless returns the cache for the harmless runs of a fingerprint.
+func (t *Tracker) harmless(fingerprint string) *lru.Cache[string, time.Time] {
+	if isPart(fingerprint) {
+		return t.harmlessParts
+	}
+	return t.harmlessRequests
 }
 
 // RecordHarmless records that requests with the given fingerprints ran without a crash,
@@ -80,7 +96,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, f := range fingerprints {
-		t.harmless.Add(f, now)
+		t.harmless(f).Add(f, now)
 		if len(t.suspects[f]) > 0 {
 			cleared = append(cleared, f)
 			t.clear(f)
@@ -99,7 +115,7 @@
 		return nil
 	}
 	for _, f := range r.Fingerprints {
-		if at, ok := t.harmless.Get(f); ok && now.Sub(at) <= t.Retention {
+		if at, ok := t.harmless(f).Get(f); ok && now.Sub(at) <= t.Retention {
 			continue
 		}
 		if t.add(f, r) {
--- a/internal/zpquarantine/tracker_test.go
+++ b/internal/zpquarantine/tracker_test.go
@@ -122,6 +122,15 @@
 		expectStatus(zpquarantine.StatusSuspect, library)
 	})
 
+	It("remembers harmless parts however many different requests are harmless", func() {
+		t.RecordHarmless([]string{library}, now)
+		for i := range 20_000 {
+			t.RecordHarmless([]string{fmt.Sprint("request", i)}, now)
+		}
+		crash(library)
+		expectStatus(zpquarantine.StatusClear, library)
+	})
+
 	It("counts a crash once, whoever reports it", func() {
 		for i := range 4 {
 			t.RecordCrash(zpquarantine.Report{
