Endpoints that fail together count once, although reports of their crashes arrive late

What callers saw: nothing yet.

Cause: a report gives ages, which the receiver turns into times when it reads the report. A receiver or sender that is frozen in between shifts both the crash and the send. Of several reports of a crash the tracker kept the earliest crash and the latest send, so that the send of a late report seemed to follow the other crashes, and each of them counted.

The tracker keeps how long a request ran until the crash, which a delay does not change.

--- a/internal/zpquarantine/tracker.go
+++ b/internal/zpquarantine/tracker.go
@@ -45,8 +45,10 @@
 	}
 
 	crash struct {
-		at       time.Time
-		suspects map[string]map[string]time.Time // last send, by fingerprint and workspace
+		at time.Time
+		// Shortest run until the crash, by fingerprint and workspace. Unlike the time of
+		// the send, it does not change if a report arrives late.
+		suspects map[string]map[string]time.Duration
 	}
 )
 
@@ -133,24 +135,25 @@
 func (t *Tracker) add(fingerprint string, r Report) bool {
 	c, ok := t.crashes[r.Crash]
 	if !ok {
-		c = &crash{at: r.CrashedAt, suspects: map[string]map[string]time.Time{}}
+		c = &crash{at: r.CrashedAt, suspects: map[string]map[string]time.Duration{}}
 		t.crashes[r.Crash] = c
 	}
 	if r.CrashedAt.Before(c.at) {
 		c.at = r.CrashedAt
 	}
-	sends, known := c.suspects[fingerprint]
+	runs, known := c.suspects[fingerprint]
 	if !known {
-		sends = map[string]time.Time{}
-		c.suspects[fingerprint] = sends
+		runs = map[string]time.Duration{}
+		c.suspects[fingerprint] = runs
 		t.entries++
 	}
 	if t.suspects[fingerprint] == nil {
 		t.suspects[fingerprint] = map[string]struct{}{}
 	}
 	t.suspects[fingerprint][r.Crash] = struct{}{}
-	if r.SentAt.After(sends[r.Workspace]) {
-		sends[r.Workspace] = r.SentAt
+	ran := r.CrashedAt.Sub(r.SentAt)
+	if shortest, ok := runs[r.Workspace]; !ok || ran < shortest {
+		runs[r.Workspace] = ran
 	}
 	return !known
 }
@@ -213,8 +216,9 @@
 	byKey := map[key]*Report{}
 	var order []*Report
 	for id, c := range t.crashes {
-		for f, sends := range c.suspects {
-			for workspace, sentAt := range sends {
+		for f, runs := range c.suspects {
+			for workspace, ran := range runs {
+				sentAt := c.at.Add(-ran)
 				k := key{id, workspace, sentAt}
 				r, ok := byKey[k]
 				if !ok {
@@ -248,9 +252,9 @@
 			continue
 		}
 		e := event{crashedAt: c.at}
-		for w, sentAt := range c.suspects[fingerprint] {
+		for w, ran := range c.suspects[fingerprint] {
 			workspaces[w] = struct{}{}
-			if sentAt.After(e.sentAt) {
+			if sentAt := c.at.Add(-ran); sentAt.After(e.sentAt) {
 				e.sentAt = sentAt
 			}
 		}
--- a/internal/zpquarantine/tracker_test.go
+++ b/internal/zpquarantine/tracker_test.go
@@ -131,6 +131,18 @@
 		expectStatus(zpquarantine.StatusClear, library)
 	})
 
+	It("counts endpoints that fail together once, although reports arrive late", func() {
+		for i := range 4 {
+			at := now.Add(time.Duration(i) * 100 * time.Millisecond)
+			for _, delay := range []time.Duration{0, 4 * time.Second} {
+				t.RecordCrash(zpquarantine.Report{
+					Crash: fmt.Sprint("e", i), CrashedAt: at.Add(delay), SentAt: at.Add(delay - time.Second), Workspace: workspace, Fingerprints: []string{library},
+				}, now.Add(5*time.Second))
+			}
+		}
+		expectStatus(zpquarantine.StatusSuspect, library)
+	})
+
 	It("counts a crash once, whoever reports it", func() {
 		for i := range 4 {
 			t.RecordCrash(zpquarantine.Report{
