A crash is announced for each workspace whose requests ran at it

What callers saw: nothing yet.

Cause: a daemon announced a report only if its fingerprint was new for the crash. If requests of two workspaces with the part were running at it, only the workspace of the first was announced. Crashes of one workspace count for that one alone, so the others found the part clear where this daemon refused it. The same held for a later send, without which a crash may not count.

Evidence: the spec 'is equal at a daemon that gets only what was new' failed before on (the other daemon: clear, no crashes; this one: banned, three crashes) and passes now. A report is new also by its workspace or by a shorter run. Reports are announced only by the daemon that made them, so there is at most one for each response that broke off.

--- a/internal/zpquarantine/tracker.go
+++ b/internal/zpquarantine/tracker.go
@@ -107,8 +107,8 @@
 	return cleared
 }
 
-// RecordCrash records a report and returns the fingerprints for which it is new. Those
-// of harmless runs are ignored.
+// RecordCrash records a report and returns the fingerprints for which it is new: by its
+// crash, its workspace or a shorter run. Those of harmless runs are ignored.
 func (t *Tracker) RecordCrash(r Report, now time.Time) (recorded []string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -130,7 +130,7 @@
 	return recorded
 }
 
-// add records one fingerprint of a report and reports whether it is new for the crash;
+// add records one fingerprint of a report and reports whether the report is new for it;
 // t.mu must be held.
 func (t *Tracker) add(fingerprint string, r Report) bool {
 	c, ok := t.crashes[r.Crash]
@@ -152,10 +152,11 @@
 	}
 	t.suspects[fingerprint][r.Crash] = struct{}{}
 	ran := r.CrashedAt.Sub(r.SentAt)
-	if shortest, ok := runs[r.Workspace]; !ok || ran < shortest {
-		runs[r.Workspace] = ran
+	if shortest, ok := runs[r.Workspace]; ok && shortest <= ran {
+		return false
 	}
-	return !known
+	runs[r.Workspace] = ran
+	return true
 }
 
 // Check returns the status of a request of a workspace. Of several crashes, each counts
--- a/internal/zpquarantine/tracker_test.go
+++ b/internal/zpquarantine/tracker_test.go
@@ -195,6 +195,23 @@
 		Expect(t.Check("other", []string{"request"}, now).Status).To(Equal(zpquarantine.StatusSuspect))
 	})
 
+	It("is equal at a daemon that gets only what was new", func() {
+		other := zpquarantine.NewTracker(time.Hour)
+		for i, sender := range []string{"a", "a", "b"} {
+			now = now.Add(time.Second)
+			for _, workspace := range []string{"a", sender} {
+				r := zpquarantine.Report{
+					Crash: fmt.Sprint("e", i), CrashedAt: now, SentAt: now.Add(-300 * time.Millisecond), Workspace: workspace, Fingerprints: []string{deadly},
+				}
+				if r.Fingerprints = t.RecordCrash(r, now); len(r.Fingerprints) > 0 {
+					other.RecordCrash(r, now)
+				}
+			}
+		}
+		expectStatus(zpquarantine.StatusBanned, deadly)
+		Expect(other.Check(workspace, []string{deadly}, now)).To(Equal(t.Check(workspace, []string{deadly}, now)))
+	})
+
 	It("bounds its memory under a flood of parts, and keeps the newest crashes", func() {
 		for i := range 200 {
 			flood := make([]string, 256)
