A stream that ends without an event does not clear its parts

What callers saw: nothing yet. Found in review: if an endpoint sends streams that end with their connection, its crash after the header looks like a complete, empty stream.

Cause: each complete response with a 2xx status cleared all fingerprints, and a response that is not broken is not reported.

Evidence: the spec 'is found although the crash seems to complete a stream without an event' failed before on (10 runs of the deadly part instead of 3) and passes now. Such a stream is treated like one that broke off: it counts as a crash if the endpoint refuses connections or is removed soon after.

--- a/internal/zpgateway/quarantine.go
+++ b/internal/zpgateway/quarantine.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"strings"
 
+	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpprefix"
@@ -56,6 +57,16 @@
 	return g.Quarantine.Check(j.workspaceName(), j.partFingerprints(), g.Clock()).Status != zpquarantine.StatusClear
 }
 
+// recordComplete records a request with a complete response. A stream without an event may
+// have been cut off by a crash: one that ends with its connection has no other end.
+func (g *Gateway) recordComplete(ctx context.Context, j *job, e zpregistry.Endpoint) {
+	if j.route.Kind == zpcatalog.KindStream && j.events == 0 {
+		g.recordBroken(ctx, j, e)
+		return
+	}
+	g.recordHarmless(j, j.fingerprints)
+}
+
 // recordHarmless records that what the fingerprints stand for does not crash endpoints,
 // and tells other daemons if it was suspected.
 func (g *Gateway) recordHarmless(j *job, fingerprints []string) {
--- a/internal/zpgateway/quarantine_test.go
+++ b/internal/zpgateway/quarantine_test.go
@@ -28,6 +28,7 @@
 	harmless   []string
 	deadlyRuns int
 	beforeEOF  string // sent before the crash
+	endsClean  bool   // the crash ends the response as if it were complete
 }
 
 func newCrashingFleet() *crashingFleet {
@@ -55,6 +56,9 @@
 		}
 		f.deadlyRuns++
 		f.restart(run.Endpoint)
+		if f.endsClean {
+			return responds(http.StatusOK, f.beforeEOF)(ctx, gate)
+		}
 		return resetsAfter(f.beforeEOF)(ctx, gate)
 	}
 	return responds(http.StatusOK, events)(ctx, gate)
@@ -115,6 +119,16 @@
 		Expect(f.deadlyRuns).To(Equal(3))
 	})
 
+	It("is found although the crash seems to complete a stream without an event", func() {
+		f := newCrashingFleet()
+		f.endsClean = true
+		for i := range 10 {
+			f.send("draft", "k", fmt.Sprint("library", i), deadlyPart)
+		}
+		Expect(f.deadlyRuns).To(Equal(3))
+		Expect(f.harmless).To(BeEmpty())
+	})
+
 	It("is not sent again by the daemon after a crash", func() {
 		f := newCrashingFleet()
 		f.send("tag", "k", deadlyPart)
