A part that crashes endpoints is one part, whichever models the requests name

What callers saw: nothing yet. Found in review: the users' words are that a part may crash each endpoint 'whatever else the request holds'.

Cause: the fingerprint of a part contained the model.

Evidence: the spec 'is found whichever models the requests name' failed before (9 runs of the deadly part instead of 3) and passes now, as the fingerprint is that of the part alone. Specs that name fingerprints lose the model; what they check is unchanged.

--- a/internal/zpgateway/quarantine.go
+++ b/internal/zpgateway/quarantine.go
@@ -34,7 +34,7 @@
 	content := strings.Join([]string{q.Method, q.Host, q.URL, strings.Join(ids, ","), string(q.Body)}, "\x00")
 	out := []string{zpprefix.Fingerprint(zpprefix.NewSalt(j.workspaceName(), j.workspaceName(), "", ""), []byte(content))}
 	for _, p := range q.Prompt.SharedParts() {
-		out = append(out, zpquarantine.PartFingerprint(q.Prompt.Model, p.ID))
+		out = append(out, zpquarantine.PartFingerprint(p.ID))
 	}
 	return out
 }
--- a/internal/zpgateway/quarantine_test.go
+++ b/internal/zpgateway/quarantine_test.go
@@ -22,6 +22,7 @@
 // with the deadly part, and are back at once.
 type crashingFleet struct {
 	testGateway
+	model      string // of the prompts sent
 	requests   int
 	isRefusing bool
 	reports    []zpquarantine.Report
@@ -32,7 +33,7 @@
 }
 
 func newCrashingFleet() *crashingFleet {
-	f := &crashingFleet{testGateway: newTestGateway(), isRefusing: true}
+	f := &crashingFleet{testGateway: newTestGateway(), model: "m", isRefusing: true}
 	f.Runner = runnerFunc(f.run)
 	f.IsRefusing = func(context.Context, string) bool { return f.isRefusing }
 	f.AnnounceCrash = func(r zpquarantine.Report) { f.reports = append(f.reports, r) }
@@ -78,7 +79,7 @@
 	f.requests++
 	q := request(routeName)
 	q.APIKey = key
-	q.Prompt = &zpgateway.Prompt{Model: "m", Tokens: 10, OutputTokens: 2}
+	q.Prompt = &zpgateway.Prompt{Model: f.model, Tokens: 10, OutputTokens: 2}
 	for _, id := range append(parts, fmt.Sprint("own", f.requests)) {
 		q.Prompt.Parts = append(q.Prompt.Parts, zpgateway.Part{ID: id, Tokens: 5})
 	}
@@ -107,7 +108,7 @@
 			expectResponse(f.send("tag", "k", "library", "guide"), http.StatusOK, events)
 		}
 		Expect(f.deadlyRuns).To(Equal(3))
-		Expect(f.harmless).To(ConsistOf(zpquarantine.PartFingerprint("m", "guide")))
+		Expect(f.harmless).To(ConsistOf(zpquarantine.PartFingerprint("guide")))
 	})
 
 	It("is found although an engine sends the first event before it crashes", func() {
@@ -129,6 +130,15 @@
 		Expect(f.harmless).To(BeEmpty())
 	})
 
+	It("is found whichever models the requests name", func() {
+		f := newCrashingFleet()
+		for i := range 10 {
+			f.model = fmt.Sprint("m", i%3)
+			f.send("draft", "k", fmt.Sprint("library", i), deadlyPart)
+		}
+		Expect(f.deadlyRuns).To(Equal(3))
+	})
+
 	It("is not sent again by the daemon after a crash", func() {
 		f := newCrashingFleet()
 		f.send("tag", "k", deadlyPart)
@@ -153,7 +163,7 @@
 			for i := range 3 {
 				at := time.Now().Add(time.Duration(i) * time.Second)
 				f.MergeCrash(zpquarantine.Report{
-					Crash: fmt.Sprint(i), CrashedAt: at, SentAt: at.Add(-time.Millisecond), Workspace: "w", Fingerprints: []string{zpquarantine.PartFingerprint("m", deadlyPart)},
+					Crash: fmt.Sprint(i), CrashedAt: at, SentAt: at.Add(-time.Millisecond), Workspace: "w", Fingerprints: []string{zpquarantine.PartFingerprint(deadlyPart)},
 				}, "another")
 			}
 			return run.Run(ctx, r, gate)
--- a/internal/zpquarantine/tracker.go
+++ b/internal/zpquarantine/tracker.go
@@ -67,8 +67,8 @@
 // hexadecimal.
 const partPrefix = "part/"
 
-// PartFingerprint returns the fingerprint of a part of a prompt for a model.
-func PartFingerprint(model, part string) string { return partPrefix + model + "/" + part }
+// PartFingerprint returns the fingerprint of a part of a prompt, whichever model reads it.
+func PartFingerprint(part string) string { return partPrefix + part }
 
 func isPart(fingerprint string) bool { return strings.HasPrefix(fingerprint, partPrefix) }
 
--- a/internal/zpquarantine/tracker_test.go
+++ b/internal/zpquarantine/tracker_test.go
@@ -13,7 +13,7 @@
 var _ = Describe("Tracker", func() {
 	const workspace = "w"
 	start := time.Unix(1000, 0)
-	deadly, library := zpquarantine.PartFingerprint("m", "deadly"), zpquarantine.PartFingerprint("m", "library")
+	deadly, library := zpquarantine.PartFingerprint("deadly"), zpquarantine.PartFingerprint("library")
 	var t *zpquarantine.Tracker
 	var now time.Time
 	crashes := 0
@@ -216,7 +216,7 @@
 		for i := range 200 {
 			flood := make([]string, 256)
 			for k := range flood {
-				flood[k] = zpquarantine.PartFingerprint("m", fmt.Sprint(i, "-", k))
+				flood[k] = zpquarantine.PartFingerprint(fmt.Sprint(i, "-", k))
 			}
 			crash(flood...)
 		}
