--- a/internal/zpapp/gateway_sharing.go
+++ b/internal/zpapp/gateway_sharing.go
@@ -218,7 +218,8 @@
 		m.ResetHolders = append(m.ResetHolders, x.Holder())
 		m.Parts = append(m.Parts, owners.Group(d.gateway.Parts.HeldBy(x.Holder()), d.self.Name)[to.PeerAddress]...)
 	}
-	m.Crashes = d.gateway.Quarantine.Reports(zpclock.Now())
+	now := zpclock.Now()
+	m.Crashes, m.Harmless = d.gateway.Quarantine.Reports(now), d.gateway.Quarantine.Cleared(now)
 	return m
 }
 
--- a/internal/zpquarantine/tracker.go
+++ b/internal/zpquarantine/tracker.go
@@ -26,6 +26,7 @@
 		// are sent once and would displace the parts.
 		harmlessRequests *lru.Cache[string, time.Time]
 		harmlessParts    *lru.Cache[string, time.Time]
+		cleared          *lru.Cache[string, time.Time] // those of them that were in reports
 	}
 
 	// Report is one request that was running when an endpoint crashed.
@@ -61,6 +62,8 @@
 	// the requests and the parts known to be harmless, and with them the memory.
 	maxTrackedEntries  = 16384
 	maxTrackedHarmless = 16384
+	// maxTrackedCleared is lower because each new daemon is sent all of them.
+	maxTrackedCleared = 1024
 )
 
 // partPrefix distinguishes fingerprints of parts from those of whole requests, which are
@@ -77,9 +80,10 @@
 	// New fails only for a size that is not positive.
 	requests, _ := lru.New[string, time.Time](maxTrackedHarmless)
 	parts, _ := lru.New[string, time.Time](maxTrackedHarmless)
+	cleared, _ := lru.New[string, time.Time](maxTrackedCleared)
 	return &Tracker{
 		Retention: retention, crashes: map[string]*crash{}, suspects: map[string]map[string]struct{}{},
-		harmlessRequests: requests, harmlessParts: parts,
+		harmlessRequests: requests, harmlessParts: parts, cleared: cleared,
 	}
 }
 
@@ -101,6 +105,7 @@
 		t.harmless(f).Add(f, now)
 		if len(t.suspects[f]) > 0 {
 			cleared = append(cleared, f)
+			t.cleared.Add(f, now)
 			t.clear(f)
 		}
 	}
@@ -118,6 +123,7 @@
 	}
 	for _, f := range r.Fingerprints {
 		if at, ok := t.harmless(f).Get(f); ok && now.Sub(at) <= t.Retention {
+			t.cleared.Add(f, at)
 			continue
 		}
 		if t.add(f, r) {
@@ -205,6 +211,20 @@
 	}
 }
 
+// Cleared returns the fingerprints that were in reports of crashes but are harmless, for
+// a daemon that may have missed it.
+func (t *Tracker) Cleared(now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []string
+	for _, f := range t.cleared.Keys() {
+		if at, ok := t.cleared.Peek(f); ok && now.Sub(at) <= t.Retention {
+			out = append(out, f)
+		}
+	}
+	return out
+}
+
 // Reports returns the recorded crashes as reports, for a daemon that has just started.
 func (t *Tracker) Reports(now time.Time) []Report {
 	t.mu.Lock()
--- a/internal/zpquarantine/tracker_test.go
+++ b/internal/zpquarantine/tracker_test.go
@@ -212,6 +212,30 @@
 		Expect(other.Check(workspace, []string{deadly}, now)).To(Equal(t.Check(workspace, []string{deadly}, now)))
 	})
 
+	It("tells a daemon that missed it which suspects were found harmless", func() {
+		late := zpquarantine.NewTracker(time.Hour)
+		for i := range 3 {
+			now = now.Add(time.Second)
+			r := zpquarantine.Report{Crash: fmt.Sprint("e", i), CrashedAt: now, SentAt: now.Add(-300 * time.Millisecond), Workspace: workspace, Fingerprints: []string{library}}
+			t.RecordCrash(r, now)
+			late.RecordCrash(r, now)
+		}
+		t.RecordHarmless([]string{library, "unsuspected"}, now)
+		for _, r := range t.Reports(now) {
+			late.RecordCrash(r, now)
+		}
+		late.RecordHarmless(t.Cleared(now), now)
+		Expect(late.Check(workspace, []string{library}, now).Status).To(Equal(zpquarantine.StatusClear))
+		Expect(t.Cleared(now)).To(ConsistOf(library))
+		Expect(t.Cleared(now.Add(2 * time.Hour))).To(BeEmpty())
+	})
+
+	It("tells a daemon of harmless parts that others reported", func() {
+		t.RecordHarmless([]string{library}, now)
+		crash(library)
+		Expect(t.Cleared(now)).To(ConsistOf(library))
+	})
+
 	It("bounds its memory under a flood of parts, and keeps the newest crashes", func() {
 		for i := range 200 {
 			flood := make([]string, 256)
