A report that names a harmless part is answered

What callers saw: nothing yet.

Cause: a daemon that knows a part to be harmless ignored reports of others that name it. It announces a part only if it suspected the part itself, and a daemon that refuses a part never sends the request that would clear it.

Evidence: the spec 'is answered with what is known to be harmless' failed before (nothing announced) and passes now; 'is answered by few of many daemons' guards the number of messages. Daemons answer at random, so that a report gets three answers on average if all know the part, however large the fleet. If few know it, the answer may take several reports.

--- a/internal/zpgateway/quarantine.go
+++ b/internal/zpgateway/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
@@ -19,6 +20,9 @@
 	harmlessEvents = 2
 	// maxReportedFingerprints bounds the size of a crash report.
 	maxReportedFingerprints = 256
+	// reportAnswers is how many daemons, on average, answer a report that names what all
+	// of them know to be harmless.
+	reportAnswers = 3
 )
 
 // fingerprintsOf returns what a request may crash an endpoint with: all of its content,
@@ -112,6 +116,9 @@
 // returns the fingerprints for which it is news.
 func (g *Gateway) MergeCrash(r zpquarantine.Report, daemon string) []string {
 	now := g.Clock()
+	if daemon != "" {
+		g.answerReport(r, now)
+	}
 	recorded := g.Quarantine.RecordCrash(r, now)
 	if len(recorded) == 0 {
 		return nil
@@ -127,6 +134,15 @@
 	return recorded
 }
 
+// answerReport tells the other daemons which fingerprints of a report from one of them are
+// known here to be harmless. A daemon that refuses them could not find out by itself.
+func (g *Gateway) answerReport(r zpquarantine.Report, now time.Time) {
+	known := g.Quarantine.Harmless(r.Fingerprints, now)
+	if len(known) > 0 && g.Random()*float64(len(g.Daemons())) < reportAnswers {
+		g.AnnounceHarmless(known)
+	}
+}
+
 // MergeHarmless records fingerprints that another daemon has found to be harmless.
 func (g *Gateway) MergeHarmless(fingerprints []string, daemon string) {
 	if cleared := g.Quarantine.RecordHarmless(fingerprints, g.Clock()); len(cleared) > 0 {
--- a/internal/zpgateway/quarantine_test.go
+++ b/internal/zpgateway/quarantine_test.go
@@ -139,6 +139,30 @@
 		Expect(f.deadlyRuns).To(Equal(3))
 	})
 
+	Describe("a report of another daemon that names a harmless part", func() {
+		library := zpquarantine.PartFingerprint("library")
+		report := func() zpquarantine.Report {
+			at := time.Now()
+			return zpquarantine.Report{Crash: "c", CrashedAt: at, SentAt: at.Add(-time.Second), Workspace: "w", Fingerprints: []string{"request", library}}
+		}
+
+		It("is answered with what is known to be harmless", func() {
+			f := newCrashingFleet()
+			expectResponse(f.send("tag", "k", "library"), http.StatusOK, events)
+			f.MergeCrash(report(), "another")
+			Expect(f.harmless).To(ConsistOf(library))
+		})
+
+		It("is answered by few of many daemons", func() {
+			f := newCrashingFleet()
+			f.Daemons = func() []string { return make([]string, 1200) }
+			f.Random = func() float64 { return 0.01 }
+			expectResponse(f.send("tag", "k", "library"), http.StatusOK, events)
+			f.MergeCrash(report(), "another")
+			Expect(f.harmless).To(BeEmpty())
+		})
+	})
+
 	It("is not sent again by the daemon after a crash", func() {
 		f := newCrashingFleet()
 		f.send("tag", "k", deadlyPart)
--- a/internal/zpquarantine/tracker.go
+++ b/internal/zpquarantine/tracker.go
@@ -26,7 +26,7 @@
 		// are sent once and would displace the parts.
 		harmlessRequests *lru.Cache[string, time.Time]
 		harmlessParts    *lru.Cache[string, time.Time]
-		cleared          *lru.Cache[string, time.Time] // those of them that were in reports
+		cleared          *lru.Cache[string, struct{}] // those of them that were in reports
 	}
 
 	// Report is one request that was running when an endpoint crashed.
@@ -80,15 +80,15 @@
 	// New fails only for a size that is not positive.
 	requests, _ := lru.New[string, time.Time](maxTrackedHarmless)
 	parts, _ := lru.New[string, time.Time](maxTrackedHarmless)
-	cleared, _ := lru.New[string, time.Time](maxTrackedCleared)
+	cleared, _ := lru.New[string, struct{}](maxTrackedCleared)
 	return &Tracker{
 		Retention: retention, crashes: map[string]*crash{}, suspects: map[string]map[string]struct{}{},
 		harmlessRequests: requests, harmlessParts: parts, cleared: cleared,
 	}
 }
 
-// harmless returns the cache for the harmless runs of a fingerprint.
-func (t *Tracker) harmless(fingerprint string) *lru.Cache[string, time.Time] {
+// lastHarmless returns the cache for the last harmless run of a fingerprint.
+func (t *Tracker) lastHarmless(fingerprint string) *lru.Cache[string, time.Time] {
 	if isPart(fingerprint) {
 		return t.harmlessParts
 	}
@@ -102,16 +102,29 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, f := range fingerprints {
-		t.harmless(f).Add(f, now)
+		t.lastHarmless(f).Add(f, now)
 		if len(t.suspects[f]) > 0 {
 			cleared = append(cleared, f)
-			t.cleared.Add(f, now)
+			t.cleared.Add(f, struct{}{})
 			t.clear(f)
 		}
 	}
 	return cleared
 }
 
+// Harmless returns those of the fingerprints that are known to be harmless.
+func (t *Tracker) Harmless(fingerprints []string, now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(fingerprints), func(f string) bool { return !t.isHarmless(f, now) })
+}
+
+// isHarmless reports whether a fingerprint is known to be harmless; t.mu must be held.
+func (t *Tracker) isHarmless(fingerprint string, now time.Time) bool {
+	at, ok := t.lastHarmless(fingerprint).Get(fingerprint)
+	return ok && now.Sub(at) <= t.Retention
+}
+
 // RecordCrash records a report and returns the fingerprints for which it is new: by its
 // crash, its workspace or a shorter run. Those of harmless runs are ignored.
 func (t *Tracker) RecordCrash(r Report, now time.Time) (recorded []string) {
@@ -122,8 +135,8 @@
 		return nil
 	}
 	for _, f := range r.Fingerprints {
-		if at, ok := t.harmless(f).Get(f); ok && now.Sub(at) <= t.Retention {
-			t.cleared.Add(f, at)
+		if t.isHarmless(f, now) {
+			t.cleared.Add(f, struct{}{})
 			continue
 		}
 		if t.add(f, r) {
@@ -218,7 +231,7 @@
 	defer t.mu.Unlock()
 	var out []string
 	for _, f := range t.cleared.Keys() {
-		if at, ok := t.cleared.Peek(f); ok && now.Sub(at) <= t.Retention {
+		if t.isHarmless(f, now) {
 			out = append(out, f)
 		}
 	}
