A part is banned in time although its requests run for long before they crash

What callers saw: nothing yet.

Cause: a crash counted only if its request was sent after the crash counted before, so that one crash counted per length of a run: three of them take three runs, however many endpoints crash meanwhile.

Evidence: the spec 'bans a part in time although its requests run for long before they crash' (four requests per second, of 3 s each) failed before with 5 sends later than 4 s after the fifth crash and passes now. Crashes 2 s apart count separately. The specs on endpoints that fail together pass unchanged. What it costs: endpoints that fail one by one, each 2 s after the last counted, now count separately also for long requests; a part is cleared by its next response.

--- a/internal/zpquarantine/tracker.go
+++ b/internal/zpquarantine/tracker.go
@@ -58,6 +58,10 @@
 	// higher than banThreshold because a part belongs to many requests, of which some
 	// may have run beside the guilty one.
 	partBanThreshold = 3
+	// separateFailures is the time from which two crashes have separate causes, even if the
+	// request of the second was already running at the first. Sent bytes that stay
+	// unacknowledged reveal the loss of a failure domain within less.
+	separateFailures = 2 * time.Second
 	// maxTrackedEntries bounds the fingerprints of all crashes, and maxTrackedHarmless
 	// the requests and the parts known to be harmless, and with them the memory.
 	maxTrackedEntries  = 16384
@@ -179,9 +183,9 @@
 }
 
 // Check returns the status of a request of a workspace. Of several crashes, each counts
-// only if the request was sent after the one before, so that endpoints that fail together
-// count once. Crashes of requests of a single workspace count only for that workspace,
-// which could otherwise have parts of others refused.
+// only if the request was sent after the one before or crashed long after it, so that
+// endpoints that fail together count once. Crashes of requests of a single workspace
+// count only for that workspace, which could otherwise have parts of others refused.
 //
 // A part is clear if another fingerprint was present at all of its crashes and at more.
 // Fingerprints with the same crashes cannot be told apart, so that only a request that
@@ -300,7 +304,7 @@
 	slices.SortFunc(events, func(a, b event) int { return a.crashedAt.Compare(b.crashedAt) })
 	n, last := 0, time.Time{}
 	for _, e := range events {
-		if n == 0 || e.sentAt.After(last) {
+		if n == 0 || e.sentAt.After(last) || e.crashedAt.Sub(last) >= separateFailures {
 			n, last = n+1, e.crashedAt
 		}
 	}
--- a/internal/zpquarantine/tracker_test.go
+++ b/internal/zpquarantine/tracker_test.go
@@ -131,6 +131,24 @@
 		expectStatus(zpquarantine.StatusClear, library)
 	})
 
+	It("bans a part in time although its requests run for long before they crash", func() {
+		const interval, run, limit, maxLateSends = 250 * time.Millisecond, 3 * time.Second, 4 * time.Second, 3
+		fifthCrash := start.Add(4*interval + run)
+		lateSends := 0
+		for sent := 0; sent < 100; sent++ {
+			now = start.Add(time.Duration(sent) * interval)
+			if at := now.Add(-run); !at.Before(start) {
+				t.RecordCrash(zpquarantine.Report{
+					Crash: fmt.Sprint("e", sent), CrashedAt: now, SentAt: at, Workspace: workspace, Fingerprints: []string{fmt.Sprint("request", sent), deadly},
+				}, now)
+			}
+			if t.Check(workspace, []string{"r", deadly}, now).Status != zpquarantine.StatusBanned && now.Sub(fifthCrash) > limit {
+				lateSends++
+			}
+		}
+		Expect(lateSends).To(BeNumerically("<=", maxLateSends))
+	})
+
 	It("counts endpoints that fail together once, although reports arrive late", func() {
 		for i := range 4 {
 			at := now.Add(time.Duration(i) * 100 * time.Millisecond)
