A broken response is not held up by an endpoint that does not answer

What callers saw: nothing yet. Found in review: when an endpoint broke a response off and could no longer be reached, the repeat or the error was up to 400 ms late, possibly after the request's deadline.

Cause: the connection that shows whether the endpoint has crashed had only the sender's connect timeout; the deadline of the request does not apply to it.

Evidence: the spec 'does not delay the reply while the endpoint does not answer' failed before (no deadline) and passes now. The wait is 100 ms at most; a refusal takes one round trip. A crash that is not seen so is known when the store removes the endpoint.

--- a/internal/zpgateway/quarantine.go
+++ b/internal/zpgateway/quarantine.go
@@ -18,6 +18,9 @@
 	// harmlessEvents is the number of events after which the parts of a prompt count as
 	// harmless. An engine may still send the first event before it crashes.
 	harmlessEvents = 2
+	// refusalTimeout bounds the wait for an endpoint to refuse a connection, as the request
+	// waits too. It is more than twice the round trip between regions.
+	refusalTimeout = 100 * time.Millisecond
 	// maxReportedFingerprints bounds the size of a crash report.
 	maxReportedFingerprints = 256
 	// reportAnswers is how many daemons, on average, answer a report that names what all
@@ -98,7 +101,9 @@
 		r.Fingerprints = r.Fingerprints[:1]
 	}
 	g.brokenResponses.add(e.ID, r, now)
-	if g.IsRefusing(context.WithoutCancel(ctx), e.Address) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), refusalTimeout)
+	defer cancel()
+	if g.IsRefusing(ctx, e.Address) {
 		g.recordCrash(r)
 	}
 }
--- a/internal/zpgateway/quarantine_test.go
+++ b/internal/zpgateway/quarantine_test.go
@@ -180,6 +180,18 @@
 		Expect(f.reports).To(HaveLen(1))
 	})
 
+	It("does not delay the reply while the endpoint does not answer", func() {
+		f := newCrashingFleet()
+		var left time.Duration
+		f.IsRefusing = func(ctx context.Context, _ string) bool {
+			deadline, _ := ctx.Deadline()
+			left = time.Until(deadline)
+			return false
+		}
+		f.send("tag", "k", deadlyPart)
+		Expect(left).To(And(BeNumerically(">", 0), BeNumerically("<=", 100*time.Millisecond)))
+	})
+
 	It("is refused by a daemon that learned of its crashes while the request was connecting", func() {
 		f := newCrashingFleet()
 		run := f.Runner
