--- a/internal/zpquarantine/list.go
+++ b/internal/zpquarantine/list.go
@@ -32,8 +32,8 @@
 // Quarantine statuses.
 const (
 	StatusClear   Status = iota
-	StatusSuspect        // one crash: runs alone
-	StatusBanned         // two crashes: refused
+	StatusSuspect        // in a crash, but in too few for a ban
+	StatusBanned         // refused
 )
 
 const (
--- a/internal/zpquarantine/tracker.go
+++ b/internal/zpquarantine/tracker.go
@@ -12,8 +12,8 @@
 type (
 	// Tracker finds what crashes endpoints: a request as a whole, or a part that it
 	// shares with other requests. Each of these has a fingerprint. A fingerprint is
-	// suspected if its requests were running at crashes and none of them has begun a
-	// response since. It is safe for concurrent use.
+	// suspected if its requests were running at crashes and none of them has run without
+	// harm. It is safe for concurrent use.
 	Tracker struct {
 		Retention time.Duration // how long a crash or a harmless run counts
 
