A stream whose connection ends before its first event has been broken off

Callers saw 200 with a signature and an empty stream that looked complete, after an endpoint that sends neither a length nor chunks had sent the header and closed. The connection's end is the only end of such a stream, and a process that ends closes its connections as well. A stream has at least one event, so the end before it is no end. It now counts as broken: a stream that may be resumed is sent to another endpoint, the others are answered 502. A stream that is resumed may have nothing left, and one that states its length or its last chunk is taken at its word.

Before, the two specs 'closed before its first event' of platform/unframed_response_test.go failed (the caller read an empty body without an error); they pass now.

--- a/internal/zpgateway/deliver.go
+++ b/internal/zpgateway/deliver.go
@@ -126,6 +126,9 @@
 	if ctx.Err() != nil {
 		return sendResult{outcomeBroken, ctx.Err()}
 	}
+	if err := checkStreamEnd(j, a); err != nil {
+		return sendResult{outcomeBroken, err}
+	}
 	j.runState = zperror.RunStateRan
 	if !j.headerSent {
 		j.headerSent = true
