A resumed stream is not complete without the event in which it broke off

Callers saw a stream end as complete before its last piece: one endpoint broke off inside event 2, the next was asked for what follows event 1, and ended its answer without an event. The gateway took that for the end. The bytes of event 2 that had arrived prove that there is one. The job now remembers that a run broke off inside an event until the next whole event is forwarded, and a run that ends before that counts as broken, so the caller's connection is broken off. A stream that was reset between events may still turn out to have had its last event.

--- a/internal/zpgateway/deliver.go
+++ b/internal/zpgateway/deliver.go
@@ -96,7 +96,7 @@
 func (g *Gateway) deliverStream(ctx context.Context, j *job, a *Response, reply Reply, started func()) sendResult {
 	events := bufio.NewScanner(a.Body)
 	events.Buffer(make([]byte, 0, eventBufferBytes), maxEventBytes)
-	events.Split(splitEvents)
+	events.Split(j.splitEvents)
 	for events.Scan() {
 		event := events.Bytes()
 		id := eventID(event)
@@ -118,7 +118,7 @@
 		if err := reply.Write(event); err != nil {
 			return sendResult{outcomeStopped, errCallerGone.WithState(j.runState).WithCause(err)}
 		}
-		j.lastEvent = id
+		j.lastEvent, j.isInsideEvent = id, false
 	}
 	if err := events.Err(); err != nil {
 		return sendResult{outcomeBroken, err}
