A stream that may be resumed is sent to the caller in chunks

Callers saw a stream break off although all its events had come: the first endpoint announced a Content-Length and broke off, and what the next one sent was longer (it may add a line weight-versions) or shorter. The caller had been told the first endpoint's length, so the server refused the bytes beyond it, or closed the connection short of it. On routes that may be resumed, streams are now sent in chunks; on others the endpoint's length is passed on as before.

Before, the two specs 'may be resumed with more or fewer bytes than the first endpoint announced' failed (broken off each time); they pass now.

--- a/internal/zpgateway/deliver.go
+++ b/internal/zpgateway/deliver.go
@@ -113,7 +113,7 @@
 		if !j.headerSent {
 			j.headerSent = true
 			j.firstByteAt = g.Clock()
-			reply.WriteHeader(a.Status, a.Header, a.Length)
+			reply.WriteHeader(a.Status, a.Header, j.streamLength(a))
 		}
 		if err := reply.Write(event); err != nil {
 			return sendResult{outcomeStopped, errCallerGone.WithState(j.runState).WithCause(err)}
--- a/internal/zpgateway/stream_end.go
+++ b/internal/zpgateway/stream_end.go
@@ -2,6 +2,9 @@
 
 import "errors"
 
+// unknownLength is the length of a response that is sent in chunks.
+const unknownLength = -1
+
 var (
 	errNoEvent      = errors.New("the connection ended before the first event of the stream")
 	errEventMissing = errors.New("the stream ended without the event in which an earlier run broke off")
@@ -32,3 +35,12 @@
 	}
 	return advance, event, err
 }
+
+// streamLength returns the length of a stream to announce to the caller. The rest of a
+// stream that is resumed may be longer or shorter than its first endpoint announced.
+func (j *job) streamLength(a *Response) int64 {
+	if j.route.Resumable {
+		return unknownLength
+	}
+	return a.Length
+}
