Fault soak: prompts with a part that crashes endpoints

Once in each run longer than 19 s, a client sends a prompt each 120 ms through all daemons in turn, every other one with the part; an endpoint crashes in place of the first event, refuses connections for 2 s and starts again cold.

--- a/internal/zpsoak/faults.go
+++ b/internal/zpsoak/faults.go
@@ -13,7 +13,8 @@
 	// injector executes a plan and records when each fault was active. It is safe
 	// for concurrent use.
 	injector struct {
-		cluster *cluster
+		cluster     *cluster
+		sendPrompts func(ctx context.Context, d time.Duration) // sound ones and ones with the deadly part
 
 		mu           sync.Mutex
 		faultWindows []faultWindow
@@ -21,6 +22,7 @@
 		evacuated    []change        // of failure domains
 		drained      []change        // of endpoints
 		incarnations []int           // number of restarts by daemon
+		partCrashes  []time.Time     // by the deadly part, oldest first
 		activeScopes map[string]bool // by Fault.scope
 		errors       []error
 	}
@@ -153,6 +155,11 @@
 		i.evacuate(ctx, f)
 	case Reconfigure:
 		i.reconfigure()
+	case DeadlyPart:
+		for n, e := range s.endpoints {
+			e.SetDeadlyPart(deadlyPart, func() { i.crashByPart(ctx, n) })
+		}
+		i.sendPrompts(ctx, f.Duration)
 	}
 	return nil
 }
@@ -218,6 +225,20 @@
 	i.cluster.register(e)
 }
 
+// crashByPart crashes an endpoint because of the deadly part, unless another fault
+// of the endpoint is active.
+func (i *injector) crashByPart(ctx context.Context, endpoint int) {
+	f := Fault{Kind: EndpointCrash, Target: endpoint, Duration: partCrashDowntime}
+	if !i.begin(f) {
+		return
+	}
+	defer i.end(f)
+	i.mu.Lock()
+	i.partCrashes = append(i.partCrashes, time.Now())
+	i.mu.Unlock()
+	i.crash(ctx, f)
+}
+
 func (i *injector) drain(ctx context.Context, f Fault) {
 	e := i.cluster.endpoints[f.Target]
 	e.SetState(zpoutside.StateDraining)
--- a/internal/zpsoak/judge.go
+++ b/internal/zpsoak/judge.go
@@ -31,6 +31,12 @@
 	// recoveryWindow at the end of the run, when no faults are injected.
 	minServedRatio = 0.99
 	recoveryWindow = 3 * time.Second
+	// maxPartCrashes, stableWindow and maxDeadlySends give the documented limit: after
+	// the fifth crash, daemons that have been free of faults for stableWindow send at
+	// most three more requests with the deadly part to endpoints.
+	maxPartCrashes = 5
+	stableWindow   = 4 * time.Second
+	maxDeadlySends = 3
 	// maxViolations is the number of violations listed for each guarantee.
 	maxViolations = 3
 )
@@ -59,6 +65,7 @@
 	r.checkTakenOut(runs, violation)
 	r.checkColdStart(runs, violation)
 	r.checkRetryBudget(runs, violation)
+	r.checkDeadlyPart(byRequest, violation)
 	r.checkConfiguration(violation)
 	r.checkRecovery(violation)
 	return outcome
@@ -80,7 +87,10 @@
 	if q.Status == http.StatusOK && !q.Complete && !q.Interrupted {
 		violation("whole-answers", "%s (%s) received %q", q.ID, q.Kind, q.Body[:min(len(q.Body), 80)])
 	}
-	if q.Interrupted && len(runs) > 0 && !r.isExpectedInterruption(q, runs) {
+	if q.Status == http.StatusBadRequest && q.Parts != "" && !q.isDeadly() {
+		violation("sound-prompts", "%s through daemon %d was refused for good", q.ID, q.Daemon)
+	}
+	if q.Interrupted && len(runs) > 0 && !q.isDeadly() && !r.isExpectedInterruption(q, runs) {
 		violation("graceful-stop", "%s through daemon %d was interrupted after %s although it ran on %s", q.ID, q.Daemon, q.DoneAt.Sub(q.SentAt), runs[0].Endpoint)
 	}
 }
@@ -258,6 +268,37 @@
 	}
 }
 
+// checkDeadlyPart checks that requests with the part that crashes endpoints are no
+// longer sent to endpoints once it has crashed several.
+func (r *run) checkDeadlyPart(runs map[string][]zpoutside.Run, violation reportFunc) {
+	if len(r.faults.partCrashes) < maxPartCrashes {
+		return
+	}
+	lastAllowed := r.faults.partCrashes[maxPartCrashes-1]
+	sends := 0
+	for _, q := range r.requestLog.requests {
+		if !q.isDeadly() || q.SentAt.Before(lastAllowed.Add(stableWindow+timingTolerance)) {
+			continue
+		}
+		for _, x := range runs[q.ID] {
+			if r.receivesNews(q.Daemon, x.At.Add(-stableWindow), x.At) {
+				sends++
+			}
+		}
+	}
+	if sends > maxDeadlySends {
+		violation("deadly-part", "%d requests with the part ran over %s after its fifth crash, of %d", sends, stableWindow, len(r.faults.partCrashes))
+	}
+}
+
+// receivesNews reports whether a daemon could receive changes from the store and
+// news from other daemons during the whole period.
+func (r *run) receivesNews(daemon int, from, to time.Time) bool {
+	return r.receivesChanges(daemon, from.Add(faultSettleTime), to) && !r.hasFault(from, to, func(t faultWindow) bool {
+		return t.Target == daemon && (t.Kind == PeerCut || t.Kind == PeerSlow)
+	})
+}
+
 // checkConfiguration checks that a version is in effect after the time limit and
 // that no daemon reverts to an older one.
 func (r *run) checkConfiguration(violation reportFunc) {
--- a/internal/zpsoak/judge_test.go
+++ b/internal/zpsoak/judge_test.go
@@ -172,6 +172,47 @@
 		expectViolation(r, "retry-budget")
 	})
 
+	DescribeTable("checks requests with a part that crashes endpoints",
+		func(crashes, sends, firstMS int, parts string, t faultWindow, isViolation bool) {
+			r := newTestRun(1)
+			r.faults.faultWindows = []faultWindow{t}
+			for i := range crashes {
+				r.faults.partCrashes = append(r.faults.partCrashes, at(1_000*i))
+			}
+			for i := range sends {
+				ms := firstMS + 100*i
+				r.requestLog.add(request{ID: fmt.Sprint(i), Kind: "stream", Parts: parts, SentAt: at(ms), DoneAt: at(ms + 50), Interrupted: true})
+				r.addRun(fmt.Sprint(i), "i-0-1", "a", ms+10)
+			}
+			if isViolation {
+				expectViolation(r, "deadly-part")
+			} else {
+				expectNoViolation(r)
+			}
+		},
+		Entry("reports the fourth after the time limit", 5, 4, 8_500, "dead:20", faultWindow{}, true),
+		Entry("allows three after the time limit", 5, 3, 8_500, "dead:20", faultWindow{}, false),
+		Entry("allows them before the time limit", 5, 4, 7_500, "dead:20", faultWindow{}, false),
+		Entry("allows them without a fifth crash", 4, 4, 8_500, "dead:20", faultWindow{}, false),
+		Entry("allows them of a daemon that is cut off from the others", 5, 4, 8_500, "dead:20", faultWindow{Kind: PeerCut, From: at(8_000), To: at(9_000)}, false),
+		Entry("reports them of a daemon that was paused long before", 5, 4, 8_500, "dead:20", faultWindow{Kind: DaemonPause, From: at(0), To: at(4_000)}, true),
+	)
+
+	DescribeTable("checks refusals of prompts",
+		func(parts string, status int, isViolation bool) {
+			r := newTestRun(1)
+			r.requestLog.add(request{ID: "x", Kind: "stream", Parts: parts, SentAt: at(0), DoneAt: at(50), Status: status})
+			if isViolation {
+				expectViolation(r, "sound-prompts")
+			} else {
+				expectNoViolation(r)
+			}
+		},
+		Entry("reports one of a sound prompt", "system:40", http.StatusBadRequest, true),
+		Entry("allows one that asks to send the prompt again", "system:40", http.StatusServiceUnavailable, false),
+		Entry("allows one of a prompt with the deadly part", "system:40,dead:20", http.StatusBadRequest, false),
+	)
+
 	DescribeTable("checks the configuration version in effect",
 		func(status, ms, oldVersionMS int, isViolation bool) {
 			r := newTestRun(1)
--- a/internal/zpsoak/plan.go
+++ b/internal/zpsoak/plan.go
@@ -48,6 +48,7 @@
 	AnswersBreak  Kind = "answers_break" // all endpoints run requests but cut their responses short
 	Evacuate      Kind = "evacuate"
 	Reconfigure   Kind = "reconfigure"
+	DeadlyPart    Kind = "deadly_part" // a client sends prompts with a part that crashes endpoints
 )
 
 // faultSpec defines how often a kind of fault occurs and how long it lasts.
@@ -70,6 +71,9 @@
 	minFaultDuration  = 200 * time.Millisecond
 	// repeatPercent is the percentage of faults that are repeated shortly after they end.
 	repeatPercent = 20
+	// minDeadlyPart is long enough for requests to follow the time limit after the
+	// last crash that is allowed.
+	minDeadlyPart = 9 * time.Second
 )
 
 var faultSpecs = []faultSpec{
@@ -94,6 +98,7 @@
 	{AnswersBreak, 1, 3 * time.Second, time.Second},
 	{Evacuate, 2, 4 * time.Second, zpoutside.EvacuateMS*time.Millisecond + time.Second},
 	{Reconfigure, 4, 0, 0},
+	{DeadlyPart, 0, 0, 0}, // once in each run, see Plan
 }
 
 // Plan returns the faults of a run, drawn at random. Equal arguments give equal
@@ -118,6 +123,10 @@
 			out = append(out, f)
 		}
 	}
+	if slack := length - recoveryTime - warmUp - minDeadlyPart; slack > 0 {
+		at := warmUp + time.Duration(random.Int64N(int64(slack)))
+		out = append(out, Fault{Kind: DeadlyPart, At: at, Duration: length - recoveryTime - at})
+	}
 	slices.SortStableFunc(out, func(a, b Fault) int { return int(a.At - b.At) })
 	return out
 }
--- a/internal/zpsoak/requests.go
+++ b/internal/zpsoak/requests.go
@@ -19,8 +19,9 @@
 		ID          string
 		Kind        string // first path segment
 		Daemon      int
-		Incarnation int // of the daemon when the request was sent
-		Version     int // configuration version in the path; only for kind "cfg"
+		Incarnation int    // of the daemon when the request was sent
+		Version     int    // configuration version in the path; only for kind "cfg"
+		Parts       string // shared parts of the prompt; empty for requests without a prompt
 		SentAt      time.Time
 		DoneAt      time.Time
 		CanceledAt  time.Time // when the client closed the connection early; zero if it did not
@@ -44,6 +45,12 @@
 	// cancelOneIn is the number of requests of which, on average, one is canceled.
 	cancelOneIn    = 5
 	maxCancelDelay = 500 * time.Millisecond
+
+	deadlyPart        = "dead"
+	soundParts        = "system:40,document:40"
+	partCrashDowntime = 2 * time.Second
+	promptInterval    = 120 * time.Millisecond
+	promptTimeout     = time.Second
 )
 
 func (h *requestLog) add(r request) {
@@ -84,6 +91,27 @@
 	}
 }
 
+// sendPrompts sends prompts through all daemons in turn, no two alike, without waiting
+// for responses. Every other one has the deadly part, the others all but that part.
+func (r *run) sendPrompts(ctx context.Context, d time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: promptTimeout}
+	var sending sync.WaitGroup
+	defer sending.Wait()
+	for n := 0; ctx.Err() == nil; n++ {
+		q := request{ID: fmt.Sprintf("p-%d", n), Kind: "stream", Daemon: n / 2 % r.cluster.Daemons, Parts: soundParts}
+		if n%2 == 1 {
+			q.Parts += "," + deadlyPart + ":20"
+		}
+		sending.Go(func() { r.send(ctx, client, &q, "/"+q.Kind+"/1") })
+		sleep(ctx, promptInterval)
+	}
+}
+
+// isDeadly reports whether the request has the deadly part.
+func (q request) isDeadly() bool { return strings.Contains(q.Parts, deadlyPart+":") }
+
 // sendAndCancel sends a request and closes its connection after a delay. Each
 // request has its own path: with a shared path, the requests would be equal, would
 // never be served, and would be in flight at crashes.
@@ -137,6 +165,11 @@
 	req.Host = zpoutside.Host
 	req.Header.Set("Request-Id", q.ID)
 	req.Header.Set("Authorization", "Bearer "+apiKey)
+	if q.Parts != "" {
+		req.Header.Set("Model", "m")
+		req.Header.Set("Token-Count", "110,12")
+		req.Header.Set("Prompt-Prefix", q.Parts+","+q.ID+":10")
+	}
 	return req, nil
 }
 
--- a/internal/zpsoak/run.go
+++ b/internal/zpsoak/run.go
@@ -43,6 +43,7 @@
 	r.faults = &injector{
 		cluster: s, activeScopes: map[string]bool{}, incarnations: make([]int, c.Daemons), versions: []change{{Version: s.version, From: r.startedAt}},
 	}
+	r.faults.sendPrompts = r.sendPrompts
 	r.execute(ctx)
 	outcome := r.evaluate()
 	return outcome, errors.Join(r.faults.errors...)
