A daemon does not give out a list from before it followed another one

Callers would see requests run in a region, or on endpoints, that were excluded long ago, by a daemon that has just started; its configuration would count as confirmed all the while. Cause (class: belief without an age): the cache for followers kept the list that this daemon had read when it last listed the store itself, mostly at its start. When it watched the store again later, because those that it followed were lost or avoided, it went on from the revision that it had from them. The cache ignored these changes ("a new list follows", but none did), yet the answer of the store made the whole cache count as fresh: the list of the start was given out. Daemons that had read a newer revision refused it, and all read the store themselves for as long as that watcher lived; one that had just started took it, and its watch from that old revision went on without a change. The freshness of one prefix also stood for all others. Now a watch from another revision than that of the cache discards the list, or, if others follow, ends so that the objects are listed anew; and a prefix is fresh only while its own watch runs or has just been answered. Tests failed before: zprelay 'does not give out the list of before it followed another daemon' (Follow returned revision 10 instead of an error, the store being at 20), 'ends a watch so that the objects are listed again for the daemons that follow it now' (no error). 'shortens its watches while others follow' lists first, as each watch of a mirror does. Checked by: go test -race ./internal/zprelay, go test ./internal/... ./platform.

--- a/internal/zprelay/caching_store.go
+++ b/internal/zprelay/caching_store.go
@@ -17,11 +17,17 @@
 	Clock           func() time.Time
 
 	mu           sync.Mutex
-	feeds        map[string]*Feed
-	lastResponse time.Time // when the store last responded for the heartbeat prefix
+	caches       map[string]*prefixCache
 	lastFollowed time.Time // when a follower last called
 }
 
+// prefixCache caches the objects under one prefix.
+type prefixCache struct {
+	feed         *Feed
+	watches      int       // watches in progress
+	lastResponse time.Time // when the store last responded
+}
+
 const (
 	// heartbeatWait limits the wait of a watch of the heartbeat prefix while others follow.
 	// They then detect the loss of the store well within the time in which a
@@ -50,11 +56,21 @@
 	return l, err
 }
 
-// Watch returns the changes under a prefix after a revision and caches them.
+// Watch returns the changes under a prefix after a revision and caches them. The daemon may
+// have read the objects from another one up to that revision; if others follow it then, the
+// watch ends so that the objects are listed anew.
 func (r *CachingStore) Watch(ctx context.Context, prefix string, from int64, wait time.Duration) (zpobject.Listing, error) {
+	if !r.feed(prefix).IsAt(from) {
+		if r.hasFollowers() {
+			return zpobject.Listing{}, errRelist
+		}
+		r.feed(prefix).Discard()
+	}
 	if prefix == r.HeartbeatPrefix && r.hasFollowers() {
 		wait = min(wait, heartbeatWait)
 	}
+	r.countWatches(prefix, 1)
+	defer r.countWatches(prefix, -1)
 	l, err := r.API.Watch(ctx, prefix, from, wait)
 	if err == nil {
 		r.feed(prefix).Add(from, l)
@@ -67,43 +83,58 @@
 // does.
 func (r *CachingStore) Follow(ctx context.Context, prefix string, since int64, wait time.Duration) (Update, error) {
 	r.recordFollower()
-	if !r.isFresh() {
+	if !r.isFresh(prefix) {
 		return Update{}, ErrNotFollowed
 	}
 	a, ok := r.feed(prefix).Since(ctx, since, wait)
-	if !ok || !r.isFresh() {
+	if !ok || !r.isFresh(prefix) {
 		return Update{}, ErrNotFollowed
 	}
 	return a, nil
 }
 
-func (r *CachingStore) feed(prefix string) *Feed {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.feeds == nil {
-		r.feeds = map[string]*Feed{}
+// cache returns the cache of a prefix; r.mu must be held.
+func (r *CachingStore) cache(prefix string) *prefixCache {
+	if r.caches == nil {
+		r.caches = map[string]*prefixCache{}
 	}
-	f, ok := r.feeds[prefix]
+	c, ok := r.caches[prefix]
 	if !ok {
-		f = NewFeed()
-		r.feeds[prefix] = f
+		c = &prefixCache{feed: NewFeed()}
+		r.caches[prefix] = c
 	}
-	return f
+	return c
+}
+
+func (r *CachingStore) feed(prefix string) *Feed {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cache(prefix).feed
 }
 
 func (r *CachingStore) recordResponse(prefix string) {
-	if prefix != r.HeartbeatPrefix {
-		return
-	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.lastResponse = r.Clock()
+	r.cache(prefix).lastResponse = r.Clock()
+}
+
+func (r *CachingStore) countWatches(prefix string, change int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cache(prefix).watches += change
 }
 
-func (r *CachingStore) isFresh() bool {
+// isFresh reports whether the store responds, and tells this daemon of changes under the
+// prefix.
+func (r *CachingStore) isFresh(prefix string) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return !r.lastResponse.IsZero() && r.Clock().Sub(r.lastResponse) <= maxHeartbeatAge
+	now := r.Clock()
+	hasResponse := func(c *prefixCache) bool {
+		return !c.lastResponse.IsZero() && now.Sub(c.lastResponse) <= maxHeartbeatAge
+	}
+	c := r.cache(prefix)
+	return hasResponse(r.cache(r.HeartbeatPrefix)) && (c.watches > 0 || hasResponse(c))
 }
 
 func (r *CachingStore) recordFollower() {
--- a/internal/zprelay/feed.go
+++ b/internal/zprelay/feed.go
@@ -76,6 +76,21 @@
 	f.notifyWaiters()
 }
 
+// IsAt reports whether the feed contains the changes up to a revision, and no others.
+func (f *Feed) IsAt(revision int64) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listed && f.revision == revision
+}
+
+// Discard removes the contents: the feed has no list until the next SetAll.
+func (f *Feed) Discard() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.listed, f.objects, f.batches = false, nil, nil
+	f.notifyWaiters()
+}
+
 // Since waits for changes after a revision; zero requests the full list. It reports
 // false if the feed has no list yet.
 func (f *Feed) Since(ctx context.Context, since int64, wait time.Duration) (Update, bool) {
--- a/internal/zprelay/follower_test.go
+++ b/internal/zprelay/follower_test.go
@@ -25,6 +25,7 @@
 	waits   []time.Duration
 	down    bool
 	content zpobject.Listing
+	waiting func() // called once, during the next watch; may be nil
 }
 
 func (s *fakeStore) List(context.Context, string) (zpobject.Listing, error) {
@@ -38,6 +39,10 @@
 }
 
 func (s *fakeStore) Watch(_ context.Context, _ string, from int64, wait time.Duration) (zpobject.Listing, error) {
+	if waiting := s.waiting; waiting != nil {
+		s.waiting = nil
+		waiting()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
@@ -181,10 +186,69 @@
 })
 
 var _ = Describe("CachingStore", func() {
+	const otherPrefix = "servers/"
+	var now time.Time
+	var store *fakeStore
+	var cache *zprelay.CachingStore
+
+	list := func(p string) {
+		GinkgoHelper()
+		_, err := cache.List(context.Background(), p)
+		Expect(err).NotTo(HaveOccurred())
+	}
+	follow := func(p string) (zprelay.Update, error) { return cache.Follow(context.Background(), p, 0, 0) }
+
+	BeforeEach(func() {
+		now = time.Unix(1000, 0)
+		store = &fakeStore{content: listing(10, object("config/main", 10))}
+		cache = &zprelay.CachingStore{API: store, HeartbeatPrefix: prefix, Clock: func() time.Time { return now }}
+		list(prefix)
+		list(otherPrefix)
+		now = now.Add(time.Minute) // in which it followed another daemon, up to revision 20
+		store.content = listing(20, object("config/main", 20))
+	})
+
+	It("does not give out the list of before it followed another daemon", func() {
+		_, err := cache.Watch(context.Background(), prefix, 20, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		for _, p := range []string{prefix, otherPrefix} {
+			_, err = follow(p)
+			Expect(err).To(MatchError(zprelay.ErrNotFollowed), p)
+		}
+	})
+
+	It("ends a watch so that the objects are listed again for the daemons that follow it now", func() {
+		_, err := follow(prefix)
+		Expect(err).To(MatchError(zprelay.ErrNotFollowed))
+		_, err = cache.Watch(context.Background(), prefix, 20, time.Second)
+		Expect(err).To(HaveOccurred())
+		list(prefix)
+		_, err = cache.Watch(context.Background(), prefix, 20, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(follow(prefix)).To(HaveField("Revision", BeEquivalentTo(20)))
+	})
+
+	It("is followed during a long watch", func() {
+		list(prefix)
+		list(otherPrefix)
+		store.waiting = func() {
+			for range 20 {
+				now = now.Add(time.Second)
+				_, err := cache.Watch(context.Background(), prefix, 20, time.Second)
+				Expect(err).NotTo(HaveOccurred())
+				Expect(follow(otherPrefix)).To(HaveField("Revision", BeEquivalentTo(20)))
+			}
+		}
+		_, err := cache.Watch(context.Background(), otherPrefix, 20, time.Minute)
+		Expect(err).NotTo(HaveOccurred())
+	})
+
 	It("shortens its watches while others follow", func() {
 		now := time.Unix(1000, 0)
 		store := &fakeStore{content: listing(10)}
 		r := &zprelay.CachingStore{API: store, HeartbeatPrefix: prefix, Clock: func() time.Time { return now }}
+		_, err := r.List(context.Background(), prefix)
+		Expect(err).NotTo(HaveOccurred())
 		watch := func() time.Duration {
 			_, err := r.Watch(context.Background(), prefix, 10, 2*time.Second)
 			Expect(err).NotTo(HaveOccurred())
