A configuration is not confirmed by a daemon that uses an older one

Callers would see nothing; a daemon that the store turns away, or that was paused, would run restricted requests in a region that is no longer allowed for as long as a daemon that is further behind says that the store has confirmed its own configuration. Cause: the word of a daemon with an older configuration counted as one for the newer configuration in use here. That daemon has missed a change already, so it says nothing of later ones; nor does its lost contact with the store show an outage that prevents changes. Now only the word of a daemon with the same configuration counts, for both. Test failed before: platform 'is not confirmed by a daemon that uses an older configuration' (ran "in n", excluded by then, for the 5 s of the test). Checked by: go test ./internal/... ./platform, -race on ./platform 'store turns away'.

--- a/internal/zpapp/gateway_catalogs.go
+++ b/internal/zpapp/gateway_catalogs.go
@@ -76,12 +76,16 @@
 // version that daemon uses. If it is newer and the store does not report it, the
 // configuration is read from that daemon.
 func (c *catalogs) learn(address string, reply zpshare.Reply, startedAt time.Time) {
-	if reply.CatalogVersion <= c.daemon.catalogVersion() {
-		if reply.CatalogConfirmed && reply.CatalogVersion > 0 {
-			c.guard.RecordConfirmed(startedAt)
-		} else if reply.CatalogVersion > 0 {
-			c.guard.RecordOutage(startedAt)
-		}
+	current := c.daemon.catalogVersion()
+	switch {
+	case reply.CatalogVersion == 0 || reply.CatalogVersion < current:
+		// A daemon that has missed a change knows nothing of later ones.
+		return
+	case reply.CatalogVersion == current && reply.CatalogConfirmed:
+		c.guard.RecordConfirmed(startedAt)
+		return
+	case reply.CatalogVersion == current:
+		c.guard.RecordOutage(startedAt)
 		return
 	}
 	delay := peerCatalogDelay
