A request that ran beside a part that crashes endpoints is not refused with it

What callers would see: final refusals (400) of sound requests. Pools of few endpoints, where repeats meet the part again, are hit most.

Cause: only parts were cleared by another fingerprint that was present at all of their crashes and at more, not requests as a whole, which need two crashes only.

Evidence: the spec 'does not refuse a request that ran beside a deadly part at two crashes' failed before (banned instead of clear) and passes now. The parts of a request do not explain the crashes of the whole, as they are always present at these: 'bans a request as a whole although one of its parts was at more crashes' guards that and passed before too. What it costs: a request that crashes endpoints by itself is clear while another unknown fingerprint happens to be at all of its crashes and at more.

go test ./internal/... ./platform and -race on zpquarantine and zpgateway pass.

--- a/internal/zpquarantine/tracker.go
+++ b/internal/zpquarantine/tracker.go
@@ -187,7 +187,8 @@
 // endpoints that fail together count once. Crashes of requests of a single workspace
 // count only for that workspace, which could otherwise have parts of others refused.
 //
-// A part is clear if another fingerprint was present at all of its crashes and at more.
+// A part is clear if another fingerprint was present at all of its crashes and at more, and
+// so is a request as a whole if that was a fingerprint of other requests.
 // Fingerprints with the same crashes cannot be told apart, so that only a request that
 // has all of them is banned.
 func (t *Tracker) Check(workspace string, fingerprints []string, now time.Time) Finding {
@@ -199,7 +200,7 @@
 	}
 	for _, f := range fingerprints {
 		n := t.countCrashes(f, workspace, now)
-		if n == 0 || isPart(f) && t.isExplained(f) {
+		if n == 0 || t.isExplained(f, fingerprints) {
 			continue
 		}
 		status := statusOf(f, n)
@@ -311,10 +312,13 @@
 	return n
 }
 
-// isExplained reports whether another fingerprint was present at all crashes of this one
-// and at more; t.mu must be held.
-func (t *Tracker) isExplained(fingerprint string) bool {
-	return t.anyPresentWith(fingerprint, func(other string) bool { return len(t.suspects[other]) > len(t.suspects[fingerprint]) })
+// isExplained reports whether another fingerprint was present at all crashes of one of a
+// request's fingerprints and at more; t.mu must be held. The parts of a request do not
+// explain the crashes of the whole, as they are always present at these.
+func (t *Tracker) isExplained(fingerprint string, fingerprints []string) bool {
+	return t.anyPresentWith(fingerprint, func(other string) bool {
+		return len(t.suspects[other]) > len(t.suspects[fingerprint]) && (isPart(fingerprint) || !slices.Contains(fingerprints, other))
+	})
 }
 
 // isCoveredBy reports whether a request has all fingerprints that were present at exactly
--- a/internal/zpquarantine/tracker_test.go
+++ b/internal/zpquarantine/tracker_test.go
@@ -58,6 +58,28 @@
 		expectStatus(zpquarantine.StatusSuspect, "c", deadly)
 	})
 
+	It("does not refuse a request that ran beside a deadly part at two crashes", func() {
+		beside := func() {
+			crash("deadly request", deadly)
+			t.RecordCrash(zpquarantine.Report{
+				Crash: fmt.Sprint(crashes), CrashedAt: now, SentAt: now.Add(-200 * time.Millisecond), Workspace: workspace, Fingerprints: []string{"sound request", library},
+			}, now)
+		}
+		crash("first", deadly)
+		beside()
+		beside()
+		expectStatus(zpquarantine.StatusBanned, "another", deadly)
+		expectStatus(zpquarantine.StatusClear, "sound request", library)
+	})
+
+	It("bans a request as a whole although one of its parts was at more crashes", func() {
+		crash("another", library)
+		now = now.Add(-time.Second)
+		crash("request", library)
+		crash("request", library)
+		Expect(t.Check(workspace, []string{"request", library}, now)).To(Equal(zpquarantine.Finding{Status: zpquarantine.StatusBanned, Fingerprint: "request", Crashes: 2}))
+	})
+
 	It("bans only requests with all parts that cannot be told apart, until one is harmless", func() {
 		for range 3 {
 			crash(deadly, library)
