A ban is not lifted by crashes that break many other requests

What callers would see: endpoints crash again with a part that had been found. The loss of a failure domain breaks off many requests, each with a fingerprint of its own as a whole, so that in a large fleet it lifts all bans at all daemons: three more crashes for each part, and all that is sent until they are known.

Now fingerprints that were at a single crash are removed first, the oldest of them first, down to three quarters of the bound, so that not each report evicts. They can neither be banned nor clear what is. Whole crashes follow if that is not enough.

--- a/internal/zpquarantine/tracker.go
+++ b/internal/zpquarantine/tracker.go
@@ -1,6 +1,7 @@
 package zpquarantine
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -66,6 +67,8 @@
 	// the requests and the parts known to be harmless, and with them the memory.
 	maxTrackedEntries  = 16384
 	maxTrackedHarmless = 16384
+	// keptEntries is how many fingerprints are left after an eviction.
+	keptEntries = maxTrackedEntries * 3 / 4
 	// maxTrackedCleared is lower because each new daemon is sent all of them.
 	maxTrackedCleared = 1024
 )
@@ -147,8 +150,8 @@
 			recorded = append(recorded, f)
 		}
 	}
-	for t.entries > maxTrackedEntries {
-		t.removeCrash(t.oldestCrash())
+	if t.entries > maxTrackedEntries {
+		t.evict()
 	}
 	return recorded
 }
@@ -375,20 +378,38 @@
 	}
 }
 
-// oldestCrash returns the id of the oldest crash; t.mu must be held.
-func (t *Tracker) oldestCrash() string {
-	oldest := ""
-	for id, c := range t.crashes {
-		if oldest == "" || c.at.Before(t.crashes[oldest].at) {
-			oldest = id
+// evict removes fingerprints of the oldest crashes; t.mu must be held. Those that were at
+// a single crash go first: a failure domain can add any number of them, which must not
+// lift a ban.
+func (t *Tracker) evict() {
+	ids := slices.SortedFunc(maps.Keys(t.crashes), func(a, b string) int { return t.crashes[a].at.Compare(t.crashes[b].at) })
+	for _, remove := range []func(id string){t.removeUnrepeated, t.removeCrash} {
+		for _, id := range ids {
+			if t.entries <= keptEntries {
+				return
+			}
+			remove(id)
+		}
+	}
+}
+
+// removeUnrepeated removes the fingerprints of a crash that were at no other; t.mu must be
+// held.
+func (t *Tracker) removeUnrepeated(id string) {
+	for f := range t.crashes[id].suspects {
+		if len(t.suspects[f]) == 1 {
+			t.clear(f)
 		}
 	}
-	return oldest
 }
 
 // removeCrash removes a crash; t.mu must be held.
 func (t *Tracker) removeCrash(id string) {
-	for f := range t.crashes[id].suspects {
+	c, ok := t.crashes[id]
+	if !ok {
+		return
+	}
+	for f := range c.suspects {
 		delete(t.suspects[f], id)
 		if len(t.suspects[f]) == 0 {
 			delete(t.suspects, f)
--- a/internal/zpquarantine/tracker_test.go
+++ b/internal/zpquarantine/tracker_test.go
@@ -276,6 +276,21 @@
 		Expect(t.Cleared(now)).To(ConsistOf(library))
 	})
 
+	It("bans a part as long as other crashes break many requests that are sent once", func() {
+		for range 3 {
+			crash(deadly)
+		}
+		for i := range 20_000 {
+			if i%100 == 0 {
+				now = now.Add(time.Millisecond)
+			}
+			t.RecordCrash(zpquarantine.Report{
+				Crash: fmt.Sprint("zone", i/100), CrashedAt: now, SentAt: now.Add(-time.Second), Workspace: workspace, Fingerprints: []string{fmt.Sprint("once", i)},
+			}, now)
+		}
+		expectStatus(zpquarantine.StatusBanned, deadly)
+	})
+
 	It("bounds its memory under a flood of parts, and keeps the newest crashes", func() {
 		for i := range 200 {
 			flood := make([]string, 256)
