A daemon that starts is sent a bounded number of suspects

What callers would see: a daemon that starts or was cut off knows neither parts nor bans for long. One that fails is followed by another; until one arrives, the daemon gets no other news from its sender either.

What it costs: a request at a single crash that is left out needs one more crash at that daemon.

Evidence: the spec 'reports few of the requests that were at a single crash, but all that is banned' failed before (10003 fingerprints) and passes now. Reports has a limit; the specs that read all of it pass none, and are as strict as before.

--- a/internal/zpapp/gateway_sharing.go
+++ b/internal/zpapp/gateway_sharing.go
@@ -24,6 +24,10 @@
 // is out of date.
 const peerTimeout = 400 * time.Millisecond
 
+// maxSnapshotFingerprints bounds what a snapshot tells of crashes. A daemon that starts gets
+// one from each of the others.
+const maxSnapshotFingerprints = 1024
+
 func (d *GatewayDaemon) buildSharing() {
 	d.dialer = &zppeer.Dialer{Timeout: peerTimeout, OnCall: d.countPeer}
 	d.dialer.Open()
@@ -219,7 +223,7 @@
 		m.Parts = append(m.Parts, owners.Group(d.gateway.Parts.HeldBy(x.Holder()), d.self.Name)[to.PeerAddress]...)
 	}
 	now := zpclock.Now()
-	m.Crashes, m.Harmless = d.gateway.Quarantine.Reports(now), d.gateway.Quarantine.Cleared(now)
+	m.Crashes, m.Harmless = d.gateway.Quarantine.Reports(maxSnapshotFingerprints, now), d.gateway.Quarantine.Cleared(now)
 	return m
 }
 
--- a/internal/zpquarantine/tracker.go
+++ b/internal/zpquarantine/tracker.go
@@ -52,6 +52,12 @@
 		// the send, it does not change if a report arrives late.
 		suspects map[string]map[string]time.Duration
 	}
+
+	entry struct {
+		crash, fingerprint string
+		at                 time.Time
+		isRepeated         bool // the fingerprint was at several crashes
+	}
 )
 
 const (
@@ -246,8 +252,10 @@
 	return out
 }
 
-// Reports returns the recorded crashes as reports, for a daemon that has just started.
-func (t *Tracker) Reports(now time.Time) []Report {
+// Reports returns the recorded crashes as reports with up to limit fingerprints, for a
+// daemon that has just started. Fingerprints that were at several crashes come first, and
+// then the newest.
+func (t *Tracker) Reports(limit int, now time.Time) []Report {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.removeExpired(now)
@@ -257,19 +265,17 @@
 	}
 	byKey := map[key]*Report{}
 	var order []*Report
-	for id, c := range t.crashes {
-		for f, runs := range c.suspects {
-			for workspace, ran := range runs {
-				sentAt := c.at.Add(-ran)
-				k := key{id, workspace, sentAt}
-				r, ok := byKey[k]
-				if !ok {
-					r = &Report{Crash: id, CrashedAt: c.at, SentAt: sentAt, Workspace: workspace}
-					byKey[k] = r
-					order = append(order, r)
-				}
-				r.Fingerprints = append(r.Fingerprints, f)
+	for _, e := range t.newestEntries(limit) {
+		for workspace, ran := range t.crashes[e.crash].suspects[e.fingerprint] {
+			sentAt := e.at.Add(-ran)
+			k := key{e.crash, workspace, sentAt}
+			r, ok := byKey[k]
+			if !ok {
+				r = &Report{Crash: e.crash, CrashedAt: e.at, SentAt: sentAt, Workspace: workspace}
+				byKey[k] = r
+				order = append(order, r)
 			}
+			r.Fingerprints = append(r.Fingerprints, e.fingerprint)
 		}
 	}
 	out := make([]Report, 0, len(order))
@@ -279,6 +285,27 @@
 	return out
 }
 
+// newestEntries returns up to limit fingerprints with their crashes: those that were at
+// several crashes first, and then the newest; t.mu must be held.
+func (t *Tracker) newestEntries(limit int) []entry {
+	out := make([]entry, 0, t.entries)
+	for id, c := range t.crashes {
+		for f := range c.suspects {
+			out = append(out, entry{crash: id, fingerprint: f, at: c.at, isRepeated: len(t.suspects[f]) > 1})
+		}
+	}
+	slices.SortFunc(out, func(a, b entry) int {
+		if a.isRepeated != b.isRepeated {
+			if a.isRepeated {
+				return -1
+			}
+			return 1
+		}
+		return b.at.Compare(a.at)
+	})
+	return out[:min(len(out), limit)]
+}
+
 // countCrashes returns how many crashes of a fingerprint count for a workspace; t.mu must
 // be held.
 func (t *Tracker) countCrashes(fingerprint, workspace string, now time.Time) int {
--- a/internal/zpquarantine/tracker_test.go
+++ b/internal/zpquarantine/tracker_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -11,7 +12,7 @@
 )
 
 var _ = Describe("Tracker", func() {
-	const workspace = "w"
+	const workspace, unlimited = "w", math.MaxInt
 	start := time.Unix(1000, 0)
 	deadly, library := zpquarantine.PartFingerprint("deadly"), zpquarantine.PartFingerprint("library")
 	var t *zpquarantine.Tracker
@@ -129,10 +130,10 @@
 		crash("suspect")
 		crash("banned")
 		crash("banned")
-		Expect(t.Reports(now)).To(ConsistOf(
+		Expect(t.Reports(unlimited, now)).To(ConsistOf(
 			HaveField("Fingerprints", ConsistOf("suspect")), HaveField("Fingerprints", ConsistOf("banned")), HaveField("Fingerprints", ConsistOf("banned")),
 		))
-		Expect(t.Reports(now.Add(2 * time.Hour))).To(BeEmpty())
+		Expect(t.Reports(unlimited, now.Add(2*time.Hour))).To(BeEmpty())
 	})
 
 	It("counts endpoints that fail together once", func() {
@@ -225,7 +226,7 @@
 		}
 		t.RecordHarmless([]string{library}, now)
 		crashIn("other", "request")
-		reports := t.Reports(now)
+		reports := t.Reports(unlimited, now)
 		t = zpquarantine.NewTracker(time.Hour)
 		for _, r := range reports {
 			t.RecordCrash(r, now)
@@ -235,6 +236,28 @@
 		Expect(t.Check("other", []string{"request"}, now).Status).To(Equal(zpquarantine.StatusSuspect))
 	})
 
+	It("reports few of the requests that were at a single crash, but all that is banned", func() {
+		for range 3 {
+			crash(deadly)
+		}
+		for i := range 100 {
+			once := make([]string, 100)
+			for k := range once {
+				once[k] = fmt.Sprint("once", i, "-", k)
+			}
+			crash(once...)
+		}
+		reports, entries := t.Reports(1000, now), 0
+		t = zpquarantine.NewTracker(time.Hour)
+		for _, r := range reports {
+			entries += len(r.Fingerprints)
+			t.RecordCrash(r, now)
+		}
+		Expect(entries).To(BeNumerically("<=", 1000))
+		expectStatus(zpquarantine.StatusBanned, deadly)
+		expectStatus(zpquarantine.StatusSuspect, "once99-0")
+	})
+
 	It("is equal at a daemon that gets only what was new", func() {
 		other := zpquarantine.NewTracker(time.Hour)
 		for i, sender := range []string{"a", "a", "b"} {
@@ -261,7 +284,7 @@
 			late.RecordCrash(r, now)
 		}
 		t.RecordHarmless([]string{library, "unsuspected"}, now)
-		for _, r := range t.Reports(now) {
+		for _, r := range t.Reports(unlimited, now) {
 			late.RecordCrash(r, now)
 		}
 		late.RecordHarmless(t.Cleared(now), now)
@@ -304,7 +327,7 @@
 		}
 		expectStatus(zpquarantine.StatusBanned, deadly)
 		entries := 0
-		for _, r := range t.Reports(now) {
+		for _, r := range t.Reports(unlimited, now) {
 			entries += len(r.Fingerprints)
 		}
 		Expect(entries).To(BeNumerically("<=", 16384))
