A deadly part is found however many harmless parts come before it

What callers would see: endpoint after endpoint crashes, and nothing is ever refused. In prompts with more shared parts, such as long sessions, a deadly part behind them was never reported, by any daemon.

Cause: evidence that is cut off without regard to what is known. Most parts of a long prompt are known to be harmless, and their crashes are ignored anyway.

Now a report that would be too long leaves out what is known to be harmless. A deadly part behind 255 others that nobody has answered yet is still not named until these are.

Evidence: the spec 'is found in prompts with many harmless parts before it' (300 of them) failed before (15 runs of the deadly part instead of 3) and passes now.

--- a/internal/zpgateway/quarantine.go
+++ b/internal/zpgateway/quarantine.go
@@ -95,10 +95,7 @@
 	now := g.Clock()
 	r := zpquarantine.Report{
 		Crash: crashOf(e), CrashedAt: now, SentAt: j.sentAt, Workspace: j.workspaceName(),
-		Fingerprints: j.fingerprints[:min(len(j.fingerprints), maxReportedFingerprints)],
-	}
-	if j.events >= harmlessEvents {
-		r.Fingerprints = r.Fingerprints[:1]
+		Fingerprints: g.suspectedFingerprints(j, now),
 	}
 	g.brokenResponses.add(e.ID, r, now)
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), refusalTimeout)
@@ -108,6 +105,19 @@
 	}
 }
 
+// suspectedFingerprints returns the fingerprints of a request whose response broke off that
+// may have crashed the endpoint.
+func (g *Gateway) suspectedFingerprints(j *job, now time.Time) []string {
+	out := j.fingerprints
+	if j.events >= harmlessEvents {
+		return out[:1]
+	}
+	if len(out) > maxReportedFingerprints {
+		out = g.Quarantine.NotHarmless(out, now)
+	}
+	return out[:min(len(out), maxReportedFingerprints)]
+}
+
 // recordCrash attributes a crash to a request and tells other daemons.
 func (g *Gateway) recordCrash(r zpquarantine.Report) {
 	if recorded := g.MergeCrash(r, ""); len(recorded) > 0 {
--- a/internal/zpgateway/quarantine_test.go
+++ b/internal/zpgateway/quarantine_test.go
@@ -139,6 +139,19 @@
 		Expect(f.deadlyRuns).To(Equal(3))
 	})
 
+	It("is found in prompts with many harmless parts before it", func() {
+		f := newCrashingFleet()
+		var library []string
+		for i := range 300 {
+			library = append(library, fmt.Sprint("library", i))
+		}
+		expectResponse(f.send("tag", "k", library...), http.StatusOK, events)
+		for range 10 {
+			f.send("tag", "k", append(library, deadlyPart)...)
+		}
+		Expect(f.deadlyRuns).To(Equal(3))
+	})
+
 	Describe("a report of another daemon that names a harmless part", func() {
 		library := zpquarantine.PartFingerprint("library")
 		report := func() zpquarantine.Report {
--- a/internal/zpquarantine/tracker.go
+++ b/internal/zpquarantine/tracker.go
@@ -132,6 +132,13 @@
 	return slices.DeleteFunc(slices.Clone(fingerprints), func(f string) bool { return !t.isHarmless(f, now) })
 }
 
+// NotHarmless returns those of the fingerprints that are not known to be harmless.
+func (t *Tracker) NotHarmless(fingerprints []string, now time.Time) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.DeleteFunc(slices.Clone(fingerprints), func(f string) bool { return t.isHarmless(f, now) })
+}
+
 // isHarmless reports whether a fingerprint is known to be harmless; t.mu must be held.
 func (t *Tracker) isHarmless(fingerprint string, now time.Time) bool {
 	at, ok := t.lastHarmless(fingerprint).Get(fingerprint)
