A response that a crash ended with its connection does not clear its parts

What callers would see: endpoint after endpoint crashes with one part, and nothing is refused. If the endpoint had sent a first event, or the header of a body that is no stream, the response looked complete. Its parts then counted as harmless for an hour at all daemons, so that none of their crashes counted any more.

Now, if such a response is all there is to clear a part that is not known to be harmless, the endpoint must still accept connections. A connection is opened for a part's first responses only, and after the reply has been written. Requests without parts are as before.

Evidence: the specs 'is found although the crash seems to complete a stream after its first event' and 'a body without a length' failed before (10 runs of the deadly part instead of 3 each) and pass now. 'is not suspected while endpoints that complete a stream with their connection accept others' guards the other side and passed before too.

--- a/internal/zpgateway/quarantine.go
+++ b/internal/zpgateway/quarantine.go
@@ -66,14 +66,23 @@
 
 // recordComplete records a request with a complete response. A stream without an event may
 // have been cut off by a crash: one that ends with its connection has no other end.
-func (g *Gateway) recordComplete(ctx context.Context, j *job, e zpregistry.Endpoint) {
-	if j.route.Kind == zpcatalog.KindStream && j.events == 0 {
+func (g *Gateway) recordComplete(ctx context.Context, j *job, e zpregistry.Endpoint, a *Response) {
+	if j.route.Kind == zpcatalog.KindStream && j.events == 0 || g.isCutOff(ctx, j, e, a) {
 		g.recordBroken(ctx, j, e)
 		return
 	}
 	g.recordHarmless(j, j.fingerprints)
 }
 
+// isCutOff reports whether a response that ended with its connection was cut off by a
+// crash. That matters only while a part of the prompt is not known to be harmless.
+func (g *Gateway) isCutOff(ctx context.Context, j *job, e zpregistry.Endpoint, a *Response) bool {
+	if !a.EndsWithConnection || j.events >= harmlessEvents || len(g.Quarantine.NotHarmless(j.partFingerprints(), g.Clock())) == 0 {
+		return false
+	}
+	return g.hasCrashed(ctx, e)
+}
+
 // recordHarmless records that what the fingerprints stand for does not crash endpoints,
 // and tells other daemons if it was suspected.
 func (g *Gateway) recordHarmless(j *job, fingerprints []string) {
@@ -98,13 +107,18 @@
 		Fingerprints: g.suspectedFingerprints(j, now),
 	}
 	g.brokenResponses.add(e.ID, r, now)
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), refusalTimeout)
-	defer cancel()
-	if g.IsRefusing(ctx, e.Address) {
+	if g.hasCrashed(ctx, e) {
 		g.recordCrash(r)
 	}
 }
 
+// hasCrashed reports whether an endpoint accepts no connections any more.
+func (g *Gateway) hasCrashed(ctx context.Context, e zpregistry.Endpoint) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), refusalTimeout)
+	defer cancel()
+	return g.IsRefusing(ctx, e.Address)
+}
+
 // suspectedFingerprints returns the fingerprints of a request whose response broke off that
 // may have crashed the endpoint.
 func (g *Gateway) suspectedFingerprints(j *job, now time.Time) []string {
--- a/internal/zpgateway/quarantine_test.go
+++ b/internal/zpgateway/quarantine_test.go
@@ -30,6 +30,7 @@
 	deadlyRuns int
 	beforeEOF  string // sent before the crash
 	endsClean  bool   // the crash ends the response as if it were complete
+	unframed   bool   // only the end of the connection ends that response
 }
 
 func newCrashingFleet() *crashingFleet {
@@ -58,7 +59,7 @@
 		f.deadlyRuns++
 		f.restart(run.Endpoint)
 		if f.endsClean {
-			return responds(http.StatusOK, f.beforeEOF)(ctx, gate)
+			return responds(http.StatusOK, f.beforeEOF, func(a *zpgateway.Response) { a.EndsWithConnection = f.unframed })(ctx, gate)
 		}
 		return resetsAfter(f.beforeEOF)(ctx, gate)
 	}
@@ -152,6 +153,33 @@
 		Expect(f.deadlyRuns).To(Equal(3))
 	})
 
+	It("is found although the crash seems to complete a stream after its first event", func() {
+		f := newCrashingFleet()
+		f.endsClean, f.unframed, f.beforeEOF = true, true, "id: 1\ndata: a\n\n"
+		for i := range 10 {
+			f.send("draft", "k", fmt.Sprint("library", i), deadlyPart)
+		}
+		Expect(f.deadlyRuns).To(Equal(3))
+	})
+
+	It("is found although the crash seems to complete a body without a length", func() {
+		f := newCrashingFleet()
+		f.endsClean, f.unframed = true, true
+		for i := range 10 {
+			f.send("read", "k", fmt.Sprint("library", i), deadlyPart)
+		}
+		Expect(f.deadlyRuns).To(Equal(3))
+	})
+
+	It("is not suspected while endpoints that complete a stream with their connection accept others", func() {
+		f := newCrashingFleet()
+		f.endsClean, f.unframed, f.isRefusing, f.beforeEOF = true, true, false, "id: 1\ndata: a\n\n"
+		for range 10 {
+			expectResponse(f.send("draft", "k", deadlyPart), http.StatusOK, f.beforeEOF)
+		}
+		Expect(f.reports).To(BeEmpty())
+	})
+
 	Describe("a report of another daemon that names a harmless part", func() {
 		library := zpquarantine.PartFingerprint("library")
 		report := func() zpquarantine.Report {
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -169,7 +169,7 @@
 	case outcomeDone:
 		g.Health.RecordSuccess(c.endpoint.ID, g.Clock())
 		if isSuccess(answer.Status) {
-			g.recordComplete(ctx, j, c.endpoint)
+			g.recordComplete(ctx, j, c.endpoint, answer)
 		}
 		g.Log.Emit(zplog.RequestAnswered, g.logFields(j, zplog.Fields{
 			"endpoint": c.endpoint.ID, "status": answer.Status, "first_ms": firstByteTime.Milliseconds(), "expected_ms": c.cost.Milliseconds(),
