A request is not taken for the cause when an endpoint leaves

What callers would see: final refusals (400) of sound requests while endpoints are replaced one after the other. Two such ends within an hour, and the same request, repeated, resumed or a subscription that is opened again, was refused for that hour. If nobody had been answered with a part of it, three did that to the part.

Cause: since a refused connection after a broken response is a crash, also at an endpoint that is known to be draining, or whose entry was removed while it finishes its work. Before, a response that broke off after the removal was not attributed.

Now a response that an endpoint breaks off while it leaves says nothing. No request is sent to such an endpoint, so what crashes endpoints is found at the others. Reports for endpoints that are gone are no longer kept either; nothing deleted them.

--- a/internal/zpgateway/quarantine.go
+++ b/internal/zpgateway/quarantine.go
@@ -96,9 +96,9 @@
 
 // recordBroken records a request whose response broke off, and attributes a crash to it if
 // the endpoint accepts no connections any more. Otherwise the crash is detected when the
-// store removes the endpoint.
+// store removes the endpoint. One that leaves breaks off what it has not finished.
 func (g *Gateway) recordBroken(ctx context.Context, j *job, e zpregistry.Endpoint) {
-	if zpmutant.Active(zpmutant.Quarantine) {
+	if zpmutant.Active(zpmutant.Quarantine) || g.isLeaving(e) {
 		return
 	}
 	now := g.Clock()
@@ -112,6 +112,12 @@
 	}
 }
 
+// isLeaving reports whether the end of an endpoint is planned.
+func (g *Gateway) isLeaving(e zpregistry.Endpoint) bool {
+	current, ok := g.Registry.Find(e.ID)
+	return !ok || current.State == zpregistry.StateDraining
+}
+
 // hasCrashed reports whether an endpoint accepts no connections any more.
 func (g *Gateway) hasCrashed(ctx context.Context, e zpregistry.Endpoint) bool {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), refusalTimeout)
--- a/internal/zpgateway/quarantine_test.go
+++ b/internal/zpgateway/quarantine_test.go
@@ -249,3 +249,28 @@
 		Expect(f.deadlyRuns).To(BeZero())
 	})
 })
+
+var _ = Describe("A stream that endpoints break off when they leave", func() {
+	DescribeTable("is not taken for the cause",
+		func(leave func(f *crashingFleet, e zpregistry.Endpoint)) {
+			f := newCrashingFleet()
+			f.Runner = runnerFunc(func(ctx context.Context, run zpgateway.Run, gate *zpengine.Gate) (*zpgateway.Response, error) {
+				leave(f, run.Endpoint)
+				return resetsAfter(events)(ctx, gate)
+			})
+			for range 3 {
+				q := request("draft")
+				q.APIKey = "k"
+				Expect(f.serve(q).refused).To(BeNil())
+			}
+			Expect(f.reports).To(BeEmpty())
+		},
+		Entry("and announce it", func(f *crashingFleet, e zpregistry.Endpoint) {
+			e.State = zpregistry.StateDraining
+			f.Registry.Put(e)
+		}),
+		Entry("after their entry was removed", func(f *crashingFleet, e zpregistry.Endpoint) {
+			f.Registry.Remove(e.ID, time.Now())
+		}),
+	)
+})
