A request that is not sent again takes nothing from the retry budget

What callers would see: sound requests that fail although an endpoint is free to take them.

Cause: the budget was asked before the suspicion.

Evidence: the spec 'leaves the retry budget to other requests' failed before (502 endpoint_failed instead of 200) and passes now. go test ./internal/... ./platform and -race on zpgateway pass.

--- a/internal/zpgateway/quarantine_test.go
+++ b/internal/zpgateway/quarantine_test.go
@@ -13,6 +13,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpgateway"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpquarantine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpregistry"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpretry"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
 )
 
@@ -210,6 +211,16 @@
 		Expect(f.deadlyRuns).To(Equal(1))
 	})
 
+	It("leaves the retry budget to other requests", func() {
+		f := newCrashingFleet()
+		f.Retries = &zpretry.Budgets{Ratio: 0, Burst: 1}
+		f.send("tag", "k", deadlyPart)
+		f.Runner = &fakeRunner{steps: []step{resets, responds(http.StatusOK, "a")}}
+		q := request("read")
+		q.APIKey = "k"
+		expectResponse(f.serve(q), http.StatusOK, "a")
+	})
+
 	It("is not suspected while the endpoint still accepts connections", func() {
 		f := newCrashingFleet()
 		f.isRefusing = false
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -66,10 +66,7 @@
 		case outcomeSilent:
 			// The first-byte timer has taken the retry from the budget.
 		case outcomeFailed, outcomeBroken:
-			if !g.mayRetry(j) || !budget.Take() {
-				return g.giveUp(j, reply, s)
-			}
-			if g.hasSuspectedPart(j) {
+			if !g.mayRetry(j) || g.hasSuspectedPart(j) || !budget.Take() {
 				return g.giveUp(j, reply, s)
 			}
 		}
