What crashes endpoints is refused also after all daemons were lost

What callers would see: their streams break off as more endpoints crash with a part that had been refused, after all daemons were killed, lost power or were replaced at once.

Cause: as with old weights after a restart, something that must last was kept in daemons only. One that starts learns crashes and bans from the others; if there are none, each deadly part may crash three more endpoints.

What is refused is now an object of the store that all daemons mirror, and none serves before it has read these. The daemon whose report led to the ban writes it; no single daemon may know all crashes at first, so those that watch the store do if no other one has. They are deleted when a fingerprint proves harmless, or once expired. Ruled out: storing each crash, which would be a write for each request beside the guilty one; suspects are therefore still forgotten.

--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -66,6 +66,7 @@
 	follower *zprelay.Follower
 	live     *liveDaemons
 	catalogs *catalogs
+	bans     *bans
 	caches   *cacheFollowers
 	leaving  atomic.Bool
 	callers  *http.Server
@@ -130,6 +131,7 @@
 	d.registry.OnRemoved = d.endpointGone
 	d.catalogs = &catalogs{daemon: d}
 	d.catalogs.recordActive(zpclock.Now())
+	d.bans = newBans(d)
 	d.buildSharing()
 	d.buildRollout()
 	d.watches = newWatches(d)
@@ -165,6 +167,7 @@
 	workers.Go(func() { d.exchange.Run(work) })
 	workers.Go(func() { d.servePeers(work, failed) })
 	workers.Go(func() { d.caches.run(work) })
+	workers.Go(func() { d.bans.run(work) })
 	stalls := &zpstall.Detector{Log: d.Log, Clock: zpclock.Now, Observe: func(late time.Duration) {
 		d.Metrics.StallSeconds.Observe(late.Seconds())
 		d.catalogs.recordActive(zpclock.Now())
@@ -241,7 +244,7 @@
 // hasSynced reports whether everything that decides where a request may be sent was
 // read from the store at least once, except the catalog.
 func (d *GatewayDaemon) hasSynced() bool {
-	return d.registry.HasSynced() && d.weights.HasSynced() && d.members.HasSynced()
+	return d.registry.HasSynced() && d.weights.HasSynced() && d.members.HasSynced() && d.bans.HasSynced()
 }
 
 func (d *GatewayDaemon) bodyLimit() int64 {
--- /dev/null
+++ b/internal/zpapp/gateway_bans.go
@@ -0,0 +1,206 @@
+package zpapp
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpclock"
+	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpquarantine"
+	"github.com/zinniapaddle/zinniapaddle/pkg/zpobject"
+)
+
+type (
+	// bans keeps in the store which fingerprints are refused, so that this is known after
+	// all daemons have stopped. It is safe for concurrent use.
+	bans struct {
+		daemon  *GatewayDaemon
+		changes chan banChange
+
+		mu     sync.Mutex
+		listed bool                 // the stored bans were read at least once
+		stored map[string]storedBan // by object name
+	}
+
+	banChange struct {
+		fingerprint string
+		isLifted    bool
+	}
+
+	storedBan struct {
+		revision  int64
+		expiresAt time.Time
+	}
+)
+
+const (
+	// banPrefix is the prefix of the objects of refused fingerprints.
+	banPrefix = "bans/"
+	// maxBanChanges bounds the changes that wait while the store does not answer.
+	maxBanChanges = 64
+	// banWriteTimeout bounds the attempts to write one change.
+	banWriteTimeout = time.Minute
+	banRetryDelay   = 300 * time.Millisecond
+	// watcherBanDelay is the time after which a daemon that watches the store writes a ban
+	// that no other one has written: no single daemon may know all crashes at first.
+	watcherBanDelay = 500 * time.Millisecond
+)
+
+func newBans(d *GatewayDaemon) *bans {
+	return &bans{daemon: d, changes: make(chan banChange, maxBanChanges), stored: map[string]storedBan{}}
+}
+
+// HasSynced reports whether the stored bans were read at least once.
+func (b *bans) HasSynced() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.listed
+}
+
+// crashReported stores the ban that a report has led to, if any. Reports of other daemons
+// are left to these and, after a delay, to the daemons that watch the store.
+func (b *bans) crashReported(r zpquarantine.Report, isOwn bool) {
+	f := b.daemon.gateway.Quarantine.Check(r.Workspace, r.Fingerprints, zpclock.Now())
+	if f.Status != zpquarantine.StatusBanned || b.isStored(f.Fingerprint) {
+		return
+	}
+	switch {
+	case isOwn:
+		b.enqueue(banChange{fingerprint: f.Fingerprint})
+	case b.daemon.follower.IsWatcher():
+		time.AfterFunc(watcherBanDelay, func() { b.enqueue(banChange{fingerprint: f.Fingerprint}) })
+	}
+}
+
+// lift removes the stored bans of fingerprints that have turned out to be harmless.
+func (b *bans) lift(fingerprints []string) {
+	for _, f := range fingerprints {
+		if b.isStored(f) {
+			b.enqueue(banChange{fingerprint: f, isLifted: true})
+		}
+	}
+}
+
+func (b *bans) enqueue(c banChange) {
+	select {
+	case b.changes <- c:
+	default:
+		b.daemon.Log.Emit(zplog.BanNotStored, zplog.Fields{"fingerprint": c.fingerprint, "lifted": c.isLifted, "error": "too many changes wait"})
+	}
+}
+
+// run writes the changes to the store until ctx ends.
+func (b *bans) run(ctx context.Context) {
+	for {
+		select {
+		case c := <-b.changes:
+			b.store(ctx, c)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// store writes a change. It tries again while the store is unavailable.
+func (b *bans) store(ctx context.Context, c banChange) {
+	ctx, cancel := context.WithTimeout(ctx, banWriteTimeout)
+	defer cancel()
+	for b.isStored(c.fingerprint) == c.isLifted {
+		err := b.write(ctx, c)
+		if err == nil || zpobject.IsConflict(err) || zpobject.IsNotFound(err) {
+			return // written, or changed by another daemon at the same time
+		}
+		select {
+		case <-time.After(banRetryDelay):
+		case <-ctx.Done():
+			b.daemon.Log.Emit(zplog.BanNotStored, zplog.Fields{"fingerprint": c.fingerprint, "lifted": c.isLifted, "error": err.Error()})
+			return
+		}
+	}
+}
+
+func (b *bans) write(ctx context.Context, c banChange) error {
+	name := banObject(c.fingerprint)
+	b.mu.Lock()
+	revision := b.stored[name].revision
+	b.mu.Unlock()
+	if c.isLifted {
+		return b.daemon.store.Delete(ctx, name, revision)
+	}
+	body, err := zpquarantine.EncodeBan(b.daemon.gateway.Quarantine.BanOf(c.fingerprint), zpclock.Now(), time.Now())
+	if err != nil {
+		return err
+	}
+	_, err = b.daemon.store.Put(ctx, name, body, revision)
+	return err
+}
+
+func (b *bans) isStored(fingerprint string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, ok := b.stored[banObject(fingerprint)]
+	return ok && zpclock.Now().Before(s.expiresAt)
+}
+
+// replaceAll records the stored bans. Expired ones are deleted by the daemons that watch the
+// store.
+func (b *bans) replaceAll(objects []zpobject.Object) {
+	b.mu.Lock()
+	b.stored = map[string]storedBan{}
+	b.mu.Unlock()
+	for _, o := range objects {
+		b.change(o)
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.listed = true
+}
+
+// change records a change of a stored ban and its crashes.
+func (b *bans) change(o zpobject.Object) {
+	now := zpclock.Now()
+	if o.Deleted {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		delete(b.stored, o.Name)
+		return
+	}
+	ban, err := zpquarantine.DecodeBan(o.Body, now, time.Now())
+	if err != nil {
+		b.daemon.Log.Emit(zplog.EntryIgnored, zplog.Fields{"object": o.Name, "revision": o.Revision, "error": err.Error()})
+		return
+	}
+	expiresAt := ban.ExpiresAt(crashRetention)
+	b.mu.Lock()
+	b.stored[o.Name] = storedBan{revision: o.Revision, expiresAt: expiresAt}
+	b.mu.Unlock()
+	if !now.Before(expiresAt) {
+		b.removeExpired(o)
+		return
+	}
+	for _, r := range ban.Reports {
+		b.daemon.gateway.MergeCrash(r, "store")
+	}
+}
+
+func (b *bans) removeExpired(o zpobject.Object) {
+	if !b.daemon.follower.IsWatcher() {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+		defer cancel()
+		if err := b.daemon.store.Delete(ctx, o.Name, o.Revision); err != nil && !zpobject.IsConflict(err) && !zpobject.IsNotFound(err) {
+			b.daemon.Log.Emit(zplog.BanNotStored, zplog.Fields{"object": o.Name, "lifted": true, "error": err.Error()})
+		}
+	}()
+}
+
+// banObject returns the name of the object of a fingerprint, which may have any characters.
+func banObject(fingerprint string) string {
+	return banPrefix + fmt.Sprintf("%016x", xxh3.HashString(fingerprint))
+}
--- a/internal/zpapp/gateway_sharing.go
+++ b/internal/zpapp/gateway_sharing.go
@@ -161,6 +161,7 @@
 	}
 	for _, c := range m.Crashes {
 		d.gateway.MergeCrash(c, m.Instance)
+		d.bans.crashReported(c, false)
 	}
 	d.gateway.MergeHarmless(m.Harmless, m.Instance)
 }
@@ -198,10 +199,12 @@
 
 func (d *GatewayDaemon) announceCrash(r zpquarantine.Report) {
 	d.sharer.Add(zpshare.Message{Crashes: []zpquarantine.Report{r}})
+	d.bans.crashReported(r, true)
 }
 
 func (d *GatewayDaemon) announceHarmless(fingerprints []string) {
 	d.sharer.Add(zpshare.Message{Harmless: fingerprints})
+	d.bans.lift(fingerprints)
 }
 
 func (d *GatewayDaemon) announceUnreachable(endpoint string) {
--- a/internal/zpapp/gateway_watches.go
+++ b/internal/zpapp/gateway_watches.go
@@ -60,6 +60,7 @@
 		{API: d.follower, Prefix: zpplatform.EndpointPrefix, WatchWait: otherWatchWait, ChangeDelay: listPause, OnList: w.endpointsListed, OnChange: w.endpointChanged},
 		{API: d.follower, Prefix: zpplatform.EvacuationPrefix, WatchWait: otherWatchWait, OnList: w.evacuationsListed, OnChange: w.evacuationChanged},
 		{API: d.follower, Prefix: zpplatform.WeightVersionPrefix, WatchWait: otherWatchWait, OnList: w.weightsListed, OnChange: w.weightsChanged},
+		{API: d.follower, Prefix: banPrefix, WatchWait: otherWatchWait, OnList: d.bans.replaceAll, OnChange: d.bans.change},
 		w.members,
 	}
 	return w
--- a/internal/zplog/event.go
+++ b/internal/zplog/event.go
@@ -80,6 +80,7 @@
 	RequestSilent       = Event{406, logrus.InfoLevel, "endpoint sent no first byte within the expected time; the run is cancelled and repeated", "check the endpoint if it repeats"}
 	RequestsQuarantined = Event{411, logrus.ErrorLevel, "requests with this fingerprint are refused after several crashes", "see docs/operators/crashing_request.md"}
 	SuspicionCleared    = Event{412, logrus.InfoLevel, "requests with these fingerprints run without a crash", "none"}
+	BanNotStored        = Event{413, logrus.WarnLevel, "ban of a fingerprint could not be stored or removed", "check the store; daemons that start when no other one runs do not know the ban"}
 	ChoiceRevoked       = Event{410, logrus.InfoLevel, "the configuration has excluded the chosen endpoint before the request was sent; another is chosen", "none"}
 	EndpointSuspect     = Event{500, logrus.WarnLevel, "endpoint shows signs of a cold start; new work is held", "none; check the endpoint if it persists"}
 	EndpointWarm        = Event{501, logrus.InfoLevel, "endpoint is warm", "none"}
@@ -110,7 +111,7 @@
 		Started, Stopping, Stopped, DrainTimedOut, Reloaded, ReloadFailed, LeaseRenewFailed, LeaseLost,
 		LeaseLapsed, MemberEnded, MemberNotWritten, PartitionTaken, PartitionLeft, DutyTaken, DutyLeft, ConfigApplied, ConfigRefused,
 		ConfigStale, ConfigFresh, WatchFailed, StoreUnavailable, StoreRecovered, EntryIgnored, EvacuationChanged, PeerCatalogUnread, CatalogConfirmed, CatalogUnconfirmed,
-		RequestFailed, RequestRetried, RequestPlaced, CrashRecorded, RequestAnswered, RequestWaits, RequestSilent, RequestAbandoned, ChoiceRevoked, RequestsQuarantined, SuspicionCleared,
+		RequestFailed, RequestRetried, RequestPlaced, CrashRecorded, RequestAnswered, RequestWaits, RequestSilent, RequestAbandoned, ChoiceRevoked, RequestsQuarantined, SuspicionCleared, BanNotStored,
 		EndpointSuspect, EndpointWarm, OrderGiven, EndpointChanged, EndpointGone, WeightsNamed, WeightsLoaded,
 		OrderFailed, StoreState, EndpointAvoided, FingerprintBanned, ClaimSettleFailed, PeerFailed, PeerLost, PeerRecovered, OwnerUnresponsive, WatcherAvoided, RelayAvoided,
 		ServerFailed, LinesDropped, DaemonStalled,
--- a/internal/zpquarantine/tracker.go
+++ b/internal/zpquarantine/tracker.go
@@ -266,13 +266,35 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.removeExpired(now)
+	return t.reportsOf(t.newestEntries(limit))
+}
+
+// BanOf returns the crashes of a fingerprint, with all fingerprints that cannot be told apart
+// from it.
+func (t *Tracker) BanOf(fingerprint string) Ban {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	ids := t.suspects[fingerprint]
+	var entries []entry
+	for id := range ids {
+		for f := range t.crashes[id].suspects {
+			if len(t.suspects[f]) == len(ids) && containsAll(t.suspects[f], ids) {
+				entries = append(entries, entry{crash: id, fingerprint: f, at: t.crashes[id].at})
+			}
+		}
+	}
+	return Ban{Fingerprint: fingerprint, Reports: t.reportsOf(entries)}
+}
+
+// reportsOf returns fingerprints and their crashes as reports; t.mu must be held.
+func (t *Tracker) reportsOf(entries []entry) []Report {
 	type key struct {
 		crash, workspace string
 		sentAt           time.Time
 	}
 	byKey := map[key]*Report{}
 	var order []*Report
-	for _, e := range t.newestEntries(limit) {
+	for _, e := range entries {
 		for workspace, ran := range t.crashes[e.crash].suspects[e.fingerprint] {
 			sentAt := e.at.Add(-ran)
 			k := key{e.crash, workspace, sentAt}
