A daemon that cannot read a newer configuration runs no restricted requests on its own

Callers would see requests run in a region that the newest configuration excludes, by a daemon that has been told of that configuration but cannot read it: the store turns it away, and its calls to the daemons that have it time out, as they do while the links between regions are full. Cause (class: belief without an age): a reply that names a newer version only started an attempt to read it. If that failed, the next reply started another, without limit, and the replaced configuration still counted as recent by the word of a third daemon that was without the store, or of the one that this daemon follows. Now the guard keeps since when newer versions are known. One that is not in use 1.5 s later (a read from the other daemon takes 1.2 s at most) leaves the catalog unconfirmed, whoever confirms it: restricted requests are refused as not run, the configuration is also read from the store, newer versions are read without delay, and other daemons are no longer told that it is confirmed. Each version has its own time, so quick changes that arrive in time count as such. Checked by: go test ./internal/... ./platform, -race on ./internal/zpcatalog and ./platform 'store turns away'; make lint.

--- a/internal/zpapp/gateway_catalogs.go
+++ b/internal/zpapp/gateway_catalogs.go
@@ -88,6 +88,7 @@
 		c.guard.RecordOutage(startedAt)
 		return
 	}
+	c.guard.RecordNewer(reply.CatalogVersion, zpclock.Now())
 	delay := peerCatalogDelay
 	if !c.isConfirmed() {
 		delay = 0
@@ -143,7 +144,8 @@
 // c.mu must not be held.
 func (c *catalogs) isConfirmed() bool {
 	d, now := c.daemon, zpclock.Now()
-	if c.guard.IsConfirmed(now) && (c.guard.IsRecent(d.follower.ReadAt(), now) || len(d.members.Others()) == 0) {
+	isRecent := c.guard.IsRecent(d.follower.ReadAt(), now) || len(d.members.Others()) == 0
+	if isRecent && c.guard.IsConfirmed(now) && !c.guard.IsReplaced(d.catalogVersion(), now) {
 		return true
 	}
 	c.startConfirming()
@@ -199,7 +201,7 @@
 // pause.
 func (c *catalogs) isRecent() bool {
 	now := zpclock.Now()
-	return c.guard.IsConfirmed(now) && now.Sub(c.daemon.follower.ReadAt()) <= maxCatalogAge
+	return c.guard.IsConfirmed(now) && !c.guard.IsReplaced(c.daemon.catalogVersion(), now) && now.Sub(c.daemon.follower.ReadAt()) <= maxCatalogAge
 }
 
 func (d *GatewayDaemon) catalogVersion() int64 {
--- a/internal/zpcatalog/freshness_guard.go
+++ b/internal/zpcatalog/freshness_guard.go
@@ -1,6 +1,7 @@
 package zpcatalog
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -15,6 +16,13 @@
 	resumedAt   time.Time // when it ran again after the last pause; zero: it was never paused
 	confirmedAt time.Time // when the call began that last confirmed the catalog
 	outageAt    time.Time // when another daemon last said that the store does not confirm its catalog either
+	newer       []newerCatalog
+}
+
+// newerCatalog is a newer catalog than the one in use when another daemon first told of it.
+type newerCatalog struct {
+	version int64
+	at      time.Time
 }
 
 const (
@@ -28,6 +36,9 @@
 	// outdated. It is above the interval of the store's watches and of calls between
 	// daemons.
 	maxConfirmationAge = 3 * time.Second
+	// maxApplyTime is the time after which a newer catalog that another daemon uses should be
+	// in use. It is above the time in which it is read from that daemon.
+	maxApplyTime = 1500 * time.Millisecond
 )
 
 // RecordActive records that the process runs, and reports whether it was paused just before.
@@ -62,6 +73,24 @@
 	g.outageAt = now
 }
 
+// RecordNewer records that another daemon uses a newer catalog.
+func (g *FreshnessGuard) RecordNewer(version int64, now time.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if n := len(g.newer); n == 0 || version > g.newer[n-1].version {
+		g.newer = append(g.newer, newerCatalog{version, now})
+	}
+}
+
+// IsReplaced reports whether the catalog in use was replaced by one that should be in use by
+// now. Its regions may then be excluded, whoever confirms it.
+func (g *FreshnessGuard) IsReplaced(version int64, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.newer = slices.DeleteFunc(g.newer, func(c newerCatalog) bool { return c.version <= version })
+	return len(g.newer) > 0 && now.Sub(g.newer[0].at) >= maxApplyTime
+}
+
 // IsConfirmed reports whether the catalog was confirmed since the last pause. It counts a
 // pause that has just ended and that RecordActive has not yet been told of: a connection may
 // be established during the pause, and its request is sent as soon as the process runs.
--- a/internal/zpcatalog/freshness_guard_test.go
+++ b/internal/zpcatalog/freshness_guard_test.go
@@ -72,4 +72,21 @@
 		Entry("another daemon confirmed the catalog", func(at time.Time) time.Time { g.RecordConfirmed(at); return start }),
 		Entry("another daemon was without the store, too", func(at time.Time) time.Time { g.RecordOutage(at); return start }),
 	)
+
+	It("counts the catalog as replaced once another daemon has used a newer one for a while", func() {
+		g.RecordNewer(6, at(1000))
+		g.RecordNewer(6, at(2000))
+		Expect(g.IsReplaced(5, at(2499))).To(BeFalse())
+		Expect(g.IsReplaced(5, at(2500))).To(BeTrue())
+		Expect(g.IsReplaced(6, at(2500))).To(BeFalse())
+	})
+
+	It("does not count the catalog as replaced while changes in quick succession arrive in time", func() {
+		for version := int64(6); version < 12; version++ {
+			now := at(int(version) * 500)
+			g.RecordNewer(version+1, now)
+			Expect(g.IsReplaced(version-1, now)).To(BeFalse())
+		}
+		Expect(g.IsReplaced(10, at(12*500+1000))).To(BeTrue())
+	})
 })
