A daemon without the store learns newer configurations also in a fleet with relays

Callers would see requests run in a region that was excluded long ago, in a fleet of more than 90 daemons, by those of a failure domain that the store turns away. Cause: versions and confirmations come with the replies to shared state and reported loads. From 91 daemons on, loads go to one relay of the own failure domain, and other messages are sent only with news, of prompts mostly. Behind a relay that the store turns away, too, a daemon hears its word alone: it takes this for an outage of the store and goes on, whatever all others know. A relay itself reports to none and hears of nobody, so in an outage it would refuse restricted requests that the others serve. Now a daemon that the store has not confirmed for 2.5 s, in such a fleet, asks one daemon chosen at random each 0.4 s. In a calm fleet there are no further messages. Test failed before: platform 'learns a newer configuration in a fleet whose loads go through relays, though its relay is turned away, too' (still "in n" 2.5 s after 90 of 94 daemons said that they use, and can give, the newer configuration). Checked by: go test ./internal/... ./platform, -race on ./platform 'store turns away'; make lint.

--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -165,6 +165,7 @@
 	workers.Go(func() { d.join(work) })
 	workers.Go(func() { d.sharer.Run(work) })
 	workers.Go(func() { d.exchange.Run(work) })
+	workers.Go(func() { d.catalogs.run(work) })
 	workers.Go(func() { d.servePeers(work, failed) })
 	workers.Go(func() { d.caches.run(work) })
 	workers.Go(func() { d.bans.run(work) })
--- a/internal/zpapp/gateway_catalogs.go
+++ b/internal/zpapp/gateway_catalogs.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -34,12 +35,40 @@
 const peerCatalogDelay = 800 * time.Millisecond
 
 const (
+	// askInterval is the interval between calls to daemons chosen at random.
+	askInterval       = 400 * time.Millisecond
 	confirmRetryDelay = 200 * time.Millisecond
 	// maxCatalogAge is the time since the last word of the store up to which this daemon
 	// confirms the catalog of another one: one watch and the time of a slow response.
 	maxCatalogAge = configWatchWait + 500*time.Millisecond
 )
 
+// run asks daemons chosen at random which version they use while the store does not confirm
+// this one and loads go through relays: the relay may be without the store, too.
+func (c *catalogs) run(ctx context.Context) {
+	ticker := time.NewTicker(askInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		if c.daemon.exchange.IsActive() && !c.isRecent() {
+			c.ask(ctx)
+		}
+	}
+}
+
+func (c *catalogs) ask(ctx context.Context) {
+	others := c.daemon.members.Others()
+	if len(others) == 0 {
+		return
+	}
+	// If this one does not answer, another one is asked next.
+	_, _ = c.daemon.share(ctx, others[rand.IntN(len(others))].PeerAddress, zpshare.Message{Instance: c.daemon.self.Instance, Domain: c.daemon.self.Domain})
+}
+
 // apply applies a configuration unless it is older than the one in use. address is that of
 // the daemon that it was read from, or empty for the store.
 func (c *catalogs) apply(o zpobject.Object, address string) {
--- a/internal/zpapp/gateway_sharing.go
+++ b/internal/zpapp/gateway_sharing.go
@@ -33,13 +33,7 @@
 	d.dialer.Open()
 	d.sharer = &zpshare.Sharer{
 		Self: d.self.Instance, Domain: d.self.Domain, Region: d.self.Region, Usage: d.gateway.Usage, Others: d.members.Others,
-		Send: func(ctx context.Context, address string, m zpshare.Message) (string, error) {
-			startedAt := zpclock.Now()
-			reply, err := zppeer.Share(ctx, d.dialer, address, m)
-			d.mergeTargets(address, reply.Targets)
-			d.catalogs.learn(address, reply, startedAt)
-			return reply.Instance, err
-		},
+		Send:      d.share,
 		SendsLoad: func() bool { return !d.exchange.IsActive() },
 		Snapshot:  d.snapshot, Log: d.Log, Clock: zpclock.Now,
 	}
@@ -74,6 +68,15 @@
 	d.caches = newCacheFollowers(d)
 }
 
+// share sends a message to another daemon, learns from its reply, and returns its instance.
+func (d *GatewayDaemon) share(ctx context.Context, address string, m zpshare.Message) (instance string, err error) {
+	startedAt := zpclock.Now()
+	reply, err := zppeer.Share(ctx, d.dialer, address, m)
+	d.mergeTargets(address, reply.Targets)
+	d.catalogs.learn(address, reply, startedAt)
+	return reply.Instance, err
+}
+
 // query asks the daemons that own prompt parts which holders have them.
 func (d *GatewayDaemon) query(ctx context.Context, keys [][]zpparts.Key) { d.lookup.Query(ctx, keys) }
 
