--- a/internal/zpshare/sharer.go
+++ b/internal/zpshare/sharer.go
@@ -202,8 +202,10 @@
 // background.
 func (s *Sharer) sendAsync(ctx context.Context, to zpassign.Member, p *peer, uses map[string]zpusage.Usage, usesVersion uint64, withUses bool, now time.Time) {
 	address := to.PeerAddress
-	m, needsSnapshot := p.pending, !p.hasSnapshot
-	p.pending, p.sending, p.hasSnapshot = Message{}, true, true
+	// A daemon that did not answer is asked with a small message first: snapshots that time
+	// out at many daemons would keep the link full that is needed to reach them.
+	m, needsSnapshot := p.pending, !p.hasSnapshot && p.failures == 0
+	p.pending, p.sending, p.hasSnapshot = Message{}, true, p.hasSnapshot || needsSnapshot
 	go func() {
 		if needsSnapshot {
 			// Snapshot calls Alive, which takes the lock.
@@ -230,7 +232,7 @@
 		}
 		if p.instance != instance {
 			// A restarted daemon has not received the earlier messages.
-			p.hasSnapshot = p.instance == ""
+			p.hasSnapshot = p.hasSnapshot && p.instance == ""
 			p.instance = instance
 		}
 	}()
--- a/internal/zpshare/sharer_test.go
+++ b/internal/zpshare/sharer_test.go
@@ -24,12 +24,14 @@
 	instance string
 	down     bool
 	received []zpshare.Message
+	lost     []zpshare.Message // sent while the daemon was down
 }
 
 func (p *fakePeer) send(_ context.Context, _ string, m zpshare.Message) (string, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.down {
+		p.lost = append(p.lost, m)
 		return "", errors.New("down")
 	}
 	p.received = append(p.received, m)
@@ -66,6 +68,13 @@
 	return slices.Clone(p.received)
 }
 
+// lostMessages returns the messages sent so far while the daemon was down.
+func (p *fakePeer) lostMessages() []zpshare.Message {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.Clone(p.lost)
+}
+
 func news(part string) zpshare.Message {
 	return zpshare.Message{Parts: []zpparts.Change{{Holder: "e", Key: zpparts.Key{Part: part}, Tokens: 1}}}
 }
@@ -132,6 +141,18 @@
 		Eventually(peer.partCount("snapshot"), "3s").Should(Equal(2))
 	})
 
+	It("sends no snapshots to a daemon that does not answer", func() {
+		peer.update(func() { peer.down = true })
+		Eventually(peer.lostMessages, "4s").Should(HaveLen(4))
+		for _, m := range peer.lostMessages() {
+			Expect(m.Parts).To(BeEmpty())
+		}
+		peer.update(func() { peer.down = false })
+		Eventually(peer.partCount("snapshot"), "3s").Should(Equal(2))
+		sharer.Add(news("x"))
+		Eventually(peer.partCount("x")).Should(Equal(1))
+	})
+
 	It("sends no messages without news when loads go another way", func() {
 		sendsLoad.Store(false)
 		before := len(peer.messages())
