A request that ran beside two parts that crash endpoints is not refused with them

Callers got a final 400 (request_quarantined) for sound requests that had run beside parts that crash endpoints.

Cause: two crashes are enough for a request as a whole. It was taken as the cause if each of two deadly parts had crashed it once, as neither of them was at both crashes; and between the second crash beside one deadly part and that part's next crash, as the part was at no more crashes than the request.

Now a crash does not count against a request as a whole if a fingerprint of another request that was present at it was at more crashes. Until its third crash, a request as a whole is also not refused while another fingerprint has the same crashes, as it is with parts.

'is banned after three crashes although another request was at all of them' guards the users' bound for a request that crashes endpoints.

--- a/internal/zpquarantine/tracker.go
+++ b/internal/zpquarantine/tracker.go
@@ -203,10 +203,11 @@
 // endpoints that fail together count once. Crashes of requests of a single workspace
 // count only for that workspace, which could otherwise have parts of others refused.
 //
-// A part is clear if another fingerprint was present at all of its crashes and at more, and
-// so is a request as a whole if that was a fingerprint of other requests.
-// Fingerprints with the same crashes cannot be told apart, so that only a request that
-// has all of them is banned.
+// A part is clear if another fingerprint was present at all of its crashes and at more. A
+// crash does not count against a request as a whole if a fingerprint of another request
+// that was present at it was at more. Fingerprints with the same crashes cannot be told
+// apart, so that only a request that has all of them is banned; for a request as a whole,
+// this ends with the crashes from which a part is refused.
 func (t *Tracker) Check(workspace string, fingerprints []string, now time.Time) Finding {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -215,12 +216,12 @@
 		return worst
 	}
 	for _, f := range fingerprints {
-		n := t.countCrashes(f, workspace, now)
-		if n == 0 || t.isExplained(f, fingerprints) {
+		n := t.countCrashes(f, fingerprints, workspace, now)
+		if n == 0 || isPart(f) && t.isExplained(f) {
 			continue
 		}
 		status := statusOf(f, n)
-		if status == StatusBanned && isPart(f) && !t.isCoveredBy(f, fingerprints) {
+		if status == StatusBanned && (isPart(f) || n < partBanThreshold) && !t.isCoveredBy(f, fingerprints) {
 			status = StatusSuspect
 		}
 		if status > worst.Status || status == worst.Status && n > worst.Crashes {
@@ -335,9 +336,9 @@
 	return out[:min(len(out), limit)]
 }
 
-// countCrashes returns how many crashes of a fingerprint count for a workspace; t.mu must
-// be held.
-func (t *Tracker) countCrashes(fingerprint, workspace string, now time.Time) int {
+// countCrashes returns how many crashes of one of a request's fingerprints count for a
+// workspace; t.mu must be held.
+func (t *Tracker) countCrashes(fingerprint string, fingerprints []string, workspace string, now time.Time) int {
 	if len(t.suspects[fingerprint]) == 0 {
 		return 0
 	}
@@ -346,7 +347,7 @@
 	workspaces := map[string]struct{}{}
 	for id := range t.suspects[fingerprint] {
 		c := t.crashes[id]
-		if now.Sub(c.at) > t.Retention {
+		if now.Sub(c.at) > t.Retention || !isPart(fingerprint) && t.isExplainedAt(c, fingerprint, fingerprints) {
 			continue
 		}
 		e := event{crashedAt: c.at}
@@ -371,13 +372,22 @@
 	return n
 }
 
-// isExplained reports whether another fingerprint was present at all crashes of one of a
-// request's fingerprints and at more; t.mu must be held. The parts of a request do not
+// isExplained reports whether another fingerprint was present at all crashes of this one
+// and at more; t.mu must be held.
+func (t *Tracker) isExplained(fingerprint string) bool {
+	return t.anyPresentWith(fingerprint, func(other string) bool { return len(t.suspects[other]) > len(t.suspects[fingerprint]) })
+}
+
+// isExplainedAt reports whether a fingerprint of another request that was present at a
+// crash of this one was at more crashes; t.mu must be held. The parts of a request do not
 // explain the crashes of the whole, as they are always present at these.
-func (t *Tracker) isExplained(fingerprint string, fingerprints []string) bool {
-	return t.anyPresentWith(fingerprint, func(other string) bool {
-		return len(t.suspects[other]) > len(t.suspects[fingerprint]) && (isPart(fingerprint) || !slices.Contains(fingerprints, other))
-	})
+func (t *Tracker) isExplainedAt(c *crash, fingerprint string, fingerprints []string) bool {
+	for other := range c.suspects {
+		if len(t.suspects[other]) > len(t.suspects[fingerprint]) && !slices.Contains(fingerprints, other) {
+			return true
+		}
+	}
+	return false
 }
 
 // isCoveredBy reports whether a request has all fingerprints that were present at exactly
--- a/internal/zpquarantine/tracker_test.go
+++ b/internal/zpquarantine/tracker_test.go
@@ -81,6 +81,48 @@
 		Expect(t.Check(workspace, []string{"request", library}, now)).To(Equal(zpquarantine.Finding{Status: zpquarantine.StatusBanned, Fingerprint: "request", Crashes: 2}))
 	})
 
+	Describe("a request that ran beside others that crashed", func() {
+		// crashBeside records a crash with a deadly part, beside a request of another workspace.
+		crashBeside := func(deadly string) {
+			crash(fmt.Sprint("request", crashes), deadly)
+			t.RecordCrash(zpquarantine.Report{
+				Crash: fmt.Sprint(crashes), CrashedAt: now, SentAt: now.Add(-100 * time.Millisecond), Workspace: "other", Fingerprints: []string{"sound"},
+			}, now)
+		}
+		expectNotBanned := func() {
+			GinkgoHelper()
+			Expect(t.Check("other", []string{"sound", library}, now).Status).NotTo(Equal(zpquarantine.StatusBanned))
+		}
+
+		It("is not banned although a deadly part crashed it twice", func() {
+			crashBeside(deadly)
+			crashBeside(deadly)
+			expectNotBanned()
+			crash("another", deadly)
+			expectNotBanned()
+			expectStatus(zpquarantine.StatusBanned, "c", deadly)
+		})
+
+		It("is not banned although each of two deadly parts crashed it", func() {
+			second := zpquarantine.PartFingerprint("second")
+			for _, part := range []string{deadly, second} {
+				crash(part)
+				crash(part)
+				crashBeside(part)
+			}
+			expectNotBanned()
+			expectStatus(zpquarantine.StatusBanned, "c", deadly)
+			expectStatus(zpquarantine.StatusBanned, "c", second)
+		})
+
+		It("is banned after three crashes although another request was at all of them", func() {
+			for range 3 {
+				crashBeside(deadly)
+			}
+			Expect(t.Check("other", []string{"sound"}, now).Status).To(Equal(zpquarantine.StatusBanned))
+		})
+	})
+
 	It("bans only requests with all parts that cannot be told apart, until one is harmless", func() {
 		for range 3 {
 			crash(deadly, library)
