--- a/internal/zpapp/gateway_sharing.go
+++ b/internal/zpapp/gateway_sharing.go
@@ -24,9 +24,9 @@
 // is out of date.
 const peerTimeout = 400 * time.Millisecond
 
-// maxSnapshotFingerprints bounds what a snapshot tells of crashes. A daemon that starts gets
-// one from each of the others.
-const maxSnapshotFingerprints = 1024
+// maxSnapshotFingerprints bounds what a snapshot tells of crashes, to some 25 KB. A daemon that
+// starts, or whose link was full for a while, gets one from each of the others.
+const maxSnapshotFingerprints = 256
 
 func (d *GatewayDaemon) buildSharing() {
 	d.dialer = &zppeer.Dialer{Timeout: peerTimeout, OnCall: d.countPeer}
