--- a/internal/zpshare/sharer.go
+++ b/internal/zpshare/sharer.go
@@ -26,8 +26,9 @@
 		Log       *zplog.Logger
 		Clock     func() time.Time
 
-		mu    sync.Mutex
-		peers map[string]*peer // by address
+		mu                sync.Mutex
+		peers             map[string]*peer // by address
+		isSendingSnapshot bool
 	}
 
 	// peer is the sending state for another daemon.
@@ -148,7 +149,7 @@
 			continue
 		}
 		withUses := sendsLoad && p.usesDue(usesVersion, now, minIntervals.uses)
-		if withUses || p.newsDue(now, minIntervals.news) {
+		if withUses || p.newsDue(now, minIntervals.news, !s.isSendingSnapshot) {
 			s.sendAsync(ctx, m, p, uses, usesVersion, withUses, now)
 		}
 	}
@@ -194,18 +195,28 @@
 	return age >= interval && (usesVersion != p.usesVersion || age >= usesRepeatInterval)
 }
 
-func (p *peer) newsDue(now time.Time, interval time.Duration) bool {
-	return now.Sub(p.sentAt) >= interval && (!p.hasSnapshot || !p.pending.IsEmpty())
+func (p *peer) newsDue(now time.Time, interval time.Duration, maySendSnapshot bool) bool {
+	if now.Sub(p.sentAt) < interval {
+		return false
+	}
+	if p.hasSnapshot {
+		return !p.pending.IsEmpty()
+	}
+	return maySendSnapshot || !p.isAnswering()
 }
 
+// isAnswering reports whether the daemon answered the last message.
+func (p *peer) isAnswering() bool { return p.instance != "" && p.failures == 0 }
+
 // sendAsync sends the pending updates or a snapshot to one daemon in the
 // background.
 func (s *Sharer) sendAsync(ctx context.Context, to zpassign.Member, p *peer, uses map[string]zpusage.Usage, usesVersion uint64, withUses bool, now time.Time) {
 	address := to.PeerAddress
-	// A daemon that did not answer is asked with a small message first: snapshots that time
-	// out at many daemons would keep the link full that is needed to reach them.
-	m, needsSnapshot := p.pending, !p.hasSnapshot && p.failures == 0
+	// Snapshots may be large: sent to many daemons at once, they would all time out. A
+	// daemon that did not answer is sent a small message first.
+	m, needsSnapshot := p.pending, !p.hasSnapshot && p.isAnswering() && !s.isSendingSnapshot
 	p.pending, p.sending, p.hasSnapshot = Message{}, true, p.hasSnapshot || needsSnapshot
+	s.isSendingSnapshot = s.isSendingSnapshot || needsSnapshot
 	go func() {
 		if needsSnapshot {
 			// Snapshot calls Alive, which takes the lock.
@@ -219,6 +230,9 @@
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		p.sending = false
+		if needsSnapshot {
+			s.isSendingSnapshot = false
+		}
 		if err != nil {
 			s.handleFailure(address, p, err, now)
 			return
@@ -232,8 +246,7 @@
 		}
 		if p.instance != instance {
 			// A restarted daemon has not received the earlier messages.
-			p.hasSnapshot = p.hasSnapshot && p.instance == ""
-			p.instance = instance
+			p.hasSnapshot, p.instance = false, instance
 		}
 	}()
 }
--- a/internal/zpshare/sharer_test.go
+++ b/internal/zpshare/sharer_test.go
@@ -153,6 +153,39 @@
 		Eventually(peer.partCount("x")).Should(Equal(1))
 	})
 
+	It("sends one snapshot at a time", func() {
+		var sending, most atomic.Int64
+		crowd := &zpshare.Sharer{
+			Self: "self", Domain: "a", Usage: usage,
+			Others: func() []zpassign.Member {
+				return []zpassign.Member{{Name: "p", PeerAddress: "p:1", Domain: "a"}, {Name: "q", PeerAddress: "q:1", Domain: "a"}, {Name: "r", PeerAddress: "r:1", Domain: "b"}}
+			},
+			Send: func(_ context.Context, address string, m zpshare.Message) (string, error) {
+				if len(m.Parts) > 0 {
+					most.Store(max(most.Load(), sending.Add(1)))
+					defer sending.Add(-1)
+					time.Sleep(100 * time.Millisecond)
+				}
+				return peer.send(context.Background(), address, m)
+			},
+			Snapshot: func(to zpassign.Member) zpshare.Message { return news("for " + to.Name) }, Log: zplog.Discard(), Clock: time.Now,
+		}
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			crowd.Run(ctx)
+			close(done)
+		}()
+		DeferCleanup(func() {
+			cancel()
+			<-done
+		})
+		for _, name := range []string{"p", "q", "r"} {
+			Eventually(peer.partCount("for "+name), "4s").Should(Equal(1))
+		}
+		Expect(most.Load()).To(BeEquivalentTo(1))
+	})
+
 	It("sends no messages without news when loads go another way", func() {
 		sendsLoad.Store(false)
 		before := len(peer.messages())
