A part stays refused after a restart although one that could not be told apart from it proved harmless

Callers would see their streams break off anew after all daemons were killed: more endpoints crash with a part that had been refused before.

Cause: parts with the same crashes are refused together, and the store keeps one ban for them, under the part that comes first in the prompt. If that one then proves harmless, its ban is deleted, and the deadly part, which is still refused, is stored nowhere: its requests are refused, so no further report leads to a ban.

Now, when a ban is lifted, the crashes in its stored reports are looked at once more, and what is still refused is stored by itself.

Evidence: the platform spec 'crashes no endpoint after a restart although a part that was always with it was found harmless' failed before on (502 after one more crash instead of 400) and passes now. go test ./internal/... ./platform passes; the linters pass on zpapp and platform.

--- a/internal/zpapp/gateway_bans.go
+++ b/internal/zpapp/gateway_bans.go
@@ -34,6 +34,7 @@
 	storedBan struct {
 		revision  int64
 		expiresAt time.Time
+		reports   []zpquarantine.Report
 	}
 )
 
@@ -76,15 +77,26 @@
 	}
 }
 
-// lift removes the stored bans of fingerprints that have turned out to be harmless.
+// lift removes the stored bans of fingerprints that have turned out to be harmless. What
+// could not be told apart from them is still refused, and stored by itself.
 func (b *bans) lift(fingerprints []string) {
 	for _, f := range fingerprints {
-		if b.isStored(f) {
-			b.enqueue(banChange{fingerprint: f, isLifted: true})
+		if !b.isStored(f) {
+			continue
+		}
+		b.enqueue(banChange{fingerprint: f, isLifted: true})
+		for _, r := range b.storedReports(f) {
+			b.crashReported(r, true)
 		}
 	}
 }
 
+func (b *bans) storedReports(fingerprint string) []zpquarantine.Report {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.stored[banObject(fingerprint)].reports
+}
+
 func (b *bans) enqueue(c banChange) {
 	select {
 	case b.changes <- c:
@@ -176,7 +188,7 @@
 	}
 	expiresAt := ban.ExpiresAt(crashRetention)
 	b.mu.Lock()
-	b.stored[o.Name] = storedBan{revision: o.Revision, expiresAt: expiresAt}
+	b.stored[o.Name] = storedBan{revision: o.Revision, expiresAt: expiresAt, reports: ban.Reports}
 	b.mu.Unlock()
 	if !now.Before(expiresAt) {
 		b.removeExpired(o)
