--- a/internal/zpsoak/requests.go
+++ b/internal/zpsoak/requests.go
@@ -166,9 +166,7 @@
 	req.Header.Set("Request-Id", q.ID)
 	req.Header.Set("Authorization", "Bearer "+apiKey)
 	if q.Parts != "" {
-		req.Header.Set("Model", "m")
-		req.Header.Set("Token-Count", "110,12")
-		req.Header.Set("Prompt-Prefix", q.Parts+","+q.ID+":10")
+		zpoutside.SetPrompt(req.Header, q.Parts+","+q.ID+":10")
 	}
 	return req, nil
 }
