Soak: a prompt whose client gives up after a second is canceled, not interrupted

Cause: the clients of prompts close the connection after one second (promptTimeout); the judge knew only the seven seconds of the other clients and took the close for one of the daemon. A close of the client's own now counts as a cancellation, so that the requests are checked like others that are canceled: no work for them half a second later. What a daemon interrupts within the second counts as before.

--- a/internal/zpsoak/requests.go
+++ b/internal/zpsoak/requests.go
@@ -104,11 +104,20 @@
 		if n%2 == 1 {
 			q.Parts += "," + deadlyPart + ":20"
 		}
-		sending.Go(func() { r.send(ctx, client, &q, "/"+q.Kind+"/1") })
+		sending.Go(func() { r.sendPrompt(ctx, client, &q) })
 		sleep(ctx, promptInterval)
 	}
 }
 
+// sendPrompt sends a prompt. Its client closes the connection after promptTimeout.
+func (r *run) sendPrompt(ctx context.Context, client *http.Client, q *request) {
+	r.roundTrip(context.WithoutCancel(ctx), client, q, "/"+q.Kind+"/1")
+	if q.Interrupted && q.DoneAt.Sub(q.SentAt) >= promptTimeout {
+		q.CanceledAt = q.DoneAt
+	}
+	r.requestLog.add(*q)
+}
+
 // isDeadly reports whether the request has the deadly part.
 func (q request) isDeadly() bool { return strings.Contains(q.Parts, deadlyPart+":") }
 
