--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -37,6 +37,7 @@
 
 var cases = map[string]caseFunc{
 	"short-silence": playShortSilence,
+	"heavy-uploads": playHeavyUploads,
 }
 
 func main() {
