--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -36,8 +36,9 @@
 var errUsage = errors.New(usage)
 
 var cases = map[string]caseFunc{
-	"short-silence": playShortSilence,
-	"heavy-uploads": playHeavyUploads,
+	"short-silence":   playShortSilence,
+	"heavy-uploads":   playHeavyUploads,
+	"tenant-isolated": playTenantIsolated,
 }
 
 func main() {
