--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -37,6 +37,7 @@
 
 var cases = map[string]caseFunc{
 	"short-silence":   playShortSilence,
+	"queued-stop":     playQueuedStop,
 	"heavy-uploads":   playHeavyUploads,
 	"tenant-isolated": playTenantIsolated,
 }
