--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# Exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run.
+# TROUBLE=0 leaves the disruption out.
+here="$(cd "$(dirname "$0")" && pwd)"
+cd "$here/../.." || exit 2
+[ -x target/review/cases ] && [ -x target/zinniapaddle ] || { echo "build first: see review/REPORT.md" >&2; exit 2; }
+exec target/review/cases crash-unframed "$here"
--- a/review/cases/client.go
+++ b/review/cases/client.go
@@ -25,6 +25,7 @@
 		DoneAt   time.Time
 		Status   int  // zero if there was no response
 		Complete bool // the response ended as HTTP requires
+		Events   int  // of a stream
 	}
 
 	// requestLog records the requests of all clients. It is safe for concurrent use.
@@ -84,9 +85,9 @@
 	if err != nil {
 		return
 	}
-	_, err = io.Copy(io.Discard, res.Body)
+	body, err := io.ReadAll(res.Body)
 	_ = res.Body.Close()
-	q.Status, q.Complete = res.StatusCode, err == nil
+	q.Status, q.Complete, q.Events = res.StatusCode, err == nil, strings.Count(string(body), "data: ")
 }
 
 // text returns the result of a request for the record.
--- a/review/cases/engine.go
+++ b/review/cases/engine.go
@@ -20,6 +20,10 @@
 		Pause   time.Duration // between two events
 		Events  int           // of each stream
 		Record  *record
+		// UnframedEvery makes each n-th answer one without a length, which ends with its
+		// connection; zero for none.
+		UnframedEvery int
+		OnBegin       func(id string, unframed bool) // may be nil
 
 		server *http.Server
 
@@ -79,10 +83,7 @@
 
 // startEngine starts an engine and writes its entry.
 func (s *site) startEngine(i int, pause time.Duration, events int) (*engine, error) {
-	e := &engine{
-		Name: fmt.Sprintf("i-engine%d", i), Address: fmt.Sprintf("%s:%d", s.ip(4, i), runnerPort), Zone: zones[i%len(zones)].Name,
-		Pause: pause, Events: events, Record: s.Record, freed: make(chan struct{}), parts: map[string]string{}, bornAtMS: time.Now().UnixMilli(),
-	}
+	e := s.newEngine(i, pause, events)
 	var err error
 	if e.server, err = s.serve(e.Address, e); err != nil {
 		return nil, err
@@ -92,6 +93,13 @@
 	return e, nil
 }
 
+func (s *site) newEngine(i int, pause time.Duration, events int) *engine {
+	return &engine{
+		Name: fmt.Sprintf("i-engine%d", i), Address: fmt.Sprintf("%s:%d", s.ip(4, i), runnerPort), Zone: zones[i%len(zones)].Name,
+		Pause: pause, Events: events, Record: s.Record, freed: make(chan struct{}), parts: map[string]string{}, bornAtMS: time.Now().UnixMilli(),
+	}
+}
+
 // ServeHTTP implements http.Handler.
 func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	switch r.URL.Path {
@@ -139,12 +147,20 @@
 	}
 	e.begin(run, r.Header.Get("Prompt-Prefix"))
 	defer e.end(run, tokens)
+	unframed := e.isUnframed()
+	if e.OnBegin != nil {
+		e.OnBegin(id, unframed)
+	}
+	if unframed {
+		e.streamUnframed(w, id)
+		return
+	}
 	w.Header().Set("Server-Seal", e.Name)
 	w.Header().Set("Content-Type", "text/event-stream")
 	w.Header().Set("Weight-Versions", "1")
 	for n := 1; n <= e.Events; n++ {
 		// Fails only if the client has disconnected, which ends the run.
-		_, _ = fmt.Fprintf(w, "id: %d\ndata: %s/%d\n\n", n, id, n)
+		_, _ = io.WriteString(w, eventText(id, n))
 		_ = http.NewResponseController(w).Flush()
 		select {
 		case <-time.After(e.Pause):
@@ -154,6 +170,32 @@
 	}
 }
 
+// streamUnframed sends a stream that ends with its connection.
+func (e *engine) streamUnframed(w http.ResponseWriter, id string) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer func() { _ = conn.Close() }()
+	text := fmt.Sprintf("HTTP/1.1 200 OK\r\nRequest-Id: %s\r\nServer-Seal: %s\r\nContent-Type: text/event-stream\r\nWeight-Versions: 1\r\nConnection: close\r\n\r\n", id, e.Name)
+	for n := 1; n <= e.Events; n++ {
+		if _, err := io.WriteString(conn, text+eventText(id, n)); err != nil {
+			return // the client has disconnected
+		}
+		text = ""
+		time.Sleep(e.Pause)
+	}
+}
+
+func eventText(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s/%d\n\n", n, id, n) }
+
+// isUnframed reports whether the answer to the newest run has no length.
+func (e *engine) isUnframed() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.UnframedEvery > 0 && len(e.runs)%e.UnframedEvery == 0
+}
+
 // tokensOf returns the memory that a request needs.
 func tokensOf(r *http.Request) int {
 	sum := 0
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -39,6 +39,7 @@
 	"short-silence":   playShortSilence,
 	"queued-stop":     playQueuedStop,
 	"heavy-uploads":   playHeavyUploads,
+	"crash-unframed":  playCrashUnframed,
 	"tenant-isolated": playTenantIsolated,
 }
 
@@ -52,6 +53,9 @@
 }
 
 func run(args []string) (outcome, error) {
+	if len(args) == 3 && args[0] == serveEngineCommand {
+		return notRun, serveEngine(args[1], args[2])
+	}
 	if len(args) != 2 || cases[args[0]] == nil {
 		return notRun, errUsage
 	}
--- a/review/cases/site.go
+++ b/review/cases/site.go
@@ -29,6 +29,8 @@
 		access  []*storeAccess    // by daemon
 		daemons []*zpsite.Process // by index
 		servers []*http.Server
+		// processes are the runners that are processes of their own.
+		processes []*os.Process
 	}
 
 	// zone is a failure domain with its region.
@@ -226,6 +228,9 @@
 	for _, d := range s.daemons {
 		d.Kill()
 	}
+	for _, p := range s.processes {
+		_ = p.Kill() // fails if it has ended
+	}
 	for _, server := range s.servers {
 		_ = server.Close()
 	}
