--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -4,4 +4,4 @@
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.." || exit 2
 [ -x target/review/cases ] && [ -x target/zinniapaddle ] || { echo "build first: see review/REPORT.md" >&2; exit 2; }
-exec target/review/cases heavy-uploads "$here"
+exec target/review/cases two-models "$here"
--- a/review/cases/config.go
+++ b/review/cases/config.go
@@ -15,6 +15,15 @@
 // newConfig returns a configuration with the kinds of requests of the deployment
 // etw-zinnia that the cases use.
 func newConfig(version int, tenants []map[string]any) string {
+	return newConfigOf(version, tenants, []string{model})
+}
+
+// newConfigOf returns a configuration whose engines serve the given models.
+func newConfigOf(version int, tenants []map[string]any, names []string) string {
+	var models []any
+	for _, name := range names {
+		models = append(models, map[string]any{"name": name})
+	}
 	route := func(name, path, kind string, timeout, goal, attempts int, service string) map[string]any {
 		return map[string]any{
 			"name": name, "host": host, "path-prefix": path, "route-type": kind, "timeout-ms": timeout, "goal-ms": goal, "priority": 1,
@@ -35,7 +44,7 @@
 				"name": engineService, "health-path": "/health", "max-conns": 370, "protocol": "h1", "tls": false, "cold-start-s": 3, "cold-per-s": 7.7,
 				"engine": map[string]any{
 					"slots": 64, "kv-capacity": engineTokens, "kv-token-bytes": 18432, "link-mbps": 180000, "moves": true, "backups": true, "managed": true,
-					"stride": 8, "max-in-flight": 12, "pin-ms": 4000, "hold-ms": 2000, "handle_s": 5, "models": []any{map[string]any{"name": model}},
+					"stride": 8, "max-in-flight": 12, "pin-ms": 4000, "hold-ms": 2000, "handle_s": 5, "models": models,
 				},
 			},
 		},
--- a/review/cases/engine.go
+++ b/review/cases/engine.go
@@ -24,6 +24,7 @@
 		// connection; zero for none.
 		UnframedEvery int
 		OnBegin       func(id string, unframed bool) // may be nil
+		Version       func(model string) int         // of the weights; nil: 1
 
 		server *http.Server
 
@@ -157,7 +158,7 @@
 	}
 	w.Header().Set("Server-Seal", e.Name)
 	w.Header().Set("Content-Type", "text/event-stream")
-	w.Header().Set("Weight-Versions", "1")
+	w.Header().Set("Weight-Versions", strconv.Itoa(e.versionOf(r.Header.Get("Model"))))
 	for n := 1; n <= e.Events; n++ {
 		// Fails only if the client has disconnected, which ends the run.
 		_, _ = io.WriteString(w, eventText(id, n))
@@ -187,6 +188,13 @@
 	}
 }
 
+func (e *engine) versionOf(model string) int {
+	if e.Version == nil {
+		return 1
+	}
+	return e.Version(model)
+}
+
 func eventText(id string, n int) string { return fmt.Sprintf("id: %d\ndata: %s/%d\n\n", n, id, n) }
 
 // isUnframed reports whether the answer to the newest run has no length.
--- a/review/cases/main.go
+++ b/review/cases/main.go
@@ -37,9 +37,9 @@
 
 var cases = map[string]caseFunc{
 	"short-silence":   playShortSilence,
-	"queued-stop":     playQueuedStop,
 	"heavy-uploads":   playHeavyUploads,
 	"crash-unframed":  playCrashUnframed,
+	"two-models":      playTwoModels,
 	"tenant-isolated": playTenantIsolated,
 }
 
