--- a/internal/zpapp/gateway_catalogs.go
+++ b/internal/zpapp/gateway_catalogs.go
@@ -40,7 +40,7 @@
 	confirmRetryDelay = 200 * time.Millisecond
 	// maxCatalogAge is the time since the last word of the store up to which this daemon
 	// confirms the catalog of another one: one watch and the time of a slow response.
-	maxCatalogAge = configWatchWait + 500*time.Millisecond
+	maxCatalogAge = shortWatchWait + 500*time.Millisecond
 )
 
 // run asks daemons chosen at random which version they use while the store does not confirm
--- a/internal/zpapp/gateway_watches.go
+++ b/internal/zpapp/gateway_watches.go
@@ -17,8 +17,11 @@
 )
 
 // watches runs the store watches that this daemon needs. The configuration watch
-// has a short wait and detects whether the store is available; the others have a
-// long wait and restart when the store recovers.
+// detects whether the store is available; the others restart when the store recovers.
+//
+// A response that is lost, on a connection that stays open, hides all changes until the
+// watch times out. So the wait of each watch, plus storeTimeout, bounds how long this
+// daemon goes without news.
 type watches struct {
 	daemon    *GatewayDaemon
 	members   *zpmirror.Mirror
@@ -29,10 +32,13 @@
 }
 
 const (
-	// configWatchWait bounds how long an unresponsive store goes undetected.
-	configWatchWait = 2 * time.Second
-	// otherWatchWait is slightly below the longest watch that the store allows.
-	otherWatchWait = 25 * time.Second
+	// shortWatchWait is the wait of watches whose changes have a time limit of a few
+	// seconds. A lost response is noticed before these limits hold again after a silence
+	// of the store.
+	shortWatchWait = 2 * time.Second
+	// longWatchWait is the wait of watches whose changes have longer time limits, or
+	// reach this daemon from the others as well.
+	longWatchWait = 5 * time.Second
 	// listPause limits the rate of watch calls while a fleet's lists change often.
 	// It is short compared with the time for which an endpoint that is leaving may
 	// still get requests.
@@ -50,19 +56,22 @@
 func newWatches(d *GatewayDaemon) *watches {
 	w := &watches{daemon: d, evacuated: map[string]bool{}}
 	w.config = &zpmirror.Mirror{
-		API: d.follower, Prefix: zpplatform.ConfigPrefix, WatchWait: configWatchWait,
+		API: d.follower, Prefix: zpplatform.ConfigPrefix, WatchWait: shortWatchWait,
 		OnList: forEach(w.configChanged), OnChange: w.configChanged, OnUnavailable: w.storeUnavailable, OnAvailable: w.storeRecovered,
 	}
 	w.members = &zpmirror.Mirror{
-		API: d.follower, Prefix: gatewayMemberPrefix, WatchWait: otherWatchWait, ChangeDelay: listPause, OnList: w.membersListed, OnChange: w.memberChanged,
+		API: d.follower, Prefix: gatewayMemberPrefix, WatchWait: longWatchWait, ChangeDelay: listPause, OnList: w.membersListed, OnChange: w.memberChanged,
 	}
 	w.others = []*zpmirror.Mirror{
-		{API: d.follower, Prefix: zpplatform.EndpointPrefix, WatchWait: otherWatchWait, ChangeDelay: listPause, OnList: w.endpointsListed, OnChange: w.endpointChanged},
-		{API: d.follower, Prefix: zpplatform.EvacuationPrefix, WatchWait: otherWatchWait, OnList: w.evacuationsListed, OnChange: w.evacuationChanged},
-		{API: d.follower, Prefix: zpplatform.WeightVersionPrefix, WatchWait: otherWatchWait, OnList: w.weightsListed, OnChange: w.weightsChanged},
-		{API: d.follower, Prefix: banPrefix, WatchWait: otherWatchWait, OnList: d.bans.replaceAll, OnChange: d.bans.change},
+		{API: d.follower, Prefix: zpplatform.EndpointPrefix, WatchWait: shortWatchWait, ChangeDelay: listPause, OnList: w.endpointsListed, OnChange: w.endpointChanged},
+		{API: d.follower, Prefix: zpplatform.EvacuationPrefix, WatchWait: shortWatchWait, OnList: w.evacuationsListed, OnChange: w.evacuationChanged},
+		{API: d.follower, Prefix: zpplatform.WeightVersionPrefix, WatchWait: longWatchWait, OnList: w.weightsListed, OnChange: w.weightsChanged},
+		{API: d.follower, Prefix: banPrefix, WatchWait: longWatchWait, OnList: d.bans.replaceAll, OnChange: d.bans.change},
 		w.members,
 	}
+	for _, m := range append([]*zpmirror.Mirror{w.config}, w.others...) {
+		m.OnWatchFailed = w.watchFailed
+	}
 	return w
 }
 
@@ -117,6 +126,10 @@
 	w.daemon.Log.Emit(zplog.StoreUnavailable, zplog.Fields{"error": err.Error(), "catalog": w.daemon.catalogVersion()})
 }
 
+func (w *watches) watchFailed(prefix string, unheardFor time.Duration, err error) {
+	w.daemon.Log.Emit(zplog.WatchFailed, zplog.Fields{"prefix": prefix, "unheard_ms": unheardFor.Milliseconds(), "error": err.Error()})
+}
+
 func (w *watches) storeRecovered() {
 	w.storeDown.Store(false)
 	w.daemon.Log.Emit(zplog.StoreRecovered, zplog.Fields{"catalog": w.daemon.catalogVersion()})
--- a/internal/zpmirror/mirror.go
+++ b/internal/zpmirror/mirror.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/zinniapaddle/zinniapaddle/internal/zpclock"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zpobject"
 )
 
@@ -22,6 +23,10 @@
 		OnChange      func(o zpobject.Object)
 		OnUnavailable func(err error) // called at the first failed list of an outage; may be nil
 		OnAvailable   func()          // called at the first list after an outage, before OnList; may be nil
+		// OnWatchFailed is called when a watch call fails, with the time since the store
+		// last told of the objects. Changes in that time were missed and follow with the
+		// next list. It may be nil.
+		OnWatchFailed func(prefix string, unheardFor time.Duration, err error)
 
 		mu          sync.Mutex
 		cancelWatch context.CancelFunc // ends the current watch
@@ -82,8 +87,12 @@
 	m.cancelWatch = cancel
 	m.mu.Unlock()
 	for {
+		startedAt := zpclock.Now()
 		listing, err := m.API.Watch(ctx, m.Prefix, revision, m.WatchWait)
 		if err != nil {
+			if ctx.Err() == nil && m.OnWatchFailed != nil {
+				m.OnWatchFailed(m.Prefix, zpclock.Now().Sub(startedAt), err)
+			}
 			return succeeded
 		}
 		succeeded = true
