--- a/internal/zprollout/plan.go
+++ b/internal/zprollout/plan.go
@@ -8,7 +8,8 @@
 )
 
 type (
-	// Engine is the state of an engine as known to the holder of the duty.
+	// Engine is the state of an engine and of one of its models as known to the holder of
+	// the duty. An engine of several models is listed once for each.
 	Engine struct {
 		ID             string
 		Model          string
@@ -19,8 +20,10 @@
 		ExpiresIn      time.Duration // until its weights expire; zero if never, or if they have expired
 	}
 
-	// Change tracks the orders to one engine. It is not safe for concurrent use.
+	// Change tracks the orders to one engine to load weights of one model. It is not safe
+	// for concurrent use.
 	Change struct {
+		Model     string
 		Target    int64
 		Accepted  bool
 		OrderedAt time.Time // time of the latest order
@@ -79,46 +82,57 @@
 	return int(math.Ceil(float64(len(outdated)) / rounds))
 }
 
-// Pick returns the engines whose change should start now, up to the number that
-// may change at a time. It prefers the oldest weights, then the failure domain
-// with the fewest changing engines, then the lowest load. Engines whose weights
-// have expired receive no requests, so the limit does not apply to them.
+// Pick returns the engines whose change should start now, each with the model to
+// change, up to the number that may change at a time. It prefers the oldest weights,
+// then the failure domain with the fewest changing engines, then the lowest load.
+// Engines whose weights have expired receive no requests, so the limit does not apply
+// to them. An engine changes one model at a time.
 func Pick(engines []Engine, targets map[string]int64, changing map[string]*Change) []Engine {
 	var out, outdated []Engine
 	changingByDomain := map[string]int{} // number of engines
+	known, picked := map[string]bool{}, map[string]bool{}
 	for _, e := range engines {
 		_, started := changing[e.ID]
 		switch {
-		case started:
+		case started && !known[e.ID]:
 			changingByDomain[e.Domain]++
-		case e.Weights >= targets[e.Model]:
+		case started || e.Weights >= targets[e.Model] || picked[e.ID]:
 		case e.WeightsExpired:
+			picked[e.ID] = true
 			out = append(out, e)
 		default:
 			outdated = append(outdated, e)
 		}
+		known[e.ID] = true
 	}
-	limit := max(MaxChanging(len(engines)), pacedLimit(outdated))
+	outdated = withoutPicked(outdated, picked)
+	limit := max(MaxChanging(len(known)), pacedLimit(outdated))
 	for free := limit - len(changing) - len(out); free > 0 && len(outdated) > 0; free-- {
-		next := 0
-		for i := range outdated {
-			if before(outdated[i], outdated[next], changingByDomain) {
-				next = i
+		next := outdated[0]
+		for _, e := range outdated {
+			if before(e, next, changingByDomain) {
+				next = e
 			}
 		}
-		changingByDomain[outdated[next].Domain]++
-		out = append(out, outdated[next])
-		outdated = slices.Delete(outdated, next, next+1)
+		changingByDomain[next.Domain]++
+		picked[next.ID] = true
+		out = append(out, next)
+		outdated = withoutPicked(outdated, picked)
 	}
 	return out
 }
 
+func withoutPicked(engines []Engine, picked map[string]bool) []Engine {
+	return slices.DeleteFunc(engines, func(e Engine) bool { return picked[e.ID] })
+}
+
 func before(a, b Engine, changingByDomain map[string]int) bool {
 	return cmp.Or(
 		cmp.Compare(a.Weights, b.Weights),
 		cmp.Compare(changingByDomain[a.Domain], changingByDomain[b.Domain]),
 		cmp.Compare(a.Load, b.Load),
 		cmp.Compare(a.ID, b.ID),
+		cmp.Compare(a.Model, b.Model),
 	) < 0
 }
 
--- a/internal/zprollout/plan_test.go
+++ b/internal/zprollout/plan_test.go
@@ -82,6 +82,26 @@
 		Expect(zprollout.Pick(engines(12, 1), targets, changing)).To(HaveLen(1))
 	})
 
+	It("selects an engine for one of its models at a time and counts it once", func() {
+		var list []zprollout.Engine
+		for _, e := range engines(12, 1) {
+			other := e
+			other.Model = "n"
+			list = append(list, e, other)
+		}
+		both := map[string]int64{"m": 2, "n": 2}
+		selected := map[string]bool{}
+		for _, e := range zprollout.Pick(list, both, nil) {
+			Expect(selected[e.ID]).To(BeFalse(), e.ID)
+			selected[e.ID] = true
+		}
+		Expect(selected).To(HaveLen(5))
+		for i := range list {
+			list[i].WeightsExpired = true
+		}
+		Expect(zprollout.Pick(list, both, nil)).To(HaveLen(12))
+	})
+
 	It("skips engines that have the target weights", func() {
 		Expect(zprollout.Pick(engines(12, 2), targets, nil)).To(BeEmpty())
 		Expect(zprollout.AnyOutdated(engines(12, 2), targets)).To(BeFalse())
--- a/internal/zprollout/rollout.go
+++ b/internal/zprollout/rollout.go
@@ -147,6 +147,9 @@
 	var out []Engine
 	for _, e := range endpoints {
 		for _, model := range r.Models(e.Pool) {
+			if _, serves := e.Weights[model]; len(e.Weights) > 0 && !serves {
+				continue
+			}
 			out = append(out, Engine{
 				ID: e.ID, Model: model, Weights: e.Weights[model], Load: r.Load(e.ID, now),
 				Domain: e.FailureDomain, WeightsExpired: r.WeightVersions.Expired(model, e.Weights[model], now),
@@ -164,24 +167,10 @@
 	for _, e := range endpoints {
 		byID[e.ID] = e
 	}
-	models := map[string]string{}
-	for _, e := range engines {
-		models[e.ID] = e.Model
-		if c, ok := r.changes[e.ID]; ok && e.Weights >= targets[e.Model] {
-			r.Log.Emit(zplog.WeightsLoaded, zplog.Fields{"endpoint": e.ID, "version": e.Weights, "accepted": c.Accepted})
-			delete(r.changes, e.ID)
-			r.WeightVersions.SetChanging(e.ID, time.Time{})
-			r.Announce(e.ID, 0)
-		}
-	}
-	for id := range r.changes {
-		if _, ok := byID[id]; !ok {
-			delete(r.changes, id)
-		}
-	}
+	r.endChanges(engines, targets)
 	now := r.Clock()
 	for _, e := range Pick(engines, targets, r.changes) {
-		r.changes[e.ID] = &Change{Target: targets[e.Model], NotBefore: now.Add(announceDelay)}
+		r.changes[e.ID] = &Change{Model: e.Model, Target: targets[e.Model], NotBefore: now.Add(announceDelay)}
 		r.WeightVersions.SetChanging(e.ID, now.Add(changeTimeout))
 		r.Announce(e.ID, changeTimeout)
 	}
@@ -190,18 +179,42 @@
 		if now.Before(c.NotBefore) {
 			continue
 		}
-		due.Go(func() { r.updateEngine(ctx, byID[id], models[id], targets[models[id]], c) })
+		due.Go(func() { r.updateEngine(ctx, byID[id], targets[c.Model], c) })
 	}
 	due.Wait()
 }
 
+// endChanges ends the changes of engines that have the target weights of the model that
+// they change, and of engines that are gone or no longer serve it.
+func (r *Rollout) endChanges(engines []Engine, targets map[string]int64) {
+	pending := map[string]bool{}
+	for _, e := range engines {
+		c, ok := r.changes[e.ID]
+		if !ok || c.Model != e.Model {
+			continue
+		}
+		if e.Weights < targets[e.Model] {
+			pending[e.ID] = true
+			continue
+		}
+		r.Log.Emit(zplog.WeightsLoaded, zplog.Fields{"endpoint": e.ID, "model": e.Model, "version": e.Weights, "accepted": c.Accepted})
+	}
+	for id := range r.changes {
+		if !pending[id] {
+			delete(r.changes, id)
+			r.WeightVersions.SetChanging(id, time.Time{})
+			r.Announce(id, 0)
+		}
+	}
+}
+
 // announceDelay is the time between announcing that an engine receives no
 // requests and the order to it, so that the other daemons learn of it first.
 const announceDelay = 80 * time.Millisecond
 
 // updateEngine reads the report of one engine and orders it to load the target
 // weights, unless it has them or is loading them.
-func (r *Rollout) updateEngine(ctx context.Context, e zpregistry.Endpoint, model string, target int64, c *Change) {
+func (r *Rollout) updateEngine(ctx context.Context, e zpregistry.Endpoint, target int64, c *Change) {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	report, err := r.Orderer.Report(ctx, e)
@@ -211,14 +224,14 @@
 		r.Log.Emit(zplog.OrderFailed, zplog.Fields{"endpoint": e.ID, "call": "report", "error": err.Error()})
 		return
 	}
-	if v := report.Weights[model]; v > e.Weights[model] {
-		r.SetWeights(e.ID, model, v)
+	if v := report.Weights[c.Model]; v > e.Weights[c.Model] {
+		r.SetWeights(e.ID, c.Model, v)
 	}
 	awaitingEffect := c.Target == target && c.Accepted && now.Sub(c.OrderedAt) < r.Timing.RepeatDelay
-	if report.Weights[model] >= target || report.Busy || awaitingEffect {
+	if report.Weights[c.Model] >= target || report.Busy || awaitingEffect {
 		return
 	}
-	r.order(ctx, e, Order{Model: model, Version: target, Holder: r.Self, Sequence: report.Sequence}, c)
+	r.order(ctx, e, Order{Model: c.Model, Version: target, Holder: r.Self, Sequence: report.Sequence}, c)
 }
 
 // orderTimeout is the total timeout of one report and one order.
