Soak: the store is silent towards a daemon for a moment, three times in each run

The silences of the soak held responses back and delivered them later. The new fault loses the data towards one daemon for 0.2 s to 1.6 s and whatever follows on the same connections. Daemons must follow changes from 4 s after it on.

--- a/internal/zpsoak/faults.go
+++ b/internal/zpsoak/faults.go
@@ -74,7 +74,7 @@
 	switch f.Kind {
 	case DaemonStop, DaemonKill, DaemonPause:
 		return fmt.Sprintf("daemon %d", f.Target)
-	case StoreCut, StoreOneWay, StoreReset:
+	case StoreCut, StoreOneWay, StoreSilent, StoreReset:
 		return fmt.Sprintf("store link %d", f.Target)
 	case StoreDown, StoreLose, StoreLate, StoreSlow:
 		return "store"
@@ -123,6 +123,8 @@
 		s.toStore[f.Target].setModeFor(ctx, LinkMode{HoldToTarget: true, HoldFromTarget: true}, f.Duration)
 	case StoreOneWay:
 		s.toStore[f.Target].setModeFor(ctx, LinkMode{HoldFromTarget: true}, f.Duration)
+	case StoreSilent:
+		s.toStore[f.Target].setModeFor(ctx, LinkMode{LoseFromTarget: true}, f.Duration)
 	case StoreReset:
 		s.toStore[f.Target].resetFor(ctx, f.Duration)
 	case StoreDown:
--- a/internal/zpsoak/judge.go
+++ b/internal/zpsoak/judge.go
@@ -146,6 +146,9 @@
 // receivesChanges reports whether a daemon could receive changes from the store
 // during the whole period.
 func (r *run) receivesChanges(daemon int, from, to time.Time) bool {
+	if r.hasFault(from.Add(-stableWindow), to, func(t faultWindow) bool { return t.Kind == StoreSilent && t.Target == daemon }) {
+		return false
+	}
 	return !r.hasFault(from.Add(-faultSettleTime), to, func(t faultWindow) bool {
 		switch t.Kind {
 		case DaemonStop, DaemonKill, DaemonPause, StoreCut, StoreOneWay, StoreReset:
--- a/internal/zpsoak/link.go
+++ b/internal/zpsoak/link.go
@@ -26,6 +26,7 @@
 		Refuse         bool          // reset new connections
 		HoldToTarget   bool          // hold data on its way to the target
 		HoldFromTarget bool          // hold data on its way back
+		LoseFromTarget bool          // lose data on its way back, and all that follows on its connection
 	}
 )
 
@@ -89,8 +90,12 @@
 	l.conns[in], l.conns[out] = true, true
 	l.mu.Unlock()
 	var wg sync.WaitGroup
-	wg.Go(func() { l.copy(out, in, func(m LinkMode) bool { return m.HoldToTarget }) })
-	wg.Go(func() { l.copy(in, out, func(m LinkMode) bool { return m.HoldFromTarget }) })
+	wg.Go(func() {
+		l.copy(out, in, func(m LinkMode) bool { return m.HoldToTarget }, func(LinkMode) bool { return false })
+	})
+	wg.Go(func() {
+		l.copy(in, out, func(m LinkMode) bool { return m.HoldFromTarget }, func(m LinkMode) bool { return m.LoseFromTarget })
+	})
 	wg.Wait()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -100,16 +105,18 @@
 
 // copy forwards data until either side closes. Data and the end of the connection
 // that arrive while the link is cut in this direction are held until the cut ends,
-// as TCP would do.
-func (l *Link) copy(to, from net.Conn, isCut func(LinkMode) bool) {
+// as TCP would do. Nothing is forwarded any more once data was lost.
+func (l *Link) copy(to, from net.Conn, isCut, isLossy func(LinkMode) bool) {
 	buffer := make([]byte, copyBuffer)
+	lost := false
 	for {
 		n, err := from.Read(buffer)
 		time.Sleep(l.currentMode().Delay)
 		for isCut(l.currentMode()) {
 			time.Sleep(cutPollInterval)
 		}
-		if n > 0 {
+		lost = lost || n > 0 && isLossy(l.currentMode())
+		if n > 0 && !lost {
 			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
 				abort(from)
 				return
--- a/internal/zpsoak/link_test.go
+++ b/internal/zpsoak/link_test.go
@@ -82,6 +82,14 @@
 		Entry("from the target", LinkMode{HoldFromTarget: true}),
 	)
 
+	It("forwards nothing any more on a connection whose data was lost", func() {
+		link.SetMode(LinkMode{LoseFromTarget: true})
+		Expect(echoLine("x")).NotTo(Succeed())
+		link.SetMode(LinkMode{})
+		Expect(echoLine("y")).NotTo(Succeed())
+		Expect(connect()).To(Succeed())
+	})
+
 	It("resets open connections, and new ones in refuse mode", func() {
 		link.SetMode(LinkMode{Refuse: true})
 		link.Reset()
--- a/internal/zpsoak/plan.go
+++ b/internal/zpsoak/plan.go
@@ -32,6 +32,7 @@
 	DaemonPause   Kind = "daemon_pause"  // SIGSTOP and SIGCONT
 	StoreCut      Kind = "store_cut"     // data between one daemon and the store is held in both directions
 	StoreOneWay   Kind = "store_one_way" // responses of the store to one daemon are held
+	StoreSilent   Kind = "store_silent"  // responses of the store to one daemon are lost, and nothing follows on their connections
 	StoreReset    Kind = "store_reset"   // one daemon's connections to the store are reset
 	StoreDown     Kind = "store_down"    // the store refuses all requests
 	StoreLose     Kind = "store_lose"    // responses to writes are lost
@@ -74,6 +75,10 @@
 	// minDeadlyPart is long enough for requests to follow the time limit after the
 	// last crash that is allowed.
 	minDeadlyPart = 9 * time.Second
+	// storeSilences is the number of times that the store is silent in a run, each for up
+	// to maxStoreSilence.
+	storeSilences   = 3
+	maxStoreSilence = 1600 * time.Millisecond
 )
 
 var faultSpecs = []faultSpec{
@@ -98,7 +103,8 @@
 	{AnswersBreak, 1, 3 * time.Second, time.Second},
 	{Evacuate, 2, 4 * time.Second, zpoutside.EvacuateMS*time.Millisecond + time.Second},
 	{Reconfigure, 4, 0, 0},
-	{DeadlyPart, 0, 0, 0}, // once in each run, see Plan
+	{DeadlyPart, 0, 0, 0},  // once in each run, see Plan
+	{StoreSilent, 0, 0, 0}, // storeSilences times in each run, see Plan
 }
 
 // Plan returns the faults of a run, drawn at random. Equal arguments give equal
@@ -127,6 +133,11 @@
 		at := warmUp + time.Duration(random.Int64N(int64(slack)))
 		out = append(out, Fault{Kind: DeadlyPart, At: at, Duration: length - recoveryTime - at})
 	}
+	for range storeSilences {
+		at := warmUp + time.Duration(random.Int64N(int64(length-recoveryTime-warmUp)))
+		d := minFaultDuration + time.Duration(random.Int64N(int64(maxStoreSilence-minFaultDuration)))
+		out = append(out, Fault{Kind: StoreSilent, At: at, Target: random.IntN(daemons), Duration: min(d, length-recoveryTime-at)})
+	}
 	slices.SortStableFunc(out, func(a, b Fault) int { return int(a.At - b.At) })
 	return out
 }
@@ -143,7 +154,7 @@
 // targetCount returns the number of possible targets of a kind of fault.
 func targetCount(k Kind, daemons, endpoints, domains int) int {
 	switch k {
-	case DaemonStop, DaemonKill, DaemonPause, StoreCut, StoreOneWay, StoreReset, PeerCut, PeerSlow:
+	case DaemonStop, DaemonKill, DaemonPause, StoreCut, StoreOneWay, StoreSilent, StoreReset, PeerCut, PeerSlow:
 		return daemons
 	case EndpointCut, EndpointMute, EndpointReset, EndpointSlow, EndpointCrash, EndpointDrain:
 		return endpoints
