--- a/internal/zpcatalog/catalog.go
+++ b/internal/zpcatalog/catalog.go
@@ -6,8 +6,11 @@
 import (
 	"slices"
 	"sort"
+	"strconv"
 	"strings"
 	"time"
+
+	"github.com/zeebo/xxh3"
 )
 
 type (
@@ -24,9 +27,11 @@
 		Workspaces []Workspace
 		Limits     Limits
 
-		byHost map[string][]*Route // sorted by length of the path prefix, longest first
-		byKey  map[string]*Workspace
-		byPool map[string]*Pool
+		cacheScope string              // see CacheScope
+		byHost     map[string][]*Route // sorted by length of the path prefix, longest first
+		byKey      map[string]*Workspace
+		byName     map[string]*Workspace
+		byPool     map[string]*Pool
 	}
 
 	// Route maps the requests for a host and a path prefix to pools.
@@ -114,7 +119,8 @@
 
 // BuildIndexes builds the indexes that the lookup methods use, and returns the catalog.
 func (c *Catalog) BuildIndexes() *Catalog {
-	c.byHost, c.byKey, c.byPool = map[string][]*Route{}, map[string]*Workspace{}, map[string]*Pool{}
+	c.byHost, c.byPool = map[string][]*Route{}, map[string]*Pool{}
+	c.byKey, c.byName = map[string]*Workspace{}, map[string]*Workspace{}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		c.byHost[r.Host] = append(c.byHost[r.Host], r)
@@ -123,6 +129,7 @@
 		sort.SliceStable(list, func(i, j int) bool { return len(list[i].PathPrefix) > len(list[j].PathPrefix) })
 	}
 	for i := range c.Workspaces {
+		c.byName[c.Workspaces[i].Name] = &c.Workspaces[i]
 		for _, key := range c.Workspaces[i].Keys {
 			c.byKey[key] = &c.Workspaces[i]
 		}
@@ -130,9 +137,41 @@
 	for i := range c.Pools {
 		c.byPool[c.Pools[i].Name] = &c.Pools[i]
 	}
+	c.cacheScope = scopeWithout(c.isolated())
 	return c
 }
 
+// isolated returns the names of the isolated workspaces in sorted order.
+func (c *Catalog) isolated() []string {
+	var out []string
+	for _, w := range c.Workspaces {
+		if w.Isolated {
+			out = append(out, w.Name)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// scopeWithout returns a name for the workspaces other than the given ones. It is empty
+// if none is given.
+func scopeWithout(names []string) string {
+	if len(names) == 0 {
+		return ""
+	}
+	var text strings.Builder
+	for _, name := range names {
+		text.WriteString(strconv.Quote(name))
+	}
+	return strconv.FormatUint(xxh3.HashString(text.String()), 36)
+}
+
+// CacheScope names the workspaces that share cached parts of prompts. It changes whenever
+// one becomes isolated, so that the others no longer use what that one has made before,
+// and is the same for all catalogs with the same isolated workspaces. It is empty if all
+// workspaces share.
+func (c *Catalog) CacheScope() string { return c.cacheScope }
+
 // RouteOf returns the route of a host whose path prefix is the longest that
 // matches the path.
 func (c *Catalog) RouteOf(host, path string) (*Route, bool) {
@@ -152,12 +191,8 @@
 
 // WorkspaceNamed returns the named workspace.
 func (c *Catalog) WorkspaceNamed(name string) (*Workspace, bool) {
-	for i := range c.Workspaces {
-		if c.Workspaces[i].Name == name {
-			return &c.Workspaces[i], true
-		}
-	}
-	return nil, false
+	w, ok := c.byName[name]
+	return w, ok
 }
 
 // RestrictedRoutes returns the number of routes that restrict the regions.
--- a/internal/zpcatalog/catalog_test.go
+++ b/internal/zpcatalog/catalog_test.go
@@ -37,3 +37,18 @@
 		Expect(zpcatalog.RegionFilter{Admitted: [][]string{nil}}.IsEmpty()).To(BeTrue())
 	})
 })
+
+var _ = Describe("CacheScope", func() {
+	scope := func(workspaces ...zpcatalog.Workspace) string {
+		return (&zpcatalog.Catalog{Workspaces: workspaces}).BuildIndexes().CacheScope()
+	}
+	a, b := zpcatalog.Workspace{Name: "a", Isolated: true}, zpcatalog.Workspace{Name: "b", Isolated: true}
+
+	It("is empty if no workspace is isolated", func() { Expect(scope(zpcatalog.Workspace{Name: "a"})).To(BeEmpty()) })
+
+	It("depends on the isolated workspaces only, in any order", func() {
+		Expect(scope(a, b)).To(Equal(scope(b, zpcatalog.Workspace{Name: "c"}, a)))
+		Expect(scope(a)).NotTo(BeElementOf("", scope(b), scope(a, b)))
+		Expect(scope(zpcatalog.Workspace{Name: "ab", Isolated: true})).NotTo(Equal(scope(a, b)))
+	})
+})
--- a/internal/zpgateway/bench_test.go
+++ b/internal/zpgateway/bench_test.go
@@ -34,7 +34,7 @@
 	}
 	s.Registry.Replace(list, time.Now())
 	for i := range 4 {
-		s.Parts.Apply(zpparts.Change{Key: zpparts.Key{Salt: "v1.m", Part: "p1"}, Holder: fmt.Sprintf("e%d", i), Tokens: 500})
+		s.Parts.Apply(zpparts.Change{Key: zpparts.Key{Salt: sharedSalt, Part: "p1"}, Holder: fmt.Sprintf("e%d", i), Tokens: 500})
 	}
 	b.ReportAllocs()
 	for b.Loop() {
--- a/internal/zpgateway/choice.go
+++ b/internal/zpgateway/choice.go
@@ -121,19 +121,34 @@
 }
 
 // saltFor returns the cache salt of the request's parts. It differs by model and
-// weight version, for each isolated workspace, and for each set of allowed regions:
-// otherwise a request without restrictions could move parts of one with them elsewhere.
+// weight version, for each isolated workspace, whenever other workspaces become isolated,
+// and for each set of allowed regions: otherwise a request without restrictions could move
+// parts of one with them elsewhere.
 func (g *Gateway) saltFor(j *job, weights int64, regions zpcatalog.RegionFilter) string {
 	if weights == 0 {
 		// Parts computed with unknown weights must not be reused by other requests.
 		return "once-" + j.request.ID
 	}
-	isolated := ""
-	// The workspace of a key counts also on routes that need none.
-	if w, ok := j.catalog.WorkspaceOf(j.request.APIKey); ok && w.Isolated {
-		isolated = w.Name
+	s := cacheSalt{model: j.request.Prompt.Model, weights: weights, regions: regions.String()}
+	if s.isolated = g.isolatedWorkspaceOf(j); s.isolated == "" {
+		s.scope = g.Catalog().CacheScope()
 	}
-	return formatSalt(j.request.Prompt.Model, weights, isolated, regions.String())
+	return s.String()
+}
+
+// isolatedWorkspaceOf returns the name of the request's workspace if that is isolated in
+// the current catalog, or was when the request was admitted. The workspace of a key counts
+// also on routes that need none.
+func (g *Gateway) isolatedWorkspaceOf(j *job) string {
+	w, ok := j.catalog.WorkspaceOf(j.request.APIKey)
+	if !ok {
+		return ""
+	}
+	current, ok := g.Catalog().WorkspaceNamed(w.Name)
+	if w.Isolated || ok && current.Isolated {
+		return w.Name
+	}
+	return ""
 }
 
 // prefillTokens returns the number of prompt tokens that the engine must process
--- a/internal/zpgateway/helpers_test.go
+++ b/internal/zpgateway/helpers_test.go
@@ -139,6 +139,12 @@
 	}
 }
 
+// Salts of the workspaces of newCatalog that share parts, for the versions 1 and 2 of m.
+var (
+	sharedSalt  = "v1.m~" + newCatalog().CacheScope()
+	sharedSalt2 = "v2.m~" + newCatalog().CacheScope()
+)
+
 func newCatalog() *zpcatalog.Catalog {
 	c := &zpcatalog.Catalog{
 		Version: 1,
--- a/internal/zpgateway/parts.go
+++ b/internal/zpgateway/parts.go
@@ -326,8 +326,8 @@
 // IsStalePart reports whether a part was computed with weights that have been
 // replaced and that no engine has loaded any more.
 func (g *Gateway) IsStalePart(key zpparts.Key) bool {
-	model, weights, ok := parseSalt(key.Salt)
-	if !ok || weights >= g.Weights.Target(model) {
+	salt, ok := parseSalt(key.Salt)
+	if !ok || salt.weights >= g.Weights.Target(salt.model) {
 		return false
 	}
 	c := g.Catalog()
@@ -339,7 +339,7 @@
 			continue
 		}
 		for _, e := range g.Registry.AllInPool(p.Name, g.Clock()) {
-			if w, has := e.Weights[model]; has && w <= weights {
+			if w, has := e.Weights[salt.model]; has && w <= salt.weights {
 				return false
 			}
 		}
--- a/internal/zpgateway/parts_test.go
+++ b/internal/zpgateway/parts_test.go
@@ -52,7 +52,7 @@
 		}
 		s.serve(promptRequest("k"))
 		s.serve(promptRequest("k2"))
-		Expect(s.runner.runs[0].Salt).To(Equal("v1.m"))
+		Expect(s.runner.runs[0].Salt).To(Equal(sharedSalt))
 		Expect(s.runner.runs[1].Salt).To(Equal("v1.m.isolated"))
 	})
 
@@ -65,8 +65,8 @@
 	It("fetches only complete parts from a usable store, and does not save parts that a store holds", func() {
 		s := newTestGateway(responds(http.StatusOK, events))
 		s.Stores.Set(zpparts.Store{Name: "kept", Epoch: 1, Readable: true, Free: 100_000}, time.Now())
-		s.Parts.Apply(zpparts.Change{Holder: "kept@1", Key: zpparts.Key{Salt: "v1.m", Part: "p0"}, Tokens: 20})
-		s.Parts.Apply(zpparts.Change{Holder: "kept@1", Key: zpparts.Key{Salt: "v1.m", Part: "p1"}, Tokens: 29})
+		s.Parts.Apply(zpparts.Change{Holder: "kept@1", Key: zpparts.Key{Salt: sharedSalt, Part: "p0"}, Tokens: 20})
+		s.Parts.Apply(zpparts.Change{Holder: "kept@1", Key: zpparts.Key{Salt: sharedSalt, Part: "p1"}, Tokens: 29})
 		s.serve(promptRequest("k"))
 		run := s.runner.runs[0]
 		Expect(run.Fetch).To(Equal([]zpgateway.Transfer{{Address: "store", Tokens: 20}, {}, {}}))
@@ -75,7 +75,7 @@
 
 	It("neither fetches from nor saves to a store whose state is unknown", func() {
 		s := newTestGateway(responds(http.StatusOK, events))
-		s.Parts.Apply(zpparts.Change{Holder: "kept@1", Key: zpparts.Key{Salt: "v1.m", Part: "p0"}, Tokens: 20})
+		s.Parts.Apply(zpparts.Change{Holder: "kept@1", Key: zpparts.Key{Salt: sharedSalt, Part: "p0"}, Tokens: 20})
 		s.serve(promptRequest("k"))
 		Expect(s.runner.runs[0].Fetch).To(BeEmpty())
 		Expect(s.runner.runs[0].Save).To(BeEmpty())
@@ -101,7 +101,7 @@
 		}
 		s.Registry.Replace(list, time.Now())
 		for part, tokens := range map[string]int{"p0": 20, "p1": 30} {
-			s.Parts.Apply(zpparts.Change{Holder: "e3", Key: zpparts.Key{Salt: "v1.m", Part: part}, Tokens: tokens})
+			s.Parts.Apply(zpparts.Change{Holder: "e3", Key: zpparts.Key{Salt: sharedSalt, Part: part}, Tokens: tokens})
 		}
 	}
 	restrictRoutes := func(s testGateway) {
@@ -146,7 +146,7 @@
 		}
 		s.serve(promptRequest("k"))
 		Expect(refreshed).To(Equal([][]zpparts.Key{
-			{{Salt: "v1.m", Part: "p0"}, {Salt: "v2.m", Part: "p0"}}, {{Salt: "v1.m", Part: "p1"}, {Salt: "v2.m", Part: "p1"}},
+			{{Salt: sharedSalt, Part: "p0"}, {Salt: sharedSalt2, Part: "p0"}}, {{Salt: sharedSalt, Part: "p1"}, {Salt: sharedSalt2, Part: "p1"}},
 		}))
 		Expect(s.runner.runs[0].Endpoint.ID).To(Equal("e3"))
 	})
@@ -154,7 +154,7 @@
 	It("fetches no part that a store held before its restart", func() {
 		s := newTestGateway(responds(http.StatusOK, events))
 		s.Stores.Set(zpparts.Store{Name: "kept", Epoch: 2, Readable: true, Free: 100_000}, time.Now())
-		s.Parts.Apply(zpparts.Change{Holder: "kept@1", Key: zpparts.Key{Salt: "v1.m", Part: "p0"}, Tokens: 20})
+		s.Parts.Apply(zpparts.Change{Holder: "kept@1", Key: zpparts.Key{Salt: sharedSalt, Part: "p0"}, Tokens: 20})
 		s.serve(promptRequest("k"))
 		Expect(s.runner.runs[0].Fetch).To(BeEmpty())
 	})
--- a/internal/zpgateway/regions.go
+++ b/internal/zpgateway/regions.go
@@ -6,7 +6,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
 )
 
-var errRegionExcluded = errors.New("the endpoint's region is no longer allowed, or this is not confirmed")
+var errChoiceRevoked = errors.New("the endpoint's region or the cache salt is no longer allowed, or this is not confirmed")
 
 // checkRegionsConfirmed returns an error if the regions of a request are restricted and may
 // have changed during a pause of the process.
@@ -17,14 +17,14 @@
 	return errRegionUnconfirmed.WithRetryAfter(retryAfterUnavailable)
 }
 
-// checkRegion returns an error if the chosen endpoint is not, or may no longer be, in a
-// region that the request is allowed, or if its salt is that of other regions: requests that
-// allow those could then move its parts there.
-func (g *Gateway) checkRegion(j *job, c choice) error {
+// checkChoice returns an error if the chosen endpoint is not, or may no longer be, in a
+// region that the request is allowed, or if its salt no longer holds: other requests could
+// then move its parts to other regions, or use them although a workspace is isolated.
+func (g *Gateway) checkChoice(j *job, c choice) error {
 	regions := g.regionsOf(j)
-	hasOtherSalt := c.salt != "" && regions.String() != c.regions.String()
+	hasOtherSalt := c.salt != "" && c.salt != g.saltFor(j, c.weights, regions)
 	if hasOtherSalt || !regions.Allows(c.endpoint.Region) || g.checkRegionsConfirmed(j) != nil {
-		return errRegionExcluded
+		return errChoiceRevoked
 	}
 	return nil
 }
--- a/internal/zpgateway/regions_test.go
+++ b/internal/zpgateway/regions_test.go
@@ -247,6 +247,6 @@
 		s.serve(q)
 		last := s.runner.runs[len(s.runner.runs)-1]
 		Expect(last.Endpoint.Region).To(Equal("n"))
-		Expect(last.Salt).To(Equal("v1.m@n"))
+		Expect(last.Salt).To(Equal(sharedSalt + "@n"))
 	})
 })
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -192,7 +192,7 @@
 		if zperror.Is(gate.Err(), errQuarantined.Code) {
 			return sendResult{outcomeStopped, g.withRunState(j, gate.Err())}
 		}
-		if errors.Is(gate.Err(), errRegionExcluded) {
+		if errors.Is(gate.Err(), errChoiceRevoked) {
 			g.Log.Emit(zplog.ChoiceRevoked, g.logFields(j, zplog.Fields{
 				"endpoint": c.endpoint.ID, "region": c.endpoint.Region, "allowed_regions": g.regionsOf(j).String(), "current_catalog": g.Catalog().Version,
 			}))
@@ -283,7 +283,7 @@
 	if err := g.checkQuarantine(j); err != nil {
 		return err
 	}
-	return g.checkRegion(j, c)
+	return g.checkChoice(j, c)
 }
 
 func (o outcome) String() string {
--- a/internal/zpgateway/salt.go
+++ b/internal/zpgateway/salt.go
@@ -1,33 +1,57 @@
 package zpgateway
 
 import (
+	"net/url"
 	"strconv"
 	"strings"
 )
 
-// formatSalt returns the cache salt of one model and weight version. isolated is the name
-// of an isolated workspace, and regions names the only regions that may hold the parts;
-// each of these has its own salt. Both may be empty.
-func formatSalt(model string, weights int64, isolated, regions string) string {
-	salt := "v" + strconv.FormatInt(weights, 10) + "." + model
-	if isolated != "" {
-		salt += "." + isolated
+// cacheSalt names the parts of prompts that may be used for each other. Its text is
+// VERSION.MODEL, followed by the parts below that are set.
+type cacheSalt struct {
+	model    string
+	weights  int64
+	isolated string // .NAME: the isolated workspace that alone uses the parts
+	scope    string // ~SCOPE: the workspaces that share the parts, see zpcatalog.Catalog.CacheScope
+	regions  string // @REGIONS: the only regions that may hold the parts
+}
+
+// saltEscaper escapes the separators of a salt in names.
+var saltEscaper = strings.NewReplacer("%", "%25", ".", "%2E", "~", "%7E", "@", "%40")
+
+func (s cacheSalt) String() string {
+	text := "v" + strconv.FormatInt(s.weights, 10) + "." + saltEscaper.Replace(s.model)
+	if s.isolated != "" {
+		text += "." + saltEscaper.Replace(s.isolated)
+	}
+	if s.scope != "" {
+		text += "~" + s.scope
 	}
-	if regions != "" {
-		salt += "@" + regions
+	if s.regions != "" {
+		text += "@" + s.regions
 	}
-	return salt
+	return text
 }
 
-// parseSalt returns the model and the weight version of a salt. ok is false for
-// salts that formatSalt did not return.
-func parseSalt(salt string) (model string, weights int64, ok bool) {
-	version, rest, found := strings.Cut(salt, ".")
+// parseSalt reads the text of a salt, except for its regions. ok is false for texts that
+// cacheSalt.String did not return.
+func parseSalt(text string) (s cacheSalt, ok bool) {
+	version, rest, found := strings.Cut(text, ".")
 	if !found || !strings.HasPrefix(version, "v") {
-		return "", 0, false
+		return cacheSalt{}, false
 	}
-	weights, err := strconv.ParseInt(version[1:], 10, 64)
 	rest, _, _ = strings.Cut(rest, "@")
-	model, _, _ = strings.Cut(rest, ".")
-	return model, weights, err == nil
+	rest, s.scope, _ = strings.Cut(rest, "~")
+	model, isolated, _ := strings.Cut(rest, ".")
+	var err error
+	if s.weights, err = strconv.ParseInt(version[1:], 10, 64); err != nil {
+		return cacheSalt{}, false
+	}
+	if s.model, err = url.PathUnescape(model); err != nil {
+		return cacheSalt{}, false
+	}
+	if s.isolated, err = url.PathUnescape(isolated); err != nil {
+		return cacheSalt{}, false
+	}
+	return s, true
 }
