--- a/internal/zpapp/gateway_caches.go
+++ b/internal/zpapp/gateway_caches.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpclock"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpparts"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpplace"
@@ -43,7 +44,7 @@
 )
 
 func newCacheFollowers(d *GatewayDaemon) *cacheFollowers {
-	return &cacheFollowers{daemon: d, source: &zpplatform.CacheSource{Sender: d.sender}, active: map[string]*followedHolder{}}
+	return &cacheFollowers{daemon: d, source: &zpplatform.CacheSource{Sender: d.sender, Memory: zpengine.NewMemory(zpplatform.QueryMemoryBytes)}, active: map[string]*followedHolder{}}
 }
 
 func (c *cacheFollowers) run(ctx context.Context) {
--- a/internal/zpparts/follower.go
+++ b/internal/zpparts/follower.go
@@ -60,6 +60,9 @@
 	}
 )
 
+// MaxHeld limits the parts of one holder that a daemon keeps.
+const MaxHeld = 16384
+
 const (
 	// eventWait is the long-poll timeout of one call for events.
 	eventWait = 900 * time.Millisecond
@@ -177,10 +180,13 @@
 	return nil
 }
 
+// updateHeld records what the holder has. Parts beyond MaxHeld are not recorded.
 func (f *Follower) updateHeld(changes []Change) {
 	for _, c := range changes {
-		if c.Tokens > 0 {
-			f.held[c.Key] = c.Tokens
+		if _, known := f.held[c.Key]; c.Tokens > 0 {
+			if known || len(f.held) < MaxHeld {
+				f.held[c.Key] = c.Tokens
+			}
 		} else {
 			delete(f.held, c.Key)
 			delete(f.retired, c.Key)
