--- a/internal/zpapp/gateway_watches.go
+++ b/internal/zpapp/gateway_watches.go
@@ -158,14 +158,18 @@
 		w.daemon.registry.Remove(zpplatform.NameOf(o), now)
 		return
 	}
-	if e, ok := w.decodeEndpoint(o, now); ok {
-		w.daemon.registry.Put(e)
-		w.daemon.weights.Loaded(e.ID, e.Weights)
-		w.daemon.Log.Emit(zplog.EndpointChanged, zplog.Fields{
-			"endpoint": e.ID, "pool": e.Pool, "address": e.Address, "region": e.Region, "draining": e.State == zpregistry.StateDraining,
-			"cold_ms": max(e.ColdUntil.Sub(now), 0).Milliseconds(), "weights": e.Weights, "born": e.StartedAtMS, "revision": o.Revision,
-		})
+	e, ok := w.decodeEndpoint(o, now)
+	if !ok {
+		// An entry that cannot be used replaces the one before, as in a new list.
+		w.daemon.registry.Remove(zpplatform.NameOf(o), now)
+		return
 	}
+	w.daemon.registry.Put(e)
+	w.daemon.weights.Loaded(e.ID, e.Weights)
+	w.daemon.Log.Emit(zplog.EndpointChanged, zplog.Fields{
+		"endpoint": e.ID, "pool": e.Pool, "address": e.Address, "region": e.Region, "draining": e.State == zpregistry.StateDraining,
+		"cold_ms": max(e.ColdUntil.Sub(now), 0).Milliseconds(), "weights": e.Weights, "born": e.StartedAtMS, "revision": o.Revision,
+	})
 }
 
 func (w *watches) decodeEndpoint(o zpobject.Object, now time.Time) (zpregistry.Endpoint, bool) {
