Stores are freed of parts that changes of isolated workspaces have left unused

Cause: a store of KV cache that evicts nothing by itself kept the parts of earlier cache scopes, and of workspaces that are no longer isolated, until the next weights.

Change: IsStalePart also names parts whose salt the current catalog has given to no request for 30 s. The follower of the store withdraws and frees them as it does for replaced weights. 30 s exceed the longest deadline of a prompt, so that requests of daemons with an older catalog have ended, and a change that is soon taken back frees nothing.

Evidence: a new spec of isolation_test.go passes; it was not run on the code before.

--- a/internal/zpgateway/gateway.go
+++ b/internal/zpgateway/gateway.go
@@ -65,6 +65,7 @@
 	brokenResponses brokenResponses
 	queue           waitQueue
 	stopping        stopping
+	unusedSalts     unusedSalts
 }
 
 const (
--- a/internal/zpgateway/isolation_test.go
+++ b/internal/zpgateway/isolation_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"slices"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -11,6 +12,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpgateway"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpparts"
 )
 
 // isolate applies a configuration with the workspaces "one", "two" and "three", whose keys
@@ -103,4 +105,28 @@
 		s.serve(q)
 		Expect(s.runner.runs[len(s.runner.runs)-1].Salt).NotTo(Equal(own))
 	})
+
+	// Guards against stores that fill up with parts that no request may use.
+	It("has the parts freed that nobody uses any more, after some time", func() {
+		s := newRegionGateway(responds(http.StatusOK, events))
+		now := s.Clock()
+		s.Clock = func() time.Time { return now }
+		isStale := func(salt string) bool { return s.IsStalePart(zpparts.Key{Salt: salt, Part: "p0"}) }
+		s.isolate("one")
+		isolated, others := s.saltOf("one"), s.saltOf("two")
+		s.isolate()
+		shared := s.saltOf("two")
+		for _, step := range []time.Duration{0, 20 * time.Second} {
+			now = now.Add(step)
+			Expect(isStale(isolated)).To(BeFalse())
+			Expect(isStale(others)).To(BeFalse())
+		}
+		now = now.Add(15 * time.Second)
+		Expect(isStale(isolated)).To(BeTrue())
+		Expect(isStale(others)).To(BeTrue())
+		Expect(isStale(shared)).To(BeFalse())
+		s.isolate("one")
+		Expect(isStale(isolated)).To(BeFalse())
+		Expect(isStale(others)).To(BeFalse())
+	})
 })
--- a/internal/zpgateway/parts.go
+++ b/internal/zpgateway/parts.go
@@ -323,15 +323,19 @@
 	}
 }
 
-// IsStalePart reports whether a part was computed with weights that have been
-// replaced and that no engine has loaded any more.
+// IsStalePart reports whether a part is of no use any more: it was computed with weights
+// that have been replaced and that no engine has loaded any more, or for workspaces that
+// have not shared parts in this way for some time.
 func (g *Gateway) IsStalePart(key zpparts.Key) bool {
 	salt, ok := parseSalt(key.Salt)
-	if !ok || salt.weights >= g.Weights.Target(salt.model) {
+	c := g.Catalog()
+	if !ok || c == nil {
 		return false
 	}
-	c := g.Catalog()
-	if c == nil {
+	if g.unusedSalts.mayFree(salt, c, g.Clock()) {
+		return true
+	}
+	if salt.weights >= g.Weights.Target(salt.model) {
 		return false
 	}
 	for _, p := range c.Pools {
