--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -274,7 +274,7 @@
 		Self: holder, Keeper: zpduty.NewKeeper(weightDuty, holder, timing, d.store, d.Log, zpclock.Now),
 		WeightVersions: d.weights, Engines: d.engines, Models: d.models,
 		Load:       func(endpoint string, now time.Time) int { return d.gateway.Usage.Total(endpoint, now).Requests },
-		SetWeights: d.registry.SetWeights, Announce: d.announceWeightChange, Orderer: &zpplatform.Orderer{Sender: d.sender, Clock: zpclock.Now},
+		SetWeights: d.registry.SetWeights, Announce: d.announceWeightChange, Orderer: &zpplatform.Orderer{Sender: d.sender, Clock: zpclock.Now, Notice: d.gateway.RecordNotice},
 		Rank:   func() int { return zpplace.RendezvousRank(d.self.Name, weightDuty, d.members.Names()) },
 		Timing: zprollout.Timing{PollInterval: weightPollInterval, RepeatDelay: orderRetryInterval}, Log: d.Log, Clock: zpclock.Now,
 	}
--- a/internal/zpapp/gateway_caches.go
+++ b/internal/zpapp/gateway_caches.go
@@ -22,7 +22,7 @@
 	// harmless.
 	cacheFollowers struct {
 		daemon *GatewayDaemon
-		source zpparts.Source
+		memory *zpengine.Memory // for what engines and stores answer
 
 		mu     sync.Mutex
 		active map[string]*followedHolder
@@ -44,7 +44,7 @@
 )
 
 func newCacheFollowers(d *GatewayDaemon) *cacheFollowers {
-	return &cacheFollowers{daemon: d, source: &zpplatform.CacheSource{Sender: d.sender, Memory: zpengine.NewMemory(zpplatform.QueryMemoryBytes)}, active: map[string]*followedHolder{}}
+	return &cacheFollowers{daemon: d, memory: zpengine.NewMemory(zpplatform.QueryMemoryBytes), active: map[string]*followedHolder{}}
 }
 
 func (c *cacheFollowers) run(ctx context.Context) {
@@ -111,8 +111,9 @@
 	ctx, w.cancel = context.WithCancel(ctx)
 	c.active[holder] = w
 	f := &zpparts.Follower{
-		Holder: holder, Address: w.address, IsStore: w.isStore, Source: c.source,
-		Apply: c.apply,
+		Holder: holder, Address: w.address, IsStore: w.isStore,
+		Source: &zpplatform.CacheSource{Sender: c.daemon.sender, Memory: c.memory, Holder: holder, Notice: c.daemon.gateway.RecordNotice},
+		Apply:  c.apply,
 		Report: func(free, parts, staleParts int) {
 			c.daemon.Log.Emit(zplog.StoreState, zplog.Fields{"store": holder, "free": free, "parts": parts, "retired": staleParts})
 		},
--- a/internal/zpapp/gateway_metrics.go
+++ b/internal/zpapp/gateway_metrics.go
@@ -59,7 +59,7 @@
 //   - draining: leaving
 //   - cold: in a cold start
 //   - avoided: unhealthy, such as unreachable or failing
-//   - shut: backed off from, as it has just refused a request
+//   - shut: backed off from, as it has just refused a request or wants none for a while
 //   - changing: loading weights
 func (s *stateCollector) states(pool string) map[string]int {
 	d := s.daemon
@@ -72,7 +72,7 @@
 				out[state]++
 			}
 		}
-		count("draining", e.State == zpregistry.StateDraining)
+		count("draining", e.State == zpregistry.StateDraining || d.registry.IsLeaving(e.ID))
 		count("cold", now.Before(e.ColdUntil))
 		count("avoided", d.gateway.Health.IsAvoided(e.ID, now))
 		count("shut", d.gateway.Health.IsBackingOff(e.ID, now))
--- a/internal/zpgateway/health.go
+++ b/internal/zpgateway/health.go
@@ -12,13 +12,15 @@
 	// HealthTracker records recent failures of endpoints, from the results of
 	// requests. It is safe for concurrent use.
 	HealthTracker struct {
-		mu        sync.Mutex
-		endpoints map[string]*health
+		mu         sync.Mutex
+		endpoints  map[string]*health
+		quietUntil time.Time // latest of all endpoints
 	}
 
 	health struct {
 		avoidUntil          time.Time // the endpoint costs more in placement until then
 		backoffUntil        time.Time // no request is sent to the endpoint until then
+		quietUntil          time.Time // the endpoint wants no request until then
 		consecutiveFailures int
 		announcedAt         time.Time            // when other daemons were last told that it is unreachable
 		unreachableFrom     map[string]time.Time // when it was last unreachable, by failure domain of the daemon
@@ -139,12 +141,45 @@
 }
 
 // IsBackingOff reports whether an endpoint has just refused a request and would probably
-// refuse another one.
+// refuse another one, or wants none for a while.
 func (t *HealthTracker) IsBackingOff(endpoint string, now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	h, ok := t.endpoints[endpoint]
-	return ok && now.Before(h.backoffUntil)
+	return ok && (now.Before(h.backoffUntil) || now.Before(h.quietUntil))
+}
+
+// RecordQuiet records that an endpoint wants no requests until a time, and reports whether
+// that is longer than known before. Successful responses do not end it.
+func (t *HealthTracker) RecordQuiet(endpoint string, until, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.healthOf(endpoint)
+	if !until.After(now) || !until.After(h.quietUntil) {
+		return false
+	}
+	h.quietUntil = until
+	if until.After(t.quietUntil) {
+		t.quietUntil = until
+	}
+	return true
+}
+
+// QuietUntil returns the time until which an endpoint wants no requests, or the zero time.
+func (t *HealthTracker) QuietUntil(endpoint string, now time.Time) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if h, ok := t.endpoints[endpoint]; ok && now.Before(h.quietUntil) {
+		return h.quietUntil
+	}
+	return time.Time{}
+}
+
+// HasQuiet reports whether any endpoint may want no requests.
+func (t *HealthTracker) HasQuiet(now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Before(t.quietUntil)
 }
 
 // Forget deletes the record of an endpoint that was removed.
--- /dev/null
+++ b/internal/zpgateway/notice.go
@@ -0,0 +1,68 @@
+package zpgateway
+
+import (
+	"time"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
+)
+
+// Notice is what an endpoint says of itself in a response, whatever the response is to.
+type Notice struct {
+	Leaving bool
+	// QuietFor is the time for which the endpoint wants no requests from this daemon.
+	QuietFor time.Duration
+}
+
+const (
+	// maxQuiet bounds the time for which an endpoint can keep requests away.
+	maxQuiet = time.Hour
+	// quietShareOfDeadline is the divisor of the time that a caller has left: callers wait no
+	// longer than that for Retry-After.
+	quietShareOfDeadline = 3
+)
+
+var errQuiet = zperror.New(zperror.KindUnavailable, "endpoints_quiet",
+	"all endpoints want no requests for a while", "send the request again after the time in Retry-After")
+
+// RecordNotice records what an endpoint has said of itself. source names the kind of
+// response.
+func (g *Gateway) RecordNotice(endpoint, source string, n Notice) {
+	if n.Leaving && g.Registry.SetLeaving(endpoint) {
+		g.Log.Emit(zplog.EndpointLeaving, zplog.Fields{"endpoint": endpoint, "source": source})
+	}
+	if n.QuietFor <= 0 {
+		return
+	}
+	quietFor, now := min(n.QuietFor, maxQuiet), g.Clock()
+	if g.Health.RecordQuiet(endpoint, now.Add(quietFor), now) {
+		g.Log.Emit(zplog.EndpointQuiet, zplog.Fields{"endpoint": endpoint, "source": source, "quiet_ms": quietFor.Milliseconds()})
+	}
+}
+
+// refuseQuiet returns an error if all endpoints that may serve a request want no requests
+// until its objective has passed.
+func (g *Gateway) refuseQuiet(j *job, now time.Time) error {
+	if !g.Health.HasQuiet(now) {
+		return nil
+	}
+	earliest, demand, regions := time.Time{}, g.demandOf(j), g.regionsOf(j)
+	for _, e := range g.Registry.Serving(j.pool.Name, now) {
+		if _, ok := g.evaluate(j, e, demand, regions, now); !ok {
+			continue
+		}
+		until := g.Health.QuietUntil(e.ID, now)
+		if until.IsZero() {
+			return nil
+		}
+		if earliest.IsZero() || until.Before(earliest) {
+			earliest = until
+		}
+	}
+	if earliest.IsZero() || earliest.Before(j.request.ReceivedAt.Add(j.route.TargetLatency)) {
+		return nil
+	}
+	// The random part keeps the callers from returning at the same moment.
+	wait := time.Duration(float64(earliest.Sub(now)) * (1 + g.Random()/2))
+	return errQuiet.WithRetryAfter(min(wait, j.remaining(now)/quietShareOfDeadline))
+}
--- a/internal/zpgateway/quarantine_test.go
+++ b/internal/zpgateway/quarantine_test.go
@@ -266,8 +266,9 @@
 		func(leave func(f *crashingFleet, e zpregistry.Endpoint)) {
 			f := newCrashingFleet()
 			f.Runner = runnerFunc(func(ctx context.Context, run zpgateway.Run, gate *zpengine.Gate) (*zpgateway.Response, error) {
+				answer, err := resetsAfter(events)(ctx, gate)
 				leave(f, run.Endpoint)
-				return resetsAfter(events)(ctx, gate)
+				return answer, err
 			})
 			for range 3 {
 				q := request("draft")
--- a/internal/zpgateway/queue.go
+++ b/internal/zpgateway/queue.go
@@ -77,6 +77,10 @@
 		g.queue.mu.Unlock()
 		return choice{}, errStopping
 	}
+	if err := g.refuseQuiet(j, now); err != nil {
+		g.queue.mu.Unlock()
+		return choice{}, err
+	}
 	if g.queue.waiters.Len() >= maxQueuedRequests {
 		g.queue.mu.Unlock()
 		return choice{}, errOverloaded.WithRetryAfter(retryAfterOverloaded)
@@ -153,6 +157,10 @@
 			w.result <- placement{choice: c}
 		case v == choiceNoCapacity:
 			failedTries[w.job.pool.Name]++
+			if err := g.refuseQuiet(w.job, now); err != nil {
+				g.queue.waiters.Remove(e)
+				w.result <- placement{err: err}
+			}
 		case now.Sub(w.enqueuedAt) >= min(w.job.route.TargetLatency, w.job.remaining(w.enqueuedAt))/noEndpointWaitDivisor:
 			g.queue.waiters.Remove(e)
 			w.result <- placement{err: errNoEndpoint.WithRetryAfter(retryAfterUnavailable)}
--- a/internal/zpgateway/regions.go
+++ b/internal/zpgateway/regions.go
@@ -6,7 +6,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
 )
 
-var errChoiceRevoked = errors.New("the endpoint's region or the cache salt is no longer allowed, or this is not confirmed")
+var errChoiceRevoked = errors.New("the endpoint, its region or the cache salt is no longer allowed, or this is not confirmed")
 
 // checkRegionsConfirmed returns an error if the regions of a request are restricted and may
 // have changed during a pause of the process.
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -199,7 +199,7 @@
 		}
 		if errors.Is(gate.Err(), errChoiceRevoked) {
 			g.Log.Emit(zplog.ChoiceRevoked, g.logFields(j, zplog.Fields{
-				"endpoint": c.endpoint.ID, "region": c.endpoint.Region, "allowed_regions": g.regionsOf(j).String(), "current_catalog": g.Catalog().Version,
+				"endpoint": c.endpoint.ID, "leaving": g.Registry.IsLeaving(c.endpoint.ID), "region": c.endpoint.Region, "allowed_regions": g.regionsOf(j).String(), "current_catalog": g.Catalog().Version,
 			}))
 			j.attempts--
 			return sendResult{outcomeUnsent, gate.Err()}
@@ -277,8 +277,12 @@
 	if a.WeightVersion > 0 && j.request.Prompt != nil {
 		g.Registry.SetWeights(c.endpoint.ID, j.request.Prompt.Model, a.WeightVersion)
 	}
+	isOther := a.OtherInstance && (a.WeightVersion == 0 || a.WeightVersion == c.weights)
+	if !isOther {
+		g.RecordNotice(c.endpoint.ID, "request", a.Notice)
+	}
 	switch {
-	case a.OtherInstance && (a.WeightVersion == 0 || a.WeightVersion == c.weights):
+	case isOther:
 		g.recordFailure(c.endpoint.ID, FailureOtherInstance)
 	case a.NotRun:
 		g.recordFailure(c.endpoint.ID, FailureNotRun)
@@ -291,6 +295,9 @@
 	if err := g.checkQuarantine(j); err != nil {
 		return err
 	}
+	if now := g.Clock(); !g.Registry.IsServing(c.endpoint.ID, now) || !g.Health.QuietUntil(c.endpoint.ID, now).IsZero() {
+		return errChoiceRevoked
+	}
 	return g.checkChoice(j, c)
 }
 
--- a/internal/zpgateway/types.go
+++ b/internal/zpgateway/types.go
@@ -79,6 +79,7 @@
 		NotRun        bool  // the endpoint reports that it did not run the request
 		OtherInstance bool  // another endpoint has the address, or the weights differ
 		WeightVersion int64 // zero: unknown
+		Notice        Notice
 
 		// EndsWithConnection means that only the end of the connection ends the body,
 		// which the crash of an endpoint may also cause.
--- a/internal/zplog/event.go
+++ b/internal/zplog/event.go
@@ -81,7 +81,7 @@
 	RequestsQuarantined = Event{411, logrus.ErrorLevel, "requests with this fingerprint are refused after several crashes", "see docs/operators/crashing_request.md"}
 	SuspicionCleared    = Event{412, logrus.InfoLevel, "requests with these fingerprints run without a crash", "none"}
 	BanNotStored        = Event{413, logrus.WarnLevel, "ban of a fingerprint could not be stored or removed", "check the store; daemons that start when no other one runs do not know the ban"}
-	ChoiceRevoked       = Event{410, logrus.InfoLevel, "the configuration has excluded the chosen endpoint before the request was sent; another is chosen", "none"}
+	ChoiceRevoked       = Event{410, logrus.InfoLevel, "the chosen endpoint was excluded before the request was sent, by the configuration or by itself; another is chosen", "none"}
 	EndpointSuspect     = Event{500, logrus.WarnLevel, "endpoint shows signs of a cold start; new work is held", "none; check the endpoint if it persists"}
 	EndpointWarm        = Event{501, logrus.InfoLevel, "endpoint is warm", "none"}
 	OrderGiven          = Event{502, logrus.InfoLevel, "order given to an engine", "check the engine if it repeats"}
@@ -92,6 +92,8 @@
 	OrderFailed         = Event{507, logrus.WarnLevel, "order to an engine or its report failed; it is retried", "check the engine if it persists"}
 	StoreState          = Event{508, logrus.InfoLevel, "state of a KV cache store", "none; a full store saves nothing"}
 	EndpointAvoided     = Event{509, logrus.WarnLevel, "endpoint is avoided: connections to it from several failure domains timed out", "check the endpoint if it persists"}
+	EndpointLeaving     = Event{510, logrus.InfoLevel, "endpoint says in a response that it leaves; it gets no requests until it starts again", "none"}
+	EndpointQuiet       = Event{511, logrus.InfoLevel, "endpoint says in a response that it wants no requests from this daemon for a while", "check the load of the endpoint if it repeats"}
 	FingerprintBanned   = Event{600, logrus.ErrorLevel, "request is quarantined after crashes of two endpoints", "see docs/operators/crashing_request.md"}
 	ClaimSettleFailed   = Event{700, logrus.WarnLevel, "outcome of a claim could not be recorded yet", "check the platform if it persists"}
 	PeerFailed          = Event{800, logrus.DebugLevel, "call to another daemon failed", "none"}
@@ -113,7 +115,7 @@
 		ConfigStale, ConfigFresh, WatchFailed, StoreUnavailable, StoreRecovered, EntryIgnored, EvacuationChanged, PeerCatalogUnread, CatalogConfirmed, CatalogUnconfirmed,
 		RequestFailed, RequestRetried, RequestPlaced, CrashRecorded, RequestAnswered, RequestWaits, RequestSilent, RequestAbandoned, ChoiceRevoked, RequestsQuarantined, SuspicionCleared, BanNotStored,
 		EndpointSuspect, EndpointWarm, OrderGiven, EndpointChanged, EndpointGone, WeightsNamed, WeightsLoaded,
-		OrderFailed, StoreState, EndpointAvoided, FingerprintBanned, ClaimSettleFailed, PeerFailed, PeerLost, PeerRecovered, OwnerUnresponsive, WatcherAvoided, RelayAvoided,
+		OrderFailed, StoreState, EndpointAvoided, EndpointLeaving, EndpointQuiet, FingerprintBanned, ClaimSettleFailed, PeerFailed, PeerLost, PeerRecovered, OwnerUnresponsive, WatcherAvoided, RelayAvoided,
 		ServerFailed, LinesDropped, DaemonStalled,
 	}
 }
--- a/internal/zpregistry/registry.go
+++ b/internal/zpregistry/registry.go
@@ -48,6 +48,7 @@
 		evacuatedKnown  bool                  // SetEvacuated was called
 		servingByPool   map[string][]Endpoint // cache of Serving; nil if outdated
 		removed         []Endpoint            // not yet passed to OnRemoved
+		leaving         map[string]int64      // StartedAtMS of endpoints that have said that they leave
 	}
 
 	entry struct {
@@ -194,7 +195,7 @@
 	if r.servingByPool == nil {
 		r.servingByPool = map[string][]Endpoint{}
 		for _, x := range r.entries {
-			if x.endpoint.State == StateReady && !r.evacuated[x.endpoint.FailureDomain] {
+			if r.mayServeLocked(x.endpoint) {
 				r.servingByPool[x.endpoint.Pool] = append(r.servingByPool[x.endpoint.Pool], x.endpoint)
 			}
 		}
