--- a/internal/zpgateway/notice.go
+++ b/internal/zpgateway/notice.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
 )
 
@@ -28,10 +29,10 @@
 // RecordNotice records what an endpoint has said of itself. source names the kind of
 // response.
 func (g *Gateway) RecordNotice(endpoint, source string, n Notice) {
-	if n.Leaving && g.Registry.SetLeaving(endpoint) {
+	if n.Leaving && !zpmutant.Active(zpmutant.Leaving) && g.Registry.SetLeaving(endpoint) {
 		g.Log.Emit(zplog.EndpointLeaving, zplog.Fields{"endpoint": endpoint, "source": source})
 	}
-	if n.QuietFor <= 0 {
+	if n.QuietFor <= 0 || zpmutant.Active(zpmutant.Quiet) {
 		return
 	}
 	quietFor, now := min(n.QuietFor, maxQuiet), g.Clock()
--- a/internal/zpmutant/name.go
+++ b/internal/zpmutant/name.go
@@ -20,4 +20,6 @@
 	Fencing       Name = "fencing"        // orders carry no fencing number and are not repaired
 	RetryBudget   Name = "retry_budget"   // retries are not limited by a budget
 	Departure     Name = "departure"      // client disconnects are not detected
+	Leaving       Name = "leaving"        // that an endpoint says that it leaves is ignored
+	Quiet         Name = "quiet"          // that an endpoint says for how long it wants no requests is ignored
 )
--- a/internal/zpsoak/faults.go
+++ b/internal/zpsoak/faults.go
@@ -82,7 +82,7 @@
 		return fmt.Sprintf("peer link %d", f.Target)
 	case EndpointCut, EndpointMute, EndpointReset, EndpointSlow:
 		return fmt.Sprintf("endpoint link %d", f.Target)
-	case EndpointCrash, EndpointDrain:
+	case EndpointCrash, EndpointDrain, EndpointLeave, EndpointQuiet:
 		return fmt.Sprintf("endpoint %d", f.Target)
 	default:
 		return string(f.Kind)
@@ -151,6 +151,11 @@
 		i.crash(ctx, f)
 	case EndpointDrain:
 		i.drain(ctx, f)
+	case EndpointLeave:
+		i.leave(ctx, f)
+	case EndpointQuiet:
+		s.endpoints[f.Target].SetQuiet(f.Duration)
+		sleep(ctx, f.Duration)
 	case AnswersBreak:
 		i.breakResponses(ctx, f)
 	case Evacuate:
@@ -251,6 +256,18 @@
 	i.cluster.register(e)
 }
 
+// leave lets an endpoint say in its responses that it leaves, while the store lists it as
+// ready. It restarts cold under a new ID; requests in progress are not interrupted.
+func (i *injector) leave(ctx context.Context, f Fault) {
+	e := i.cluster.endpoints[f.Target]
+	e.Leave()
+	sleep(ctx, f.Duration)
+	name, _ := e.Entry()
+	i.cluster.store.Remove("servers", name)
+	e.Start(fmt.Sprintf("i-%d", f.Target), coldDuration)
+	i.cluster.register(e)
+}
+
 func (i *injector) breakResponses(ctx context.Context, f Fault) {
 	for _, e := range i.cluster.endpoints {
 		e.SetAbortResponses(true)
--- a/internal/zpsoak/judge.go
+++ b/internal/zpsoak/judge.go
@@ -66,6 +66,7 @@
 	r.checkColdStart(runs, violation)
 	r.checkRetryBudget(runs, violation)
 	r.checkDeadlyPart(byRequest, violation)
+	r.checkNotices(runs, violation)
 	r.checkConfiguration(violation)
 	r.checkRecovery(violation)
 	return outcome
--- /dev/null
+++ b/internal/zpsoak/judge_notices.go
@@ -0,0 +1,67 @@
+package zpsoak
+
+import (
+	"time"
+
+	"github.com/zinniapaddle/zinniapaddle/platform/zpoutside"
+)
+
+// Documented limits on requests to an endpoint that wants none for a while: from quietDelay
+// after it has said so, at most maxQuietArrivals of one daemon reach it.
+const (
+	quietDelay       = 500 * time.Millisecond
+	maxQuietArrivals = 2
+)
+
+// daemonAtEndpoint identifies what one daemon has heard of one endpoint.
+type daemonAtEndpoint struct {
+	daemon   int
+	endpoint string
+}
+
+// checkNotices checks that daemons follow what endpoints say of themselves in their
+// responses: that they leave, or for how long they want no requests.
+func (r *run) checkNotices(runs []zpoutside.Run, violation reportFunc) {
+	requests := map[string]request{}
+	for _, q := range r.requestLog.requests {
+		requests[q.ID] = q
+	}
+	leftAt, quiet := map[daemonAtEndpoint]time.Time{}, map[daemonAtEndpoint]zpoutside.Notice{}
+	arrivals := map[daemonAtEndpoint]int{} // while the endpoint wants no requests
+	for _, n := range r.cluster.log.Notices() {
+		q, known := requests[n.Request]
+		key := daemonAtEndpoint{q.Daemon, n.Endpoint}
+		if _, heard := leftAt[key]; known && n.Leaving && !heard {
+			leftAt[key] = n.At
+		}
+		if !known || n.QuietUntil.IsZero() {
+			continue
+		}
+		first, heard := quiet[key]
+		if !heard || n.At.After(first.QuietUntil) {
+			quiet[key], arrivals[key] = n, 0
+			continue
+		}
+		from := first.At.Add(quietDelay + timingTolerance)
+		if n.At.Before(from) || r.hasForgotten(key.daemon, first.At, n.At) || r.mayBeDelayed(zpoutside.Run{Endpoint: n.Endpoint, At: n.At}, n.At) {
+			continue
+		}
+		if arrivals[key]++; arrivals[key] > maxQuietArrivals {
+			violation("quiet", "%s is request %d of daemon %d to %s, which had asked it for none until %s later", n.Request, arrivals[key], key.daemon, n.Endpoint, first.QuietUntil.Sub(n.At))
+		}
+	}
+	for _, x := range runs {
+		q, known := requests[x.Request]
+		at, heard := leftAt[daemonAtEndpoint{q.Daemon, x.Endpoint}]
+		if known && heard && q.SentAt.After(at.Add(zpoutside.DrainMS*time.Millisecond+timingTolerance)) && !r.hasForgotten(q.Daemon, at, x.At) {
+			violation("leaving", "%s ran on %s %s after that had told daemon %d that it leaves", x.Request, x.Endpoint, x.At.Sub(at), q.Daemon)
+		}
+	}
+}
+
+// hasForgotten reports whether a daemon may have restarted or paused between two times.
+func (r *run) hasForgotten(daemon int, from, to time.Time) bool {
+	return r.hasFault(from, to, func(t faultWindow) bool {
+		return t.Target == daemon && (t.Kind == DaemonStop || t.Kind == DaemonKill || t.Kind == DaemonPause)
+	})
+}
--- a/internal/zpsoak/plan.go
+++ b/internal/zpsoak/plan.go
@@ -46,7 +46,9 @@
 	EndpointSlow  Kind = "endpoint_slow"
 	EndpointCrash Kind = "endpoint_crash" // cold restart under a new ID
 	EndpointDrain Kind = "endpoint_drain"
-	AnswersBreak  Kind = "answers_break" // all endpoints run requests but cut their responses short
+	EndpointLeave Kind = "endpoint_leave" // says so in its responses only, then restarts cold under a new ID
+	EndpointQuiet Kind = "endpoint_quiet" // rejects requests and says for how long
+	AnswersBreak  Kind = "answers_break"  // all endpoints run requests but cut their responses short
 	Evacuate      Kind = "evacuate"
 	Reconfigure   Kind = "reconfigure"
 	DeadlyPart    Kind = "deadly_part" // a client sends prompts with a part that crashes endpoints
@@ -79,6 +81,11 @@
 	// to maxStoreSilence.
 	storeSilences   = 3
 	maxStoreSilence = 1600 * time.Millisecond
+	// endpointNotices is the number of times in a run that endpoints say that they leave, and
+	// that they want no requests, each for minNotice and up to extraNotice.
+	endpointNotices = 2
+	minNotice       = 4 * time.Second
+	extraNotice     = 2 * time.Second
 )
 
 var faultSpecs = []faultSpec{
@@ -104,7 +111,9 @@
 	{Evacuate, 2, 4 * time.Second, zpoutside.EvacuateMS*time.Millisecond + time.Second},
 	{Reconfigure, 4, 0, 0},
 	{DeadlyPart, 0, 0, 0},  // once in each run, see Plan
-	{StoreSilent, 0, 0, 0}, // storeSilences times in each run, see Plan
+	{StoreSilent, 0, 0, 0}, // these are planned a fixed number of times in each run, see Plan
+	{EndpointLeave, 0, 0, 0},
+	{EndpointQuiet, 0, 0, 0},
 }
 
 // Plan returns the faults of a run, drawn at random. Equal arguments give equal
@@ -138,6 +147,13 @@
 		d := minFaultDuration + time.Duration(random.Int64N(int64(maxStoreSilence-minFaultDuration)))
 		out = append(out, Fault{Kind: StoreSilent, At: at, Target: random.IntN(daemons), Duration: min(d, length-recoveryTime-at)})
 	}
+	for _, kind := range []Kind{EndpointLeave, EndpointQuiet} {
+		for range endpointNotices {
+			at := warmUp + time.Duration(random.Int64N(int64(length-recoveryTime-warmUp)))
+			d := minNotice + time.Duration(random.Int64N(int64(extraNotice)))
+			out = append(out, Fault{Kind: kind, At: at, Target: random.IntN(endpoints), Duration: min(d, length-recoveryTime-at)})
+		}
+	}
 	slices.SortStableFunc(out, func(a, b Fault) int { return int(a.At - b.At) })
 	return out
 }
@@ -156,7 +172,7 @@
 	switch k {
 	case DaemonStop, DaemonKill, DaemonPause, StoreCut, StoreOneWay, StoreSilent, StoreReset, PeerCut, PeerSlow:
 		return daemons
-	case EndpointCut, EndpointMute, EndpointReset, EndpointSlow, EndpointCrash, EndpointDrain:
+	case EndpointCut, EndpointMute, EndpointReset, EndpointSlow, EndpointCrash, EndpointDrain, EndpointLeave, EndpointQuiet:
 		return endpoints
 	case Evacuate:
 		return domains
