--- a/internal/zpgateway/choice.go
+++ b/internal/zpgateway/choice.go
@@ -56,8 +56,9 @@
 	// frequent.
 	choices, candidates := g.queue.choices[:0], g.queue.candidates[:0]
 	states := partStates{}
+	t := &terms{demand: demand, regions: regions}
 	for _, e := range g.Registry.Serving(j.pool.Name, now) {
-		c, ok := g.evaluate(j, e, demand, regions, now)
+		c, ok := g.evaluate(j, e, t, now)
 		if !ok {
 			continue
 		}
@@ -88,11 +89,11 @@
 
 // evaluate returns an endpoint as a candidate, or false if the endpoint must not
 // be used. It does not look up which parts of the prompt the endpoint holds.
-func (g *Gateway) evaluate(j *job, e zpregistry.Endpoint, demand zpplace.Request, regions zpcatalog.RegionFilter, now time.Time) (choice, bool) {
-	if j.tried[e.ID] || !regions.Allows(e.Region) || g.Weights.Changing(e.ID, now) {
+func (g *Gateway) evaluate(j *job, e zpregistry.Endpoint, t *terms, now time.Time) (choice, bool) {
+	if j.tried[e.ID] || !t.regions.Allows(e.Region) || g.Weights.Changing(e.ID, now) {
 		return choice{}, false
 	}
-	c := choice{endpoint: e, demand: demand, regions: regions}
+	c := choice{endpoint: e, demand: t.demand, regions: t.regions}
 	c.candidate = zpplace.Candidate{
 		ID: e.ID, Domain: e.FailureDomain, Region: e.Region, Use: g.Usage.Total(e.ID, now), Slots: e.Slots,
 		Cold: now.Before(e.ColdUntil), Suspect: g.Health.IsAvoided(e.ID, now),
@@ -104,11 +105,24 @@
 		}
 		c.candidate.MemoryTokens = j.pool.Engine.CacheTokens
 		c.candidate.OldWeights = c.weights < g.Weights.Target(p.Model)
-		c.salt = g.saltFor(j, c.weights, regions)
+		if t.salt == "" || t.weights != c.weights {
+			t.salt, t.weights = g.saltFor(j, c.weights, t.regions), c.weights
+		}
+		c.salt = t.salt
 	}
 	return c, true
 }
 
+// terms are the same for all endpoints that are evaluated for a request.
+type terms struct {
+	demand  zpplace.Request
+	regions zpcatalog.RegionFilter
+	// salt is the latest that was formatted, for engines with these weights. Most engines
+	// have the same.
+	salt    string
+	weights int64
+}
+
 func (g *Gateway) demandOf(j *job) zpplace.Request {
 	d := zpplace.Request{Domain: g.Domain, Region: g.Region, MaxBacklog: j.route.TargetLatency * backlogPercent / 100}
 	if j.route.Priority == 0 {
--- a/internal/zpgateway/first_byte.go
+++ b/internal/zpgateway/first_byte.go
@@ -67,12 +67,12 @@
 
 // hasAlternative reports whether another endpoint could serve a retry.
 func (g *Gateway) hasAlternative(j *job, c choice) bool {
-	now, regions := g.Clock(), g.regionsOf(j)
+	now, t := g.Clock(), &terms{demand: c.demand, regions: g.regionsOf(j)}
 	for _, e := range g.Registry.Serving(j.pool.Name, now) {
 		if e.ID == c.endpoint.ID || g.Health.IsBackingOff(e.ID, now) {
 			continue
 		}
-		if _, ok := g.evaluate(j, e, c.demand, regions, now); ok {
+		if _, ok := g.evaluate(j, e, t, now); ok {
 			return true
 		}
 	}
--- a/internal/zpgateway/notice.go
+++ b/internal/zpgateway/notice.go
@@ -47,9 +47,9 @@
 	if !g.Health.HasQuiet(now) {
 		return nil
 	}
-	earliest, demand, regions := time.Time{}, g.demandOf(j), g.regionsOf(j)
+	earliest, t := time.Time{}, &terms{demand: g.demandOf(j), regions: g.regionsOf(j)}
 	for _, e := range g.Registry.Serving(j.pool.Name, now) {
-		if _, ok := g.evaluate(j, e, demand, regions, now); !ok {
+		if _, ok := g.evaluate(j, e, t, now); !ok {
 			continue
 		}
 		until := g.Health.QuietUntil(e.ID, now)
