--- a/internal/zprollout/plan.go
+++ b/internal/zprollout/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -12,6 +13,7 @@
 	// the duty. An engine of several models is listed once for each.
 	Engine struct {
 		ID             string
+		Pool           string
 		Model          string
 		Weights        int64 // version that it has loaded
 		Load           int   // running requests
@@ -86,9 +88,23 @@
 // change, up to the number that may change at a time. It prefers the oldest weights,
 // then the failure domain with the fewest changing engines, then the lowest load.
 // Engines whose weights have expired receive no requests, so the limit does not apply
-// to them. An engine changes one model at a time.
+// to them. An engine changes one model at a time. Each pool has a limit of its own: that of
+// all engines together could take out a small pool at once.
 func Pick(engines []Engine, targets map[string]int64, changing map[string]*Change) []Engine {
+	pools := map[string][]Engine{}
+	for _, e := range engines {
+		pools[e.Pool] = append(pools[e.Pool], e)
+	}
+	var out []Engine
+	for _, name := range slices.Sorted(maps.Keys(pools)) {
+		out = append(out, pickInPool(pools[name], targets, changing)...)
+	}
+	return out
+}
+
+func pickInPool(engines []Engine, targets map[string]int64, changing map[string]*Change) []Engine {
 	var out, outdated []Engine
+	inProgress := 0
 	changingByDomain := map[string]int{} // number of engines
 	known, picked := map[string]bool{}, map[string]bool{}
 	for _, e := range engines {
@@ -96,6 +112,7 @@
 		switch {
 		case started && !known[e.ID]:
 			changingByDomain[e.Domain]++
+			inProgress++
 		case started || e.Weights >= targets[e.Model] || picked[e.ID]:
 		case e.WeightsExpired:
 			picked[e.ID] = true
@@ -107,7 +124,7 @@
 	}
 	outdated = withoutPicked(outdated, picked)
 	limit := max(MaxChanging(len(known)), pacedLimit(outdated))
-	for free := limit - len(changing) - len(out); free > 0 && len(outdated) > 0; free-- {
+	for free := limit - inProgress - len(out); free > 0 && len(outdated) > 0; free-- {
 		next := outdated[0]
 		for _, e := range outdated {
 			if before(e, next, changingByDomain) {
--- a/internal/zprollout/plan_test.go
+++ b/internal/zprollout/plan_test.go
@@ -102,6 +102,19 @@
 		Expect(zprollout.Pick(list, both, nil)).To(HaveLen(12))
 	})
 
+	// Guards against a small pool all of whose engines change at once beside a large one.
+	It("limits the engines of each pool", func() {
+		list := engines(140, 1)
+		for i := range 5 {
+			list[i].Pool = "small"
+		}
+		selected := map[string]int{}
+		for _, e := range zprollout.Pick(list, targets, map[string]*zprollout.Change{"e00": {}, "e20": {}}) {
+			selected[e.Pool]++
+		}
+		Expect(selected).To(Equal(map[string]int{"small": zprollout.MaxChanging(5) - 1, "": zprollout.MaxChanging(135) - 1}))
+	})
+
 	It("skips engines that have the target weights", func() {
 		Expect(zprollout.Pick(engines(12, 2), targets, nil)).To(BeEmpty())
 		Expect(zprollout.AnyOutdated(engines(12, 2), targets)).To(BeFalse())
--- a/internal/zprollout/rollout.go
+++ b/internal/zprollout/rollout.go
@@ -151,7 +151,7 @@
 				continue
 			}
 			out = append(out, Engine{
-				ID: e.ID, Model: model, Weights: e.Weights[model], Load: r.Load(e.ID, now),
+				ID: e.ID, Pool: e.Pool, Model: model, Weights: e.Weights[model], Load: r.Load(e.ID, now),
 				Domain: e.FailureDomain, WeightsExpired: r.WeightVersions.Expired(model, e.Weights[model], now),
 				ExpiresIn: r.WeightVersions.ExpiresIn(model, e.Weights[model], now),
 			})
