--- a/internal/zpsoak/judge_notices.go
+++ b/internal/zpsoak/judge_notices.go
@@ -26,28 +26,18 @@
 	for _, q := range r.requestLog.requests {
 		requests[q.ID] = q
 	}
-	leftAt, quiet := map[daemonAtEndpoint]time.Time{}, map[daemonAtEndpoint]zpoutside.Notice{}
-	arrivals := map[daemonAtEndpoint]int{} // while the endpoint wants no requests
+	leftAt, quiet := map[daemonAtEndpoint]time.Time{}, map[daemonAtEndpoint][]zpoutside.Notice{}
 	for _, n := range r.cluster.log.Notices() {
 		q, known := requests[n.Request]
-		key := daemonAtEndpoint{q.Daemon, n.Endpoint}
-		if _, heard := leftAt[key]; known && n.Leaving && !heard {
-			leftAt[key] = n.At
-		}
-		if !known || n.QuietUntil.IsZero() {
+		if !known {
 			continue
 		}
-		first, heard := quiet[key]
-		if !heard || n.At.After(first.QuietUntil) {
-			quiet[key], arrivals[key] = n, 0
-			continue
-		}
-		from := first.At.Add(quietDelay + timingTolerance)
-		if n.At.Before(from) || r.hasForgotten(key.daemon, first.At, n.At) || r.mayBeDelayed(zpoutside.Run{Endpoint: n.Endpoint, At: n.At}, n.At) {
-			continue
+		key := daemonAtEndpoint{q.Daemon, n.Endpoint}
+		if _, heard := leftAt[key]; n.Leaving && !heard {
+			leftAt[key] = n.At
 		}
-		if arrivals[key]++; arrivals[key] > maxQuietArrivals {
-			violation("quiet", "%s is request %d of daemon %d to %s, which had asked it for none until %s later", n.Request, arrivals[key], key.daemon, n.Endpoint, first.QuietUntil.Sub(n.At))
+		if !n.QuietUntil.IsZero() {
+			quiet[key] = append(quiet[key], n)
 		}
 	}
 	for _, x := range runs {
@@ -57,6 +47,28 @@
 			violation("leaving", "%s ran on %s %s after that had told daemon %d that it leaves", x.Request, x.Endpoint, x.At.Sub(at), q.Daemon)
 		}
 	}
+	for key, list := range quiet {
+		r.checkQuiet(key, list, violation)
+	}
+}
+
+// checkQuiet checks how many requests of a daemon an endpoint has rejected, oldest first,
+// because it wanted none.
+func (r *run) checkQuiet(key daemonAtEndpoint, rejected []zpoutside.Notice, violation reportFunc) {
+	first, arrivals := rejected[0], 0
+	for _, n := range rejected[1:] {
+		if n.At.After(first.QuietUntil) {
+			first, arrivals = n, 0
+			continue
+		}
+		from := first.At.Add(quietDelay + timingTolerance)
+		if n.At.Before(from) || r.hasForgotten(key.daemon, first.At, n.At) || r.mayBeDelayed(zpoutside.Run{Endpoint: n.Endpoint, At: n.At}, n.At) {
+			continue
+		}
+		if arrivals++; arrivals > maxQuietArrivals {
+			violation("quiet", "%s is request %d of daemon %d to %s, which had asked it for none until %s later", n.Request, arrivals, key.daemon, n.Endpoint, first.QuietUntil.Sub(n.At))
+		}
+	}
 }
 
 // hasForgotten reports whether a daemon may have restarted or paused between two times.
