--- a/internal/zpgateway/quarantine.go
+++ b/internal/zpgateway/quarantine.go
@@ -115,7 +115,7 @@
 // isLeaving reports whether the end of an endpoint is planned.
 func (g *Gateway) isLeaving(e zpregistry.Endpoint) bool {
 	current, ok := g.Registry.Find(e.ID)
-	return !ok || current.State == zpregistry.StateDraining
+	return !ok || current.State == zpregistry.StateDraining || g.Registry.IsLeaving(e.ID)
 }
 
 // hasCrashed reports whether an endpoint accepts no connections any more.
--- a/internal/zpgateway/quarantine_test.go
+++ b/internal/zpgateway/quarantine_test.go
@@ -281,6 +281,9 @@
 			e.State = zpregistry.StateDraining
 			f.Registry.Put(e)
 		}),
+		Entry("and say so in a response", func(f *crashingFleet, e zpregistry.Endpoint) {
+			f.RecordNotice(e.ID, "report", zpgateway.Notice{Leaving: true})
+		}),
 		Entry("after their entry was removed", func(f *crashingFleet, e zpregistry.Endpoint) {
 			f.Registry.Remove(e.ID, time.Now())
 		}),
