--- a/internal/zpgateway/notice.go
+++ b/internal/zpgateway/notice.go
@@ -18,9 +18,9 @@
 const (
 	// maxQuiet bounds the time for which an endpoint can keep requests away.
 	maxQuiet = time.Hour
-	// quietShareOfDeadline is the divisor of the time that a caller has left: callers wait no
-	// longer than that for Retry-After.
-	quietShareOfDeadline = 3
+	// maxRetryAfterDivisor divides the time that a caller has left into the longest time for
+	// which it heeds Retry-After.
+	maxRetryAfterDivisor = 3
 )
 
 var errQuiet = zperror.New(zperror.KindUnavailable, "endpoints_quiet",
@@ -65,5 +65,5 @@
 	}
 	// The random part keeps the callers from returning at the same moment.
 	wait := time.Duration(float64(earliest.Sub(now)) * (1 + g.Random()/2))
-	return errQuiet.WithRetryAfter(min(wait, j.remaining(now)/quietShareOfDeadline))
+	return errQuiet.WithRetryAfter(min(wait, j.remaining(now)/maxRetryAfterDivisor))
 }
--- a/internal/zpgateway/stop.go
+++ b/internal/zpgateway/stop.go
@@ -25,9 +25,9 @@
 var errStopping = zperror.New(zperror.KindUnavailable, "daemon_stopping",
 	"this daemon stops before an endpoint can answer the request", "send the request again; another daemon takes it")
 
-// StopBy makes the gateway answer all open requests before endAt, which must be called once.
-// Requests that wait for an endpoint are refused somewhat earlier. Runs that have not ended
-// are canceled, and their callers are told that the outcome is unknown.
+// StopBy makes the gateway answer all open requests before endAt. It must be called at most
+// once. Requests that wait for an endpoint are refused queueStopMargin earlier. Runs that
+// have not ended are canceled, and their callers are told that the outcome is unknown.
 func (g *Gateway) StopBy(endAt, now time.Time) {
 	s := &g.stopping
 	s.mu.Lock()
