--- a/internal/zpgateway/choice.go
+++ b/internal/zpgateway/choice.go
@@ -151,15 +151,17 @@
 }
 
 // isolatedWorkspaceOf returns the name of the request's workspace if that is isolated in
-// the current catalog, or was when the request was admitted. The workspace of a key counts
-// also on routes that need none.
+// the current catalog, or was when the request was admitted. A workspace that has been
+// renamed, has lost the key or was removed since then counts as isolated: parts made under
+// its old name must not reach those that share now. The workspace of a key counts also on
+// routes that need none.
 func (g *Gateway) isolatedWorkspaceOf(j *job) string {
 	w, ok := j.catalog.WorkspaceOf(j.request.APIKey)
 	if !ok {
 		return ""
 	}
-	current, ok := g.Catalog().WorkspaceNamed(w.Name)
-	if w.Isolated || ok && current.Isolated {
+	current, ok := g.Catalog().WorkspaceOf(j.request.APIKey)
+	if w.Isolated || !ok || current.Name != w.Name || current.Isolated {
 		return w.Name
 	}
 	return ""
--- a/internal/zpgateway/isolation_test.go
+++ b/internal/zpgateway/isolation_test.go
@@ -89,6 +89,35 @@
 		Expect(s.saltOf("two")).NotTo(Equal(admitted))
 	})
 
+	// Guards against parts of a workspace that is renamed and isolated while its request is
+	// on its way: they were shared under the name that nobody has any more.
+	DescribeTable("shares no parts of requests that were admitted when its key had another workspace",
+		func(change func(c *zpcatalog.Catalog)) {
+			var s *regionGateway
+			connects := func(ctx context.Context, gate *zpengine.Gate) (*zpgateway.Response, error) {
+				c := newCatalog()
+				c.Version, c.Workspaces = s.catalog.Load().Version+1, slices.Clone(s.catalog.Load().Workspaces)
+				change(c)
+				s.catalog.Store(c.BuildIndexes())
+				if err := gate.Open(); err != nil {
+					return nil, err
+				}
+				return responds(http.StatusOK, events)(ctx, gate)
+			}
+			s = newRegionGateway(connects, responds(http.StatusOK, events))
+			s.isolate()
+			admitted := s.saltOf("one")
+			Expect(s.runner.runs).To(HaveLen(2)) // the first was withdrawn before it was sent
+			Expect(admitted).NotTo(BeElementOf(s.saltOf("two"), s.saltOf("three")))
+		},
+		Entry("renamed and isolated", func(c *zpcatalog.Catalog) { c.Workspaces[0].Name, c.Workspaces[0].Isolated = "renamed", true }),
+		Entry("its key moved to an isolated workspace", func(c *zpcatalog.Catalog) {
+			c.Workspaces[0].Keys = nil
+			c.Workspaces = append(c.Workspaces, zpcatalog.Workspace{Name: "four", Keys: []string{"one"}, Priority: zpcatalog.NoPriority, Isolated: true})
+		}),
+		Entry("removed", func(c *zpcatalog.Catalog) { c.Workspaces = c.Workspaces[1:] }),
+	)
+
 	It("has another salt than a model whose name ends with its name", func() {
 		s := newRegionGateway(responds(http.StatusOK, events))
 		s.isolate("one")
