--- a/internal/zpgateway/choice.go
+++ b/internal/zpgateway/choice.go
@@ -141,27 +141,35 @@
 func (g *Gateway) saltFor(j *job, weights int64, regions zpcatalog.RegionFilter) string {
 	if weights == 0 {
 		// Parts computed with unknown weights must not be reused by other requests.
-		return "once-" + j.request.ID
+		return onceSalt(j)
 	}
 	s := cacheSalt{model: j.request.Prompt.Model, weights: weights, regions: regions.String()}
-	if s.isolated = g.isolatedWorkspaceOf(j); s.isolated == "" {
+	isConfirmed := g.IsCatalogConfirmed()
+	if s.isolated = g.isolatedWorkspaceOf(j, isConfirmed); s.isolated == "" && !isConfirmed {
+		return onceSalt(j)
+	}
+	if s.isolated == "" {
 		s.scope = g.Catalog().CacheScope()
 	}
 	return s.String()
 }
 
+// onceSalt returns a salt whose parts no other request uses.
+func onceSalt(j *job) string { return "once-" + j.request.ID }
+
 // isolatedWorkspaceOf returns the name of the request's workspace if that is isolated in
-// the current catalog, or was when the request was admitted. A workspace that has been
+// the current catalog, or was when the request was admitted. Each workspace counts as
+// isolated while the catalog is not confirmed: a newer one may isolate any of them. A workspace that has been
 // renamed, has lost the key or was removed since then counts as isolated: parts made under
 // its old name must not reach those that share now. The workspace of a key counts also on
 // routes that need none.
-func (g *Gateway) isolatedWorkspaceOf(j *job) string {
+func (g *Gateway) isolatedWorkspaceOf(j *job, isConfirmed bool) string {
 	w, ok := j.catalog.WorkspaceOf(j.request.APIKey)
 	if !ok {
 		return ""
 	}
 	current, ok := g.Catalog().WorkspaceOf(j.request.APIKey)
-	if w.Isolated || !ok || current.Name != w.Name || current.Isolated {
+	if w.Isolated || !isConfirmed || !ok || current.Name != w.Name || current.Isolated {
 		return w.Name
 	}
 	return ""
--- a/internal/zpgateway/isolation_test.go
+++ b/internal/zpgateway/isolation_test.go
@@ -118,6 +118,25 @@
 		Entry("removed", func(c *zpcatalog.Catalog) { c.Workspaces = c.Workspaces[1:] }),
 	)
 
+	// Guards against a daemon that has missed the change, as after a freeze, and goes on
+	// sharing parts of a workspace that is isolated.
+	It("shares no parts through a daemon that cannot confirm its configuration", func() {
+		s := newRegionGateway(responds(http.StatusOK, events))
+		s.isolate()
+		for i := range s.Catalog().Routes {
+			s.Catalog().Routes[i].Anonymous = true
+		}
+		shared := s.saltOf("one")
+		s.IsCatalogConfirmed = func() bool { return false }
+		unconfirmed := s.saltOf("one")
+		Expect(unconfirmed).NotTo(BeElementOf(shared, s.saltOf("two"), s.saltOf("nobody")))
+		Expect(s.saltOf("one")).To(Equal(unconfirmed))
+		Expect(s.saltOf("two")).NotTo(BeElementOf(shared, s.saltOf("three"), s.saltOf("nobody")))
+		Expect(s.saltOf("nobody")).NotTo(Equal(shared))
+		s.IsCatalogConfirmed = func() bool { return true }
+		Expect(s.saltOf("two")).To(Equal(shared))
+	})
+
 	It("has another salt than a model whose name ends with its name", func() {
 		s := newRegionGateway(responds(http.StatusOK, events))
 		s.isolate("one")
