--- a/internal/zpengine/sender.go
+++ b/internal/zpengine/sender.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net"
 	"net/http"
+	"os"
 	"syscall"
 	"time"
 
@@ -69,15 +70,39 @@
 func (s *Sender) Do(req *http.Request) (*http.Response, error) { return s.pooled.Do(req) }
 
 // IsRefusing reports whether an address refuses connections: its host is up, but no process
-// listens there.
-func (s *Sender) IsRefusing(ctx context.Context, address string) bool {
-	conn, err := newGatedDial(s.ConnectTimeout, s.AckTimeout)(ctx, "tcp", address)
+// listens there. While a process ends, its listener may outlive its other connections for a
+// moment; a connection that was accepted then is reset. One that accepts no more
+// connections at its limit resets them, too, but does not refuse the next. watch is how
+// long an accepted connection is watched for that.
+func (s *Sender) IsRefusing(ctx context.Context, address string, watch time.Duration) bool {
+	dial := newGatedDial(s.ConnectTimeout, s.AckTimeout)
+	conn, err := dial(ctx, "tcp", address)
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return true
+	case err != nil && !errors.Is(err, syscall.ECONNRESET), err == nil && !endsWithin(conn, watch):
+		return false
+	}
+	conn, err = dial(ctx, "tcp", address)
 	if err == nil {
 		_ = conn.Close()
 	}
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// endsWithin reports whether the other side ends a connection within the time, and closes it.
+func endsWithin(conn net.Conn, d time.Duration) bool {
+	defer func() { _ = conn.Close() }()
+	if d <= 0 {
+		return false
+	}
+	if err := conn.SetReadDeadline(time.Now().Add(d)); err != nil {
+		return true
+	}
+	_, err := conn.Read(make([]byte, 1))
+	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+}
+
 // newGatedDial returns a dial function whose connections can be guarded by a Gate.
 func newGatedDial(connectTimeout, ackTimeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
 	d := zpnet.NewDialer(connectTimeout, ackTimeout)
--- a/internal/zpgateway/deliver.go
+++ b/internal/zpgateway/deliver.go
@@ -10,6 +10,7 @@
 	"strings"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpregistry"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
 )
 
@@ -38,18 +39,21 @@
 
 // deliver forwards a response to the caller. It calls started once the first event
 // of a stream, or the complete body of another response, has arrived.
-func (g *Gateway) deliver(ctx context.Context, j *job, a *Response, reply Reply, started func()) sendResult {
+func (g *Gateway) deliver(ctx context.Context, j *job, e zpregistry.Endpoint, a *Response, reply Reply, started func()) sendResult {
 	if err := checkResponse(a); err != nil {
 		return sendResult{outcomeBroken, err}
 	}
 	if j.route.Kind == zpcatalog.KindStream && isSuccess(a.Status) {
-		return g.deliverStream(ctx, j, a, reply, started)
+		return g.deliverStream(ctx, j, e, a, reply, started)
 	}
 	body, counted, err := g.ResponseMemory.ReadAll(a.Body)
 	j.bufferedBytes += counted
 	if err != nil {
 		return sendResult{outcomeBroken, err}
 	}
+	if g.isCutOff(ctx, e, a, bodyEndWatch) {
+		return sendResult{outcomeBroken, errCutOff}
+	}
 	started()
 	buffered := &bufferedResponse{status: a.Status, header: a.Header, body: body}
 	if a.Status >= minServerErrorStatus && !j.headerSent {
@@ -93,7 +97,7 @@
 
 // deliverStream forwards events as they arrive. It forwards only complete events,
 // so that the stream can be resumed at another endpoint.
-func (g *Gateway) deliverStream(ctx context.Context, j *job, a *Response, reply Reply, started func()) sendResult {
+func (g *Gateway) deliverStream(ctx context.Context, j *job, e zpregistry.Endpoint, a *Response, reply Reply, started func()) sendResult {
 	events := bufio.NewScanner(a.Body)
 	events.Buffer(make([]byte, 0, eventBufferBytes), maxEventBytes)
 	events.Split(j.splitEvents)
@@ -129,6 +133,9 @@
 	if err := checkStreamEnd(j, a); err != nil {
 		return sendResult{outcomeBroken, err}
 	}
+	if g.isCutOff(ctx, e, a, streamEndWatch) {
+		return sendResult{outcomeBroken, errCutOff}
+	}
 	j.runState = zperror.RunStateRan
 	if !j.headerSent {
 		j.headerSent = true
--- a/internal/zpgateway/gateway.go
+++ b/internal/zpgateway/gateway.go
@@ -50,7 +50,8 @@
 	AnnounceHarmless func(fingerprints []string) // tells other daemons what is no longer suspected
 	// IsRefusing reports whether an address refuses connections, as that of an endpoint
 	// that has crashed does.
-	IsRefusing          func(ctx context.Context, address string) bool
+	// An accepted connection is watched for a while, as the process may be about to end.
+	IsRefusing          func(ctx context.Context, address string, watch time.Duration) bool
 	AnnounceUnreachable func(endpoint string) // reports an unreachable endpoint to other daemons
 	Retries             *zpretry.Budgets
 	Runner              Runner
--- a/internal/zpgateway/quarantine.go
+++ b/internal/zpgateway/quarantine.go
@@ -65,24 +65,15 @@
 }
 
 // recordComplete records a request with a complete response. A stream without an event may
-// have been cut off by a crash: one that ends with its connection has no other end.
-func (g *Gateway) recordComplete(ctx context.Context, j *job, e zpregistry.Endpoint, a *Response) {
-	if j.route.Kind == zpcatalog.KindStream && j.events == 0 || g.isCutOff(ctx, j, e, a) {
+// have been cut off by a crash.
+func (g *Gateway) recordComplete(ctx context.Context, j *job, e zpregistry.Endpoint) {
+	if j.route.Kind == zpcatalog.KindStream && j.events == 0 {
 		g.recordBroken(ctx, j, e)
 		return
 	}
 	g.recordHarmless(j, j.fingerprints)
 }
 
-// isCutOff reports whether a response that ended with its connection was cut off by a
-// crash. That matters only while a part of the prompt is not known to be harmless.
-func (g *Gateway) isCutOff(ctx context.Context, j *job, e zpregistry.Endpoint, a *Response) bool {
-	if !a.EndsWithConnection || j.events >= harmlessEvents || len(g.Quarantine.NotHarmless(j.partFingerprints(), g.Clock())) == 0 {
-		return false
-	}
-	return g.hasCrashed(ctx, e)
-}
-
 // recordHarmless records that what the fingerprints stand for does not crash endpoints,
 // and tells other daemons if it was suspected.
 func (g *Gateway) recordHarmless(j *job, fingerprints []string) {
@@ -107,7 +98,7 @@
 		Fingerprints: g.suspectedFingerprints(j, now),
 	}
 	g.brokenResponses.add(e.ID, r, now)
-	if g.hasCrashed(ctx, e) {
+	if g.hasCrashed(ctx, e, 0) {
 		g.recordCrash(r)
 	}
 }
@@ -118,11 +109,12 @@
 	return !ok || current.State == zpregistry.StateDraining || g.Registry.IsLeaving(e.ID)
 }
 
-// hasCrashed reports whether an endpoint accepts no connections any more.
-func (g *Gateway) hasCrashed(ctx context.Context, e zpregistry.Endpoint) bool {
+// hasCrashed reports whether an endpoint accepts no connections any more. watch is how long
+// a connection that it accepts is watched.
+func (g *Gateway) hasCrashed(ctx context.Context, e zpregistry.Endpoint, watch time.Duration) bool {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), refusalTimeout)
 	defer cancel()
-	return g.IsRefusing(ctx, e.Address)
+	return g.IsRefusing(ctx, e.Address, watch)
 }
 
 // suspectedFingerprints returns the fingerprints of a request whose response broke off that
--- a/internal/zpgateway/quarantine_test.go
+++ b/internal/zpgateway/quarantine_test.go
@@ -37,7 +37,7 @@
 func newCrashingFleet() *crashingFleet {
 	f := &crashingFleet{testGateway: newTestGateway(), model: "m", isRefusing: true}
 	f.Runner = runnerFunc(f.run)
-	f.IsRefusing = func(context.Context, string) bool { return f.isRefusing }
+	f.IsRefusing = func(context.Context, string, time.Duration) bool { return f.isRefusing }
 	f.AnnounceCrash = func(r zpquarantine.Report) { f.reports = append(f.reports, r) }
 	f.AnnounceHarmless = func(fingerprints []string) { f.harmless = append(f.harmless, fingerprints...) }
 	return f
@@ -235,7 +235,7 @@
 	It("does not delay the reply while the endpoint does not answer", func() {
 		f := newCrashingFleet()
 		var left time.Duration
-		f.IsRefusing = func(ctx context.Context, _ string) bool {
+		f.IsRefusing = func(ctx context.Context, _ string, _ time.Duration) bool {
 			deadline, _ := ctx.Deadline()
 			left = time.Until(deadline)
 			return false
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -160,7 +160,7 @@
 	j.possibleRuns++
 	j.runState = zperror.RunStateUnknown
 	var firstByteTime time.Duration
-	s := g.deliver(ctx, j, answer, reply, func() {
+	s := g.deliver(ctx, j, c.endpoint, answer, reply, func() {
 		j.setStage(stageResponse)
 		timer.stop()
 		firstByteTime = g.Clock().Sub(now)
@@ -171,7 +171,7 @@
 	case outcomeDone:
 		g.Health.RecordSuccess(c.endpoint.ID, g.Clock())
 		if isSuccess(answer.Status) {
-			g.recordComplete(ctx, j, c.endpoint, answer)
+			g.recordComplete(ctx, j, c.endpoint)
 		}
 		g.Log.Emit(zplog.RequestAnswered, g.logFields(j, zplog.Fields{
 			"endpoint": c.endpoint.ID, "status": answer.Status, "first_ms": firstByteTime.Milliseconds(), "expected_ms": c.cost.Milliseconds(),
--- a/internal/zpgateway/stream_end.go
+++ b/internal/zpgateway/stream_end.go
@@ -1,12 +1,27 @@
 package zpgateway
 
-import "errors"
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpregistry"
+)
 
 // unknownLength is the length of a response that is sent in chunks.
 const unknownLength = -1
 
+// The listener of a process that ends may stand for a moment after its other connections
+// have been closed, longer on a busy VM. A caller has all events of a stream by then; a
+// body is held back meanwhile.
+const (
+	streamEndWatch = 90 * time.Millisecond
+	bodyEndWatch   = 25 * time.Millisecond
+)
+
 var (
 	errNoEvent      = errors.New("the connection ended before the first event of the stream")
+	errCutOff       = errors.New("the endpoint crashed before the end of its response")
 	errEventMissing = errors.New("the stream ended without the event in which an earlier run broke off")
 )
 
@@ -26,6 +41,13 @@
 	}
 }
 
+// isCutOff reports whether a response that ended with its connection was cut off by a
+// crash of the endpoint: its VM then closes the connection as if the response were
+// complete. One that leaves may end just after its last response.
+func (g *Gateway) isCutOff(ctx context.Context, e zpregistry.Endpoint, a *Response, watch time.Duration) bool {
+	return a.EndsWithConnection && !g.isLeaving(e) && g.hasCrashed(ctx, e, watch)
+}
+
 // splitEvents splits a stream into events and records whether it ends inside one. The
 // scanner reports a reset in place of the error for the truncated event.
 func (j *job) splitEvents(data []byte, atEOF bool) (int, []byte, error) {
