Requests that cannot be served in time are refused at once, and the wait at endpoints counts in the order

Nearly everything that had to wait was sent too late or ended at its deadline: a request counted as able to meet its objective until only its own time at an idle engine was left, and was then sent to an engine with prompts waiting for up to 55% of the objective.

New package zpforecast, pure decisions: Lead (by how much runs exceed their time at an idle endpoint) enters the order of the queue; Pace and Decide refuse what cannot be served even if the load ended now, by the own line, by what waits in the fleet, or since nothing starts; Returns spreads Retry-After, at most a third of the time left. Waiting work rides on the load exchange as entries of Usage, without a new message.

--- a/internal/zpgateway/gateway.go
+++ b/internal/zpgateway/gateway.go
@@ -80,7 +80,6 @@
 	// out about each of them.
 	maxUnreached          = 8
 	retryAfterUnavailable = 500 * time.Millisecond // the fleet's state is expected to change within this time
-	retryAfterOverloaded  = 300 * time.Millisecond // running requests are expected to end within this time
 )
 
 var (
--- a/internal/zpgateway/job.go
+++ b/internal/zpgateway/job.go
@@ -17,6 +17,7 @@
 	workspace    *zpcatalog.Workspace // nil on anonymous routes
 	pool         *zpcatalog.Pool
 	deadline     time.Time
+	line         string   // requests that compete for the same endpoints; set when it is placed
 	fingerprints []string // of the whole request, then of its shared parts
 
 	attempts         int       // number of sends
--- a/internal/zpgateway/queue.go
+++ b/internal/zpgateway/queue.go
@@ -8,6 +8,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpline"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpplace"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpusage"
 )
 
 type (
@@ -15,7 +16,9 @@
 	waitQueue struct {
 		mu          sync.Mutex
 		waiters     zpline.Queue[*waiter]
-		dispatching bool // the dispatcher goroutine is running
+		dispatching bool                 // the dispatcher goroutine is running
+		forecasts   map[string]*forecast // by line; see lineOf
+		forecastAt  time.Time
 
 		// Buffers that choose reuses.
 		choices    []choice
@@ -26,6 +29,8 @@
 		job        *job
 		enqueuedAt time.Time
 		result     chan placement
+		waits      *zpusage.RunningRequest // counts the request for all daemons while it is queued
+		isLate     bool                    // counted as one that misses its objective
 	}
 
 	// placement is the result for a queued request.
@@ -64,11 +69,13 @@
 	if j.remaining(now) < minRunTime {
 		return choice{}, errDeadlinePassed
 	}
+	j.line = g.lineOf(j)
 	w := &waiter{job: j, enqueuedAt: now, result: make(chan placement, 1)}
-	e := g.newEntry(w)
 	g.queue.mu.Lock()
+	e := g.newEntry(w)
 	if g.queue.waiters.WouldBeFirst(e, now) {
 		if c, v := g.choose(j, now); v == choiceMade {
+			g.queue.forecast(j).started += workOf(j)
 			g.queue.mu.Unlock()
 			return c, nil
 		}
@@ -81,11 +88,11 @@
 		g.queue.mu.Unlock()
 		return choice{}, err
 	}
-	if g.queue.waiters.Len() >= maxQueuedRequests {
+	if err := g.refuseHopeless(e, now); err != nil {
 		g.queue.mu.Unlock()
-		return choice{}, errOverloaded.WithRetryAfter(retryAfterOverloaded)
+		return choice{}, err
 	}
-	g.queue.waiters.Add(e)
+	g.enqueue(e)
 	waiting := g.queue.waiters.Len()
 	if !g.queue.dispatching {
 		g.queue.dispatching = true
@@ -104,7 +111,7 @@
 	case <-ctx.Done():
 	}
 	g.queue.mu.Lock()
-	removed := g.queue.waiters.Remove(e)
+	removed := g.dequeue(e)
 	g.queue.mu.Unlock()
 	if !removed {
 		// The dispatcher chose an endpoint just before the caller disconnected.
@@ -135,11 +142,12 @@
 // endpoint may serve them, and all when the daemon is about to end.
 func (g *Gateway) dispatch(now time.Time) {
 	for _, e := range g.queue.waiters.RemoveExpired(now) {
+		e.Value.waits.End()
 		e.Value.result <- placement{err: errDeadlinePassed}
 	}
 	if !g.stopping.mayQueue(now) {
 		for _, e := range g.queue.waiters.Ordered(now) {
-			g.queue.waiters.Remove(e)
+			g.dequeue(e)
 			e.Value.result <- placement{err: errStopping}
 		}
 		return
@@ -153,19 +161,21 @@
 		c, v := g.choose(w.job, now)
 		switch {
 		case v == choiceMade:
-			g.queue.waiters.Remove(e)
+			g.queue.forecast(w.job).started += workOf(w.job)
+			g.dequeue(e)
 			w.result <- placement{choice: c}
 		case v == choiceNoCapacity:
 			failedTries[w.job.pool.Name]++
 			if err := g.refuseQuiet(w.job, now); err != nil {
-				g.queue.waiters.Remove(e)
+				g.dequeue(e)
 				w.result <- placement{err: err}
 			}
 		case now.Sub(w.enqueuedAt) >= min(w.job.route.TargetLatency, w.job.remaining(w.enqueuedAt))/noEndpointWaitDivisor:
-			g.queue.waiters.Remove(e)
+			g.dequeue(e)
 			w.result <- placement{err: errNoEndpoint.WithRetryAfter(retryAfterUnavailable)}
 		}
 	}
+	g.forecastQueue(now)
 }
 
 // QueuedRequests returns the number of queued requests.
@@ -190,6 +200,7 @@
 		service = engineStartTime + time.Duration(p.Tokens/2)*time.Millisecond/time.Duration(max(g.Rates.PrefillPerMS, 1))
 	}
 	return &queueEntry{
-		Rank: j.priority(), ArrivedAt: j.request.ReceivedAt, Objective: j.route.TargetLatency, ServiceTime: service, Deadline: j.deadline, Value: w,
+		Rank: j.priority(), ArrivedAt: j.request.ReceivedAt, Objective: j.route.TargetLatency, ServiceTime: service, Lead: g.queue.leadOf(j, w.enqueuedAt),
+		Deadline: j.deadline, Value: w,
 	}
 }
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -19,6 +19,12 @@
 	// outcome is the way in which one send ended.
 	outcome int
 
+	// turnedAway counts the endpoints that did not run a request.
+	turnedAway struct {
+		refusals  int // the endpoint refused it
+		unreached int // the endpoint accepted no connection
+	}
+
 	// sendResult is the result of sending a request once.
 	sendResult struct {
 		outcome outcome
@@ -41,7 +47,7 @@
 func (g *Gateway) run(ctx context.Context, j *job, reply Reply) error {
 	budget := g.Retries.For("", j.pool.Name)
 	budget.RecordAttempt()
-	refusals, unreached := 0, 0
+	away := turnedAway{}
 	for {
 		if hasLeft(ctx, j) {
 			return errCallerGone.WithState(j.runState)
@@ -60,15 +66,9 @@
 			return nil
 		case outcomeStopped:
 			return s.err
-		case outcomeNotRun:
-			refusals++
-			if refusals > maxRefusals || !budget.Take() {
-				return g.giveUp(j, reply, sendResult{err: g.withRunState(j, errOverloaded.WithRetryAfter(retryAfterOverloaded).WithCause(s.err))})
-			}
-		case outcomeUnreached:
-			// Nothing arrived at the endpoint, so another one costs no retry.
-			if unreached++; unreached > maxUnreached {
-				return g.giveUp(j, reply, sendResult{err: g.withRunState(j, errOverloaded.WithRetryAfter(retryAfterOverloaded).WithCause(s.err))})
+		case outcomeNotRun, outcomeUnreached:
+			if !away.mayTryAnother(s.outcome, budget) {
+				return g.giveUp(j, reply, sendResult{err: g.withRunState(j, errOverloaded.WithRetryAfter(g.returnAfter(j)).WithCause(s.err))})
 			}
 		case outcomeUnsent:
 			continue
@@ -87,6 +87,18 @@
 	}
 }
 
+// mayTryAnother counts an endpoint that turned the request away and reports whether the
+// request may be sent to another one. Nothing arrived at an endpoint that accepted no
+// connection, so another one costs no retry.
+func (t *turnedAway) mayTryAnother(o outcome, budget *zpretry.Budget) bool {
+	if o == outcomeUnreached {
+		t.unreached++
+		return t.unreached <= maxUnreached
+	}
+	t.refusals++
+	return t.refusals <= maxRefusals && budget.Take()
+}
+
 // placeAllowed chooses an endpoint once it is known which endpoints the request is allowed.
 func (g *Gateway) placeAllowed(ctx context.Context, j *job) (choice, error) {
 	g.AwaitCatalog(ctx)
@@ -171,6 +183,7 @@
 		timer.stop()
 		firstByteTime = g.Clock().Sub(now)
 		c.use.PrefillDone()
+		g.recordLead(j, c, firstByteTime)
 		g.recordPromptRead(j, c)
 	})
 	switch s.outcome {
--- a/internal/zpline/queue.go
+++ b/internal/zpline/queue.go
@@ -20,6 +20,7 @@
 		ArrivedAt   time.Time
 		Objective   time.Duration // from ArrivedAt, for the first byte of the answer
 		ServiceTime time.Duration // estimated time from the start to the first byte of the answer
+		Lead        time.Duration // estimated time added to ServiceTime by what waits at the endpoints; may change while queued
 		Deadline    time.Time     // for the first byte of the answer
 		Value       T
 	}
@@ -62,6 +63,17 @@
 	return out
 }
 
+// SumAhead returns the sum of a quantity over the waiting requests that are served before e.
+func (l *Queue[T]) SumAhead(e *Entry[T], now time.Time, quantity func(T) float64) float64 {
+	sum := 0.0
+	for _, x := range l.entries {
+		if x != e && !e.before(x, now) {
+			sum += quantity(x.Value)
+		}
+	}
+	return sum
+}
+
 // RemoveExpired removes and returns the requests that can no longer be answered before
 // their deadline.
 func (l *Queue[T]) RemoveExpired(now time.Time) []*Entry[T] {
@@ -85,7 +97,7 @@
 // CanMeetObjective reports whether a request that starts now can be answered
 // within its objective.
 func (e *Entry[T]) CanMeetObjective(now time.Time) bool {
-	return !now.Add(e.ServiceTime).After(e.ArrivedAt.Add(e.Objective))
+	return !now.Add(e.ServiceTime + e.Lead).After(e.ArrivedAt.Add(e.Objective))
 }
 
 func (e *Entry[T]) before(x *Entry[T], now time.Time) bool {
--- a/internal/zpmetric/metric.go
+++ b/internal/zpmetric/metric.go
@@ -21,6 +21,7 @@
 		ConfigAge         prometheus.Gauge // seconds
 		PartitionsOwned   prometheus.Gauge
 		Retries           *prometheus.CounterVec // by reason
+		Hopeless          *prometheus.CounterVec // by class, reason
 		Quarantined       prometheus.Counter
 		Crashes           prometheus.Counter
 		LinkBytes         *prometheus.CounterVec // by link
@@ -44,6 +45,7 @@
 		ConfigAge:         gauge("config_age_seconds", "Age of the proof of freshness."),
 		PartitionsOwned:   gauge("partitions_owned", "Partitions owned by this daemon."),
 		Retries:           counterVec("retries_total", "Requests sent again.", "reason"),
+		Hopeless:          counterVec("hopeless_total", "Requests refused at once, because they could not be served before their deadline.", "class", "reason"),
 		Quarantined:       counter("quarantined_total", "Fingerprints quarantined."),
 		Crashes:           counter("crash_reports_total", "Requests that were running when an endpoint crashed, on this daemon."),
 		LinkBytes:         counterVec("link_granted_bytes_total", "Bytes granted on an inter-region link.", "link"),
@@ -62,7 +64,7 @@
 		Buckets: prometheus.ExponentialBuckets(0.001, 4, 8),
 	})
 	m.Registry.MustRegister(m.Requests, m.FirstToken, m.AbandonedRequests, m.StallSeconds, m.OpenRequests, m.PlatformCalls, m.PeerCalls,
-		m.Reservations, m.ConfigVersion, m.ConfigAge, m.PartitionsOwned, m.Retries, m.Quarantined, m.Crashes,
+		m.Reservations, m.ConfigVersion, m.ConfigAge, m.PartitionsOwned, m.Retries, m.Hopeless, m.Quarantined, m.Crashes,
 		m.LinkBytes, m.CrossRegion, m.ReusedTokens, m.PromptTokens)
 	return m
 }
--- a/internal/zpusage/tracker.go
+++ b/internal/zpusage/tracker.go
@@ -3,6 +3,7 @@
 package zpusage
 
 import (
+	"strconv"
 	"sync"
 	"time"
 )
@@ -47,6 +48,17 @@
 	return &Tracker{MaxReportAge: maxReportAge, ownUses: map[string]Usage{}, reports: map[string]report{}, total: map[string]Usage{}}
 }
 
+// WaitingKey returns the key under which the requests of a pool that wait at daemons are
+// counted, in place of an endpoint. Those that can still meet their objective are counted
+// apart, by their priority.
+func WaitingKey(pool string, priority int, isLate bool) string {
+	class := strconv.Itoa(priority)
+	if isLate {
+		class = "late"
+	}
+	return "waiting/" + pool + "/" + class
+}
+
 // Begin adds a request to an endpoint. prefill and memory are numbers of tokens.
 func (t *Tracker) Begin(endpoint string, prefill, memory int) *RunningRequest {
 	r := &RunningRequest{tracker: t, endpoint: endpoint, use: Usage{Requests: 1, PrefillTokens: prefill, MemoryTokens: memory}}
