A workspace that asks for far more than usual goes after the others of its priority

Under overload a workspace at three times its usual rate took room from all others, since the queue knew no workspaces. Now the waiting work of each workspace rides on the load exchange, so that it counts through whichever daemon it comes, and Shares compares it with the workspace's usual part of the requests. Nothing changes while nothing waits. Weights were looked for: the platform's configuration has none.

--- a/internal/zpgateway/admission.go
+++ b/internal/zpgateway/admission.go
@@ -15,7 +15,9 @@
 	pace    zpforecast.Pace
 	leads   map[int]*zpforecast.Lead // by priority
 	returns zpforecast.Returns
-	started float64 // work that has started since the last pass
+	shares  zpforecast.Shares
+	over    map[string]bool // workspaces that ask for more than their share
+	started float64         // work that has started since the last pass
 }
 
 // forecastInterval is the interval between two forecasts of all queued requests.
@@ -99,6 +101,7 @@
 	w := e.Value
 	w.isLate = !e.CanMeetObjective(w.enqueuedAt)
 	w.waits = g.countWaiting(w)
+	w.waitsOf = g.Usage.Begin(zpusage.WaitingOfKey(w.job.line, w.job.workspaceName()), int(workOf(w.job)), 0)
 	g.queue.waiters.Add(e)
 }
 
@@ -108,10 +111,16 @@
 	if !g.queue.waiters.Remove(e) {
 		return false
 	}
-	e.Value.waits.End()
+	e.Value.endWait()
 	return true
 }
 
+// endWait ends the counting of a request that is no longer queued.
+func (w *waiter) endWait() {
+	w.waits.End()
+	w.waitsOf.End()
+}
+
 func (g *Gateway) countWaiting(w *waiter) *zpusage.RunningRequest {
 	return g.Usage.Begin(zpusage.WaitingKey(w.job.line, w.job.priority(), w.isLate), int(workOf(w.job)), 0)
 }
@@ -131,6 +140,7 @@
 		if _, seen := ahead[w.job.line]; !seen {
 			f.pace.Record(f.started, now)
 			f.started, ahead[w.job.line] = 0, 0
+			g.updateOver(f, w.job.line, entries, now)
 		}
 		g.updateEntry(e, now)
 		wait := zpforecast.Wait{Ahead: ahead[w.job.line], Service: e.ServiceTime, Left: w.job.remaining(now), HasReturned: hasReturned(w.job), IsQueued: true}
@@ -147,7 +157,7 @@
 // updateEntry updates the lead of a queued request and under which key it is counted.
 func (g *Gateway) updateEntry(e *queueEntry, now time.Time) {
 	w := e.Value
-	e.Lead = g.queue.leadOf(w.job, now)
+	e.Lead, e.IsOver = g.queue.leadOf(w.job, now), g.isOver(w.job)
 	if isLate := !e.CanMeetObjective(now); isLate != w.isLate {
 		w.waits.End()
 		w.isLate = isLate
@@ -206,6 +216,30 @@
 	return float64(sum)
 }
 
+// isOver reports whether the workspace of a request had more of what waits in the fleet than
+// its share at the latest forecast. Nobody has while nothing waits here.
+func (g *Gateway) isOver(j *job) bool {
+	return g.queue.waiters.Len() > 0 && g.queue.forecast(j).over[j.workspaceName()]
+}
+
+// updateOver finds out which workspaces with requests in the line of a queued request have
+// more of what waits in the fleet than their share.
+func (g *Gateway) updateOver(f *forecast, line string, entries []*queueEntry, now time.Time) {
+	total := g.Usage.Total(zpusage.WaitingKey(line, 0, true), now).PrefillTokens
+	for priority := range lowestPriority + 1 {
+		total += g.Usage.Total(zpusage.WaitingKey(line, priority, false), now).PrefillTokens
+	}
+	f.over = map[string]bool{}
+	for _, e := range entries {
+		name := e.Value.job.workspaceName()
+		if _, seen := f.over[name]; seen || e.Value.job.line != line {
+			continue
+		}
+		waiting := g.Usage.Total(zpusage.WaitingOfKey(line, name), now).PrefillTokens
+		f.over[name] = f.shares.IsOver(name, float64(waiting), float64(total), now)
+	}
+}
+
 // capacityOf returns the most work per second that the endpoints of a request can start.
 func (g *Gateway) capacityOf(j *job, now time.Time) float64 {
 	regions, sum := g.regionsOf(j), 0.0
--- a/internal/zpgateway/admission_test.go
+++ b/internal/zpgateway/admission_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -72,6 +73,26 @@
 		Expect(own).NotTo(HaveKey(zpusage.WaitingKey("pool", priority, true)))
 	})
 
+	// Guards against a workspace that takes the room of others through several daemons.
+	It("goes after others if its workspace has most of what waits at other daemons", func() {
+		s.Usage.SetPeer("other", map[string]zpusage.Usage{
+			zpusage.WaitingKey("pool", priority, true): {Requests: 50, PrefillTokens: 50}, zpusage.WaitingOfKey("pool", "w"): {Requests: 50, PrefillTokens: 50},
+		}, time.Now())
+		var all sync.WaitGroup
+		for _, key := range []string{"k", "k2"} {
+			q := request("read")
+			q.APIKey = key
+			all.Go(func() { s.serve(q) })
+			Eventually(s.QueuedRequests).Should(BeNumerically(">", 0))
+		}
+		Eventually(s.QueuedRequests).Should(Equal(2))
+		Consistently(s.QueuedRequests, "120ms").Should(Equal(2))
+		running[0].End()
+		all.Wait()
+		Expect(s.runner.runs).To(HaveLen(2))
+		Expect(s.runner.runs[0].Workspace).To(Equal("isolated"))
+	})
+
 	It("is refused with a time of return that its caller heeds if endpoints turn it away", func() {
 		s = newTestGateway(refuses(http.StatusServiceUnavailable))
 		s.Retries = &zpretry.Budgets{}
--- a/internal/zpgateway/queue.go
+++ b/internal/zpgateway/queue.go
@@ -29,8 +29,10 @@
 		job        *job
 		enqueuedAt time.Time
 		result     chan placement
-		waits      *zpusage.RunningRequest // counts the request for all daemons while it is queued
-		isLate     bool                    // counted as one that misses its objective
+		isLate     bool // counted as one that misses its objective
+		// waits and waitsOf count the request for all daemons while it is queued, by priority and by
+		// workspace.
+		waits, waitsOf *zpusage.RunningRequest
 	}
 
 	// placement is the result for a queued request.
@@ -72,6 +74,7 @@
 	j.line = g.lineOf(j)
 	w := &waiter{job: j, enqueuedAt: now, result: make(chan placement, 1)}
 	g.queue.mu.Lock()
+	g.queue.forecast(j).shares.Record(j.workspaceName(), workOf(j), now)
 	e := g.newEntry(w)
 	if g.queue.waiters.WouldBeFirst(e, now) {
 		if c, v := g.choose(j, now); v == choiceMade {
@@ -99,7 +102,7 @@
 		go g.runDispatcher()
 	}
 	g.queue.mu.Unlock()
-	g.Log.Emit(zplog.RequestWaits, g.logFields(j, zplog.Fields{"waiting": waiting}))
+	g.Log.Emit(zplog.RequestWaits, g.logFields(j, zplog.Fields{"waiting": waiting, "over_share": e.IsOver}))
 	return g.await(ctx, e)
 }
 
@@ -142,7 +145,7 @@
 // endpoint may serve them, and all when the daemon is about to end.
 func (g *Gateway) dispatch(now time.Time) {
 	for _, e := range g.queue.waiters.RemoveExpired(now) {
-		e.Value.waits.End()
+		e.Value.endWait()
 		e.Value.result <- placement{err: errDeadlinePassed}
 	}
 	if !g.stopping.mayQueue(now) {
@@ -201,6 +204,6 @@
 	}
 	return &queueEntry{
 		Rank: j.priority(), ArrivedAt: j.request.ReceivedAt, Objective: j.route.TargetLatency, ServiceTime: service, Lead: g.queue.leadOf(j, w.enqueuedAt),
-		Deadline: j.deadline, Value: w,
+		IsOver: g.isOver(j), Deadline: j.deadline, Value: w,
 	}
 }
--- a/internal/zpline/queue.go
+++ b/internal/zpline/queue.go
@@ -16,7 +16,8 @@
 type (
 	// Entry is one waiting request.
 	Entry[T any] struct {
-		Rank        int // 0 is the highest priority
+		Rank        int  // 0 is the highest priority
+		IsOver      bool // its workspace asks for more than its share; goes after others of its rank
 		ArrivedAt   time.Time
 		Objective   time.Duration // from ArrivedAt, for the first byte of the answer
 		ServiceTime time.Duration // estimated time from the start to the first byte of the answer
@@ -107,6 +108,9 @@
 	if e.Rank != x.Rank {
 		return e.Rank < x.Rank
 	}
+	if e.IsOver != x.IsOver {
+		return x.IsOver
+	}
 	if a, b := e.ArrivedAt.Add(e.Objective), x.ArrivedAt.Add(x.Objective); !a.Equal(b) {
 		return a.Before(b)
 	}
--- a/internal/zpline/queue_test.go
+++ b/internal/zpline/queue_test.go
@@ -58,6 +58,33 @@
 		Expect(names(l, at(400))).To(Equal([]string{"urgent", "old", "late urgent"}))
 	})
 
+	It("serves a workspace that asks for more than its share after others of the same rank", func() {
+		over := request("over", 0)
+		over.IsOver = true
+		urgentOver := request("urgent over", 250)
+		urgentOver.Rank, urgentOver.IsOver = 0, true
+		l.Add(over)
+		l.Add(urgentOver)
+		l.Add(request("new", 300))
+		l.Add(request("late", -900))
+		Expect(names(l, at(400))).To(Equal([]string{"urgent over", "new", "over", "late"}))
+	})
+
+	It("counts what waits at the endpoints for the objective, but not for the deadline", func() {
+		slow := request("slow", 0)
+		slow.Lead = 500 * time.Millisecond
+		l.Add(slow)
+		l.Add(request("new", 100))
+		Expect(names(l, at(301))).To(Equal([]string{"new", "slow"}))
+		Expect(l.RemoveExpired(at(14_799))).To(BeEmpty())
+	})
+
+	It("sums what is served before a request", func() {
+		l.Add(request("old", 0))
+		l.Add(request("new", 300))
+		Expect(l.SumAhead(request("middle", 100), at(400), func(string) float64 { return 2 })).To(Equal(2.0))
+	})
+
 	It("removes requests that cannot be answered before their deadline", func() {
 		l.Add(request("a", 0))
 		Expect(l.RemoveExpired(at(14_799))).To(BeEmpty())
--- a/internal/zpusage/tracker.go
+++ b/internal/zpusage/tracker.go
@@ -59,6 +59,10 @@
 	return "waiting/" + pool + "/" + class
 }
 
+// WaitingOfKey returns the key under which the waiting requests of one workspace are counted
+// once more.
+func WaitingOfKey(pool, workspace string) string { return "waiting-of/" + pool + "/" + workspace }
+
 // Begin adds a request to an endpoint. prefill and memory are numbers of tokens.
 func (t *Tracker) Begin(endpoint string, prefill, memory int) *RunningRequest {
 	r := &RunningRequest{tracker: t, endpoint: endpoint, use: Usage{Requests: 1, PrefillTokens: prefill, MemoryTokens: memory}}
