--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -19,6 +19,12 @@
 	// outcome is the way in which one send ended.
 	outcome int
 
+	// turnedAway counts the endpoints that did not run a request.
+	turnedAway struct {
+		refusals  int // the endpoint refused it
+		unreached int // the endpoint accepted no connection
+	}
+
 	// sendResult is the result of sending a request once.
 	sendResult struct {
 		outcome outcome
@@ -27,20 +33,21 @@
 )
 
 const (
-	outcomeDone    outcome = iota // the caller has the complete response
-	outcomeNotRun                 // the endpoint did not run the request
-	outcomeFailed                 // the endpoint responded with a 5xx status, kept in job.failure
-	outcomeBroken                 // the request may have run, but its response is lost
-	outcomeSilent                 // no byte arrived in time; the run was cancelled and may be retried
-	outcomeStopped                // the caller disconnected or the deadline passed
-	outcomeUnsent                 // the choice no longer held when the first byte was due; another may be made
+	outcomeDone      outcome = iota // the caller has the complete response
+	outcomeNotRun                   // the endpoint did not run the request
+	outcomeUnreached                // no byte was sent, because there was no connection
+	outcomeFailed                   // the endpoint responded with a 5xx status, kept in job.failure
+	outcomeBroken                   // the request may have run, but its response is lost
+	outcomeSilent                   // no byte arrived in time; the run was cancelled and may be retried
+	outcomeStopped                  // the caller disconnected or the deadline passed
+	outcomeUnsent                   // the choice no longer held when the first byte was due; another may be made
 )
 
 // run sends the request until it has a response or must not be sent again.
 func (g *Gateway) run(ctx context.Context, j *job, reply Reply) error {
 	budget := g.Retries.For("", j.pool.Name)
 	budget.RecordAttempt()
-	refusals := 0
+	away := turnedAway{}
 	for {
 		if hasLeft(ctx, j) {
 			return errCallerGone.WithState(j.runState)
@@ -59,10 +66,9 @@
 			return nil
 		case outcomeStopped:
 			return s.err
-		case outcomeNotRun:
-			refusals++
-			if refusals > maxRefusals || !budget.Take() {
-				return g.giveUp(j, reply, sendResult{err: g.withRunState(j, errOverloaded.WithRetryAfter(retryAfterOverloaded).WithCause(s.err))})
+		case outcomeNotRun, outcomeUnreached:
+			if !away.mayTryAnother(s.outcome, budget) {
+				return g.giveUp(j, reply, sendResult{err: g.withRunState(j, errOverloaded.WithRetryAfter(g.returnAfter(j)).WithCause(s.err))})
 			}
 		case outcomeUnsent:
 			continue
@@ -81,6 +87,18 @@
 	}
 }
 
+// mayTryAnother counts an endpoint that turned the request away and reports whether the
+// request may be sent to another one. Nothing arrived at an endpoint that accepted no
+// connection, so another one costs no retry.
+func (t *turnedAway) mayTryAnother(o outcome, budget *zpretry.Budget) bool {
+	if o == outcomeUnreached {
+		t.unreached++
+		return t.unreached <= maxUnreached
+	}
+	t.refusals++
+	return t.refusals <= maxRefusals && budget.Take()
+}
+
 // placeAllowed chooses an endpoint once it is known which endpoints the request is allowed.
 func (g *Gateway) placeAllowed(ctx context.Context, j *job) (choice, error) {
 	g.AwaitCatalog(ctx)
@@ -165,6 +183,7 @@
 		timer.stop()
 		firstByteTime = g.Clock().Sub(now)
 		c.use.PrefillDone()
+		g.recordLead(j, c, firstByteTime)
 		g.recordPromptRead(j, c)
 	})
 	switch s.outcome {
@@ -209,7 +228,7 @@
 			failure = FailureConnectTimeout
 		}
 		g.recordFailure(c.endpoint.ID, failure)
-		return sendResult{outcomeNotRun, fmt.Errorf("send to endpoint %s: %w", c.endpoint.ID, err)}
+		return sendResult{outcomeUnreached, fmt.Errorf("send to endpoint %s: %w", c.endpoint.ID, err)}
 	}
 	j.possibleRuns++
 	j.runState = zperror.RunStateUnknown
@@ -302,5 +321,5 @@
 }
 
 func (o outcome) String() string {
-	return [...]string{"done", "not_run", "failed", "broken", "silent", "stopped", "unsent"}[o]
+	return [...]string{"done", "not_run", "unreached", "failed", "broken", "silent", "stopped", "unsent"}[o]
 }
