Calls to the store are counted by the kind of object

Cause: the metric told the call and its result, not what it was for, so a rise could not be put down to the watch of the endpoints, to a lease or to a daemon that is turned away.

Evidence: specs of platform, zprelay and zpmirror green.

--- a/internal/zpapp/daemon.go
+++ b/internal/zpapp/daemon.go
@@ -189,7 +189,7 @@
 }
 
 func (d *Daemon) countPlatform(call string, err error) {
-	d.Metrics.PlatformCalls.WithLabelValues(call, outcomeLabel(err)).Inc()
+	d.Metrics.PlatformCalls.WithLabelValues(call, "", outcomeLabel(err)).Inc()
 }
 
 func (d *Daemon) countPeer(call string, err error) {
--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -305,8 +305,8 @@
 	return nil
 }
 
-func (d *GatewayDaemon) countStore(call string, err error) {
-	d.Metrics.PlatformCalls.WithLabelValues(call, outcomeLabel(err)).Inc()
+func (d *GatewayDaemon) countStore(call, kind string, err error) {
+	d.Metrics.PlatformCalls.WithLabelValues(call, kind, outcomeLabel(err)).Inc()
 }
 
 func (d *GatewayDaemon) endpointGone(e zpregistry.Endpoint) {
--- a/internal/zpmetric/metric.go
+++ b/internal/zpmetric/metric.go
@@ -14,7 +14,7 @@
 		AbandonedRequests *prometheus.CounterVec   // by stage
 		StallSeconds      prometheus.Histogram     // seconds
 		OpenRequests      prometheus.Gauge
-		PlatformCalls     *prometheus.CounterVec // by call, result
+		PlatformCalls     *prometheus.CounterVec // by call, kind of object, result
 		PeerCalls         *prometheus.CounterVec // by call, result
 		Reservations      *prometheus.CounterVec // by result
 		ConfigVersion     prometheus.Gauge
@@ -37,7 +37,7 @@
 		Requests:          counterVec("requests_total", "Requests ended.", "class", "code", "run_state"),
 		AbandonedRequests: counterVec("abandoned_requests_total", "Requests whose caller closed its connection before it had the whole answer, by how far they had come.", "stage"),
 		OpenRequests:      gauge("open_requests", "Requests in progress."),
-		PlatformCalls:     counterVec("platform_calls_total", "Calls to the platform.", "call", "result"),
+		PlatformCalls:     counterVec("platform_calls_total", "Calls to the platform.", "call", "kind", "result"),
 		PeerCalls:         counterVec("peer_calls_total", "Calls to other daemons.", "call", "result"),
 		Reservations:      counterVec("reservations_total", "Reservations decided as owner.", "result"),
 		ConfigVersion:     gauge("config_version", "Version of the manifest in effect on this daemon."),
