Store: a circuit breaker before reads, and watchers per region where failure domains are small

Cause: (1) a daemon whose store is away, or turns it away, tried each of its six lists anew every 50 to 400 ms, and its configuration every 200 ms besides, and so did all daemons that follow it. (2) A failure domain with fewer than five daemons had no watchers: each daemon kept six watches of its own.

Change: (1) a breaker between a daemon and the store. A failed read trips it; until a probe is answered (one read that may be outdated, at a tenth of the price, after 20 ms, doubling up to a second, with jitter) the others fail without a call. Leases and other writes pass, except bans, which are tried again. (2) Where domains are small, two daemons of the region watch for it, from six daemons on. (3) A daemon whose watchers fail, or that the store turns away, follows up to two watchers of other domains before it reads the store.

Ruled out: probing by a linearizable read (ten times the price); letting a tripped breaker delay what the store confirms after a pause of the process (first probe after 20 ms, confirmation tried again every 100 ms).

--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -62,6 +62,7 @@
 	hub      *zpdigest.Hub
 	exchange *zpdigest.Exchange
 	lookup   *zplookup.Client
+	reads    *zprelay.GuardedStore
 	recorder *zprelay.CachingStore
 	follower *zprelay.Follower
 	live     *liveDaemons
@@ -271,7 +272,7 @@
 	holder := d.self.Name + "@" + d.self.PeerAddress
 	timing := zpduty.Timing{Validity: dutyValidity, RenewInterval: dutyRenew, HandoverDelay: d.Node.Bounds.MinOrderInterval + dutyMargin}
 	d.rollout = &zprollout.Rollout{
-		Self: holder, Keeper: zpduty.NewKeeper(weightDuty, holder, timing, d.store, d.Log, zpclock.Now),
+		Self: holder, Keeper: zpduty.NewKeeper(weightDuty, holder, timing, d.reads, d.Log, zpclock.Now),
 		WeightVersions: d.weights, Engines: d.engines, Models: d.models,
 		Load:       func(endpoint string, now time.Time) int { return d.gateway.Usage.Total(endpoint, now).Requests },
 		SetWeights: d.registry.SetWeights, Announce: d.announceWeightChange, Orderer: &zpplatform.Orderer{Sender: d.sender, Clock: zpclock.Now, Notice: d.gateway.RecordNotice},
--- a/internal/zpapp/gateway_bans.go
+++ b/internal/zpapp/gateway_bans.go
@@ -136,6 +136,9 @@
 }
 
 func (b *bans) write(ctx context.Context, c banChange) error {
+	if !b.daemon.reads.IsAnswering() {
+		return zpobject.ErrUnavailable
+	}
 	name := banObject(c.fingerprint)
 	b.mu.Lock()
 	revision := b.stored[name].revision
--- a/internal/zpapp/gateway_catalogs.go
+++ b/internal/zpapp/gateway_catalogs.go
@@ -37,7 +37,7 @@
 const (
 	// askInterval is the interval between calls to daemons chosen at random.
 	askInterval       = 400 * time.Millisecond
-	confirmRetryDelay = 200 * time.Millisecond
+	confirmRetryDelay = 100 * time.Millisecond
 	// maxCatalogAge is the time since the last word of the store up to which this daemon
 	// confirms the catalog of another one: one watch and the time of a slow response.
 	maxCatalogAge = shortWatchWait + 500*time.Millisecond
@@ -206,7 +206,9 @@
 			})
 			return
 		}
-		c.daemon.Log.Emit(zplog.CatalogUnconfirmed, zplog.Fields{"catalog": c.daemon.catalogVersion(), "attempts": attempts, "error": fmt.Sprint(err)})
+		if c.daemon.reads.IsAnswering() {
+			c.daemon.Log.Emit(zplog.CatalogUnconfirmed, zplog.Fields{"catalog": c.daemon.catalogVersion(), "attempts": attempts, "error": fmt.Sprint(err)})
+		}
 		time.Sleep(confirmRetryDelay)
 	}
 }
@@ -215,7 +217,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	startedAt := zpclock.Now()
-	l, err := c.daemon.store.List(ctx, zpplatform.ConfigPrefix)
+	l, err := c.daemon.reads.List(ctx, zpplatform.ConfigPrefix)
 	if err != nil {
 		return err
 	}
--- a/internal/zpapp/gateway_members.go
+++ b/internal/zpapp/gateway_members.go
@@ -122,7 +122,7 @@
 // reports whether the record is stored.
 func (d *GatewayDaemon) register(ctx context.Context, body []byte) bool {
 	name := gatewayMemberPrefix + d.self.Name
-	o, err := d.store.Get(ctx, name)
+	o, err := d.reads.Get(ctx, name)
 	switch {
 	case err == nil:
 		if m, decodeErr := zpassign.DecodeMember(o.Body); decodeErr == nil && m.Instance == d.self.Instance {
@@ -140,7 +140,7 @@
 	name := gatewayMemberPrefix + d.self.Name
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	o, err := d.store.Get(ctx, name)
+	o, err := d.reads.Get(ctx, name)
 	if err == nil {
 		err = d.store.Delete(ctx, name, o.Revision)
 	}
--- a/internal/zpapp/gateway_sharing.go
+++ b/internal/zpapp/gateway_sharing.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -52,7 +53,11 @@
 		},
 	}
 	d.live = &liveDaemons{daemon: d}
-	d.recorder = &zprelay.CachingStore{API: d.store, HeartbeatPrefix: zpplatform.ConfigPrefix, Clock: zpclock.Now}
+	d.reads = &zprelay.GuardedStore{
+		API: d.store, Breaker: &zprelay.Breaker{Random: rand.Float64}, Log: d.Log, Clock: zpclock.Now,
+		Probe: func(ctx context.Context) error { return d.store.Probe(ctx, zpplatform.ConfigName) },
+	}
+	d.recorder = &zprelay.CachingStore{API: d.reads, HeartbeatPrefix: zpplatform.ConfigPrefix, Clock: zpclock.Now}
 	d.lookup = &zplookup.Client{
 		Self: d.self, Owners: d.live.partOwners, Learn: d.mergeParts, Log: d.Log, Clock: zpclock.Now,
 		Call: func(ctx context.Context, address string, keys []zpparts.Key) (zpparts.Knowledge, error) {
@@ -60,7 +65,7 @@
 		},
 	}
 	d.follower = &zprelay.Follower{
-		API: d.recorder, Self: d.self, HeartbeatPrefix: zpplatform.ConfigPrefix, Daemons: d.live.list, Log: d.Log, Clock: zpclock.Now,
+		API: d.recorder, Self: d.self, HeartbeatPrefix: zpplatform.ConfigPrefix, Daemons: d.live.list, IsAnswering: d.reads.IsAnswering, Log: d.Log, Clock: zpclock.Now,
 		Call: func(ctx context.Context, address, prefix string, since int64, wait time.Duration) (zprelay.Update, error) {
 			return zppeer.Follow(ctx, d.dialer, address, prefix, since, wait)
 		},
--- a/internal/zplog/event.go
+++ b/internal/zplog/event.go
@@ -69,6 +69,8 @@
 	EvacuationChanged   = Event{308, logrus.InfoLevel, "failure domains out of service changed", "none"}
 	CatalogConfirmed    = Event{310, logrus.InfoLevel, "configuration confirmed after a pause; until then, requests with restricted regions were held or refused", "none"}
 	CatalogUnconfirmed  = Event{311, logrus.WarnLevel, "configuration cannot be confirmed after a pause", "check the store and the way to it"}
+	StoreProbed         = Event{312, logrus.WarnLevel, "the store did not answer a read; it is probed before the next one", "see docs/operators/platform_outage.md"}
+	StoreAnswers        = Event{313, logrus.InfoLevel, "the store answers this daemon again; reads go on", "none"}
 	PeerCatalogUnread   = Event{309, logrus.WarnLevel, "newer configuration of another daemon could not be read", "check the store and the other daemon if it persists"}
 	RequestFailed       = Event{400, logrus.WarnLevel, "request failed", "look up the code in docs/operators/errors.md"}
 	RequestRetried      = Event{401, logrus.InfoLevel, "request sent again to another endpoint", "none"}
@@ -112,7 +114,7 @@
 	return []Event{
 		Started, Stopping, Stopped, DrainTimedOut, Reloaded, ReloadFailed, LeaseRenewFailed, LeaseLost,
 		LeaseLapsed, MemberEnded, MemberNotWritten, PartitionTaken, PartitionLeft, DutyTaken, DutyLeft, ConfigApplied, ConfigRefused,
-		ConfigStale, ConfigFresh, WatchFailed, StoreUnavailable, StoreRecovered, EntryIgnored, EvacuationChanged, PeerCatalogUnread, CatalogConfirmed, CatalogUnconfirmed,
+		ConfigStale, ConfigFresh, WatchFailed, StoreUnavailable, StoreRecovered, EntryIgnored, EvacuationChanged, PeerCatalogUnread, CatalogConfirmed, CatalogUnconfirmed, StoreProbed, StoreAnswers,
 		RequestFailed, RequestRetried, RequestPlaced, CrashRecorded, RequestAnswered, RequestWaits, RequestSilent, RequestAbandoned, ChoiceRevoked, RequestsQuarantined, SuspicionCleared, BanNotStored,
 		EndpointSuspect, EndpointWarm, OrderGiven, EndpointChanged, EndpointGone, WeightsNamed, WeightsLoaded,
 		OrderFailed, StoreState, EndpointAvoided, EndpointLeaving, EndpointQuiet, FingerprintBanned, ClaimSettleFailed, PeerFailed, PeerLost, PeerRecovered, OwnerUnresponsive, WatcherAvoided, RelayAvoided,
--- a/internal/zprelay/follower.go
+++ b/internal/zprelay/follower.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
-	"github.com/zinniapaddle/zinniapaddle/internal/zplookup"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zpobject"
 )
@@ -20,6 +20,7 @@
 	Self            zpassign.Member
 	HeartbeatPrefix string                   // prefix whose watch serves as heartbeat of the store
 	Daemons         func() []zpassign.Member // reachable daemons, including this one
+	IsAnswering     func() bool              // whether the store answers this daemon; otherwise a watcher follows others
 	Call            func(ctx context.Context, address, prefix string, since int64, wait time.Duration) (Update, error)
 	Log             *zplog.Logger
 	Clock           func() time.Time
@@ -31,13 +32,6 @@
 }
 
 const (
-	// watchersPerDomain is the number of daemons per failure domain that watch the
-	// store. With two, the loss of one leaves another to follow.
-	watchersPerDomain = 2
-	// minFollowDomainSize is the number of daemons in a failure domain from which
-	// they follow. In a smaller domain the saved store calls do not outweigh the
-	// extra hop through another daemon.
-	minFollowDomainSize = 5
 	// maxWatchWait limits the wait of one call to a watcher, and thereby how long a
 	// frozen watcher goes undetected.
 	maxWatchWait          = time.Second
@@ -52,10 +46,14 @@
 var errRelist = zperror.New(zperror.KindUnavailable, "watch_ended",
 	"the daemon that is followed cannot go on from this revision", "list the objects anew")
 
-// List lists the objects under a prefix. It reads the store if the watcher fails or
-// returns a list older than one read before.
+// List lists the objects under a prefix. It reads the store if all watchers fail or
+// return a list older than one read before.
 func (f *Follower) List(ctx context.Context, prefix string) (zpobject.Listing, error) {
-	if address, ok := f.chooseWatcher(); ok {
+	for range watchersPerGroup + maxForeignWatchers {
+		address, ok := f.chooseWatcher()
+		if !ok {
+			break
+		}
 		a, err := f.Call(ctx, address, prefix, 0, 0)
 		if err == nil && a.Complete && f.isCurrent(prefix, a.Revision) {
 			f.recordRevision(prefix, a.Revision)
@@ -78,7 +76,11 @@
 	if prefix == f.HeartbeatPrefix {
 		maxWatchWait = maxHeartbeatWatchWait
 	}
+	isTurnedAway := !f.IsAnswering()
 	for {
+		if isTurnedAway && f.IsAnswering() && f.IsWatcher() {
+			return zpobject.Listing{}, errRelist // the others follow this daemon again
+		}
 		remaining := deadline.Sub(f.Clock())
 		address, ok := f.chooseWatcher()
 		if !ok {
@@ -105,9 +107,9 @@
 	}
 }
 
-// CanFollow reports whether enough daemons of this failure domain are known for some of
-// them to watch the store for the others.
-func (f *Follower) CanFollow() bool { return len(f.sameDomain()) >= minFollowDomainSize }
+// CanFollow reports whether enough daemons near this one are known for some of them to
+// watch the store for the others.
+func (f *Follower) CanFollow() bool { return len(groupOf(f.Self, f.Daemons())) > 0 }
 
 // IsWatcher reports whether this daemon watches the store itself.
 func (f *Follower) IsWatcher() bool {
@@ -115,34 +117,30 @@
 	return !ok
 }
 
-func (f *Follower) sameDomain() []zpassign.Member {
-	var out []zpassign.Member
-	for _, d := range f.Daemons() {
-		if d.Domain == f.Self.Domain {
-			out = append(out, d)
-		}
-	}
-	return out
-}
-
 // chooseWatcher returns the address of the daemon to follow; ok is false if this
 // daemon should watch the store itself.
 func (f *Follower) chooseWatcher() (address string, ok bool) {
-	now := f.Clock()
-	sameDomain := f.sameDomain()
-	if len(sameDomain) < minFollowDomainSize {
+	daemons := f.Daemons()
+	own := ownWatchers(f.Self, daemons)
+	isWatcher := len(own) == 0 || slices.ContainsFunc(own, f.isSelf)
+	if isWatcher && f.IsAnswering() {
 		return "", false
 	}
-	chosen := zplookup.MostCores(sameDomain, watchersPerDomain)
-	for _, d := range chosen {
-		if d.Name == f.Self.Name {
-			return "", false
-		}
+	if address, ok = f.firstUsable(own); ok {
+		return address, true
 	}
+	return f.firstUsable(foreignWatchers(f.Self, daemons))
+}
+
+func (f *Follower) isSelf(d zpassign.Member) bool { return d.Name == f.Self.Name }
+
+// firstUsable returns the address of the first other daemon that is not avoided.
+func (f *Follower) firstUsable(daemons []zpassign.Member) (address string, ok bool) {
+	now := f.Clock()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for _, d := range chosen {
-		if !now.Before(f.avoidedUntil[d.PeerAddress]) {
+	for _, d := range daemons {
+		if !f.isSelf(d) && !now.Before(f.avoidedUntil[d.PeerAddress]) {
 			return d.PeerAddress, true
 		}
 	}
--- a/internal/zprelay/follower_test.go
+++ b/internal/zprelay/follower_test.go
@@ -73,11 +73,12 @@
 	var daemons []zpassign.Member
 	var now time.Time
 	var frozen map[string]bool
+	var turnedAway bool
 
 	follower := func(self zpassign.Member) *zprelay.Follower {
 		return &zprelay.Follower{
 			API: store, Self: self, HeartbeatPrefix: prefix, Daemons: func() []zpassign.Member { return daemons },
-			Log: zplog.Discard(), Clock: func() time.Time { return now },
+			IsAnswering: func() bool { return !turnedAway }, Log: zplog.Discard(), Clock: func() time.Time { return now },
 			Call: func(ctx context.Context, address, p string, since int64, wait time.Duration) (zprelay.Update, error) {
 				if frozen[address] {
 					return zprelay.Update{}, context.DeadlineExceeded
@@ -88,7 +89,7 @@
 	}
 
 	BeforeEach(func() {
-		now, frozen = time.Unix(1000, 0), map[string]bool{}
+		now, frozen, turnedAway = time.Unix(1000, 0), map[string]bool{}, false
 		store = &fakeStore{content: listing(10, object("config/main", 10))}
 		daemons = domain(6)
 		watchers = map[string]*zprelay.CachingStore{}
@@ -130,6 +131,60 @@
 		Expect(store.calls).To(Equal(1))
 	})
 
+	Describe("in a fleet of small failure domains", func() {
+		BeforeEach(func() {
+			daemons = domain(6)
+			for i := range daemons {
+				daemons[i].Domain, daemons[i].Region = string(rune('u'+i/2)), "r"
+			}
+		})
+
+		It("has two watchers per region", func() {
+			for i, d := range daemons {
+				Expect(follower(d).IsWatcher()).To(Equal(i < 2), d.Name)
+			}
+		})
+
+		It("reads the store directly if the region is small, too", func() {
+			daemons = daemons[:4]
+			for _, d := range daemons {
+				Expect(follower(d).IsWatcher()).To(BeTrue(), d.Name)
+				Expect(follower(d).CanFollow()).To(BeFalse(), d.Name)
+			}
+		})
+	})
+
+	Describe("beside another failure domain", func() {
+		BeforeEach(func() {
+			for _, d := range domain(6) {
+				d.Name, d.PeerAddress, d.Domain = "other-"+d.Name, "other-"+d.PeerAddress, "e"
+				daemons = append(daemons, d)
+				watchers[d.PeerAddress] = watchers["a:1"]
+			}
+		})
+
+		It("follows a watcher there when both of its own fail", func() {
+			for _, d := range daemons[:2] {
+				frozen[d.PeerAddress] = true
+			}
+			_, err := follower(daemons[4]).List(context.Background(), prefix)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(store.calls).To(BeZero())
+		})
+
+		It("follows while the store turns a watcher away, and watches again afterwards", func() {
+			f := follower(daemons[0])
+			turnedAway = true
+			_, err := f.Watch(context.Background(), prefix, 10, 0)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(store.calls).To(BeZero())
+			turnedAway = false
+			_, err = f.List(context.Background(), prefix)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(store.calls).To(Equal(1))
+		})
+	})
+
 	It("avoids a watcher only briefly before it has read anything itself, as the watcher may be starting too", func() {
 		f := follower(daemons[4])
 		for _, w := range daemons[:2] {
