zinniapaddle where: explains where a request would go now, without sending it

Cause: an operator saw from logs where a request had gone, but not where one would go now and why.

Change: a daemon on the users' platform answers POST /where on its admin address. It makes the decisions of placing on the state that requests are placed by, takes nothing, and gives each candidate's cost term by term, why endpoints are excluded, and the numbers by which the request would wait or be refused. The command takes a route or host and path, a key from a file or a workspace's name, prompt parts and sizes, or the id of a request in the logs; text or JSON; a key is never printed.

--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -36,6 +36,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpshare"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpstall"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpusage"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpwhere"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
 	zpplatform "github.com/zinniapaddle/zinniapaddle/platform"
 )
@@ -151,7 +152,10 @@
 	}
 	d.ready = &http.Server{Handler: http.HandlerFunc(d.serveReadiness), ReadHeaderTimeout: defaultHeaderTimeout}
 	metrics := promhttp.HandlerFor(d.Metrics.Registry, promhttp.HandlerOpts{})
-	d.admin = &http.Server{Handler: metrics, ReadHeaderTimeout: defaultHeaderTimeout}
+	admin := http.NewServeMux()
+	admin.Handle("/", metrics)
+	admin.Handle(zpwhere.Path, &zpwhere.Handler{Where: d.gateway.Where, Catalog: d.catalog.Load, Clock: zpclock.Now})
+	d.admin = &http.Server{Handler: admin, ReadHeaderTimeout: defaultHeaderTimeout}
 }
 
 // Run serves until ctx ends, then shuts down gracefully.
--- a/internal/zpcommand/command.go
+++ b/internal/zpcommand/command.go
@@ -25,6 +25,7 @@
 		BringBack  bringBackCommand  `cmd:"" name:"bring-back" help:"Bring a failure domain or an endpoint back into service."`
 		Workspaces workspacesCommand `cmd:"" help:"List the workspaces of the manifest."`
 		Explain    explainCommand    `cmd:"" help:"Print the history of one request from the logs of daemons."`
+		Where      whereCommand      `cmd:"" help:"Explain where a request would go now, without sending it."`
 		HashKey    hashKeyCommand    `cmd:"" name:"hash-key" help:"Read an API key from standard input and print its hash for the manifest."`
 		Docs       docsCommand       `cmd:"" help:"Print a generated page of the docs."`
 		Version    versionCommand    `cmd:"" help:"Print the version."`
@@ -59,6 +60,7 @@
   zinniapaddle apply --settings daemon.yaml manifest.yaml
   zinniapaddle take-out --settings daemon.yaml --failure-domain a
   zinniapaddle status --settings daemon.yaml --output json
+  zinniapaddle where --admin http://10.1.0.5:9464 --route triage --workspace w --model m --tokens 1200 --part a1:800 --part b2:400
   zinniapaddle explain 9c41d07be2a35f68 daemon-1.log daemon-2.log`
 
 // Error implements error.
--- a/internal/zpgateway/admission.go
+++ b/internal/zpgateway/admission.go
@@ -168,17 +168,23 @@
 // refuseHopeless returns an error if a request that would have to wait cannot be served
 // before its deadline; the lock must be held.
 func (g *Gateway) refuseHopeless(e *queueEntry, now time.Time) error {
+	f := g.queue.forecast(e.Value.job)
+	wait, v := g.decideWait(e, f, now)
+	if v.Reason == zpforecast.ReasonNone && g.queue.waiters.Len() < maxQueuedRequests {
+		return nil
+	}
+	return g.refuse(e.Value.job, f, wait, v, now)
+}
+
+// decideWait decides whether a request that would have to wait can be served before its
+// deadline; the lock must be held.
+func (g *Gateway) decideWait(e *queueEntry, f *forecast, now time.Time) (zpforecast.Wait, zpforecast.Verdict) {
 	j := e.Value.job
-	f := g.queue.forecast(j)
 	wait := zpforecast.Wait{
 		Ahead: g.queue.waiters.SumAhead(e, now, sameLine(j)), Service: e.ServiceTime, Left: j.remaining(now), HasReturned: hasReturned(j),
 		FleetAhead: g.fleetAhead(j, now), Capacity: g.capacityOf(j, now),
 	}
-	v := zpforecast.Decide(wait, &f.pace, now)
-	if v.Reason == zpforecast.ReasonNone && g.queue.waiters.Len() < maxQueuedRequests {
-		return nil
-	}
-	return g.refuse(j, f, wait, v, now)
+	return wait, zpforecast.Decide(wait, &f.pace, now)
 }
 
 // refuse returns the error for a request that cannot be served in time, and logs the numbers
--- a/internal/zpplace/cold.go
+++ b/internal/zpplace/cold.go
@@ -29,20 +29,17 @@
 // records it. The limit maxPerSecond applies to all daemons together; zero means
 // no limit.
 func (g *ColdLimiter) Allow(endpoint string, maxPerSecond float64, daemons []string, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
 	if maxPerSecond <= 0 || zpmutant.Active(zpmutant.ColdLimit) {
 		return true
 	}
-	if !isSelected(g.Self, endpoint, int(maxPerSecond), daemons) {
+	if !g.mayAllow(endpoint, maxPerSecond, daemons, now) {
 		return false
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
 	if g.lastSent == nil {
 		g.lastSent = map[string]time.Time{}
 	}
-	if at, ok := g.lastSent[endpoint]; ok && now.Sub(at) < coldInterval {
-		return false
-	}
 	g.lastSent[endpoint] = now
 	for id, at := range g.lastSent {
 		if now.Sub(at) > time.Minute {
@@ -52,6 +49,19 @@
 	return true
 }
 
+// MayAllow reports whether Allow would allow a request, and records nothing.
+func (g *ColdLimiter) MayAllow(endpoint string, maxPerSecond float64, daemons []string, now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return maxPerSecond <= 0 || g.mayAllow(endpoint, maxPerSecond, daemons, now)
+}
+
+// mayAllow reports whether a limited request may be sent; g.mu must be held.
+func (g *ColdLimiter) mayAllow(endpoint string, maxPerSecond float64, daemons []string, now time.Time) bool {
+	at, ok := g.lastSent[endpoint]
+	return (!ok || now.Sub(at) >= coldInterval) && isSelected(g.Self, endpoint, int(maxPerSecond), daemons)
+}
+
 // isSelected reports whether self is among the first n daemons in rendezvous
 // order for a key.
 func isSelected(self, key string, n int, daemons []string) bool {
