--- a/internal/zpcommand/where.go
+++ b/internal/zpcommand/where.go
@@ -71,6 +71,13 @@
 	q := zpwhere.Query{
 		Route: c.Route, Host: strings.ToLower(c.Host), Path: c.Path, Workspace: c.Workspace, Timeout: c.Wait, Model: c.Model, Tokens: c.Tokens, OutputTokens: c.OutputTokens,
 	}
+	if c.KeyFile != "" {
+		key, err := readKey(c.KeyFile)
+		if err != nil {
+			return zpwhere.Query{}, err
+		}
+		q.Key = key
+	}
 	if c.Request != "" {
 		if err := c.readRequest(&q); err != nil {
 			return zpwhere.Query{}, err
@@ -87,13 +94,6 @@
 		}
 		q.Parts = append(q.Parts, zpgateway.Part{ID: id, Tokens: n})
 	}
-	if c.KeyFile != "" {
-		key, err := readKey(c.KeyFile)
-		if err != nil {
-			return zpwhere.Query{}, err
-		}
-		q.Key = key
-	}
 	return q, nil
 }
 
@@ -106,17 +106,8 @@
 			return err
 		}
 		for _, l := range zpexplain.Explain(c.Request, lines).Lines {
-			if l.Fields["request"] != c.Request {
-				continue
-			}
-			if route, ok := l.Fields["route"].(string); ok && route != "" {
-				q.Route = route
-			}
-			if workspace, ok := l.Fields["workspace"].(string); ok && workspace != "" && c.KeyFile == "" {
-				q.Workspace = workspace
-			}
-			if tokens, ok := l.Fields["prompt"].(float64); ok && q.Tokens == 0 {
-				q.Tokens = int(tokens)
+			if l.Fields["request"] == c.Request {
+				fillFrom(l.Fields, q)
 			}
 		}
 	}
@@ -126,6 +117,19 @@
 	return nil
 }
 
+// fillFrom takes what a log line tells of a request. A key goes before the workspace.
+func fillFrom(fields map[string]any, q *zpwhere.Query) {
+	if route, ok := fields["route"].(string); ok && route != "" {
+		q.Route = route
+	}
+	if workspace, ok := fields["workspace"].(string); ok && workspace != "" && q.Key == "" {
+		q.Workspace = workspace
+	}
+	if tokens, ok := fields["prompt"].(float64); ok && q.Tokens == 0 {
+		q.Tokens = int(tokens)
+	}
+}
+
 func readKey(path string) (string, error) {
 	read := func() ([]byte, error) { return os.ReadFile(path) }
 	if path == "-" {
