--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpgateway"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplookup"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmemory"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpmetric"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpnet"
@@ -69,6 +70,7 @@
 	bans     *bans
 	caches   *cacheFollowers
 	leaving  atomic.Bool
+	memory   memoryGuards
 	callers  *http.Server
 	ready    *http.Server
 	admin    *http.Server
@@ -126,7 +128,7 @@
 		Health: zpgateway.NewHealthTracker(), Cold: &zpplace.ColdLimiter{Self: s.Name}, Daemons: d.members.Names,
 		Quarantine: zpquarantine.NewTracker(crashRetention), AnnounceCrash: d.announceCrash, AnnounceHarmless: d.announceHarmless, IsRefusing: d.sender.IsRefusing, AnnounceUnreachable: d.announceUnreachable,
 		Retries: &zpretry.Budgets{Ratio: n.Bounds.RetryRatio * retryShare, Burst: retryBurst},
-		Runner:  &zpplatform.Runner{Sender: d.sender}, ResponseMemory: zpengine.NewMemory(answerBufferBytes(n.Memory)), Rates: zpplace.DefaultRates(),
+		Runner:  &zpplatform.Runner{Sender: d.sender}, ResponseMemory: zpengine.NewMemory(zpmemory.PlanFor(n.Memory).Responses), Rates: zpplace.DefaultRates(),
 		Log: log, Metrics: d.Metrics, Clock: zpclock.Now, Random: rand.Float64,
 	}
 	d.registry.OnRemoved = d.endpointGone
@@ -136,6 +138,7 @@
 	d.buildSharing()
 	d.buildRollout()
 	d.watches = newWatches(d)
+	d.memory = newMemoryGuards(n, log, d.Metrics)
 	d.Metrics.Registry.MustRegister(&stateCollector{daemon: d})
 	d.buildServers()
 	return d
@@ -146,11 +149,13 @@
 		Handler: zpnet.CancelOnClose(&zpplatform.Ingress{
 			Gateway: d.gateway, MaxBodyBytes: d.bodyLimit, BodyTimeout: d.bodyTimeout, Clock: zpclock.Now, ShuttingDown: d.leaving.Load,
 		}),
-		ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: headerBytes, ConnContext: zpnet.WithPeer,
+		ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: headerBytes, ConnContext: d.memory.callers.ConnContext, ConnState: d.memory.callers.ConnState,
+	}
+	d.ready = &http.Server{
+		Handler: http.HandlerFunc(d.serveReadiness), ReadHeaderTimeout: defaultHeaderTimeout, MaxHeaderBytes: controlHeaderBytes, ConnState: d.memory.control.ConnState,
 	}
-	d.ready = &http.Server{Handler: http.HandlerFunc(d.serveReadiness), ReadHeaderTimeout: defaultHeaderTimeout}
 	metrics := promhttp.HandlerFor(d.Metrics.Registry, promhttp.HandlerOpts{})
-	d.admin = &http.Server{Handler: metrics, ReadHeaderTimeout: defaultHeaderTimeout}
+	d.admin = &http.Server{Handler: metrics, ReadHeaderTimeout: defaultHeaderTimeout, MaxHeaderBytes: controlHeaderBytes, ConnState: d.memory.control.ConnState}
 }
 
 // Run serves until ctx ends, then shuts down gracefully.
@@ -226,7 +231,11 @@
 		if err != nil {
 			return fmt.Errorf("listen on %s: %w", address, err)
 		}
-		go d.serve(server, lis, failed)
+		guard := d.memory.control
+		if server == d.callers {
+			guard = d.memory.callers
+		}
+		go d.serve(server, guard.Listener(lis), failed)
 	}
 	return nil
 }
--- a/internal/zpapp/gateway_metrics.go
+++ b/internal/zpapp/gateway_metrics.go
@@ -4,6 +4,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpclock"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpnet"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpregistry"
 )
 
@@ -17,6 +18,8 @@
 	dutyDesc      = describe("duty_held", "1 while this daemon is the one that loads new weights into engines.")
 	peersDesc     = describe("answering_daemons", "Daemons that answered recently, including this one.")
 	waitingDesc   = describe("waiting_requests", "Requests queued for an endpoint.")
+	heldDesc      = describe("memory_held_bytes", "Bytes reserved for connections and their requests.", "port")
+	connsDesc     = describe("memory_connections", "Open connections that are charged to the memory for requests.", "port")
 	partsDesc     = describe("known_parts", "Prompt parts in the directory that maps them to engines and KV cache stores.")
 )
 
@@ -52,6 +55,11 @@
 	gauge(peersDesc, float64(len(d.live.list())))
 	gauge(waitingDesc, float64(d.gateway.QueuedRequests()))
 	gauge(partsDesc, float64(d.gateway.Parts.Len()))
+	for port, guard := range map[string]*zpnet.Guard{callerPorts: d.memory.callers, controlPorts: d.memory.control} {
+		bytes, connections := guard.Budget.Used()
+		gauge(heldDesc, float64(bytes), port)
+		gauge(connsDesc, float64(connections), port)
+	}
 }
 
 // states counts a pool's endpoints by state:
--- a/internal/zpgateway/gateway.go
+++ b/internal/zpgateway/gateway.go
@@ -155,6 +155,22 @@
 	return g.checkQuarantine(j)
 }
 
+// OwnerOf returns whose share of the memory for requests a request uses: the workspace of
+// its key, or its route if that needs none. It is empty if the request names neither.
+func (g *Gateway) OwnerOf(host, path, key string) string {
+	c := g.Catalog()
+	if c == nil {
+		return ""
+	}
+	if w, ok := c.WorkspaceOf(key); ok {
+		return w.Name
+	}
+	if r, ok := c.RouteOf(host, path); ok && !c.RequiresKey(r) {
+		return "route " + r.Name
+	}
+	return ""
+}
+
 // refuseUnknown returns the error for what the catalog does not list. It is not final while
 // a newer catalog may list it.
 func (g *Gateway) refuseUnknown(err *zperror.Error) error {
--- a/internal/zplog/event.go
+++ b/internal/zplog/event.go
@@ -102,6 +102,9 @@
 	OwnerUnresponsive   = Event{803, logrus.WarnLevel, "owner of prompt parts does not answer; local data is used", "none; check the VM if it persists"}
 	RelayAvoided        = Event{805, logrus.WarnLevel, "loads are not exchanged through a relay for a while", "none; check the VM if it persists"}
 	WatcherAvoided      = Event{804, logrus.WarnLevel, "store is not watched through another daemon for a while", "none; check the VM and its connection to the store if it persists"}
+	MemoryRefused       = Event{910, logrus.WarnLevel, "request is refused or its connection closed: the memory for requests is in use", "see docs/operators/clients_that_hold_memory.md"}
+	ConnectionRefused   = Event{911, logrus.WarnLevel, "connection is closed unread: the limit of connections is reached", "see docs/operators/clients_that_hold_memory.md"}
+	HolderEvicted       = Event{912, logrus.WarnLevel, "connection that held memory without progress is ended for others", "see docs/operators/clients_that_hold_memory.md"}
 	ServerFailed        = Event{900, logrus.ErrorLevel, "a listener failed", "check that the address is free"}
 	DaemonStalled       = Event{902, logrus.WarnLevel, "daemon was not scheduled for a while: it was paused or short of CPU time", "check the VM; callers may have closed their connections meanwhile"}
 	LinesDropped        = Event{901, logrus.WarnLevel, "log lines were dropped because the destination is slow", "lower log.level"}
@@ -116,7 +119,7 @@
 		RequestFailed, RequestRetried, RequestPlaced, CrashRecorded, RequestAnswered, RequestWaits, RequestSilent, RequestAbandoned, ChoiceRevoked, RequestsQuarantined, SuspicionCleared, BanNotStored,
 		EndpointSuspect, EndpointWarm, OrderGiven, EndpointChanged, EndpointGone, WeightsNamed, WeightsLoaded,
 		OrderFailed, StoreState, EndpointAvoided, EndpointLeaving, EndpointQuiet, FingerprintBanned, ClaimSettleFailed, PeerFailed, PeerLost, PeerRecovered, OwnerUnresponsive, WatcherAvoided, RelayAvoided,
-		ServerFailed, LinesDropped, DaemonStalled,
+		ServerFailed, LinesDropped, DaemonStalled, MemoryRefused, ConnectionRefused, HolderEvicted,
 	}
 }
 
--- a/internal/zpmetric/metric.go
+++ b/internal/zpmetric/metric.go
@@ -27,6 +27,8 @@
 		CrossRegion       prometheus.Counter     // bytes of requests and responses
 		ReusedTokens      prometheus.Counter
 		PromptTokens      prometheus.Counter
+		MemoryRefusals    *prometheus.CounterVec // by port, reason
+		MemoryEvictions   *prometheus.CounterVec // by port, phase
 	}
 )
 
@@ -49,6 +51,8 @@
 		LinkBytes:         counterVec("link_granted_bytes_total", "Bytes granted on an inter-region link.", "link"),
 		CrossRegion:       counter("cross_region_bytes_total", "Bytes of requests to and responses from endpoints in another region."),
 		ReusedTokens:      counter("reused_tokens_total", "Prompt tokens found in a cache."),
+		MemoryRefusals:    counterVec("memory_refusals_total", "Requests and connections refused for lack of memory or connections.", "port", "reason"),
+		MemoryEvictions:   counterVec("memory_evictions_total", "Connections ended because they held memory or a connection without progress that others needed.", "port", "phase"),
 		PromptTokens:      counter("prompt_tokens_total", "Prompt tokens of completed requests."),
 	}
 	m.FirstToken = prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -63,7 +67,7 @@
 	})
 	m.Registry.MustRegister(m.Requests, m.FirstToken, m.AbandonedRequests, m.StallSeconds, m.OpenRequests, m.PlatformCalls, m.PeerCalls,
 		m.Reservations, m.ConfigVersion, m.ConfigAge, m.PartitionsOwned, m.Retries, m.Quarantined, m.Crashes,
-		m.LinkBytes, m.CrossRegion, m.ReusedTokens, m.PromptTokens)
+		m.LinkBytes, m.CrossRegion, m.ReusedTokens, m.PromptTokens, m.MemoryRefusals, m.MemoryEvictions)
 	return m
 }
 
--- a/internal/zpnet/dialer.go
+++ b/internal/zpnet/dialer.go
@@ -36,9 +36,9 @@
 }
 
 // NewListenConfig returns a listener configuration whose accepted connections
-// send keep-alive probes.
+// send keep-alive probes and receive little that is not read.
 func NewListenConfig() *net.ListenConfig {
-	return &net.ListenConfig{KeepAliveConfig: keepAliveConfig()}
+	return &net.ListenConfig{KeepAliveConfig: keepAliveConfig(), Control: limitReceiveBuffer}
 }
 
 func keepAliveConfig() net.KeepAliveConfig {
