--- a/internal/zpmemory/plan.go
+++ b/internal/zpmemory/plan.go
@@ -20,6 +20,8 @@
 	responseShare = 0.1
 	controlShare  = 0.01
 
+	minControlBytes = 1 << 20
+
 	// Parts of the plan of a daemon that does not know the memory of its VM.
 	defaultRequestBytes  = 256 << 20
 	defaultResponseBytes = 64 << 20
@@ -33,5 +35,5 @@
 		return Plan{Requests: defaultRequestBytes, Responses: defaultResponseBytes, Control: defaultControlBytes}
 	}
 	share := func(x float64) int64 { return int64(float64(vm) * x) }
-	return Plan{GoLimit: share(goShare), Requests: share(requestShare), Responses: share(responseShare), Control: share(controlShare)}
+	return Plan{GoLimit: share(goShare), Requests: share(requestShare), Responses: share(responseShare), Control: max(share(controlShare), minControlBytes)}
 }
--- a/internal/zpnet/guard.go
+++ b/internal/zpnet/guard.go
@@ -185,7 +185,7 @@
 // connection is unanswered then.
 func (c *guardedConn) refuse(now time.Time) {
 	c.holder.Reset(now)
-	if err := c.SetDeadline(now.Add(refusalLinger)); err != nil {
+	if err := c.SetDeadline(time.Now().Add(refusalLinger)); err != nil {
 		return // closed
 	}
 	if _, err := c.TCPConn.Write(c.guard.Refusal); err != nil {
