--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -91,7 +91,8 @@
 	defaultBodyLimit      = 4 << 20
 	defaultHeaderTimeout  = 3 * time.Second
 	defaultIdleTimeout    = 15 * time.Second
-	headerBytes           = 16 << 10
+	defaultHeaderBytes    = 16 << 10
+	maxHeaderBytes        = 1 << 20 // beyond any max-header-bytes of a configuration
 
 	// oldWeightsShare is the share of OldWeightsGrace, the time for which requests may
 	// start on superseded weights, in which requests may still be sent to an engine
@@ -139,6 +140,7 @@
 	d.buildRollout()
 	d.watches = newWatches(d)
 	d.memory = newMemoryGuards(n, log, d.Metrics)
+	d.memory.callers.MaxHeadBytes, d.memory.callers.TooLarge = d.headerLimit, []byte(headTooLarge)
 	d.Metrics.Registry.MustRegister(&stateCollector{daemon: d})
 	d.buildServers()
 	return d
@@ -149,7 +151,7 @@
 		Handler: zpnet.CancelOnClose(&zpplatform.Ingress{
 			Gateway: d.gateway, MaxBodyBytes: d.bodyLimit, BodyTimeout: d.bodyTimeout, Clock: zpclock.Now, ShuttingDown: d.leaving.Load,
 		}),
-		ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: headerBytes, ConnContext: d.memory.callers.ConnContext, ConnState: d.memory.callers.ConnState,
+		ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: d.memory.callers.ConnContext, ConnState: d.memory.callers.ConnState,
 	}
 	d.ready = &http.Server{
 		Handler: http.HandlerFunc(d.serveReadiness), ReadHeaderTimeout: defaultHeaderTimeout, MaxHeaderBytes: controlHeaderBytes, ConnState: d.memory.control.ConnState,
@@ -267,6 +269,13 @@
 	return defaultBodyLimit
 }
 
+func (d *GatewayDaemon) headerLimit() int {
+	if c := d.catalog.Load(); c != nil && c.Limits.HeaderBytes > 0 {
+		return c.Limits.HeaderBytes
+	}
+	return defaultHeaderBytes
+}
+
 func (d *GatewayDaemon) bodyTimeout() time.Duration {
 	if c := d.catalog.Load(); c != nil && c.Limits.IdleTimeout > 0 {
 		return c.Limits.IdleTimeout
--- a/internal/zpapp/memory_guards.go
+++ b/internal/zpapp/memory_guards.go
@@ -32,6 +32,9 @@
 	controlPorts = "control"
 )
 
+// headTooLarge is the response to a head beyond the configuration's limit.
+const headTooLarge = "HTTP/1.1 431 Request Header Fields Too Large\r\nConnection: close\r\nContent-Length: 0\r\n\r\n"
+
 func newMemoryGuards(n *zpplatform.Node, log *zplog.Logger, metrics *zpmetric.Metrics) memoryGuards {
 	plan := zpmemory.PlanFor(n.Memory)
 	connections := defaultCallerConnections
--- a/internal/zpnet/guard.go
+++ b/internal/zpnet/guard.go
@@ -27,6 +27,10 @@
 		Clock  func() time.Time
 		// Refusal is the HTTP response to a head for which there is no memory.
 		Refusal []byte
+		// MaxHeadBytes returns the limit of a head, and TooLarge is the HTTP response to a
+		// head beyond it. Nil means that the server's limit alone applies.
+		MaxHeadBytes func() int
+		TooLarge     []byte
 	}
 
 	guardedListener struct {
@@ -42,6 +46,7 @@
 		// bufferedLines is the most lines that the server may have read beyond the current
 		// request. It is used by one goroutine at a time, as reads are.
 		bufferedLines int
+		headBytes     int // of the current head, and of the body in the same reads
 	}
 
 	holderKey struct{}
@@ -60,7 +65,7 @@
 	refusalLinger = 300 * time.Millisecond
 )
 
-var errHeadRefused = errors.New("there is no memory for the head of a request")
+var errHeadRefused = errors.New("the head of a request is too large, or there is no memory for it")
 
 // Listener returns a listener whose connections are charged to the budget. Those for which
 // it has no room are closed unread.
@@ -146,8 +151,8 @@
 	now := c.guard.Clock()
 	switch c.holder.Phase() {
 	case zpmemory.PhaseIdle, zpmemory.PhaseHead:
-		if c.chargeHead(p[:n], now) != nil {
-			c.refuse(now)
+		if response := c.checkHead(p[:n], now); response != nil {
+			c.refuse(response, now)
 			// The server closes a connection without a response after such an error.
 			return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: errHeadRefused}
 		}
@@ -160,15 +165,24 @@
 	return n, err
 }
 
-func (c *guardedConn) chargeHead(p []byte, now time.Time) error {
+// checkHead charges a part of a head, and returns the response to one that is refused.
+func (c *guardedConn) checkHead(p []byte, now time.Time) (response []byte) {
 	if c.holder.Phase() == zpmemory.PhaseIdle {
 		c.holder.Enter(zpmemory.PhaseHead, now)
+		c.headBytes = 0
 	}
 	c.holder.Advance(len(p), now)
 	end := headEnd(p)
+	c.headBytes += end
+	if c.guard.MaxHeadBytes != nil && c.headBytes > c.guard.MaxHeadBytes()+serverBufferBytes {
+		return c.guard.TooLarge
+	}
 	c.bufferedLines = bytes.Count(p[end:], []byte{'\n'})
 	lines := bytes.Count(p[:end], []byte{'\n'})
-	return c.holder.Reserve(int64(len(p)+lines*zpmemory.LineBytes), now)
+	if c.holder.Reserve(int64(len(p)+lines*zpmemory.LineBytes), now) != nil {
+		return c.guard.Refusal
+	}
+	return nil
 }
 
 // headEnd returns the end of the first head in p, or the length of p.
@@ -183,12 +197,12 @@
 
 // refuse answers a request whose head was not read to its end. No earlier request of the
 // connection is unanswered then.
-func (c *guardedConn) refuse(now time.Time) {
+func (c *guardedConn) refuse(response []byte, now time.Time) {
 	c.holder.Reset(now)
 	if err := c.SetDeadline(time.Now().Add(refusalLinger)); err != nil {
 		return // closed
 	}
-	if _, err := c.TCPConn.Write(c.guard.Refusal); err != nil {
+	if _, err := c.TCPConn.Write(response); err != nil {
 		return // the caller has disconnected
 	}
 	if err := c.CloseWrite(); err != nil {
