--- a/internal/zpengine/memory.go
+++ b/internal/zpengine/memory.go
@@ -1,24 +1,35 @@
 package zpengine
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"io"
+	"time"
 
 	"golang.org/x/sync/semaphore"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmemory"
 )
 
 // Memory limits the bytes of responses buffered by all requests together. It is
 // safe for concurrent use.
 type Memory struct {
+	// Relieve is called when the memory is exhausted. It may end callers that do not read
+	// their responses. It may be nil.
+	Relieve func()
+
 	limit     int64 // bytes of one response
 	available *semaphore.Weighted
 }
 
 const (
 	// uncountedBytes is the buffer size up to which a response does not count
-	// against the limit, so that a few large responses cannot block small ones.
-	uncountedBytes = 64 << 10
+	// against the limit, so that a few large responses cannot block small ones. The memory
+	// for requests includes it.
+	uncountedBytes = zpmemory.RequestBytes
+	// maxWait is how long a response waits for memory. The endpoint keeps it meanwhile.
+	maxWait = time.Second
 	// maxShareDivisor limits one response to 1/maxShareDivisor of the memory.
 	maxShareDivisor = 4
 	// maxResponseBytes limits one response regardless of the size of the memory.
@@ -49,13 +60,18 @@
 				return nil, reserved, fmt.Errorf("%w: more than %d bytes", errResponseTooLarge, m.limit)
 			}
 			if size > uncountedBytes {
-				// The old buffer stays reserved, as both exist during the copy.
-				if !m.available.TryAcquire(size) {
+				// Both buffers exist during the copy.
+				if !m.acquire(size) {
 					return nil, reserved, errBuffersExhausted
 				}
 				reserved += size
 			}
+			old := int64(cap(data))
 			data = append(make([]byte, 0, size), data...)
+			if old > uncountedBytes {
+				m.available.Release(old)
+				reserved -= old
+			}
 		}
 		n, err := body.Read(data[len(data):cap(data)])
 		data = data[:len(data)+n]
@@ -68,5 +84,17 @@
 	}
 }
 
+func (m *Memory) acquire(bytes int64) bool {
+	if m.available.TryAcquire(bytes) {
+		return true
+	}
+	if m.Relieve != nil {
+		m.Relieve()
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), maxWait)
+	defer cancel()
+	return m.available.Acquire(ctx, bytes) == nil
+}
+
 // Release returns reserved bytes.
 func (m *Memory) Release(reserved int64) { m.available.Release(reserved) }
--- a/internal/zpengine/memory_test.go
+++ b/internal/zpengine/memory_test.go
@@ -29,7 +29,7 @@
 			Expect(data).To(HaveLen(size))
 			m.Release(reserved)
 		},
-		Entry("empty", 0), Entry("small", 800), Entry("exactly the first buffer", 4<<10), Entry("largest uncounted size", 64<<10), Entry("large", 2<<20),
+		Entry("empty", 0), Entry("small", 800), Entry("exactly the first buffer", 4<<10), Entry("largest uncounted size", 16<<10), Entry("smallest counted size", 16<<10+1), Entry("medium", 64<<10), Entry("large", 2<<20),
 	)
 
 	It("rejects an endless response and stays usable", func() {
@@ -61,6 +61,27 @@
 		Expect(reserved).NotTo(BeEmpty())
 	})
 
+	// A response that had run was lost while callers that did not read held the memory.
+	It("waits for memory that others give back when asked to", func() {
+		m := zpengine.NewMemory(1 << 20)
+		var held []int64
+		for range 3 {
+			_, n, err := read(m, 200<<10)
+			Expect(err).NotTo(HaveOccurred())
+			held = append(held, n)
+		}
+		m.Relieve = func() {
+			for _, n := range held {
+				m.Release(n)
+			}
+			held = nil
+		}
+		data, n, err := read(m, 200<<10)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(data).To(HaveLen(200 << 10))
+		m.Release(n)
+	})
+
 	It("returns the read error of the body", func() {
 		_, _, err := zpengine.NewMemory(1 << 20).ReadAll(io.MultiReader(bytes.NewReader([]byte("x")), truncatedBody{}))
 		Expect(err).To(MatchError(io.ErrUnexpectedEOF))
--- a/internal/zpmemory/budget_test.go
+++ b/internal/zpmemory/budget_test.go
@@ -197,6 +197,23 @@
 		Expect(c.evicted).To(ConsistOf("first"))
 	})
 
+	It("ends callers that do not read, and no others, for the memory of responses", func() {
+		c := newCrowd()
+		for name, p := range map[string]zpmemory.Phase{"writer": zpmemory.PhaseWriting, "body": zpmemory.PhaseBody, "idle": zpmemory.PhaseIdle, "run": zpmemory.PhaseRunning} {
+			c.open(name, "a", p)
+		}
+		c.EvictWriters(c.now)
+		Expect(c.evicted).To(BeEmpty())
+		c.pass(2 * time.Second)
+		reader := c.open("reader", "a", zpmemory.PhaseWriting)
+		for range 10 {
+			c.pass(200 * time.Millisecond)
+			reader.Advance(64*kilobyte, c.now)
+		}
+		c.EvictWriters(c.now)
+		Expect(c.evicted).To(ConsistOf("writer"))
+	})
+
 	It("leaves all alone while there is room", func() {
 		c := newCrowd()
 		Expect(c.open("stopped", "a", zpmemory.PhaseBody).Reserve(megabyte, c.now)).To(Succeed())
--- a/internal/zpmemory/victim.go
+++ b/internal/zpmemory/victim.go
@@ -102,6 +102,20 @@
 	return list
 }
 
+// EvictWriters ends the holders whose callers do not read their responses.
+func (b *Budget) EvictWriters(now time.Time) {
+	b.mu.Lock()
+	var victims []victim
+	for _, v := range b.stalledHolders(now) {
+		if v.phase == PhaseWriting {
+			v.holder.evicted = true
+			victims = append(victims, v)
+		}
+	}
+	b.mu.Unlock()
+	b.evict(victims)
+}
+
 func idleRank(v victim) int {
 	if v.phase == PhaseIdle {
 		return 1
