--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpgateway"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplookup"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmemory"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpmetric"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpnet"
@@ -71,6 +72,7 @@
 	bans     *bans
 	caches   *cacheFollowers
 	leaving  atomic.Bool
+	memory   memoryGuards
 	callers  *http.Server
 	ready    *http.Server
 	admin    *http.Server
@@ -91,7 +93,8 @@
 	defaultBodyLimit      = 4 << 20
 	defaultHeaderTimeout  = 3 * time.Second
 	defaultIdleTimeout    = 15 * time.Second
-	headerBytes           = 16 << 10
+	defaultHeaderBytes    = 16 << 10
+	maxHeaderBytes        = 1 << 20 // beyond any max-header-bytes of a configuration
 
 	// oldWeightsShare is the share of OldWeightsGrace, the time for which requests may
 	// start on superseded weights, in which requests may still be sent to an engine
@@ -128,7 +131,7 @@
 		Health: zpgateway.NewHealthTracker(), Cold: &zpplace.ColdLimiter{Self: s.Name}, Daemons: d.members.Names,
 		Quarantine: zpquarantine.NewTracker(crashRetention), AnnounceCrash: d.announceCrash, AnnounceHarmless: d.announceHarmless, IsRefusing: d.sender.IsRefusing, AnnounceUnreachable: d.announceUnreachable,
 		Retries: &zpretry.Budgets{Ratio: n.Bounds.RetryRatio * retryShare, Burst: retryBurst},
-		Runner:  &zpplatform.Runner{Sender: d.sender}, ResponseMemory: zpengine.NewMemory(answerBufferBytes(n.Memory)), Rates: zpplace.DefaultRates(),
+		Runner:  &zpplatform.Runner{Sender: d.sender}, ResponseMemory: zpengine.NewMemory(zpmemory.PlanFor(n.Memory).Responses), Rates: zpplace.DefaultRates(),
 		Log: log, Metrics: d.Metrics, Clock: zpclock.Now, Random: rand.Float64,
 	}
 	d.registry.OnRemoved = d.endpointGone
@@ -138,6 +141,9 @@
 	d.buildSharing()
 	d.buildRollout()
 	d.watches = newWatches(d)
+	d.memory = newMemoryGuards(n, log, d.Metrics)
+	d.memory.callers.MaxHeadBytes, d.memory.callers.TooLarge = d.headerLimit, []byte(headTooLarge)
+	d.gateway.ResponseMemory.Relieve = func() { d.memory.callers.Budget.EvictWriters(zpclock.Now()) }
 	d.Metrics.Registry.MustRegister(&stateCollector{daemon: d})
 	d.buildServers()
 	return d
@@ -148,14 +154,16 @@
 		Handler: zpnet.CancelOnClose(&zpplatform.Ingress{
 			Gateway: d.gateway, MaxBodyBytes: d.bodyLimit, BodyTimeout: d.bodyTimeout, Clock: zpclock.Now, ShuttingDown: d.leaving.Load,
 		}),
-		ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: headerBytes, ConnContext: zpnet.WithPeer,
+		ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout, MaxHeaderBytes: maxHeaderBytes, ConnContext: d.memory.callers.ConnContext, ConnState: d.memory.callers.ConnState,
+	}
+	d.ready = &http.Server{
+		Handler: http.HandlerFunc(d.serveReadiness), ReadHeaderTimeout: defaultHeaderTimeout, MaxHeaderBytes: controlHeaderBytes, ConnState: d.memory.control.ConnState,
 	}
-	d.ready = &http.Server{Handler: http.HandlerFunc(d.serveReadiness), ReadHeaderTimeout: defaultHeaderTimeout}
 	metrics := promhttp.HandlerFor(d.Metrics.Registry, promhttp.HandlerOpts{})
 	admin := http.NewServeMux()
 	admin.Handle("/", metrics)
 	admin.Handle(zpwhere.Path, &zpwhere.Handler{Where: d.gateway.Where, Catalog: d.catalog.Load, Clock: zpclock.Now})
-	d.admin = &http.Server{Handler: admin, ReadHeaderTimeout: defaultHeaderTimeout}
+	d.admin = &http.Server{Handler: admin, ReadHeaderTimeout: defaultHeaderTimeout, MaxHeaderBytes: controlHeaderBytes, ConnState: d.memory.control.ConnState}
 }
 
 // Run serves until ctx ends, then shuts down gracefully.
@@ -231,7 +239,11 @@
 		if err != nil {
 			return fmt.Errorf("listen on %s: %w", address, err)
 		}
-		go d.serve(server, lis, failed)
+		guard := d.memory.control
+		if server == d.callers {
+			guard = d.memory.callers
+		}
+		go d.serve(server, guard.Listener(lis), failed)
 	}
 	return nil
 }
@@ -263,6 +275,13 @@
 	return defaultBodyLimit
 }
 
+func (d *GatewayDaemon) headerLimit() int {
+	if c := d.catalog.Load(); c != nil && c.Limits.HeaderBytes > 0 {
+		return c.Limits.HeaderBytes
+	}
+	return defaultHeaderBytes
+}
+
 func (d *GatewayDaemon) bodyTimeout() time.Duration {
 	if c := d.catalog.Load(); c != nil && c.Limits.IdleTimeout > 0 {
 		return c.Limits.IdleTimeout
