--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -67,6 +67,7 @@
 	live     *liveDaemons
 	catalogs *catalogs
 	bans     *bans
+	upgrades *upgrades
 	caches   *cacheFollowers
 	leaving  atomic.Bool
 	callers  *http.Server
@@ -133,6 +134,8 @@
 	d.catalogs = &catalogs{daemon: d}
 	d.catalogs.recordActive(zpclock.Now())
 	d.bans = newBans(d)
+	d.upgrades = newUpgrades(d)
+	d.gateway.Upgrades = d.upgrades.tracker
 	d.buildSharing()
 	d.buildRollout()
 	d.watches = newWatches(d)
@@ -170,6 +173,7 @@
 	workers.Go(func() { d.servePeers(work, failed) })
 	workers.Go(func() { d.caches.run(work) })
 	workers.Go(func() { d.bans.run(work) })
+	workers.Go(func() { d.upgrades.run(work) })
 	stalls := &zpstall.Detector{Log: d.Log, Clock: zpclock.Now, Observe: func(late time.Duration) {
 		d.Metrics.StallSeconds.Observe(late.Seconds())
 		d.catalogs.recordActive(zpclock.Now())
@@ -248,7 +252,7 @@
 // hasSynced reports whether everything that decides where a request may be sent was
 // read from the store at least once, except the catalog.
 func (d *GatewayDaemon) hasSynced() bool {
-	return d.registry.HasSynced() && d.weights.HasSynced() && d.members.HasSynced() && d.bans.HasSynced()
+	return d.registry.HasSynced() && d.weights.HasSynced() && d.members.HasSynced() && d.bans.HasSynced() && d.upgrades.tracker.HasSynced()
 }
 
 func (d *GatewayDaemon) bodyLimit() int64 {
--- a/internal/zpapp/gateway_metrics.go
+++ b/internal/zpapp/gateway_metrics.go
@@ -12,12 +12,14 @@
 type stateCollector struct{ daemon *GatewayDaemon }
 
 var (
-	endpointsDesc = describe("endpoints", "Endpoints by pool and state as this daemon sees them; one may have several states.", "pool", "state")
-	storeAgeDesc  = describe("store_age_seconds", "Age of the configuration: time since it was last read or confirmed, by the store or a watcher.")
-	dutyDesc      = describe("duty_held", "1 while this daemon is the one that loads new weights into engines.")
-	peersDesc     = describe("answering_daemons", "Daemons that answered recently, including this one.")
-	waitingDesc   = describe("waiting_requests", "Requests queued for an endpoint.")
-	partsDesc     = describe("known_parts", "Prompt parts in the directory that maps them to engines and KV cache stores.")
+	endpointsDesc    = describe("endpoints", "Endpoints by pool and state as this daemon sees them; one may have several states.", "pool", "state")
+	storeAgeDesc     = describe("store_age_seconds", "Age of the configuration: time since it was last read or confirmed, by the store or a watcher.")
+	dutyDesc         = describe("duty_held", "1 while this daemon is the one that loads new weights into engines.")
+	peersDesc        = describe("answering_daemons", "Daemons that answered recently, including this one.")
+	waitingDesc      = describe("waiting_requests", "Requests queued for an endpoint.")
+	upgradeSentDesc  = describe("upgrade_requests", "Requests that this daemon has sent to a pool since the order of its running roll-out, by side: all, new.", "pool", "side")
+	upgradeStateDesc = describe("upgrade_state", "1 for the state of each pool's latest roll-out as this daemon knows it.", "pool", "version", "state")
+	partsDesc        = describe("known_parts", "Prompt parts in the directory that maps them to engines and KV cache stores.")
 )
 
 func describe(name, help string, labels ...string) *prometheus.Desc {
@@ -51,6 +53,13 @@
 	gauge(dutyDesc, held)
 	gauge(peersDesc, float64(len(d.live.list())))
 	gauge(waitingDesc, float64(d.gateway.QueuedRequests()))
+	for _, r := range d.upgrades.tracker.Reports(now) {
+		gauge(upgradeSentDesc, float64(r.Sent), r.Pool, "all")
+		gauge(upgradeSentDesc, float64(r.SentNew), r.Pool, "new")
+	}
+	for _, c := range d.upgrades.tracker.States() {
+		gauge(upgradeStateDesc, 1, c.Pool, c.To, c.State.String())
+	}
 	gauge(partsDesc, float64(d.gateway.Parts.Len()))
 }
 
--- a/internal/zpapp/gateway_sharing.go
+++ b/internal/zpapp/gateway_sharing.go
@@ -70,11 +70,17 @@
 
 // share sends a message to another daemon, learns from its reply, and returns its instance.
 func (d *GatewayDaemon) share(ctx context.Context, address string, m zpshare.Message) (instance string, err error) {
+	reply, err := d.shareWith(ctx, address, m)
+	return reply.Instance, err
+}
+
+// shareWith is share with the whole reply.
+func (d *GatewayDaemon) shareWith(ctx context.Context, address string, m zpshare.Message) (zpshare.Reply, error) {
 	startedAt := zpclock.Now()
 	reply, err := zppeer.Share(ctx, d.dialer, address, m)
 	d.mergeTargets(address, reply.Targets)
 	d.catalogs.learn(address, reply, startedAt)
-	return reply.Instance, err
+	return reply, err
 }
 
 // query asks the daemons that own prompt parts which holders have them.
@@ -94,7 +100,7 @@
 		err = zppeer.ServeSharing(ctx, lis, &zppeer.SharingHandler{
 			Instance: d.self.Instance, Apply: d.applyMessage, CatalogVersion: d.catalogVersion, CatalogConfirmed: d.catalogs.isRecent, Catalog: d.catalogs.current, LookUpParts: d.lookUpParts, WatchObjects: d.recorder.Follow,
 			Targets: func() []zprollout.Target { return d.weights.Recent(zpclock.Now()) },
-			Digest:  d.answerReport, MergeSum: d.mergeSum,
+			Digest:  d.answerReport, Upgrades: d.upgrades.answer, MergeSum: d.mergeSum,
 		})
 	}
 	if err != nil && ctx.Err() == nil {
--- a/internal/zpapp/gateway_watches.go
+++ b/internal/zpapp/gateway_watches.go
@@ -69,6 +69,9 @@
 		{API: d.follower, Prefix: banPrefix, WatchWait: longWatchWait, OnList: d.bans.replaceAll, OnChange: d.bans.change},
 		w.members,
 	}
+	if u := d.upgrades; u.tracker != nil {
+		w.others = append(w.others, &zpmirror.Mirror{API: d.follower, Prefix: zpplatform.RolloutPrefix, WatchWait: shortWatchWait, OnList: u.listed, OnChange: u.apply})
+	}
 	for _, m := range append([]*zpmirror.Mirror{w.config}, w.others...) {
 		m.OnWatchFailed = w.watchFailed
 	}
--- a/internal/zpgateway/choice.go
+++ b/internal/zpgateway/choice.go
@@ -8,6 +8,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpplace"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpregistry"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpupgrade"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpusage"
 )
 
@@ -26,6 +27,7 @@
 	save           []Transfer
 	candidateCount int
 	use            *zpusage.RunningRequest
+	upgrade        *zpupgrade.Use
 }
 
 const (
@@ -56,7 +58,7 @@
 	// frequent.
 	choices, candidates := g.queue.choices[:0], g.queue.candidates[:0]
 	states := partStates{}
-	t := &terms{demand: demand, regions: regions}
+	t := &terms{demand: demand, regions: regions, versions: g.versionsOf(j, now)}
 	for _, e := range g.Registry.Serving(j.pool.Name, now) {
 		c, ok := g.evaluate(j, e, t, now)
 		if !ok {
@@ -70,6 +72,18 @@
 		}
 	}
 	g.queue.choices, g.queue.candidates = choices, candidates
+	choices, candidates, others := g.selectVersion(t.versions, choices, candidates)
+	if c, ok := g.pick(j, demand, choices, candidates, states, now); ok {
+		return c, choiceMade
+	}
+	if c, ok := g.pick(j, demand, others.choices, others.candidates, states, now); ok {
+		return c, choiceMade
+	}
+	return choice{}, v
+}
+
+// pick selects the cheapest of the choices.
+func (g *Gateway) pick(j *job, demand zpplace.Request, choices []choice, candidates []zpplace.Candidate, states partStates, now time.Time) (choice, bool) {
 	g.markPreferred(j, choices, candidates, states, now)
 	for len(choices) > 0 {
 		i, cost := zpplace.Best(demand, candidates, g.Rates)
@@ -81,16 +95,17 @@
 		}
 		c.cost, c.candidateCount = cost, len(candidates)
 		c.use = g.Usage.Begin(c.endpoint.ID, c.prefillTokens(), zpplace.KVTokens(demand))
+		c.upgrade = g.Upgrades.Begin(j.pool.Name, c.endpoint.SoftwareVersion, j.route.Name)
 		g.prepareParts(j, &c, now)
-		return c, choiceMade
+		return c, true
 	}
-	return choice{}, v
+	return choice{}, false
 }
 
 // evaluate returns an endpoint as a candidate, or false if the endpoint must not
 // be used. It does not look up which parts of the prompt the endpoint holds.
 func (g *Gateway) evaluate(j *job, e zpregistry.Endpoint, t *terms, now time.Time) (choice, bool) {
-	if j.tried[e.ID] || !t.regions.Allows(e.Region) || g.Weights.Changing(e.ID, now) {
+	if j.tried[e.ID] || !t.versions.Allows(e.SoftwareVersion) || !t.regions.Allows(e.Region) || g.Weights.Changing(e.ID, now) {
 		return choice{}, false
 	}
 	c := choice{endpoint: e, demand: t.demand, regions: t.regions}
@@ -117,6 +132,8 @@
 type terms struct {
 	demand  zpplace.Request
 	regions zpcatalog.RegionFilter
+	// versions are the software versions that the request may use.
+	versions zpupgrade.View
 	// salt is the latest that was formatted, for engines with these weights. Most engines
 	// have the same.
 	salt    string
--- a/internal/zpgateway/first_byte.go
+++ b/internal/zpgateway/first_byte.go
@@ -67,7 +67,8 @@
 
 // hasAlternative reports whether another endpoint could serve a retry.
 func (g *Gateway) hasAlternative(j *job, c choice) bool {
-	now, t := g.Clock(), &terms{demand: c.demand, regions: g.regionsOf(j)}
+	now := g.Clock()
+	t := &terms{demand: c.demand, regions: g.regionsOf(j), versions: g.versionsOf(j, now)}
 	for _, e := range g.Registry.Serving(j.pool.Name, now) {
 		if e.ID == c.endpoint.ID || g.Health.IsBackingOff(e.ID, now) {
 			continue
--- a/internal/zpgateway/gateway.go
+++ b/internal/zpgateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpregistry"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpretry"
 	"github.com/zinniapaddle/zinniapaddle/internal/zprollout"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpupgrade"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpusage"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
 )
@@ -53,6 +54,7 @@
 	// An accepted connection is watched for a while, as the process may be about to end.
 	IsRefusing          func(ctx context.Context, address string, watch time.Duration) bool
 	AnnounceUnreachable func(endpoint string) // reports an unreachable endpoint to other daemons
+	Upgrades            *zpupgrade.Tracker    // of pools to new versions; nil allows all versions
 	Retries             *zpretry.Budgets
 	Runner              Runner
 	ResponseMemory      *zpengine.Memory // bounds the memory of buffered responses
--- a/internal/zpgateway/job.go
+++ b/internal/zpgateway/job.go
@@ -24,6 +24,7 @@
 	events           int       // complete events received since the last send
 	possibleRuns     int       // number of sends that may have run
 	tried            map[string]bool
+	triedNewVersion  bool // it was sent to the version that its pool moves to
 	runState         zperror.RunState
 	failure          *bufferedResponse // last 5xx response of an endpoint
 	bufferedBytes    int64             // memory of buffered responses, released at the end
--- a/internal/zpgateway/queue.go
+++ b/internal/zpgateway/queue.go
@@ -8,6 +8,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpline"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpplace"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpupgrade"
 )
 
 type (
@@ -110,6 +111,7 @@
 		// The dispatcher chose an endpoint just before the caller disconnected.
 		if p := <-w.result; p.err == nil {
 			p.choice.use.End()
+			p.choice.upgrade.End(zpupgrade.OutcomeIgnored)
 		}
 	}
 	return choice{}, errCallerGone.WithState(w.job.runState)
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -54,6 +54,7 @@
 			return g.giveUp(j, reply, sendResult{err: g.withRunState(j, err)})
 		}
 		s := g.send(ctx, j, c, budget, reply)
+		g.recordVersion(j, c, s)
 		switch s.outcome {
 		case outcomeDone:
 			return nil
@@ -165,6 +166,7 @@
 		timer.stop()
 		firstByteTime = g.Clock().Sub(now)
 		c.use.PrefillDone()
+		c.upgrade.SetFirstByte(firstByteTime, g.expectedFirstByte(j, c))
 		g.recordPromptRead(j, c)
 	})
 	switch s.outcome {
@@ -298,7 +300,13 @@
 	if now := g.Clock(); !g.Registry.IsServing(c.endpoint.ID, now) || !g.Health.QuietUntil(c.endpoint.ID, now).IsZero() {
 		return errChoiceRevoked
 	}
-	return g.checkChoice(j, c)
+	if err := g.checkChoice(j, c); err != nil {
+		return err
+	}
+	if !c.upgrade.MaySend(g.Clock()) {
+		return errChoiceRevoked
+	}
+	return nil
 }
 
 func (o outcome) String() string {
--- a/internal/zplog/event.go
+++ b/internal/zplog/event.go
@@ -94,6 +94,13 @@
 	EndpointAvoided     = Event{509, logrus.WarnLevel, "endpoint is avoided: connections to it from several failure domains timed out", "check the endpoint if it persists"}
 	EndpointLeaving     = Event{510, logrus.InfoLevel, "endpoint says in a response that it leaves; it gets no requests until it starts again", "none"}
 	EndpointQuiet       = Event{511, logrus.InfoLevel, "endpoint says in a response that it wants no requests from this daemon for a while", "check the load of the endpoint if it repeats"}
+	UpgradeOrdered      = Event{520, logrus.InfoLevel, "a pool is to move to endpoints of another software version", "none"}
+	UpgradeStopped      = Event{521, logrus.WarnLevel, "this daemon sends nothing more to a new version, by its own evidence", "see docs/operators/roll_outs.md"}
+	UpgradeCompleted    = Event{522, logrus.InfoLevel, "a pool has moved to a new version", "none"}
+	UpgradeRolledBack   = Event{523, logrus.WarnLevel, "a new version gets nothing more", "see docs/operators/roll_outs.md; the reason names route and figures"}
+	UpgradeNotWritten   = Event{524, logrus.WarnLevel, "status of a roll-out could not be written yet", "check the store if it persists"}
+	UpgradeRemoved      = Event{525, logrus.InfoLevel, "order of a roll-out was removed", "none"}
+	UpgradeStatus       = Event{526, logrus.InfoLevel, "status of a roll-out was written", "none"}
 	FingerprintBanned   = Event{600, logrus.ErrorLevel, "request is quarantined after crashes of two endpoints", "see docs/operators/crashing_request.md"}
 	ClaimSettleFailed   = Event{700, logrus.WarnLevel, "outcome of a claim could not be recorded yet", "check the platform if it persists"}
 	PeerFailed          = Event{800, logrus.DebugLevel, "call to another daemon failed", "none"}
@@ -115,7 +122,8 @@
 		ConfigStale, ConfigFresh, WatchFailed, StoreUnavailable, StoreRecovered, EntryIgnored, EvacuationChanged, PeerCatalogUnread, CatalogConfirmed, CatalogUnconfirmed,
 		RequestFailed, RequestRetried, RequestPlaced, CrashRecorded, RequestAnswered, RequestWaits, RequestSilent, RequestAbandoned, ChoiceRevoked, RequestsQuarantined, SuspicionCleared, BanNotStored,
 		EndpointSuspect, EndpointWarm, OrderGiven, EndpointChanged, EndpointGone, WeightsNamed, WeightsLoaded,
-		OrderFailed, StoreState, EndpointAvoided, EndpointLeaving, EndpointQuiet, FingerprintBanned, ClaimSettleFailed, PeerFailed, PeerLost, PeerRecovered, OwnerUnresponsive, WatcherAvoided, RelayAvoided,
+		OrderFailed, StoreState, EndpointAvoided, EndpointLeaving, EndpointQuiet,
+		UpgradeOrdered, UpgradeStopped, UpgradeCompleted, UpgradeRolledBack, UpgradeNotWritten, UpgradeRemoved, UpgradeStatus, FingerprintBanned, ClaimSettleFailed, PeerFailed, PeerLost, PeerRecovered, OwnerUnresponsive, WatcherAvoided, RelayAvoided,
 		ServerFailed, LinesDropped, DaemonStalled,
 	}
 }
--- a/internal/zppeer/sharing.go
+++ b/internal/zppeer/sharing.go
@@ -17,6 +17,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zprelay"
 	"github.com/zinniapaddle/zinniapaddle/internal/zprollout"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpshare"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpupgrade"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zpobject"
 )
 
@@ -25,13 +26,14 @@
 type SharingHandler struct {
 	Instance         string
 	Apply            func(m zpshare.Message)
-	Targets          func() []zprollout.Target                  // recent target weight versions
-	CatalogVersion   func() int64                               // in use; zero: none yet
-	CatalogConfirmed func() bool                                // the store has confirmed the configuration recently
-	Catalog          func() zpobject.Object                     // the configuration in use
-	LookUpParts      func(keys []zpparts.Key) zpparts.Knowledge // returns what is known of the requested parts
-	Digest           func(r zpdigest.Report) zpdigest.Digest    // records a load and returns that of the others
-	MergeSum         func(s zpdigest.Sum) zpdigest.Sum          // records the sum of another relay and returns the own one
+	Targets          func() []zprollout.Target                             // recent target weight versions
+	CatalogVersion   func() int64                                          // in use; zero: none yet
+	CatalogConfirmed func() bool                                           // the store has confirmed the configuration recently
+	Catalog          func() zpobject.Object                                // the configuration in use
+	LookUpParts      func(keys []zpparts.Key) zpparts.Knowledge            // returns what is known of the requested parts
+	Digest           func(r zpdigest.Report) zpdigest.Digest               // records a load and returns that of the others
+	MergeSum         func(s zpdigest.Sum) zpdigest.Sum                     // records the sum of another relay and returns the own one
+	Upgrades         func(reports []zpupgrade.Report) []zpupgrade.Decision // records reports and answers them; may be nil
 	WatchObjects     func(ctx context.Context, prefix string, since int64, wait time.Duration) (zprelay.Update, error)
 }
 
@@ -39,7 +41,11 @@
 func (h *SharingHandler) Share(_ context.Context, in *zppeerpb.ShareRequest) (*zppeerpb.ShareReply, error) {
 	h.Apply(decodeMessage(in, zpclock.Now()))
 	version, confirmed := h.catalogState()
-	return &zppeerpb.ShareReply{Instance: h.Instance, Targets: encodeTargets(h.Targets()), CatalogVersion: version, CatalogConfirmed: confirmed}, nil
+	reply := &zppeerpb.ShareReply{Instance: h.Instance, Targets: encodeTargets(h.Targets()), CatalogVersion: version, CatalogConfirmed: confirmed}
+	if len(in.Upgrades) > 0 && h.Upgrades != nil {
+		reply.Upgrades = encodeDecisions(h.Upgrades(decodeReports(in.Instance, in.Upgrades)))
+	}
+	return reply, nil
 }
 
 // catalogState reads the confirmation first: read after the version, it could be that of a
@@ -91,7 +97,7 @@
 	if err != nil {
 		return zpshare.Reply{}, err
 	}
-	return zpshare.Reply{Instance: out.Instance, Targets: decodeTargets(out.Targets), CatalogVersion: out.CatalogVersion, CatalogConfirmed: out.CatalogConfirmed}, nil
+	return zpshare.Reply{Instance: out.Instance, Targets: decodeTargets(out.Targets), CatalogVersion: out.CatalogVersion, CatalogConfirmed: out.CatalogConfirmed, Upgrades: decodeDecisions(out.Upgrades)}, nil
 }
 
 // ReadCatalog returns the configuration that the daemon at address uses.
@@ -158,7 +164,7 @@
 // encodeMessage encodes times as their ages at now.
 func encodeMessage(m zpshare.Message, now time.Time) *zppeerpb.ShareRequest {
 	out := &zppeerpb.ShareRequest{Instance: m.Instance, ResetHolders: m.ResetHolders, WithoutUses: m.Uses == nil, FailureDomain: m.Domain, Dark: m.Unreachable, Harmless: m.Harmless}
-	out.Uses = encodeUses(m.Uses)
+	out.Uses, out.Upgrades = encodeUses(m.Uses), encodeReports(m.Upgrades)
 	out.Parts, out.Expected, out.Saving = encodeParts(m.Parts), encodeParts(m.Expected), encodeParts(m.Saving)
 	for _, c := range m.Changing {
 		out.Changing = append(out.Changing, &zppeerpb.SharedChange{Endpoint: c.Endpoint, LeftMs: c.Left.Milliseconds()})
--- a/internal/zpshare/message.go
+++ b/internal/zpshare/message.go
@@ -10,6 +10,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpparts"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpquarantine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zprollout"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpupgrade"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpusage"
 )
 
@@ -25,9 +26,10 @@
 		Crashes      []zpquarantine.Report
 		Harmless     []string // fingerprints of requests that run without a crash
 		Stores       []zpparts.Store
-		Domain       string   // failure domain of the sender
-		Unreachable  []string // endpoints to which the sender's connections timed out
-		ResetHolders []string // holders whose earlier entries are replaced by Parts
+		Domain       string             // failure domain of the sender
+		Unreachable  []string           // endpoints to which the sender's connections timed out
+		Upgrades     []zpupgrade.Report // to a judge; the handler answers them, so they are not in received messages
+		ResetHolders []string           // holders whose earlier entries are replaced by Parts
 	}
 
 	// Reply is the answer of a daemon to a message.
@@ -36,6 +38,7 @@
 		Targets          []zprollout.Target // target weight versions that became so recently
 		CatalogVersion   int64              // of the configuration in use; zero: none yet
 		CatalogConfirmed bool               // the store has confirmed it to the daemon recently
+		Upgrades         []zpupgrade.Decision
 	}
 
 	// Changing announces that an engine receives no requests for some time.
--- /dev/null
+++ b/internal/zpupgrade/evidence.go
@@ -0,0 +1,157 @@
+package zpupgrade
+
+import (
+	"math"
+	"slices"
+	"time"
+)
+
+type (
+	// Tally counts the answers of one side, old or new, on one route.
+	Tally struct {
+		Answers int64
+		Bad     int64
+		Speeds  [SpeedClasses]int64 // by time to the first byte, relative to the expected time
+	}
+
+	// RouteTally counts the answers on one route.
+	RouteTally struct {
+		Route    string
+		Old, New Tally
+	}
+
+	// evidence collects the reports of daemons. Reports are cumulative: a later one of the
+	// same daemon instance replaces the earlier one, and only the difference is added.
+	evidence struct {
+		reports    map[string]Report // by instance
+		reportedAt map[string]time.Time
+		routes     map[string]*series
+		judged     *Verdict // of all answers so far; nil: not computed
+	}
+
+	// series are the answers on one route by the time at which they became known.
+	series struct {
+		total RouteTally
+		spans []span
+	}
+
+	span struct {
+		startsAt time.Time
+		old, new Tally
+	}
+)
+
+const (
+	// SpeedClasses is the number of speed classes; each is half an octave wide.
+	SpeedClasses = 26
+	// middleSpeed is the class of answers that took as long as expected.
+	middleSpeed      = 15
+	speedsPerOctave  = 2
+	spanLength       = 500 * time.Millisecond
+	maxSpans         = 240
+	maxRoutesCounted = 64
+)
+
+// speedClass returns the class of an answer that took ratio times the expected time.
+func speedClass(ratio float64) int {
+	if ratio <= 0 {
+		return 0
+	}
+	return min(max(int(math.Round(speedsPerOctave*math.Log2(ratio)))+middleSpeed, 0), SpeedClasses-1)
+}
+
+func newEvidence() *evidence {
+	return &evidence{reports: map[string]Report{}, reportedAt: map[string]time.Time{}, routes: map[string]*series{}}
+}
+
+// merge replaces the report of a daemon. One that arrives late, after a newer one, is ignored.
+func (e *evidence) merge(r Report, now time.Time) {
+	last := e.reports[r.Instance]
+	if r.Age < last.Age {
+		return
+	}
+	e.reports[r.Instance], e.reportedAt[r.Instance] = r, now
+	for _, x := range r.Routes {
+		s, ok := e.routes[x.Route]
+		if !ok {
+			if len(e.routes) >= maxRoutesCounted {
+				continue
+			}
+			s = &series{total: RouteTally{Route: x.Route}}
+			e.routes[x.Route] = s
+		}
+		before := RouteTally{}
+		if i := slices.IndexFunc(last.Routes, func(y RouteTally) bool { return y.Route == x.Route }); i >= 0 {
+			before = last.Routes[i]
+		}
+		if s.add(x.Old.minus(before.Old), x.New.minus(before.New), now) {
+			e.judged = nil
+		}
+	}
+}
+
+// sums returns the requests sent to the pool and to its new version.
+func (e *evidence) sums() (sent, sentNew int64) {
+	for _, r := range e.reports {
+		sent, sentNew = sent+r.Sent, sentNew+r.SentNew
+	}
+	return sent, sentNew
+}
+
+// add adds answers and reports whether there were any.
+func (s *series) add(before, after Tally, now time.Time) bool {
+	if before.Answers == 0 && after.Answers == 0 {
+		return false
+	}
+	if n := len(s.spans); n == 0 || now.Sub(s.spans[n-1].startsAt) >= spanLength {
+		s.spans = append(s.spans, span{startsAt: now})
+		s.spans = s.spans[max(len(s.spans)-maxSpans, 0):]
+	}
+	last := &s.spans[len(s.spans)-1]
+	last.old.add(before)
+	last.new.add(after)
+	s.total.Old.add(before)
+	s.total.New.add(after)
+	return true
+}
+
+func (t *Tally) add(x Tally) {
+	t.Answers += x.Answers
+	t.Bad += x.Bad
+	for i := range t.Speeds {
+		t.Speeds[i] += x.Speeds[i]
+	}
+}
+
+// minus returns the answers that are in t but not in x. Counts never decrease, so a
+// negative difference comes from a damaged report and counts as none.
+func (t Tally) minus(x Tally) Tally {
+	out := Tally{Answers: max(t.Answers-x.Answers, 0), Bad: max(t.Bad-x.Bad, 0)}
+	for i := range t.Speeds {
+		out.Speeds[i] = max(t.Speeds[i]-x.Speeds[i], 0)
+	}
+	return out
+}
+
+// timed returns the number of answers whose speed is known.
+func (t Tally) timed() int64 { return t.slowerThan(-1) }
+
+// slowerThan returns the number of answers in classes above one.
+func (t Tally) slowerThan(class int) int64 {
+	sum := int64(0)
+	for i := max(class+1, 0); i < SpeedClasses; i++ {
+		sum += t.Speeds[i]
+	}
+	return sum
+}
+
+// medianSpeed returns the class of the median answer.
+func (t Tally) medianSpeed() int {
+	half, sum := t.timed()/2, int64(0)
+	for i, n := range t.Speeds {
+		if sum += n; sum > half {
+			return i
+		}
+	}
+	return middleSpeed
+}
--- /dev/null
+++ b/internal/zpupgrade/upgrade.go
@@ -0,0 +1,262 @@
+package zpupgrade
+
+import (
+	"math"
+	"time"
+)
+
+// upgrade is what a daemon knows of one order.
+type upgrade struct {
+	order     Order
+	orderedAt time.Time // as far as this daemon knows; other daemons may know better
+	// isInherited means that the order is older than this daemon. What earlier instances
+	// have sent is unknown and counts as if they had used their part of the slack.
+	isInherited bool
+	state       State // also before the store knows it; a final one does not change
+	reason      string
+	own         Report
+	ownEvidence *evidence
+	fleet       *evidence // what judges are told
+	contactAt   time.Time // when a judge last answered, or this daemon was one
+	share       float64
+	switchAt    time.Time // zero: not planned
+	verdict     Verdict
+	sampled     int64 // requests sent at sampledAt, by all daemons
+	sampledAt   time.Time
+	latestRate  float64 // requests per second before sampledAt
+	focus       string  // route that the verdict waits for; empty: none
+	isStopped   bool    // by this daemon's own evidence
+	routes      map[string]*routeSends
+}
+
+// routeSends counts the requests that this daemon has sent on one route.
+type routeSends struct{ sent, sentNew int64 }
+
+const (
+	// firstShare, lowShare and fullShare are the steps of the share of requests that the new
+	// version gets, as shares of Limits.Share. What fullShare leaves is for the switch.
+	firstShare = 0.1
+	lowShare   = 0.3
+	fullShare  = 0.6
+	// lowShareAnswers and fullShareAnswers are how many answers of the new version must be
+	// known, without signs of a fault, before each step.
+	lowShareAnswers  = 5
+	fullShareAnswers = 15
+	// observedSlack is the share of Limits.Slack that is used before the switch.
+	observedSlack = 0.6
+
+	// contactTimeout is the time after the last answer of a judge for which the new version
+	// gets requests.
+	contactTimeout = 2 * time.Second
+
+	// switchMargin is the share of the fleet's remaining requests that the switch is planned
+	// with. It leaves room for traffic that rises.
+	switchMargin = 0.75
+	// reservedSwitch is the length of the switch for which requests are kept.
+	reservedSwitch = 500 * time.Millisecond
+	// rateInterval is the time over which the latest rate of requests is measured.
+	rateInterval = time.Second
+	// maxSwitch and maxSwitchShare bound the time between the switch and the deadline.
+	maxSwitch      = 5 * time.Second
+	maxSwitchShare = 0.25
+	// minSwitch is the shortest time in which the old versions' requests usually end and the
+	// daemons tell the judges so.
+	minSwitch = 250 * time.Millisecond
+	// completionMargin is the time that is left before the deadline to write the status.
+	completionMargin = 200 * time.Millisecond
+	// reportTimeout is the age of its last report from which a daemon counts as cut off.
+	reportTimeout = 1500 * time.Millisecond
+	// maxDoubt is how long after the deadline a verdict that was good before the switch may
+	// be open.
+	maxDoubt = time.Second
+	// maxOverrun is how long after the deadline requests on old versions may still end.
+	maxOverrun = 30 * time.Second
+)
+
+func newUpgrade(o Order, isInherited bool, now time.Time) *upgrade {
+	return &upgrade{
+		order: o, orderedAt: now, isInherited: isInherited, state: StateRunning, ownEvidence: newEvidence(), fleet: newEvidence(),
+		contactAt: now, share: firstShare, routes: map[string]*routeSends{},
+	}
+}
+
+func (u *upgrade) deadline() time.Time { return u.orderedAt.Add(u.order.Within) }
+
+func (u *upgrade) isRunning() bool { return u.state == StateRunning }
+
+// isSwitched reports whether all requests go to the new version.
+func (u *upgrade) isSwitched(now time.Time) bool {
+	return u.state == StateCompleted || u.isRunning() && !u.isStopped && !u.switchAt.IsZero() && !now.Before(u.switchAt) && u.hasContact(now)
+}
+
+func (u *upgrade) hasContact(now time.Time) bool { return now.Sub(u.contactAt) < contactTimeout }
+
+// mayUseNew reports whether this daemon may send one more request, on a route, to the new
+// version. slack is its part of the fleet's.
+func (u *upgrade) mayUseNew(l Limits, slack float64, route string, now time.Time) bool {
+	switch {
+	case u.state == StateCompleted || u.isSwitched(now):
+		return true
+	case !u.isRunning() || u.isStopped || !u.hasContact(now) || !now.Before(u.deadline()):
+		return false
+	}
+	if u.isInherited {
+		slack = 0
+	}
+	left := int64(math.Floor(u.share*l.Share*float64(u.own.Sent)+slack)) - u.own.SentNew
+	return left > 1 || left == 1 && u.isBehind(route)
+}
+
+// isBehind reports whether the verdict waits for a route or, if it waits for none, whether
+// the route has had no more than its part of the requests to the new version, if each common
+// route has the same. Otherwise the rarer ones would get too few for a verdict.
+func (u *upgrade) isBehind(route string) bool {
+	if u.focus != "" {
+		return route == u.focus
+	}
+	common := int64(0)
+	for _, r := range u.routes {
+		if float64(r.sent) >= commonRouteShare*float64(u.own.Sent) {
+			common++
+		}
+	}
+	r, ok := u.routes[route]
+	return !ok || r.sentNew*common <= u.own.SentNew
+}
+
+func (u *upgrade) countSend(route string, isNew bool, n int64) {
+	r, ok := u.routes[route]
+	if !ok {
+		if len(u.routes) >= maxRoutesCounted {
+			route = ""
+		}
+		r = &routeSends{}
+		u.routes[route] = r
+	}
+	u.own.Sent, r.sent = u.own.Sent+n, r.sent+n
+	if isNew {
+		u.own.SentNew, r.sentNew = u.own.SentNew+n, r.sentNew+n
+	}
+}
+
+// end gives the order a final state, unless it has one.
+func (u *upgrade) end(s State, reason string) bool {
+	if u.state.IsFinal() {
+		return false
+	}
+	u.state, u.reason = s, reason
+	return true
+}
+
+// learnAge takes over an age that another daemon knows; the oldest counts.
+func (u *upgrade) learnAge(age time.Duration, now time.Time) {
+	if at := now.Add(-age); at.Before(u.orderedAt) {
+		u.orderedAt = at
+	}
+}
+
+// judge updates the verdict from the fleet's evidence.
+func (u *upgrade) judge() {
+	if u.verdict = u.fleet.verdict(); u.verdict.Kind == VerdictBad {
+		u.end(StateRolledBack, u.verdict.Reason)
+	}
+}
+
+// plan updates the share and the time of the switch.
+func (u *upgrade) plan(l Limits, hasCapacity bool, now time.Time) {
+	newAnswers := int64(0)
+	for _, s := range u.fleet.routes {
+		newAnswers += s.total.New.Answers
+	}
+	switch {
+	case newAnswers >= fullShareAnswers:
+		u.share, u.focus = u.observedShare(l, now), u.verdict.Route
+	case newAnswers >= lowShareAnswers:
+		u.share = lowShare
+	}
+	if u.switchAt.IsZero() || now.Before(u.switchAt) {
+		u.switchAt = time.Time{}
+		if hasCapacity {
+			u.switchAt = u.planSwitch(l, now)
+		}
+	}
+}
+
+// perSecond returns the rate of requests to the pool: the average since the order or the
+// latest, whichever is higher.
+func (u *upgrade) perSecond(now time.Time) float64 {
+	age := now.Sub(u.orderedAt)
+	if age <= 0 {
+		return 0
+	}
+	sent, _ := u.fleet.sums()
+	if elapsed := now.Sub(u.sampledAt); elapsed >= rateInterval {
+		if !u.sampledAt.IsZero() {
+			u.latestRate = float64(sent-u.sampled) / elapsed.Seconds()
+		}
+		u.sampled, u.sampledAt = sent, now
+	}
+	return max(float64(sent)/age.Seconds(), u.latestRate)
+}
+
+// observedShare returns the share that leaves enough requests for the switch.
+func (u *upgrade) observedShare(l Limits, now time.Time) float64 {
+	perSecond := u.perSecond(now)
+	shared := l.Share * perSecond * u.order.Within.Seconds()
+	if shared == 0 {
+		return lowShare
+	}
+	left := shared + (1-observedSlack)*float64(l.Slack) - perSecond*reservedSwitch.Seconds()/switchMargin
+	return min(max(left/shared, lowShare), fullShare)
+}
+
+// planSwitch returns when all requests should go to the new version: so late that even if
+// it then turned out to be bad, it would have got no more than the limits allow.
+func (u *upgrade) planSwitch(l Limits, now time.Time) time.Time {
+	if u.verdict.Kind != VerdictGood {
+		return time.Time{}
+	}
+	perSecond := u.perSecond(now)
+	if perSecond == 0 {
+		return time.Time{}
+	}
+	sent, sentNew := u.fleet.sums()
+	left := l.Share*float64(sent) + float64(l.Slack) - float64(sentNew)
+	duration := time.Duration(switchMargin * left / perSecond * float64(time.Second))
+	duration = min(duration, maxSwitch, time.Duration(maxSwitchShare*float64(u.order.Within)))
+	if duration < minSwitch {
+		return time.Time{}
+	}
+	return u.deadline().Add(-duration)
+}
+
+// hasDrained reports whether no live daemon sends requests to old versions any more and none
+// runs there. Shortly before the deadline, daemons that no longer report do not count: they
+// have no contact to a judge, or have ended.
+func (u *upgrade) hasDrained(live map[string]bool, now time.Time) bool {
+	isLate := now.After(u.deadline().Add(-completionMargin))
+	for instance := range live {
+		r, ok := u.fleet.reports[instance]
+		if isLate && now.Sub(u.fleet.reportedAt[instance]) > reportTimeout {
+			continue
+		}
+		if !ok || !r.Switched || r.OldRunning > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// conclude ends an order whose time has come. Only the holder of the duty does so.
+func (u *upgrade) conclude(live map[string]bool, now time.Time) bool {
+	isGood, isLate := u.verdict.Kind == VerdictGood, now.After(u.deadline().Add(-completionMargin))
+	switch {
+	case !u.isRunning():
+		return false
+	case isGood && u.isSwitched(now) && (u.hasDrained(live, now) || now.After(u.deadline().Add(maxOverrun))):
+		return u.end(StateCompleted, u.verdict.Reason)
+	case isLate && !u.isSwitched(now), !isGood && now.After(u.deadline().Add(maxDoubt)):
+		return u.end(StateRolledBack, "no good verdict by the deadline: "+u.verdict.Reason)
+	}
+	return false
+}
