--- a/internal/zpapp/gateway_metrics.go
+++ b/internal/zpapp/gateway_metrics.go
@@ -13,14 +13,16 @@
 type stateCollector struct{ daemon *GatewayDaemon }
 
 var (
-	endpointsDesc = describe("endpoints", "Endpoints by pool and state as this daemon sees them; one may have several states.", "pool", "state")
-	storeAgeDesc  = describe("store_age_seconds", "Age of the configuration: time since it was last read or confirmed, by the store or a watcher.")
-	dutyDesc      = describe("duty_held", "1 while this daemon is the one that loads new weights into engines.")
-	peersDesc     = describe("answering_daemons", "Daemons that answered recently, including this one.")
-	waitingDesc   = describe("waiting_requests", "Requests queued for an endpoint.")
-	heldDesc      = describe("memory_held_bytes", "Bytes reserved for connections and their requests.", "port")
-	connsDesc     = describe("memory_connections", "Open connections that are charged to the memory for requests.", "port")
-	partsDesc     = describe("known_parts", "Prompt parts in the directory that maps them to engines and KV cache stores.")
+	endpointsDesc    = describe("endpoints", "Endpoints by pool and state as this daemon sees them; one may have several states.", "pool", "state")
+	storeAgeDesc     = describe("store_age_seconds", "Age of the configuration: time since it was last read or confirmed, by the store or a watcher.")
+	dutyDesc         = describe("duty_held", "1 while this daemon is the one that loads new weights into engines.")
+	peersDesc        = describe("answering_daemons", "Daemons that answered recently, including this one.")
+	waitingDesc      = describe("waiting_requests", "Requests queued for an endpoint.")
+	heldDesc         = describe("memory_held_bytes", "Bytes reserved for connections and their requests.", "port")
+	connsDesc        = describe("memory_connections", "Open connections that are charged to the memory for requests.", "port")
+	partsDesc        = describe("known_parts", "Prompt parts in the directory that maps them to engines and KV cache stores.")
+	upgradeSentDesc  = describe("upgrade_requests", "Requests that this daemon has sent to a pool since the order of its running roll-out, by side: all, new.", "pool", "side")
+	upgradeStateDesc = describe("upgrade_state", "1 for the state of each pool's latest roll-out as this daemon knows it.", "pool", "version", "state")
 )
 
 func describe(name, help string, labels ...string) *prometheus.Desc {
@@ -54,6 +56,13 @@
 	gauge(dutyDesc, held)
 	gauge(peersDesc, float64(len(d.live.list())))
 	gauge(waitingDesc, float64(d.gateway.QueuedRequests()))
+	for _, r := range d.upgrades.tracker.Reports(now) {
+		gauge(upgradeSentDesc, float64(r.Sent), r.Pool, "all")
+		gauge(upgradeSentDesc, float64(r.SentNew), r.Pool, "new")
+	}
+	for _, c := range d.upgrades.tracker.States() {
+		gauge(upgradeStateDesc, 1, c.Pool, c.To, c.State.String())
+	}
 	gauge(partsDesc, float64(d.gateway.Parts.Len()))
 	for port, guard := range map[string]*zpnet.Guard{callerPorts: d.memory.callers, controlPorts: d.memory.control} {
 		bytes, connections := guard.Budget.Used()
--- a/internal/zpgateway/notice.go
+++ b/internal/zpgateway/notice.go
@@ -47,7 +47,7 @@
 	if !g.Health.HasQuiet(now) {
 		return nil
 	}
-	earliest, t := time.Time{}, &terms{demand: g.demandOf(j), regions: g.regionsOf(j)}
+	earliest, t := time.Time{}, &terms{demand: g.demandOf(j), regions: g.regionsOf(j), versions: g.versionsOf(j, now)}
 	for _, e := range g.Registry.Serving(j.pool.Name, now) {
 		if _, ok := g.evaluate(j, e, t, now); !ok {
 			continue
--- a/internal/zpgateway/where.go
+++ b/internal/zpgateway/where.go
@@ -62,7 +62,7 @@
 // Reasons to exclude an endpoint.
 const (
 	excludedNotServing  = "it leaves, or its failure domain is out of service"
-	excludedNotAllowed  = "its region is not allowed, or its weights change or are outdated"
+	excludedNotAllowed  = "its region or software version is not allowed, or its weights change or are outdated"
 	excludedBackingOff  = "it has just turned requests away, or wants none for a while"
 	excludedNoRoom      = "it has no room"
 	excludedColdLimited = "it is cold and gets no more requests now"
@@ -128,10 +128,8 @@
 // explainCandidates returns the endpoints of the request's pool, the one that would be chosen
 // first and those that must not be used last. The lock of the queue must be held.
 func (g *Gateway) explainCandidates(j *job, now time.Time) []CandidateExplanation {
-	demand, regions := g.demandOf(j), g.regionsOf(j)
-	t, states := &terms{demand: demand, regions: regions}, partStates{}
-	var choices []choice
-	var candidates []zpplace.Candidate
+	t, states := &terms{demand: g.demandOf(j), regions: g.regionsOf(j), versions: g.versionsOf(j, now)}, partStates{}
+	var usable choiceSet
 	var excluded []CandidateExplanation
 	for _, e := range g.Registry.AllInPool(j.pool.Name, now) {
 		c, reason := g.explainEndpoint(j, e, t, now)
@@ -140,20 +138,27 @@
 			continue
 		}
 		g.findCachedParts(j, &c, states, now)
-		choices = append(choices, c)
-		candidates = append(candidates, c.candidate)
+		usable.add(c, c.candidate)
 	}
-	g.markPreferred(j, choices, candidates, states, now)
+	var first, others choiceSet
+	first.choices, first.candidates, others = g.selectVersion(t.versions, usable.choices, usable.candidates)
+	out := g.explainChoices(j, first, states, now)
+	return append(append(out, g.explainChoices(j, others, states, now)...), excluded...)
+}
+
+// explainChoices returns choices in the order of their cost.
+func (g *Gateway) explainChoices(j *job, s choiceSet, states partStates, now time.Time) []CandidateExplanation {
+	g.markPreferred(j, s.choices, s.candidates, states, now)
 	var out []CandidateExplanation
-	for i, c := range choices {
-		k := candidates[i]
+	for i, c := range s.choices {
+		k := s.candidates[i]
 		out = append(out, CandidateExplanation{
-			Endpoint: k.ID, FailureDomain: k.Domain, Region: k.Region, Cost: zpplace.Cost(demand, k, g.Rates), Terms: zpplace.Terms(demand, k, g.Rates),
+			Endpoint: k.ID, FailureDomain: k.Domain, Region: k.Region, Cost: zpplace.Cost(c.demand, k, g.Rates), Terms: zpplace.Terms(c.demand, k, g.Rates),
 			Running: k.Use.Requests, CachedTokens: k.CachedTokens, FetchTokens: k.FetchTokens, Source: c.source,
 		})
 	}
 	slices.SortStableFunc(out, func(a, b CandidateExplanation) int { return cmp.Compare(a.Cost, b.Cost) })
-	return append(out, excluded...)
+	return out
 }
 
 // explainEndpoint returns an endpoint as a choice, or why it must not be used now.
