--- a/internal/zpapp/daemon.go
+++ b/internal/zpapp/daemon.go
@@ -30,6 +30,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpholding"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplease"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmemory"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpmetric"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpnode"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpowner"
@@ -143,7 +144,9 @@
 	d.front = &zpfront.Server{
 		Settings: s.Callers, Pipeline: d.pipeline, Fleet: d.fleet, Tracer: d.tracing.Tracer,
 		Clock: time.Now, IsShuttingDown: d.leaving.Load,
+		Guard: newMemoryGuard(callerPorts, s.Callers.MemoryBytes, s.Callers.MaxConnections, d.Log, d.Metrics),
 	}
+	d.front.Guard.Clock, d.front.Guard.Refusal = time.Now, zpfront.RefusalOf(zpmemory.ErrExhausted)
 	return d.front.Build()
 }
 
--- a/internal/zpfront/body.go
+++ b/internal/zpfront/body.go
@@ -4,12 +4,13 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"strings"
 
 	"github.com/kataras/iris/v12"
 
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmemory"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpnet"
 	"github.com/zinniapaddle/zinniapaddle/internal/zppipeline"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
 )
@@ -47,32 +48,75 @@
 
 const (
 	defaultMaxTokens = 512
-	tierPriority     = "priority"
-	tierFlex         = "flex"
+	// promptCopies is how many copies of the body of a prompt are made: its members, its
+	// text, and the body for the engine.
+	promptCopies = 4
+	tierPriority = "priority"
+	tierFlex     = "flex"
 )
 
 var errBodyTooLarge = zperror.New(zperror.KindInvalid, "body_too_large",
 	"the request body is larger than this site allows",
 	"shorten the request, or have the operators raise callers.max_body_bytes")
 
-// readBody reads a request body within the size and time limits.
-func (f *Server) readBody(c iris.Context) ([]byte, error) {
+// readBody reads a request body within the size, time and memory limits. After an error the
+// response must be written at once, and closes the connection.
+func (f *Server) readBody(c iris.Context, copies int) ([]byte, error) {
 	w := c.ResponseWriter().Naive()
 	control := http.NewResponseController(w)
+	body, err := f.readWithin(c, control, copies)
+	if err != nil {
+		c.Header("Connection", "close")
+		// The server reads on for a while, so that the caller can read the response. An
+		// error means that the connection is closed.
+		_ = control.SetReadDeadline(f.Clock().Add(zpnet.UnreadBodyGrace))
+	}
+	return body, err
+}
+
+// readWithin reserves what the request costs, for copies of its body as well, before it
+// reads.
+func (f *Server) readWithin(c iris.Context, control *http.ResponseController, copies int) ([]byte, error) {
+	r := c.Request()
+	holder := zpnet.HolderOf(r.Context())
+	holder.Identify(f.ownerOf(apiKey(c)))
+	if err := holder.ReserveRequest(r.Header, f.Clock()); err != nil {
+		return nil, err
+	}
 	if err := control.SetReadDeadline(f.Clock().Add(f.Settings.BodyTimeout)); err != nil {
 		return nil, fmt.Errorf("set read deadline: %w", err)
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, c.Request().Body, f.Settings.MaxBodyBytes))
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		return nil, errBodyTooLarge
+	body, err := holder.ReadBody(r.Body, r.ContentLength, f.Settings.MaxBodyBytes, f.Clock)
+	r.Trailer = nil // is not forwarded
+	if err == nil {
+		err = holder.Reserve(int64(len(body)*copies), f.Clock())
 	}
-	if err != nil {
+	switch {
+	case err == nil:
+	case errors.Is(err, zpmemory.ErrBodyTooLarge):
+		return nil, errBodyTooLarge
+	case zperror.Is(err, zpmemory.ErrExhausted.Code):
+		return nil, err
+	default:
 		return nil, invalidRequest("the request body cannot be read", "send the whole body in time").WithCause(err)
 	}
 	return body, nil
 }
 
+// ownerOf returns the workspace whose share of the memory a request uses; "" if its key is
+// unknown.
+func (f *Server) ownerOf(key string) string {
+	if f.Fleet == nil {
+		return ""
+	}
+	m := f.Fleet.Cache.Manifest()
+	if m == nil {
+		return ""
+	}
+	w, _ := m.WorkspaceByKey(key)
+	return w.Name
+}
+
 // readPrompt parses and validates a prompt and builds the body for the engine,
 // which always requests a stream with usage.
 func readPrompt(body []byte, path string) (prompt, error) {
--- a/internal/zpfront/error.go
+++ b/internal/zpfront/error.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"math"
+	"net/http"
 	"strconv"
 
 	"github.com/kataras/iris/v12"
@@ -56,4 +58,16 @@
 	_, _ = c.Write(text)
 }
 
+// RefusalOf returns the whole response to a request that is refused before its head is read.
+func RefusalOf(err error) []byte {
+	e := zperror.Of(err)
+	status := e.Kind.HTTPStatus()
+	text, marshalErr := json.Marshal(errorBody(err, ""))
+	if marshalErr != nil {
+		text = nil // can't happen: all values are strings
+	}
+	return fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: application/json\r\nRetry-After: %.0f\r\nConnection: close\r\nContent-Length: %d\r\n\r\n%s",
+		status, http.StatusText(status), math.Ceil(e.RetryAfter.Seconds()), len(text), text)
+}
+
 func (f *Server) notFound(c iris.Context) { writeError(c, errUnknownPath, "") }
--- a/internal/zpfront/front.go
+++ b/internal/zpfront/front.go
@@ -30,6 +30,7 @@
 		Tracer         trace.Tracer
 		Clock          func() time.Time
 		IsShuttingDown func() bool // true once a graceful shutdown has begun
+		Guard          *zpnet.Guard
 
 		server *http.Server
 	}
@@ -37,10 +38,11 @@
 
 // Listen opens the listener for callers, with TLS if a certificate is set.
 func (f *Server) Listen() (net.Listener, error) {
-	lis, err := net.Listen("tcp", f.Settings.Listen)
+	lis, err := (&net.ListenConfig{Control: zpnet.LimitReceiveBuffer}).Listen(context.Background(), "tcp", f.Settings.Listen)
 	if err != nil {
 		return nil, fmt.Errorf("listen for callers: %w", err)
 	}
+	lis = f.Guard.Listener(lis)
 	if f.Settings.TLSCertFile == "" {
 		return lis, nil
 	}
@@ -73,7 +75,8 @@
 		Handler:           zpnet.CancelOnClose(app),
 		ReadHeaderTimeout: f.Settings.HeaderTimeout,
 		MaxHeaderBytes:    int(f.Settings.MaxHeader),
-		ConnContext:       zpnet.WithPeer,
+		ConnContext:       f.Guard.ConnContext,
+		ConnState:         f.Guard.ConnState,
 	}
 	return nil
 }
--- a/internal/zpfront/prompt.go
+++ b/internal/zpfront/prompt.go
@@ -79,7 +79,7 @@
 func (f *Server) prompt(c iris.Context, path string) {
 	ctx, span := f.startSpan(c)
 	defer span.End()
-	body, err := f.readBody(c)
+	body, err := f.readBody(c, promptCopies)
 	if err != nil {
 		writeError(c, err, "")
 		return
--- a/internal/zpfront/read_deadline_test.go
+++ b/internal/zpfront/read_deadline_test.go
@@ -19,7 +19,7 @@
 		f := &Server{Settings: zpsettings.Callers{BodyTimeout: bodyTimeout, MaxBodyBytes: 100}, Clock: time.Now}
 		app := iris.New()
 		app.Post("/", func(c iris.Context) {
-			_, err := f.readBody(c)
+			_, err := f.readBody(c, 0)
 			Expect(err).NotTo(HaveOccurred())
 			select {
 			case <-c.Request().Context().Done():
--- a/internal/zpfront/service.go
+++ b/internal/zpfront/service.go
@@ -16,7 +16,7 @@
 func (f *Server) service(c iris.Context) {
 	ctx, span := f.startSpan(c)
 	defer span.End()
-	body, err := f.readBody(c)
+	body, err := f.readBody(c, 0)
 	if err != nil {
 		writeError(c, err, "")
 		return
--- a/internal/zpmemory/holder.go
+++ b/internal/zpmemory/holder.go
@@ -36,6 +36,16 @@
 	return ErrExhausted
 }
 
+// ReserveRequest takes what a request costs beyond its body, the copies of its header lines
+// included.
+func (h *Holder) ReserveRequest(header map[string][]string, now time.Time) error {
+	lines := 0
+	for _, values := range header {
+		lines += len(values)
+	}
+	return h.Reserve(int64(RequestBytes+lines*LineBytes), now)
+}
+
 // Release gives bytes back.
 func (h *Holder) Release(bytes int64) {
 	b := h.budget
--- a/internal/zpnet/dialer.go
+++ b/internal/zpnet/dialer.go
@@ -38,7 +38,7 @@
 // NewListenConfig returns a listener configuration whose accepted connections
 // send keep-alive probes and receive little that is not read.
 func NewListenConfig() *net.ListenConfig {
-	return &net.ListenConfig{KeepAliveConfig: keepAliveConfig(), Control: limitReceiveBuffer}
+	return &net.ListenConfig{KeepAliveConfig: keepAliveConfig(), Control: LimitReceiveBuffer}
 }
 
 func keepAliveConfig() net.KeepAliveConfig {
--- a/internal/zpnet/guard.go
+++ b/internal/zpnet/guard.go
@@ -60,9 +60,9 @@
 	serverBufferBytes = 4 << 10
 	// writePieceBytes is the largest write that is made at once, so that progress shows.
 	writePieceBytes = 64 << 10
-	// refusalLinger is the time for a refused caller to read the response, which a
-	// connection closed with unread bytes would discard.
-	refusalLinger = 300 * time.Millisecond
+	// UnreadBodyGrace is the time for a caller whose request was refused unread to read the
+	// response, which a connection closed with unread bytes would discard.
+	UnreadBodyGrace = 300 * time.Millisecond
 )
 
 var errHeadRefused = errors.New("the head of a request is too large, or there is no memory for it")
@@ -199,7 +199,7 @@
 // connection is unanswered then.
 func (c *guardedConn) refuse(response []byte, now time.Time) {
 	c.holder.Reset(now)
-	if err := c.SetDeadline(time.Now().Add(refusalLinger)); err != nil {
+	if err := c.SetDeadline(time.Now().Add(UnreadBodyGrace)); err != nil {
 		return // closed
 	}
 	if _, err := c.TCPConn.Write(response); err != nil {
@@ -258,8 +258,8 @@
 	_ = c.TCPConn.Close() // fails only on a closed connection
 }
 
-// limitReceiveBuffer is a Control function of a listener; its connections inherit the size.
-func limitReceiveBuffer(_, _ string, raw syscall.RawConn) error {
+// LimitReceiveBuffer is a Control function of a listener; its connections inherit the size.
+func LimitReceiveBuffer(_, _ string, raw syscall.RawConn) error {
 	var setErr error
 	err := raw.Control(func(fd uintptr) {
 		setErr = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBufferBytes)
--- a/internal/zpsettings/field.go
+++ b/internal/zpsettings/field.go
@@ -46,6 +46,8 @@
 		durationField("callers.header_timeout_ms", "time for a caller to send its header", &s.Callers.HeaderTimeout),
 		durationField("callers.body_timeout_ms", "time for a caller to send its body", &s.Callers.BodyTimeout),
 		durationField("callers.write_timeout_ms", "longest time for one write of an answer to a caller", &s.Callers.WriteTimeout),
+		int64Field("callers.memory_bytes", "memory for connections, heads and bodies of all callers; at least 1048576", &s.Callers.MemoryBytes),
+		intField("callers.max_connections", "open connections of all callers", &s.Callers.MaxConnections),
 		textField("admin.listen", "IP:PORT for metrics", &s.Admin.Listen),
 	}
 }
--- a/internal/zpsettings/settings.go
+++ b/internal/zpsettings/settings.go
@@ -35,14 +35,16 @@
 
 	// Callers configures the server for callers.
 	Callers struct {
-		Listen        string
-		TLSCertFile   string
-		TLSKeyFile    string
-		MaxBodyBytes  int64
-		MaxHeader     int64
-		HeaderTimeout time.Duration
-		BodyTimeout   time.Duration
-		WriteTimeout  time.Duration
+		Listen         string
+		TLSCertFile    string
+		TLSKeyFile     string
+		MaxBodyBytes   int64
+		MaxHeader      int64
+		MemoryBytes    int64 // for connections, heads and bodies of all callers
+		MaxConnections int
+		HeaderTimeout  time.Duration
+		BodyTimeout    time.Duration
+		WriteTimeout   time.Duration
 	}
 
 	// Admin configures the server for metrics.
@@ -157,12 +159,14 @@
 	return &Settings{
 		Log: Log{Level: "info", Format: "json"},
 		Callers: Callers{
-			Listen:        "127.0.0.1:8080",
-			MaxBodyBytes:  4 << 20,
-			MaxHeader:     32 << 10,
-			HeaderTimeout: 5 * time.Second,
-			BodyTimeout:   30 * time.Second,
-			WriteTimeout:  10 * time.Second,
+			Listen:         "127.0.0.1:8080",
+			MaxBodyBytes:   4 << 20,
+			MaxHeader:      32 << 10,
+			MemoryBytes:    256 << 20,
+			MaxConnections: 10_000,
+			HeaderTimeout:  5 * time.Second,
+			BodyTimeout:    30 * time.Second,
+			WriteTimeout:   10 * time.Second,
 		},
 		Admin:    Admin{Listen: "127.0.0.1:8082"},
 		Peers:    Peers{Listen: "127.0.0.1:8081", CallTimeout: 500 * time.Millisecond},
