--- a/internal/zpmemory/budget_test.go
+++ b/internal/zpmemory/budget_test.go
@@ -214,6 +214,23 @@
 		Expect(c.evicted).To(ConsistOf("writer"))
 	})
 
+	// A request sent together with the one before it counted as idle while it ran.
+	It("spares a request that arrived with the one before", func() {
+		c := newCrowd()
+		h := c.open("second", "", zpmemory.PhaseRunning)
+		h.Reset(c.now)
+		Expect(h.ReserveRequest(map[string][]string{"a": {"1", "2"}, "b": {"3"}}, c.now)).To(Succeed())
+		used, _ := c.Used()
+		Expect(used).To(BeEquivalentTo(zpmemory.ConnectionBytes + zpmemory.RequestBytes + 3*zpmemory.LineBytes))
+		c.pass(time.Minute)
+		for range 99 {
+			c.open("busy", "", zpmemory.PhaseRunning)
+		}
+		_, err := c.Open(func(zpmemory.Phase) {}, c.now)
+		expectNotRun(err)
+		Expect(c.evicted).To(BeEmpty())
+	})
+
 	It("leaves all alone while there is room", func() {
 		c := newCrowd()
 		Expect(c.open("stopped", "a", zpmemory.PhaseBody).Reserve(megabyte, c.now)).To(Succeed())
--- a/internal/zpmemory/holder.go
+++ b/internal/zpmemory/holder.go
@@ -36,9 +36,11 @@
 	return ErrExhausted
 }
 
-// ReserveRequest takes what a request costs beyond its body, the copies of its header lines
-// included.
+// ReserveRequest starts a request. It takes what the request costs beyond its body, the
+// copies of its header lines included.
 func (h *Holder) ReserveRequest(header map[string][]string, now time.Time) error {
+	// An http.Server does not report a request that arrived with the one before.
+	h.Enter(PhaseRunning, now)
 	lines := 0
 	for _, values := range header {
 		lines += len(values)
