--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -71,9 +71,11 @@
 	bans     *bans
 	caches   *cacheFollowers
 	leaving  atomic.Bool
-	callers  *http.Server
-	ready    *http.Server
-	admin    *http.Server
+	// recordRevision is the revision of this daemon's record in the store; zero until it is written.
+	recordRevision atomic.Int64
+	callers        *http.Server
+	ready          *http.Server
+	admin          *http.Server
 }
 
 const (
