--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -74,9 +74,11 @@
 	caches   *cacheFollowers
 	leaving  atomic.Bool
 	memory   memoryGuards
-	callers  *http.Server
-	ready    *http.Server
-	admin    *http.Server
+	// recordRevision is the revision of this daemon's record in the store; zero until it is written.
+	recordRevision atomic.Int64
+	callers        *http.Server
+	ready          *http.Server
+	admin          *http.Server
 }
 
 const (
@@ -298,8 +300,10 @@
 func (d *GatewayDaemon) buildRollout() {
 	holder := d.self.Name + "@" + d.self.PeerAddress
 	timing := zpduty.Timing{Validity: dutyValidity, RenewInterval: dutyRenew, HandoverDelay: d.Node.Bounds.MinOrderInterval + dutyMargin}
+	keeper := zpduty.NewKeeper(weightDuty, holder, timing, d.reads, d.Log, zpclock.Now)
+	keeper.Peek = d.reads.GetStale
 	d.rollout = &zprollout.Rollout{
-		Self: holder, Keeper: zpduty.NewKeeper(weightDuty, holder, timing, d.reads, d.Log, zpclock.Now),
+		Self: holder, Keeper: keeper,
 		WeightVersions: d.weights, Engines: d.engines, Models: d.models,
 		Load:       func(endpoint string, now time.Time) int { return d.gateway.Usage.Total(endpoint, now).Requests },
 		SetWeights: d.registry.SetWeights, Announce: d.announceWeightChange, Orderer: &zpplatform.Orderer{Sender: d.sender, Clock: zpclock.Now, Notice: d.gateway.RecordNotice},
--- a/internal/zprelay/guarded_store.go
+++ b/internal/zprelay/guarded_store.go
@@ -16,7 +16,8 @@
 type GuardedStore struct {
 	zpobject.API
 	Breaker *Breaker
-	Probe   func(ctx context.Context) error // a cheap call that tells whether the store answers
+	Probe   func(ctx context.Context) error                                 // a cheap call that tells whether the store answers
+	Stale   func(ctx context.Context, name string) (zpobject.Object, error) // reads an object as it was some time ago
 	Log     *zplog.Logger
 	Clock   func() time.Time
 }
@@ -28,6 +29,10 @@
 // IsAnswering reports whether the store answered this daemon's last call or probe.
 func (s *GuardedStore) IsAnswering() bool { return !s.Breaker.IsTripped() }
 
+// AnswersSince returns when the store answered this daemon again after a failure, or the
+// zero time if it has never failed.
+func (s *GuardedStore) AnswersSince() time.Time { return s.Breaker.ResetAt() }
+
 // Get returns one object.
 func (s *GuardedStore) Get(ctx context.Context, name string) (o zpobject.Object, err error) {
 	err = s.read(ctx, func() error {
@@ -37,6 +42,15 @@
 	return o, err
 }
 
+// GetStale returns one object as it was some time ago. It tells nothing of whether other
+// reads are answered.
+func (s *GuardedStore) GetStale(ctx context.Context, name string) (zpobject.Object, error) {
+	if !s.Breaker.Allow() {
+		return zpobject.Object{}, errProbing
+	}
+	return s.Stale(ctx, name)
+}
+
 // List lists the objects under a prefix.
 func (s *GuardedStore) List(ctx context.Context, prefix string) (l zpobject.Listing, err error) {
 	err = s.read(ctx, func() error {
