An endpoint whose address another one has is avoided by all daemons

A crashed engine comes back under another id while its old entry is still in the list; each daemon found that out by arrivals of its own, each of which takes a retry from the budget, and came back to the same entry after 100 ms. Such an answer is unambiguous, so it is announced like an endpoint that cannot be reached, and the daemon itself waits a second.

--- a/internal/zpgateway/health.go
+++ b/internal/zpgateway/health.go
@@ -80,13 +80,16 @@
 	}
 	h.avoidUntil = now.Add(min(initialAvoidance<<min(h.consecutiveFailures-1, 8), maxAvoidance))
 	switch f {
-	case FailureConnect, FailureConnectTimeout, FailureNotRun, FailureOtherInstance:
+	case FailureOtherInstance:
+		// The endpoint is gone from its address. It is removed from the list a moment later.
+		h.backoffUntil = now.Add(maxBackoff)
+	case FailureConnect, FailureConnectTimeout, FailureNotRun:
 		h.backoffUntil = now.Add(min(initialBackoff<<min(h.consecutiveFailures-1, 8), maxBackoff))
 	}
 	// An engine that queues prompts or resets connections may be overloaded. If all
-	// daemons avoided it, they would overload the next one, so only unreachable
-	// endpoints are announced.
-	if f != FailureConnectTimeout || now.Sub(h.announcedAt) < announceInterval {
+	// daemons avoided it, they would overload the next one, so only endpoints that are
+	// unreachable or gone are announced.
+	if f != FailureConnectTimeout && f != FailureOtherInstance || now.Sub(h.announcedAt) < announceInterval {
 		return false
 	}
 	h.announcedAt = now
--- a/internal/zpgateway/unreachable_test.go
+++ b/internal/zpgateway/unreachable_test.go
@@ -53,6 +53,13 @@
 		}
 	})
 
+	// Guards against crashed endpoints of which each daemon finds out by a refusal that costs a retry.
+	It("are announced if another endpoint has the address, and get nothing until they leave the list", func() {
+		Expect(s.RecordFailure("e", zpgateway.FailureOtherInstance, start)).To(BeTrue())
+		Expect(s.IsBackingOff("e", start.Add(900*time.Millisecond))).To(BeTrue())
+		Expect(s.IsBackingOff("e", start.Add(1100*time.Millisecond))).To(BeFalse())
+	})
+
 	DescribeTable("are announced by the daemon whose connect timed out",
 		func(err error, announced bool) {
 			g := newTestGateway(func(context.Context, *zpengine.Gate) (*zpgateway.Response, error) { return nil, err }, responds(http.StatusOK, "done"))
