A daemon's record in the store: no read before the first write of a fleet, none before its removal

Cause: each start read the record before writing it, and each stop before removing it, also where the fleet starts for the first time and where this instance wrote the record itself: one call in two of these.

Change: at the first start the record is written at once; what is there already leads to a conflict, and then it is read. The revision of the own record is kept for its removal; without one (a write without an answer) it is read as before.

--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -77,6 +77,8 @@
 	callers  *http.Server
 	ready    *http.Server
 	admin    *http.Server
+	// recordRevision is the revision of this daemon's record in the store; zero until it is written.
+	recordRevision atomic.Int64
 }
 
 const (
--- a/internal/zpapp/gateway_members.go
+++ b/internal/zpapp/gateway_members.go
@@ -107,10 +107,13 @@
 		d.Log.Emit(zplog.MemberNotWritten, zplog.Fields{"error": err.Error()})
 		return
 	}
+	// Before the first start of the fleet no daemon has a record, so it is not read first.
+	mayExist := !d.Node.FirstStart
 	for ctx.Err() == nil {
-		if d.register(ctx, body) {
+		if d.register(ctx, body, mayExist) {
 			return
 		}
+		mayExist = true
 		select {
 		case <-time.After(joinRetry):
 		case <-ctx.Done():
@@ -119,19 +122,27 @@
 }
 
 // register writes this instance's record unless the store already has it. It
-// reports whether the record is stored.
-func (d *GatewayDaemon) register(ctx context.Context, body []byte) bool {
+// reports whether the record is stored. mayExist tells whether there may be a record.
+func (d *GatewayDaemon) register(ctx context.Context, body []byte, mayExist bool) bool {
 	name := gatewayMemberPrefix + d.self.Name
-	o, err := d.reads.Get(ctx, name)
-	switch {
-	case err == nil:
-		if m, decodeErr := zpassign.DecodeMember(o.Body); decodeErr == nil && m.Instance == d.self.Instance {
-			return true
+	var stored zpobject.Object
+	if mayExist {
+		var err error
+		stored, err = d.reads.Get(ctx, name)
+		switch {
+		case err == nil:
+			if m, decodeErr := zpassign.DecodeMember(stored.Body); decodeErr == nil && m.Instance == d.self.Instance {
+				d.recordRevision.Store(stored.Revision)
+				return true
+			}
+		case !zpobject.IsNotFound(err):
+			return false
 		}
-	case !zpobject.IsNotFound(err):
-		return false
 	}
-	_, err = d.store.Put(ctx, name, body, o.Revision)
+	written, err := d.store.Put(ctx, name, body, stored.Revision)
+	if err == nil {
+		d.recordRevision.Store(written.Revision)
+	}
 	return err == nil
 }
 
@@ -140,9 +151,16 @@
 	name := gatewayMemberPrefix + d.self.Name
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
-	o, err := d.reads.Get(ctx, name)
+	var err error
+	revision := d.recordRevision.Load()
+	if revision == 0 {
+		// A write without an answer may have been executed.
+		var o zpobject.Object
+		o, err = d.reads.Get(ctx, name)
+		revision = o.Revision
+	}
 	if err == nil {
-		err = d.store.Delete(ctx, name, o.Revision)
+		err = d.store.Delete(ctx, name, revision)
 	}
 	if err != nil {
 		d.Log.Emit(zplog.MemberNotWritten, zplog.Fields{"error": err.Error()})
