Relay: one watcher in a failure domain beside others with watchers

Cause: of the two watchers of a domain the followers use the first that answers. The second has no followers, so its heartbeat is up to 2 s old and it mostly cannot be followed when the first one fails, at the price of six watches.

A single domain, and a region of small domains, keep two.

--- a/internal/zprelay/follower.go
+++ b/internal/zprelay/follower.go
@@ -49,7 +49,7 @@
 // List lists the objects under a prefix. It reads the store if all watchers fail or
 // return a list older than one read before.
 func (f *Follower) List(ctx context.Context, prefix string) (zpobject.Listing, error) {
-	for range watchersPerGroup + maxForeignWatchers {
+	for range maxWatchersPerGroup + maxForeignWatchers {
 		address, ok := f.chooseWatcher()
 		if !ok {
 			break
--- a/internal/zprelay/watchers.go
+++ b/internal/zprelay/watchers.go
@@ -10,9 +10,9 @@
 )
 
 const (
-	// watchersPerGroup is the number of daemons per group that watch the store. With two,
-	// the loss of one leaves another to follow.
-	watchersPerGroup = 2
+	// maxWatchersPerGroup is the number of daemons per group that watch the store if the
+	// loss of one would leave no other to follow nearby.
+	maxWatchersPerGroup = 2
 	// minFollowDomainSize is the number of daemons in a failure domain from which they
 	// follow each other. Smaller domains follow in their region.
 	minFollowDomainSize = 5
@@ -42,7 +42,27 @@
 // ownWatchers returns the daemons that watch the store for the group of self; none if it has
 // no group and so watches the store itself.
 func ownWatchers(self zpassign.Member, daemons []zpassign.Member) []zpassign.Member {
-	return zplookup.MostCores(groupOf(self, daemons), watchersPerGroup)
+	return watchersOf(groupOf(self, daemons), daemons)
+}
+
+// watchersOf returns the daemons that watch the store for a group. One is enough for a
+// failure domain beside others with watchers, as these stand in for it.
+func watchersOf(group, daemons []zpassign.Member) []zpassign.Member {
+	n := maxWatchersPerGroup
+	isDomain := func(size int) bool { return size >= minFollowDomainSize }
+	sizes, domains := map[string]int{}, 0
+	for _, d := range daemons {
+		sizes[d.Domain]++
+	}
+	for _, size := range sizes {
+		if isDomain(size) {
+			domains++
+		}
+	}
+	if domains > 1 && len(group) > 0 && isDomain(sizes[group[0].Domain]) {
+		n = 1
+	}
+	return zplookup.MostCores(group, n)
 }
 
 // foreignWatchers returns watchers of other groups, those of the same region first. Each
@@ -60,7 +80,7 @@
 		if !seen[d.Domain] {
 			group := groupOf(d, daemons)
 			see(append(group, d))
-			out = append(out, zplookup.MostCores(group, watchersPerGroup)...)
+			out = append(out, watchersOf(group, daemons)...)
 		}
 	}
 	slices.SortFunc(out, func(a, b zpassign.Member) int {
