Relay: daemons that follow leave the store to the watchers at a start and after an outage

Change: (1) a daemon that restarts in a fleet with watchers waits up to 300 ms for answers of enough others, and up to 400 ms for a watcher that has read the store, as it did blindly at the first start. (2) A watcher keeps its short heartbeat also before anybody has called. (3) A watcher that answers, but knows too little at the moment, is avoided for 500 ms instead of 3 s; the refusal has an RPC code. (4) For a second after the breaker's reset, daemons that follow others do not read the store themselves.

--- a/internal/zpapp/gateway_sharing.go
+++ b/internal/zpapp/gateway_sharing.go
@@ -57,7 +57,7 @@
 		API: d.store, Stale: d.store.GetStale, Breaker: &zprelay.Breaker{Random: rand.Float64}, Log: d.Log, Clock: zpclock.Now,
 		Probe: func(ctx context.Context) error { return d.store.Probe(ctx, zpplatform.ConfigName) },
 	}
-	d.recorder = &zprelay.CachingStore{API: d.reads, HeartbeatPrefix: zpplatform.ConfigPrefix, Clock: zpclock.Now}
+	d.recorder = &zprelay.CachingStore{API: d.reads, HeartbeatPrefix: zpplatform.ConfigPrefix, Clock: zpclock.Now, ExpectsFollowers: func() bool { return d.follower.CanFollow() && d.follower.IsWatcher() }}
 	d.lookup = &zplookup.Client{
 		Self: d.self, Owners: d.live.partOwners, Learn: d.mergeParts, Log: d.Log, Clock: zpclock.Now,
 		Call: func(ctx context.Context, address string, keys []zpparts.Key) (zpparts.Knowledge, error) {
@@ -65,7 +65,7 @@
 		},
 	}
 	d.follower = &zprelay.Follower{
-		API: d.recorder, Self: d.self, HeartbeatPrefix: zpplatform.ConfigPrefix, Daemons: d.live.list, IsAnswering: d.reads.IsAnswering, Log: d.Log, Clock: zpclock.Now,
+		API: d.recorder, Self: d.self, HeartbeatPrefix: zpplatform.ConfigPrefix, Daemons: d.live.list, IsAnswering: d.reads.IsAnswering, AnswersSince: d.reads.AnswersSince, Log: d.Log, Clock: zpclock.Now,
 		Call: func(ctx context.Context, address, prefix string, since int64, wait time.Duration) (zprelay.Update, error) {
 			return zppeer.Follow(ctx, d.dialer, address, prefix, since, wait)
 		},
--- a/internal/zpapp/gateway_watches.go
+++ b/internal/zpapp/gateway_watches.go
@@ -44,12 +44,14 @@
 	// still get requests.
 	listPause = 400 * time.Millisecond
 
-	// membersTimeout bounds the wait for the members after a restart.
+	// membersTimeout bounds the wait for the members after a restart, and that for answers
+	// of enough others to follow one of them.
 	membersTimeout = 300 * time.Millisecond
 	// registrationTimeout bounds the wait for the others at the first start of the fleet.
 	registrationTimeout = time.Second
-	// watcherStartDelay is the time in which the watchers read the store.
-	watcherStartDelay = 400 * time.Millisecond
+	// watcherTimeout bounds the wait for the first list of a watcher that starts at the same
+	// time.
+	watcherTimeout    = 400 * time.Millisecond
 	conditionInterval = 20 * time.Millisecond
 )
 
@@ -95,18 +97,22 @@
 }
 
 // awaitMembers waits until the members are known, for a limited time. When the whole fleet
-// starts, it also waits until the members have registered and, unless this daemon watches
-// the store, until those that do have read it.
+// starts, it also waits until the members have registered. In a fleet in which daemons
+// follow others, it waits until a watcher has read the store: all daemons may start at once.
 func (w *watches) awaitMembers(ctx context.Context) {
 	d := w.daemon
 	if !d.Node.FirstStart {
 		waitUntil(ctx, membersTimeout, d.members.HasSynced)
-		return
-	}
-	waitUntil(ctx, registrationTimeout, d.follower.CanFollow)
-	if !d.follower.IsWatcher() {
-		waitUntil(ctx, watcherStartDelay, func() bool { return false })
+		if !d.follower.MayFollow(d.members.Others()) {
+			return
+		}
+		waitUntil(ctx, membersTimeout, d.follower.CanFollow)
+	} else {
+		waitUntil(ctx, registrationTimeout, d.follower.CanFollow)
 	}
+	ctx, cancel := context.WithTimeout(ctx, watcherTimeout)
+	defer cancel()
+	d.follower.AwaitWatcher(ctx)
 }
 
 // waitUntil waits until a condition holds, for at most the timeout or until ctx ends.
--- a/internal/zppeer/sharing.go
+++ b/internal/zppeer/sharing.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
 	"time"
 
+	"storj.io/drpc/drpcerr"
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
@@ -21,6 +23,9 @@
 	"github.com/zinniapaddle/zinniapaddle/pkg/zpobject"
 )
 
+// notFollowedCode is the RPC code of zprelay.ErrNotFollowed.
+const notFollowedCode = 1
+
 // SharingHandler serves the sharing RPCs, by which daemons that serve routed
 // requests exchange soft state.
 type SharingHandler struct {
@@ -69,6 +74,9 @@
 // Follow implements zppeerpb.DRPCSharingServer.
 func (h *SharingHandler) Follow(ctx context.Context, in *zppeerpb.FollowRequest) (*zppeerpb.FollowReply, error) {
 	a, err := h.WatchObjects(ctx, in.Prefix, in.Since, time.Duration(in.WaitMs)*time.Millisecond)
+	if errors.Is(err, zprelay.ErrNotFollowed) {
+		return nil, drpcerr.WithCode(err, notFollowedCode)
+	}
 	if err != nil {
 		return nil, err
 	}
@@ -134,6 +142,9 @@
 	out, err := doWithConn(ctx, d, address, "follow", wait, func(ctx context.Context, conn Conn) (*zppeerpb.FollowReply, error) {
 		return zppeerpb.NewDRPCSharingClient(conn).Follow(ctx, in)
 	})
+	if drpcerr.Code(err) == notFollowedCode {
+		return zprelay.Update{}, zprelay.ErrNotFollowed.WithCause(err)
+	}
 	if err != nil {
 		return zprelay.Update{}, err
 	}
--- a/internal/zprelay/breaker.go
+++ b/internal/zprelay/breaker.go
@@ -50,6 +50,13 @@
 	return b.isTripped
 }
 
+// ResetAt returns when the breaker was last reset, or the zero time.
+func (b *Breaker) ResetAt() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.resetAt
+}
+
 // RecordSuccess records that the store answered a call that began at startedAt, and reports
 // whether this reset the breaker, for how long it was tripped, and how many calls were not
 // made meanwhile. An answer to a call that began before the breaker tripped says nothing of
--- a/internal/zprelay/caching_store.go
+++ b/internal/zprelay/caching_store.go
@@ -15,6 +15,9 @@
 	zpobject.API
 	HeartbeatPrefix string // prefix whose watch returns often and serves as heartbeat of the store
 	Clock           func() time.Time
+	// ExpectsFollowers reports whether others are to follow this daemon, though none may
+	// have called yet. It may be nil.
+	ExpectsFollowers func() bool
 
 	mu           sync.Mutex
 	caches       map[string]*prefixCache
@@ -144,6 +147,9 @@
 }
 
 func (r *CachingStore) hasFollowers() bool {
+	if r.ExpectsFollowers != nil && r.ExpectsFollowers() {
+		return true
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return !r.lastFollowed.IsZero() && r.Clock().Sub(r.lastFollowed) <= followedWindow
--- a/internal/zprelay/follower.go
+++ b/internal/zprelay/follower.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"slices"
 	"sync"
 	"time"
@@ -21,6 +22,7 @@
 	HeartbeatPrefix string                   // prefix whose watch serves as heartbeat of the store
 	Daemons         func() []zpassign.Member // reachable daemons, including this one
 	IsAnswering     func() bool              // whether the store answers this daemon; otherwise a watcher follows others
+	AnswersSince    func() time.Time         // when the store answered again after a failure; zero if it never failed
 	Call            func(ctx context.Context, address, prefix string, since int64, wait time.Duration) (Update, error)
 	Log             *zplog.Logger
 	Clock           func() time.Time
@@ -36,12 +38,23 @@
 	// frozen watcher goes undetected.
 	maxWatchWait          = time.Second
 	maxHeartbeatWatchWait = 400 * time.Millisecond // for the heartbeat prefix
-	// avoidDuration is how long a failed watcher is not followed, and startAvoidDuration
-	// how long before this daemon has read anything: the watcher may just be starting, too.
+	// avoidDuration is how long a failed watcher is not followed, staleAvoidDuration how
+	// long one that answers but knows too little at the moment, and startAvoidDuration how
+	// long before this daemon has read anything: the watcher may just be starting, too.
 	avoidDuration      = 3 * time.Second
+	staleAvoidDuration = 500 * time.Millisecond
 	startAvoidDuration = 300 * time.Millisecond
+	// watcherPatience is the time after an outage of the store in which the watchers should
+	// have read it. Only then does a daemon that follows others read the store itself.
+	watcherPatience = time.Second
+	// awaitInterval is the interval between the attempts of AwaitWatcher.
+	awaitInterval = 50 * time.Millisecond
 )
 
+// errAwaitsWatchers is returned after an outage until the watchers have read the store.
+var errAwaitsWatchers = zperror.New(zperror.KindUnavailable, zpobject.CodeUnavailable,
+	"the store answers again, and the daemons that are followed have not read it yet", "try again")
+
 // errRelist ends a watch that cannot continue from its revision.
 var errRelist = zperror.New(zperror.KindUnavailable, "watch_ended",
 	"the daemon that is followed cannot go on from this revision", "list the objects anew")
@@ -61,6 +74,9 @@
 		}
 		f.avoid(address, prefix, err)
 	}
+	if f.awaitsWatchers() {
+		return zpobject.Listing{}, errAwaitsWatchers
+	}
 	l, err := f.API.List(ctx, prefix)
 	if err == nil {
 		f.recordRevision(prefix, l.Revision)
@@ -83,6 +99,9 @@
 		}
 		remaining := deadline.Sub(f.Clock())
 		address, ok := f.chooseWatcher()
+		if !ok && f.awaitsWatchers() {
+			return zpobject.Listing{}, errAwaitsWatchers
+		}
 		if !ok {
 			l, err := f.API.Watch(ctx, prefix, from, max(remaining, 0))
 			if err == nil {
@@ -107,6 +126,34 @@
 	}
 }
 
+// AwaitWatcher waits until a watcher can be followed, this daemon is one itself, or ctx ends.
+func (f *Follower) AwaitWatcher(ctx context.Context) {
+	ticker := time.NewTicker(awaitInterval)
+	defer ticker.Stop()
+	for {
+		watchers := ownWatchers(f.Self, f.Daemons())
+		if len(watchers) == 0 || slices.ContainsFunc(watchers, f.isSelf) {
+			return
+		}
+		for _, d := range watchers {
+			if _, err := f.Call(ctx, d.PeerAddress, f.HeartbeatPrefix, 0, 0); err == nil {
+				return
+			}
+		}
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// MayFollow reports whether these daemons, with this one, are enough for some of them to
+// watch the store for the others.
+func (f *Follower) MayFollow(others []zpassign.Member) bool {
+	return len(groupOf(f.Self, append(slices.Clone(others), f.Self))) > 0
+}
+
 // CanFollow reports whether enough daemons near this one are known for some of them to
 // watch the store for the others.
 func (f *Follower) CanFollow() bool { return len(groupOf(f.Self, f.Daemons())) > 0 }
@@ -117,6 +164,14 @@
 	return !ok
 }
 
+// awaitsWatchers reports whether this daemon follows others and these may still be reading
+// the store after an outage.
+func (f *Follower) awaitsWatchers() bool {
+	own := ownWatchers(f.Self, f.Daemons())
+	isWatcher := len(own) == 0 || slices.ContainsFunc(own, f.isSelf)
+	return !isWatcher && f.Clock().Sub(f.AnswersSince()) < watcherPatience
+}
+
 // chooseWatcher returns the address of the daemon to follow; ok is false if this
 // daemon should watch the store itself.
 func (f *Follower) chooseWatcher() (address string, ok bool) {
@@ -151,8 +206,11 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	avoidDuration := avoidDuration
-	if f.readAt.IsZero() {
+	switch {
+	case f.readAt.IsZero():
 		avoidDuration = startAvoidDuration
+	case err == nil, errors.Is(err, ErrNotFollowed):
+		avoidDuration = staleAvoidDuration
 	}
 	fields := zplog.Fields{"address": address, "prefix": prefix, "revision": f.newestRevisions[prefix], "avoided_ms": avoidDuration.Milliseconds()}
 	if err != nil {
--- a/internal/zprelay/follower_test.go
+++ b/internal/zprelay/follower_test.go
@@ -74,11 +74,12 @@
 	var now time.Time
 	var frozen map[string]bool
 	var turnedAway bool
+	var answersSince time.Time
 
 	follower := func(self zpassign.Member) *zprelay.Follower {
 		return &zprelay.Follower{
 			API: store, Self: self, HeartbeatPrefix: prefix, Daemons: func() []zpassign.Member { return daemons },
-			IsAnswering: func() bool { return !turnedAway }, Log: zplog.Discard(), Clock: func() time.Time { return now },
+			IsAnswering: func() bool { return !turnedAway }, AnswersSince: func() time.Time { return answersSince }, Log: zplog.Discard(), Clock: func() time.Time { return now },
 			Call: func(ctx context.Context, address, p string, since int64, wait time.Duration) (zprelay.Update, error) {
 				if frozen[address] {
 					return zprelay.Update{}, context.DeadlineExceeded
@@ -89,7 +90,7 @@
 	}
 
 	BeforeEach(func() {
-		now, frozen, turnedAway = time.Unix(1000, 0), map[string]bool{}, false
+		now, frozen, turnedAway, answersSince = time.Unix(1000, 0), map[string]bool{}, false, time.Time{}
 		store = &fakeStore{content: listing(10, object("config/main", 10))}
 		daemons = domain(6)
 		watchers = map[string]*zprelay.CachingStore{}
@@ -189,6 +190,54 @@
 		})
 	})
 
+	It("leaves the store to the watchers for a while after an outage", func() {
+		f := follower(daemons[4])
+		now = now.Add(2 * time.Second) // the watchers have no fresh response
+		answersSince = now
+		_, err := f.List(context.Background(), prefix)
+		Expect(err).To(HaveOccurred())
+		Expect(store.calls).To(BeZero())
+		now = now.Add(time.Second)
+		_, err = f.List(context.Background(), prefix)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(store.calls).To(Equal(1))
+	})
+
+	It("avoids a watcher that answers but knows too little for a shorter time than one that fails", func() {
+		f := follower(daemons[4])
+		list := func() {
+			GinkgoHelper()
+			_, err := f.List(context.Background(), prefix)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		list()
+		now = now.Add(2 * time.Second)
+		list()
+		Expect(store.calls).To(Equal(1))
+		for _, w := range watchers {
+			_, err := w.List(context.Background(), prefix)
+			Expect(err).NotTo(HaveOccurred())
+		}
+		store.calls = 0
+		now = now.Add(500 * time.Millisecond)
+		list()
+		Expect(store.calls).To(BeZero())
+	})
+
+	DescribeTable("waits for a watcher", func(self int, prepare func(), follows bool) {
+		prepare()
+		ctx, cancel := context.WithTimeout(context.Background(), 200*time.Millisecond)
+		defer cancel()
+		f := follower(daemons[self])
+		f.AwaitWatcher(ctx)
+		Expect(ctx.Err() == nil).To(Equal(follows))
+	},
+		Entry("no longer than until it can be followed", 4, func() {}, true),
+		Entry("not as a watcher", 0, func() { frozen["a:1"], frozen["b:1"] = true, true }, true),
+		Entry("not in a small fleet", 3, func() { daemons = domain(4) }, true),
+		Entry("until the time is over if none can be followed", 4, func() { frozen["a:1"], frozen["b:1"] = true, true }, false),
+	)
+
 	It("avoids a watcher only briefly before it has read anything itself, as the watcher may be starting too", func() {
 		f := follower(daemons[4])
 		for _, w := range daemons[:2] {
--- a/internal/zprelay/guarded_store.go
+++ b/internal/zprelay/guarded_store.go
@@ -29,6 +29,10 @@
 // IsAnswering reports whether the store answered this daemon's last call or probe.
 func (s *GuardedStore) IsAnswering() bool { return !s.Breaker.IsTripped() }
 
+// AnswersSince returns when the store answered this daemon again after a failure, or the
+// zero time if it has never failed.
+func (s *GuardedStore) AnswersSince() time.Time { return s.Breaker.ResetAt() }
+
 // Get returns one object.
 func (s *GuardedStore) Get(ctx context.Context, name string) (o zpobject.Object, err error) {
 	err = s.read(ctx, func() error {
