Relay: a watcher without the store refuses its followers in the middle of a call; regional watchers only from 16 daemons on

Cause: a follower asks its watcher to wait for up to a second, and freshness was checked at both ends of that. A watcher that alone is met with silence by the store was followed for up to 2.5 s after its last response: all of drain-ms on the small deployments (2,500), whose followers are in touch.

Change: the call ends when the last response is 1.5 s old. Regions of small domains have watchers only from 16 daemons in the fleet on, so small deployments (8 and 9 daemons, 12 with spares) read the store themselves as before.

Evidence: found by reading, not played. Spec of CachingStore: a call of 5 s ends in time; of Follower: 18 daemons in six domains have four watchers, 15 none.

--- a/internal/zprelay/caching_store.go
+++ b/internal/zprelay/caching_store.go
@@ -83,17 +83,25 @@
 }
 
 // Follow returns the cached changes under a prefix after a revision, as Feed.Since
-// does.
+// does. It ends when the store has not responded for too long, as the follower would hear of
+// no change meanwhile.
 func (r *CachingStore) Follow(ctx context.Context, prefix string, since int64, wait time.Duration) (Update, error) {
 	r.recordFollower()
-	if !r.isFresh(prefix) {
-		return Update{}, ErrNotFollowed
-	}
-	a, ok := r.feed(prefix).Since(ctx, since, wait)
-	if !ok || !r.isFresh(prefix) {
-		return Update{}, ErrNotFollowed
+	deadline := r.Clock().Add(wait)
+	for {
+		freshFor := r.freshFor(prefix)
+		if freshFor <= 0 {
+			return Update{}, ErrNotFollowed
+		}
+		remaining := deadline.Sub(r.Clock())
+		a, ok := r.feed(prefix).Since(ctx, since, min(remaining, freshFor))
+		if !ok || r.freshFor(prefix) <= 0 {
+			return Update{}, ErrNotFollowed
+		}
+		if a.Complete || len(a.Objects) > 0 || remaining <= freshFor || ctx.Err() != nil {
+			return a, nil
+		}
 	}
-	return a, nil
 }
 
 // cache returns the cache of a prefix; r.mu must be held.
@@ -127,17 +135,23 @@
 	r.cache(prefix).watches += change
 }
 
-// isFresh reports whether the store responds, and tells this daemon of changes under the
-// prefix.
-func (r *CachingStore) isFresh(prefix string) bool {
+// freshFor returns for how long the store's last response shows that it responds, and tells
+// this daemon of changes under the prefix. It is not positive if it does not show that now.
+func (r *CachingStore) freshFor(prefix string) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Clock()
-	hasResponse := func(c *prefixCache) bool {
-		return !c.lastResponse.IsZero() && now.Sub(c.lastResponse) <= maxHeartbeatAge
+	remaining := func(c *prefixCache) time.Duration {
+		if c.lastResponse.IsZero() {
+			return 0
+		}
+		return maxHeartbeatAge - now.Sub(c.lastResponse)
 	}
 	c := r.cache(prefix)
-	return hasResponse(r.cache(r.HeartbeatPrefix)) && (c.watches > 0 || hasResponse(c))
+	if c.watches == 0 && remaining(c) <= 0 {
+		return 0
+	}
+	return remaining(r.cache(r.HeartbeatPrefix))
 }
 
 func (r *CachingStore) recordFollower() {
--- a/internal/zprelay/watchers.go
+++ b/internal/zprelay/watchers.go
@@ -16,10 +16,11 @@
 	// minFollowDomainSize is the number of daemons in a failure domain from which they
 	// follow each other. Smaller domains follow in their region.
 	minFollowDomainSize = 5
-	// minFollowRegionSize is the number of daemons in a region from which small failure
-	// domains follow watchers of another one. Below it, the saved store calls do not
-	// outweigh the bytes between domains.
+	// minFollowRegionSize is the number of daemons in a region, and minFollowFleetSize that
+	// in all, from which small failure domains follow watchers of another one. Below it, the
+	// saved store calls do not outweigh that changes reach a daemon through another one.
 	minFollowRegionSize = 6
+	minFollowFleetSize  = 16
 	// maxForeignWatchers is the number of watchers of other groups that a daemon follows when
 	// its own ones fail: the store may turn away some daemons and serve the rest.
 	maxForeignWatchers = 2
@@ -33,7 +34,7 @@
 		return domain
 	}
 	region := filter(daemons, func(d zpassign.Member) bool { return d.Region == self.Region })
-	if len(region) >= minFollowRegionSize {
+	if len(region) >= minFollowRegionSize && len(daemons) >= minFollowFleetSize {
 		return region
 	}
 	return nil
