Relay: a watch reads the store after four watchers have failed, as a list does

Cause: by the time the last of three or four watchers times out, the first is not avoided any more (3 s), so a daemon beside frozen watchers could go on following them one after another without reading the store.

Change: a watch counts the watchers that failed and reads the store after the fourth.

Evidence: found by reading. The new spec fails without the limit and passes with it.

--- a/internal/zprelay/follower.go
+++ b/internal/zprelay/follower.go
@@ -44,6 +44,9 @@
 	avoidDuration      = 3 * time.Second
 	staleAvoidDuration = 500 * time.Millisecond
 	startAvoidDuration = 300 * time.Millisecond
+	// maxFailures is the number of watchers that may fail in one call before the store is
+	// read. The first of them may not be avoided any more when the last one times out.
+	maxFailures = maxWatchersPerGroup + maxForeignWatchers
 	// watcherPatience is the time after an outage of the store in which the watchers should
 	// have read it. Only then does a daemon that follows others read the store itself.
 	watcherPatience = time.Second
@@ -62,7 +65,7 @@
 // List lists the objects under a prefix. It reads the store if all watchers fail or
 // return a list older than one read before.
 func (f *Follower) List(ctx context.Context, prefix string) (zpobject.Listing, error) {
-	for range maxWatchersPerGroup + maxForeignWatchers {
+	for range maxFailures {
 		address, ok := f.chooseWatcher()
 		if !ok {
 			break
@@ -93,21 +96,14 @@
 		maxWatchWait = maxHeartbeatWatchWait
 	}
 	isTurnedAway := !f.IsAnswering()
-	for {
+	for failures := 0; ; {
 		if isTurnedAway && f.IsAnswering() && f.IsWatcher() {
 			return zpobject.Listing{}, errRelist // the others follow this daemon again
 		}
 		remaining := deadline.Sub(f.Clock())
 		address, ok := f.chooseWatcher()
-		if !ok && f.awaitsWatchers() {
-			return zpobject.Listing{}, errAwaitsWatchers
-		}
-		if !ok {
-			l, err := f.API.Watch(ctx, prefix, from, max(remaining, 0))
-			if err == nil {
-				f.recordRevision(prefix, l.Revision)
-			}
-			return l, err
+		if !ok || failures >= maxFailures {
+			return f.watchStore(ctx, prefix, from, max(remaining, 0))
 		}
 		a, err := f.Call(ctx, address, prefix, from, min(maxWatchWait, max(remaining, 0)))
 		switch {
@@ -115,6 +111,7 @@
 			return zpobject.Listing{}, ctx.Err()
 		case err != nil || a.Complete && !f.isCurrent(prefix, a.Revision):
 			f.avoid(address, prefix, err)
+			failures++
 		case a.Complete:
 			return zpobject.Listing{}, errRelist
 		case len(a.Objects) > 0 || remaining <= maxWatchWait:
@@ -126,6 +123,19 @@
 	}
 }
 
+// watchStore watches the store itself, unless the watchers may still be reading it after an
+// outage.
+func (f *Follower) watchStore(ctx context.Context, prefix string, from int64, wait time.Duration) (zpobject.Listing, error) {
+	if f.awaitsWatchers() {
+		return zpobject.Listing{}, errAwaitsWatchers
+	}
+	l, err := f.API.Watch(ctx, prefix, from, wait)
+	if err == nil {
+		f.recordRevision(prefix, l.Revision)
+	}
+	return l, err
+}
+
 // AwaitWatcher waits until a watcher can be followed, this daemon is one itself, or ctx ends.
 func (f *Follower) AwaitWatcher(ctx context.Context) {
 	ticker := time.NewTicker(awaitInterval)
--- a/internal/zprelay/follower_test.go
+++ b/internal/zprelay/follower_test.go
@@ -74,6 +74,7 @@
 	var now time.Time
 	var frozen map[string]bool
 	var turnedAway bool
+	var timeout time.Duration // of a call to a frozen daemon
 	var answersSince time.Time
 
 	follower := func(self zpassign.Member) *zprelay.Follower {
@@ -82,6 +83,7 @@
 			IsAnswering: func() bool { return !turnedAway }, AnswersSince: func() time.Time { return answersSince }, Log: zplog.Discard(), Clock: func() time.Time { return now },
 			Call: func(ctx context.Context, address, p string, since int64, wait time.Duration) (zprelay.Update, error) {
 				if frozen[address] {
+					now = now.Add(timeout)
 					return zprelay.Update{}, context.DeadlineExceeded
 				}
 				return watchers[address].Follow(ctx, p, since, min(wait, time.Millisecond))
@@ -90,7 +92,7 @@
 	}
 
 	BeforeEach(func() {
-		now, frozen, turnedAway, answersSince = time.Unix(1000, 0), map[string]bool{}, false, time.Time{}
+		now, frozen, turnedAway, answersSince, timeout = time.Unix(1000, 0), map[string]bool{}, false, time.Time{}, 0
 		store = &fakeStore{content: listing(10, object("config/main", 10))}
 		daemons = domain(6)
 		watchers = map[string]*zprelay.CachingStore{}
@@ -190,6 +192,18 @@
 		})
 	})
 
+	It("reads the store if all watchers time out, though the first is not avoided any more by then", func() {
+		for _, d := range daemons[:2] {
+			frozen[d.PeerAddress] = true
+		}
+		timeout = 4 * time.Second
+		startedAt := now
+		_, err := follower(daemons[4]).Watch(context.Background(), prefix, 10, 0)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(store.calls).To(Equal(1))
+		Expect(now).To(BeTemporally("<=", startedAt.Add(4*timeout)))
+	})
+
 	It("leaves the store to the watchers for a while after an outage", func() {
 		f := follower(daemons[4])
 		now = now.Add(2 * time.Second) // the watchers have no fresh response
