--- a/internal/zpforecast/decide.go
+++ b/internal/zpforecast/decide.go
@@ -33,6 +33,7 @@
 	ReasonNone  Reason = iota
 	ReasonQueue        // what waits at this daemon takes longer than the caller waits
 	ReasonFleet        // what waits at all daemons takes longer, even if all endpoints were idle
+	ReasonFull         // this daemon can hold no more waiting requests
 	ReasonStall        // nothing has started for several times as long as the caller still waits
 )
 
@@ -78,4 +79,4 @@
 	return v
 }
 
-func (r Reason) String() string { return [...]string{"none", "queue", "fleet", "stall"}[r] }
+func (r Reason) String() string { return [...]string{"none", "queue", "fleet", "full", "stall"}[r] }
--- a/internal/zpgateway/admission.go
+++ b/internal/zpgateway/admission.go
@@ -170,7 +170,7 @@
 func (g *Gateway) refuseHopeless(e *queueEntry, now time.Time) error {
 	f := g.queue.forecast(e.Value.job)
 	wait, v := g.decideWait(e, f, now)
-	if v.Reason == zpforecast.ReasonNone && g.queue.waiters.Len() < maxQueuedRequests {
+	if v.Reason == zpforecast.ReasonNone {
 		return nil
 	}
 	return g.refuse(e.Value.job, f, wait, v, now)
@@ -184,7 +184,11 @@
 		Ahead: g.queue.waiters.SumAhead(e, now, sameLine(j)), Service: e.ServiceTime, Left: j.remaining(now), HasReturned: hasReturned(j),
 		FleetAhead: g.fleetAhead(j, now), Capacity: g.capacityOf(j, now),
 	}
-	return wait, zpforecast.Decide(wait, &f.pace, now)
+	v := zpforecast.Decide(wait, &f.pace, now)
+	if v.Reason == zpforecast.ReasonNone && g.queue.waiters.Len() >= maxQueuedRequests {
+		v.Reason = zpforecast.ReasonFull
+	}
+	return wait, v
 }
 
 // refuse returns the error for a request that cannot be served in time, and logs the numbers
