The wait of a stream ends when its caller leaves

Now the time at which the caller leaves ends the wait, also in forecasts. What cannot begin by then is refused as not run, with a time of return, as its caller has time left for another attempt.

--- a/internal/zpforecast/decide.go
+++ b/internal/zpforecast/decide.go
@@ -30,11 +30,12 @@
 
 // Reasons for a refusal.
 const (
-	ReasonNone  Reason = iota
-	ReasonQueue        // what waits at this daemon takes longer than the caller waits
-	ReasonFleet        // what waits at all daemons takes longer, even if all endpoints were idle
-	ReasonFull         // this daemon can hold no more waiting requests
-	ReasonStall        // nothing has started for several times as long as the caller still waits
+	ReasonNone   Reason = iota
+	ReasonQueue         // what waits at this daemon takes longer than the caller waits
+	ReasonFleet         // what waits at all daemons takes longer, even if all endpoints were idle
+	ReasonFull          // this daemon can hold no more waiting requests
+	ReasonLeaves        // the caller leaves before its first event could come, though its deadline is later
+	ReasonStall         // nothing has started for several times as long as the caller still waits
 )
 
 const (
@@ -79,4 +80,6 @@
 	return v
 }
 
-func (r Reason) String() string { return [...]string{"none", "queue", "fleet", "full", "stall"}[r] }
+func (r Reason) String() string {
+	return [...]string{"none", "queue", "fleet", "full", "leaves", "stall"}[r]
+}
--- a/internal/zpgateway/admission.go
+++ b/internal/zpgateway/admission.go
@@ -143,7 +143,7 @@
 			g.updateOver(f, w.job.line, entries, now)
 		}
 		g.updateEntry(e, now)
-		wait := zpforecast.Wait{Ahead: ahead[w.job.line], Service: e.ServiceTime, Left: w.job.remaining(now), HasReturned: hasReturned(w.job), IsQueued: true}
+		wait := zpforecast.Wait{Ahead: ahead[w.job.line], Service: e.ServiceTime, Left: e.Deadline.Sub(now), HasReturned: hasReturned(w.job), IsQueued: true}
 		v := zpforecast.Decide(wait, &f.pace, now)
 		if v.Reason == zpforecast.ReasonNone {
 			ahead[w.job.line] += workOf(w.job)
@@ -181,7 +181,7 @@
 func (g *Gateway) decideWait(e *queueEntry, f *forecast, now time.Time) (zpforecast.Wait, zpforecast.Verdict) {
 	j := e.Value.job
 	wait := zpforecast.Wait{
-		Ahead: g.queue.waiters.SumAhead(e, now, sameLine(j)), Service: e.ServiceTime, Left: j.remaining(now), HasReturned: hasReturned(j),
+		Ahead: g.queue.waiters.SumAhead(e, now, sameLine(j)), Service: e.ServiceTime, Left: e.Deadline.Sub(now), HasReturned: hasReturned(j),
 		FleetAhead: g.fleetAhead(j, now), Capacity: g.capacityOf(j, now),
 	}
 	v := zpforecast.Decide(wait, &f.pace, now)
@@ -191,6 +191,20 @@
 	return wait, v
 }
 
+// refuseExpired returns the error for a queued request whose first event can no longer come in
+// time. Its caller may have time left for another attempt; the lock must be held.
+func (g *Gateway) refuseExpired(e *queueEntry, now time.Time) *zperror.Error {
+	j := e.Value.job
+	if !e.Deadline.Before(j.deadline) {
+		return errDeadlinePassed
+	}
+	f := g.queue.forecast(j)
+	wait := zpforecast.Wait{Ahead: g.queue.waiters.SumAhead(e, now, sameLine(j)), Service: e.ServiceTime, Left: e.Deadline.Sub(now)}
+	v := zpforecast.Decide(wait, &f.pace, now)
+	v.Reason = zpforecast.ReasonLeaves
+	return g.refuse(j, f, wait, v, now)
+}
+
 // refuse returns the error for a request that cannot be served in time, and logs the numbers
 // behind it.
 func (g *Gateway) refuse(j *job, f *forecast, wait zpforecast.Wait, v zpforecast.Verdict, now time.Time) *zperror.Error {
@@ -272,7 +286,7 @@
 	defer g.queue.mu.Unlock()
 	f := g.queue.forecast(j)
 	ahead := g.queue.waiters.SumAhead(&queueEntry{Rank: j.priority(), ArrivedAt: now, Objective: j.route.TargetLatency, Deadline: j.deadline}, now, sameLine(j))
-	v := zpforecast.Decide(zpforecast.Wait{Ahead: ahead, Left: j.remaining(now), FleetAhead: g.fleetAhead(j, now), Capacity: g.capacityOf(j, now)}, &f.pace, now)
+	v := zpforecast.Decide(zpforecast.Wait{Ahead: ahead, Left: j.firstEventBy().Sub(now), FleetAhead: g.fleetAhead(j, now), Capacity: g.capacityOf(j, now)}, &f.pace, now)
 	return f.returns.Plan(zpforecast.Return{
 		Rank: j.priority(), Work: workOf(j), Room: v.Start, PerSecond: v.PerSecond, Left: j.remaining(now), Random: g.Random(),
 	}, now)
--- a/internal/zpgateway/admission_test.go
+++ b/internal/zpgateway/admission_test.go
@@ -66,6 +66,21 @@
 		Entry("if nothing is known of others", func() {}),
 	)
 
+	// Guards against streams that are sent to an endpoint when their callers are about to leave.
+	It("is refused when the caller of a stream would leave, not at its deadline", func() {
+		for i := range s.Catalog().Routes {
+			s.Catalog().Routes[i].Timeout = time.Minute
+		}
+		q := request("draft")
+		q.Timeout = 20 * time.Second
+		startedAt := time.Now()
+		r := s.serve(q)
+		expectRefused(r, http.StatusServiceUnavailable, zperror.RunStateNotRun)
+		Expect(time.Since(startedAt)).To(BeNumerically("~", 2*time.Second, 200*time.Millisecond))
+		Expect(r.refused.RetryAfter).To(BeNumerically(">", 0))
+		Expect(r.refused.RetryAfter).To(BeNumerically("<=", 6*time.Second))
+	})
+
 	It("is no longer counted for other daemons once it has ended", func() {
 		serve()
 		own, _ := s.Usage.Own()
--- a/internal/zpgateway/job.go
+++ b/internal/zpgateway/job.go
@@ -66,6 +66,27 @@
 // remaining returns the time until the request's deadline.
 func (j *job) remaining(now time.Time) time.Duration { return j.deadline.Sub(now) }
 
+// firstEventBy returns the time by which the first event or byte of the answer must reach the
+// caller. Callers of streams leave earlier than at their deadline.
+func (j *job) firstEventBy() time.Time {
+	if j.route.Kind != zpcatalog.KindStream || j.headerSent {
+		return j.deadline
+	}
+	patience := max(minPatience, patienceObjectives*j.route.TargetLatency, patienceGaps*j.route.MaxEventGap)
+	if by := j.request.ReceivedAt.Add(patience); by.Before(j.deadline) {
+		return by
+	}
+	return j.deadline
+}
+
+// Callers of streams leave after the longest of these times without an event: a fixed one,
+// so many times the objective, and so many times the longest gap between events.
+const (
+	minPatience        = 2 * time.Second
+	patienceObjectives = 4
+	patienceGaps       = 8
+)
+
 // deadlineOf returns the time by which the response must be complete: the
 // shorter of the route's timeout and the caller's after the request arrived.
 func deadlineOf(q *Request, r *zpcatalog.Route) time.Time {
--- a/internal/zpgateway/queue.go
+++ b/internal/zpgateway/queue.go
@@ -148,7 +148,7 @@
 func (g *Gateway) dispatch(now time.Time) {
 	for _, e := range g.queue.waiters.RemoveExpired(now) {
 		e.Value.endWait()
-		e.Value.result <- placement{err: errDeadlinePassed}
+		e.Value.result <- placement{err: g.refuseExpired(e, now)}
 	}
 	if !g.stopping.mayQueue(now) {
 		for _, e := range g.queue.waiters.Ordered(now) {
@@ -206,6 +206,6 @@
 	}
 	return &queueEntry{
 		Rank: j.priority(), ArrivedAt: j.request.ReceivedAt, Objective: j.route.TargetLatency, ServiceTime: service, Lead: g.queue.leadOf(j, w.enqueuedAt),
-		IsOver: g.isOver(j), Deadline: j.deadline, Value: w,
+		IsOver: g.isOver(j), Deadline: j.firstEventBy(), Value: w,
 	}
 }
