--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -35,6 +35,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpretry"
 	"github.com/zinniapaddle/zinniapaddle/internal/zprollout"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpshare"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpspeed"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpstall"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpusage"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpwhere"
@@ -129,7 +130,7 @@
 		AwaitCatalog: func(ctx context.Context) { d.catalogs.await(ctx) }, IsCatalogConfirmed: func() bool { return d.catalogs.isConfirmed() }, Registry: d.registry, HasSynced: d.hasSynced,
 		Weights: d.weights, Usage: zpusage.NewTracker(usageMaxAge), Parts: zpparts.NewDirectory(maxPartsPerHolder),
 		Stores: zpparts.NewStores(cacheStoreStateMaxAge, cacheStoreSettleDelay), AnnounceParts: d.announceParts, RefreshParts: d.query,
-		Health: zpgateway.NewHealthTracker(), Cold: &zpplace.ColdLimiter{Self: s.Name}, Daemons: d.members.Names,
+		Health: zpgateway.NewHealthTracker(), Speed: zpspeed.NewTracker(), Cold: &zpplace.ColdLimiter{Self: s.Name}, Daemons: d.members.Names,
 		Quarantine: zpquarantine.NewTracker(crashRetention), AnnounceCrash: d.announceCrash, AnnounceHarmless: d.announceHarmless, IsRefusing: d.sender.IsRefusing, AnnounceUnreachable: d.announceUnreachable,
 		Retries: &zpretry.Budgets{Ratio: n.Bounds.RetryRatio * retryShare, Burst: retryBurst},
 		Runner:  &zpplatform.Runner{Sender: d.sender}, ResponseMemory: zpengine.NewMemory(zpmemory.PlanFor(n.Memory).Responses), Rates: zpplace.DefaultRates(),
--- a/internal/zpapp/gateway_metrics.go
+++ b/internal/zpapp/gateway_metrics.go
@@ -20,6 +20,7 @@
 	waitingDesc      = describe("waiting_requests", "Requests queued for an endpoint.")
 	heldDesc         = describe("memory_held_bytes", "Bytes reserved for connections and their requests.", "port")
 	connsDesc        = describe("memory_connections", "Open connections that are charged to the memory for requests.", "port")
+	slowDesc         = describe("slow_endpoints", "Endpoints believed to be slow by what they have said in the last seconds.")
 	partsDesc        = describe("known_parts", "Prompt parts in the directory that maps them to engines and KV cache stores.")
 	upgradeSentDesc  = describe("upgrade_requests", "Requests that this daemon has sent to a pool since the order of its running roll-out, by side: all, new.", "pool", "side")
 	upgradeStateDesc = describe("upgrade_state", "1 for the state of each pool's latest roll-out as this daemon knows it.", "pool", "version", "state")
@@ -63,6 +64,7 @@
 	for _, c := range d.upgrades.tracker.States() {
 		gauge(upgradeStateDesc, 1, c.Pool, c.To, c.State.String())
 	}
+	gauge(slowDesc, float64(d.gateway.Speed.Slow(now)))
 	gauge(partsDesc, float64(d.gateway.Parts.Len()))
 	for port, guard := range map[string]*zpnet.Guard{callerPorts: d.memory.callers, controlPorts: d.memory.control} {
 		bytes, connections := guard.Budget.Used()
--- a/internal/zpapp/gateway_sharing.go
+++ b/internal/zpapp/gateway_sharing.go
@@ -18,6 +18,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zprelay"
 	"github.com/zinniapaddle/zinniapaddle/internal/zprollout"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpshare"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpspeed"
 	zpplatform "github.com/zinniapaddle/zinniapaddle/platform"
 )
 
@@ -35,12 +36,13 @@
 	d.sharer = &zpshare.Sharer{
 		Self: d.self.Instance, Domain: d.self.Domain, Region: d.self.Region, Usage: d.gateway.Usage, Others: d.members.Others,
 		Send:      d.share,
+		Speeds:    func() []zpspeed.Report { return d.gateway.Speed.Reports(zpclock.Now()) },
 		SendsLoad: func() bool { return !d.exchange.IsActive() },
 		Snapshot:  d.snapshot, Log: d.Log, Clock: zpclock.Now,
 	}
 	d.hub = zpdigest.NewHub(d.self.Instance, d.self.Domain)
 	d.exchange = &zpdigest.Exchange{
-		Self: d.self, Hub: d.hub, Usage: d.gateway.Usage, Others: d.members.Others, Log: d.Log, Clock: zpclock.Now,
+		Self: d.self, Hub: d.hub, Usage: d.gateway.Usage, Speed: d.gateway.Speed, Others: d.members.Others, Log: d.Log, Clock: zpclock.Now,
 		ReportLoad: func(ctx context.Context, address string, r zpdigest.Report) (zpdigest.Digest, error) {
 			startedAt := zpclock.Now()
 			digest, reply, err := zppeer.ReportLoad(ctx, d.dialer, address, r)
@@ -152,6 +154,7 @@
 	if m.Uses != nil && !d.exchange.IsActive() {
 		d.gateway.Usage.SetPeer(m.Instance, m.Uses, now)
 	}
+	d.gateway.Speed.MergeAll(m.Speeds, now)
 	for _, x := range m.Stores {
 		d.setStore(x, now)
 	}
--- a/internal/zpdigest/exchange.go
+++ b/internal/zpdigest/exchange.go
@@ -9,6 +9,7 @@
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpspeed"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpusage"
 )
 
@@ -19,6 +20,7 @@
 		Self         zpassign.Member
 		Hub          *Hub
 		Usage        *zpusage.Tracker
+		Speed        *zpspeed.Tracker // nil: speeds are not exchanged
 		Others       func() []zpassign.Member
 		ReportLoad   func(ctx context.Context, address string, r Report) (Digest, error)
 		ExchangeSums func(ctx context.Context, address string, s Sum) (Sum, error)
@@ -87,6 +89,9 @@
 	uses, _ := x.Usage.Own()
 	r := Report{Name: x.Self.Name, Instance: x.Self.Instance, Uses: uses, KnownAlive: x.knownAlive()}
 	now := x.Clock()
+	if x.Speed != nil {
+		r.Speeds = x.Speed.Reports(now)
+	}
 	relay, ok := x.ownRelay(now)
 	if !ok || relay.Instance == x.Self.Instance {
 		x.Hub.AddReport(r, now)
@@ -191,6 +196,9 @@
 	if !d.Incomplete {
 		x.Usage.SetPeer(fleetSource, d.Uses, now)
 	}
+	if x.Speed != nil {
+		x.Speed.MergeAll(d.Speeds, now)
+	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	if d.AliveUnchanged {
--- a/internal/zpdigest/hub.go
+++ b/internal/zpdigest/hub.go
@@ -13,6 +13,7 @@
 	"sync"
 	"time"
 
+	"github.com/zinniapaddle/zinniapaddle/internal/zpspeed"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpusage"
 )
 
@@ -22,13 +23,15 @@
 		Name       string // of the daemon; a restarted daemon replaces its earlier report
 		Instance   string
 		Uses       map[string]zpusage.Usage // by endpoint
+		Speeds     []zpspeed.Report         // that the daemon has heard from endpoints
 		KnownAlive uint64                   // checksum of the live daemons that the sender knows; see Digest
 	}
 
 	// Digest is the load of all daemons but one.
 	Digest struct {
-		Uses  map[string]zpusage.Usage // by endpoint
-		Alive []uint32                 // sorted hashes of the instances that are alive; see InstanceHash
+		Uses   map[string]zpusage.Usage // by endpoint
+		Speeds []zpspeed.Report         // that the others have heard
+		Alive  []uint32                 // sorted hashes of the instances that are alive; see InstanceHash
 		// AliveUnchanged says that Alive is left out, because the receiver knows it.
 		AliveUnchanged bool
 		// Incomplete says that daemons began to report to this relay just now, so Uses lacks
@@ -42,6 +45,7 @@
 		Domain  string                   // failure domain
 		Members []uint32                 // daemons whose load it contains, as hashes of their instances
 		Uses    map[string]zpusage.Usage // by endpoint
+		Speeds  []zpspeed.Report
 	}
 
 	// Hub holds what a relay knows: the reports of its failure domain and the sums of
@@ -62,6 +66,8 @@
 		at   time.Time
 		hash uint32 // of the instance
 		uses map[string]zpusage.Usage
+
+		speeds []zpspeed.Report
 	}
 
 	sum struct {
@@ -118,7 +124,7 @@
 		h.reportingAt = now
 	}
 	hash := InstanceHash(r.Instance)
-	h.reports[r.Name] = report{at: now, hash: hash, uses: r.Uses}
+	h.reports[r.Name] = report{at: now, hash: hash, uses: r.Uses, speeds: r.Speeds}
 	h.heardAt[hash] = now
 }
 
@@ -159,6 +165,7 @@
 	for _, r := range h.reports {
 		out.Members = append(out.Members, r.hash)
 		addUses(out.Uses, r.uses)
+		out.Speeds = zpspeed.Newest(out.Speeds, r.speeds, now.Sub(r.at))
 	}
 	slices.Sort(out.Members)
 	return out
@@ -176,10 +183,12 @@
 		counted[r.hash] = true
 		if name != receiver {
 			addUses(d.Uses, r.uses)
+			d.Speeds = zpspeed.Newest(d.Speeds, r.speeds, now.Sub(r.at))
 		}
 	}
 	for _, s := range h.disjointSums(counted) {
 		addUses(d.Uses, s.Uses)
+		d.Speeds = zpspeed.Newest(d.Speeds, s.Speeds, now.Sub(s.at))
 	}
 	if d.AliveUnchanged = checksum(maps.Keys(h.heardAt)) == knownAlive; !d.AliveUnchanged {
 		d.Alive = slices.Sorted(maps.Keys(h.heardAt))
--- a/internal/zpdigest/hub_test.go
+++ b/internal/zpdigest/hub_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpdigest"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpspeed"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpusage"
 )
 
@@ -50,6 +51,26 @@
 		Expect(hub.Sum(start).Uses["e"].Requests).To(Equal(111))
 	})
 
+	It("passes on the newest speed of each endpoint with its age, but not what the receiver has heard itself", func() {
+		speed := func(endpoint string, percent, ageMS int) zpspeed.Report {
+			return zpspeed.Report{Endpoint: endpoint, Percent: percent, Age: time.Duration(ageMS) * time.Millisecond}
+		}
+		heard := func(name string, speeds ...zpspeed.Report) zpdigest.Report {
+			r := report(name, 1)
+			r.Speeds = speeds
+			return r
+		}
+		hub.AddReport(heard("a", speed("e", 250, 100), speed("f", 300, 0)), at(100))
+		hub.AddReport(heard("b", speed("e", 100, 10)), at(200))
+		s := sum("x", 1, "x")
+		s.Speeds = []zpspeed.Report{speed("g", 250, 450)}
+		hub.AddSum(s, at(200))
+		Expect(hub.Digest("r", 0, at(300)).Speeds).To(ConsistOf(speed("e", 100, 110), speed("f", 300, 200), speed("g", 250, 550)))
+		Expect(hub.Digest("a", 0, at(300)).Speeds).To(ConsistOf(speed("e", 100, 110), speed("g", 250, 550)))
+		Expect(hub.Sum(at(300)).Speeds).To(ConsistOf(speed("e", 100, 110), speed("f", 300, 200)))
+		Expect(hub.Digest("r", 0, at(900)).Speeds).To(BeEmpty())
+	})
+
 	It("replaces the report of a daemon, also after a restart", func() {
 		hub.AddReport(report("a", 20), at(100))
 		expectLoad("b", at(100), 21)
--- a/internal/zpgateway/choice.go
+++ b/internal/zpgateway/choice.go
@@ -8,6 +8,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpplace"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpregistry"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpspeed"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpupgrade"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpusage"
 )
@@ -58,7 +59,7 @@
 	// frequent.
 	choices, candidates := g.queue.choices[:0], g.queue.candidates[:0]
 	states := partStates{}
-	t := &terms{demand: demand, regions: regions, versions: g.versionsOf(j, now)}
+	t := &terms{demand: demand, regions: regions, versions: g.versionsOf(j, now), beliefs: g.Speed.Beliefs(now)}
 	for _, e := range g.Registry.Serving(j.pool.Name, now) {
 		c, ok := g.evaluate(j, e, t, now)
 		if !ok {
@@ -67,6 +68,7 @@
 		v = choiceNoCapacity
 		if !g.Health.IsBackingOff(e.ID, now) && zpplace.HasCapacity(demand, c.candidate, g.Rates) {
 			g.findCachedParts(j, &c, states, now)
+			c.candidate.Preference = g.queue.preferences.of(g.Cold.Self, e.ID)
 			choices = append(choices, c)
 			candidates = append(candidates, c.candidate)
 		}
@@ -110,9 +112,10 @@
 	}
 	c := choice{endpoint: e, demand: t.demand, regions: t.regions}
 	c.candidate = zpplace.Candidate{
-		ID: e.ID, Domain: e.FailureDomain, Region: e.Region, Use: g.Usage.Total(e.ID, now), Slots: e.Slots,
+		ID: e.ID, Domain: e.FailureDomain, Region: e.Region, Use: g.Usage.Believed(e.ID, now), Slots: e.Slots,
 		Cold: now.Before(e.ColdUntil), Suspect: g.Health.IsAvoided(e.ID, now),
 	}
+	t.addBelief(&c.candidate, e)
 	if p := j.request.Prompt; p != nil && j.pool.Engine != nil {
 		c.weights = e.Weights[p.Model]
 		if g.Weights.Expired(p.Model, c.weights, now) {
@@ -138,6 +141,20 @@
 	// have the same.
 	salt    string
 	weights int64
+	// beliefs of load and speed, by endpoint; nil where endpoints do not tell their speed.
+	beliefs map[string]zpspeed.Belief
+}
+
+// addBelief adds to a candidate what its endpoint has said of its load and speed. The work
+// that the daemons know of counts if it is more than the endpoint has said.
+func (t *terms) addBelief(c *zpplace.Candidate, e zpregistry.Endpoint) {
+	if len(t.beliefs) == 0 {
+		return
+	}
+	if b, ok := t.beliefs[e.ID]; ok && b.StartedAtMS == e.StartedAtMS {
+		c.Slowness = b.Slowness
+		c.Use.Requests = max(c.Use.Requests, b.Requests)
+	}
 }
 
 func (g *Gateway) demandOf(j *job) zpplace.Request {
@@ -215,6 +232,9 @@
 func (g *Gateway) choiceFields(c choice) zplog.Fields {
 	f := c.logFields()
 	f["region"], f["catalog_ms"] = c.endpoint.Region, g.Clock().Sub(g.CatalogConfirmedAt()).Milliseconds()
+	if c.candidate.Slowness > 1 {
+		f["slowness"] = c.candidate.Slowness
+	}
 	if !c.regions.IsEmpty() {
 		f["allowed_regions"] = c.regions.String()
 	}
--- a/internal/zpgateway/first_byte.go
+++ b/internal/zpgateway/first_byte.go
@@ -52,9 +52,22 @@
 	if j.remaining(g.Clock()) < 2*timeout {
 		return ctx, t
 	}
+	isExtended := false
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	t.timer = time.AfterFunc(timeout, func() {
 		t.mu.Lock()
 		defer t.mu.Unlock()
+		if !isExtended && !t.stopped {
+			// Other responses may have said since then that the endpoint is slow.
+			isExtended = true
+			c.candidate.Slowness = max(c.candidate.Slowness, g.Speed.Slowness(c.endpoint.ID, c.endpoint.StartedAtMS, g.Clock()))
+			if more := g.firstByteTimeout(j, c) - timeout; more > 0 {
+				timeout += more
+				t.timer.Reset(more)
+				return
+			}
+		}
 		if !t.stopped && g.hasAlternative(j, c) && budget.Take() {
 			g.Log.Emit(zplog.RequestSilent, g.logFields(j, zplog.Fields{
 				"endpoint": c.endpoint.ID, "patience_ms": timeout.Milliseconds(), "expected_ms": c.cost.Milliseconds(),
@@ -80,12 +93,14 @@
 	return false
 }
 
-// firstByteTimeout returns how long a run may take to its first byte.
+// firstByteTimeout returns how long a run may take to its first byte. It is longer at an
+// endpoint that has said that it is slow.
 func (g *Gateway) firstByteTimeout(j *job, c choice) time.Duration {
 	if j.route.Kind != zpcatalog.KindStream {
-		return j.route.TargetLatency * serviceTimeoutPercent / 100
+		usual := j.route.TargetLatency * serviceTimeoutPercent / 100
+		return max(usual, min(c.candidate.Slowed(usual), j.route.TargetLatency))
 	}
-	expected := engineStartTime + zpplace.PrefillLatency(c.demand, c.candidate, g.Rates)
+	expected := c.candidate.Slowed(engineStartTime) + zpplace.PrefillLatency(c.demand, c.candidate, g.Rates)
 	return max(j.route.TargetLatency*streamTimeoutPercent/100, expectedTimeFactor*expected)
 }
 
--- a/internal/zpgateway/gateway.go
+++ b/internal/zpgateway/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpregistry"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpretry"
 	"github.com/zinniapaddle/zinniapaddle/internal/zprollout"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpspeed"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpupgrade"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpusage"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
@@ -44,6 +45,7 @@
 	// given as its keys, one for each weight version in use.
 	RefreshParts     func(ctx context.Context, parts [][]zpparts.Key)
 	Health           *HealthTracker
+	Speed            *zpspeed.Tracker
 	Cold             *zpplace.ColdLimiter
 	Daemons          func() []string // names of all daemons, including this one
 	Quarantine       *zpquarantine.Tracker
--- a/internal/zpgateway/helpers_test.go
+++ b/internal/zpgateway/helpers_test.go
@@ -25,6 +25,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpregistry"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpretry"
 	"github.com/zinniapaddle/zinniapaddle/internal/zprollout"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpspeed"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpusage"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
 )
@@ -189,7 +190,7 @@
 		Catalog: func() *zpcatalog.Catalog { return catalog }, CatalogConfirmedAt: time.Now, AwaitCatalog: func(context.Context) {}, IsCatalogConfirmed: func() bool { return true }, Registry: registry,
 		HasSynced: func() bool { return true },
 		Weights:   zprollout.NewWeightVersions(8 * time.Second), Usage: zpusage.NewTracker(time.Second), Parts: zpparts.NewDirectory(100),
-		Stores: zpparts.NewStores(time.Hour, 0), AnnounceParts: func(zpgateway.PartChanges) {}, RefreshParts: func(context.Context, [][]zpparts.Key) {}, Health: zpgateway.NewHealthTracker(),
+		Stores: zpparts.NewStores(time.Hour, 0), AnnounceParts: func(zpgateway.PartChanges) {}, RefreshParts: func(context.Context, [][]zpparts.Key) {}, Health: zpgateway.NewHealthTracker(), Speed: zpspeed.NewTracker(),
 		Cold: &zpplace.ColdLimiter{Self: "d"}, Daemons: func() []string { return []string{"d"} },
 		Quarantine: zpquarantine.NewTracker(time.Hour), AnnounceCrash: func(zpquarantine.Report) {}, AnnounceHarmless: func([]string) {}, AnnounceUnreachable: func(string) {},
 		IsRefusing: func(context.Context, string, time.Duration) bool { return false },
--- a/internal/zpgateway/notice.go
+++ b/internal/zpgateway/notice.go
@@ -5,6 +5,7 @@
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpspeed"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
 )
 
@@ -13,6 +14,7 @@
 	Leaving bool
 	// QuietFor is the time for which the endpoint wants no requests from this daemon.
 	QuietFor time.Duration
+	Load     zpspeed.Load
 }
 
 const (
@@ -32,6 +34,7 @@
 	if n.Leaving && !zpmutant.Active(zpmutant.Leaving) && g.Registry.SetLeaving(endpoint) {
 		g.Log.Emit(zplog.EndpointLeaving, zplog.Fields{"endpoint": endpoint, "source": source})
 	}
+	g.recordLoad(endpoint, source, n.Load)
 	if n.QuietFor <= 0 || zpmutant.Active(zpmutant.Quiet) {
 		return
 	}
@@ -41,6 +44,31 @@
 	}
 }
 
+// recordLoad records what an endpoint has said of its load and speed.
+func (g *Gateway) recordLoad(endpoint, source string, l zpspeed.Load) {
+	if l == (zpspeed.Load{}) {
+		return
+	}
+	fields := func() zplog.Fields {
+		return zplog.Fields{
+			"endpoint": endpoint, "source": source, "percent": l.Percent, "running": l.Running, "waiting": l.Waiting, "slots": l.Slots,
+		}
+	}
+	if l.IsBad {
+		g.Metrics.LoadWords.WithLabelValues("bad").Inc()
+		g.Log.Emit(zplog.BadLoad, fields())
+		return
+	}
+	e, ok := g.Registry.Find(endpoint)
+	if !ok {
+		return
+	}
+	g.Metrics.LoadWords.WithLabelValues("used").Inc()
+	if g.Speed.Record(endpoint, e.StartedAtMS, l, g.Clock()) {
+		g.Log.Emit(zplog.EndpointSlow, fields())
+	}
+}
+
 // refuseQuiet returns an error if all endpoints that may serve a request want no requests
 // until its objective has passed.
 func (g *Gateway) refuseQuiet(j *job, now time.Time) error {
--- a/internal/zpgateway/quarantine.go
+++ b/internal/zpgateway/quarantine.go
@@ -184,6 +184,7 @@
 		g.recordCrash(r)
 	}
 	g.Health.Forget(e.ID)
+	g.Speed.Forget(e.ID)
 	g.Parts.Forget(e.ID)
 }
 
--- a/internal/zpgateway/queue.go
+++ b/internal/zpgateway/queue.go
@@ -24,6 +24,8 @@
 		// Buffers that choose reuses.
 		choices    []choice
 		candidates []zpplace.Candidate
+
+		preferences preferences
 	}
 
 	waiter struct {
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -167,6 +167,7 @@
 	j.sentAt, j.events = now, 0
 	j.setStage(stageSend)
 	g.Log.Emit(zplog.RequestPlaced, g.logFields(j, g.choiceFields(c)))
+	g.Speed.RecordSent(c.endpoint.ID)
 	answer, err := g.Runner.Run(ctx, c.newRun(j, left), gate)
 	if err != nil {
 		return g.handleNoResponse(ctx, j, c, gate, err)
--- a/internal/zpgateway/where.go
+++ b/internal/zpgateway/where.go
@@ -128,7 +128,7 @@
 // explainCandidates returns the endpoints of the request's pool, the one that would be chosen
 // first and those that must not be used last. The lock of the queue must be held.
 func (g *Gateway) explainCandidates(j *job, now time.Time) []CandidateExplanation {
-	t, states := &terms{demand: g.demandOf(j), regions: g.regionsOf(j), versions: g.versionsOf(j, now)}, partStates{}
+	t, states := &terms{demand: g.demandOf(j), regions: g.regionsOf(j), versions: g.versionsOf(j, now), beliefs: g.Speed.Beliefs(now)}, partStates{}
 	var usable choiceSet
 	var excluded []CandidateExplanation
 	for _, e := range g.Registry.AllInPool(j.pool.Name, now) {
@@ -138,6 +138,7 @@
 			continue
 		}
 		g.findCachedParts(j, &c, states, now)
+		c.candidate.Preference = g.queue.preferences.of(g.Cold.Self, e.ID)
 		usable.add(c, c.candidate)
 	}
 	var first, others choiceSet
--- a/internal/zplog/event.go
+++ b/internal/zplog/event.go
@@ -104,6 +104,8 @@
 	UpgradeNotWritten   = Event{524, logrus.WarnLevel, "status of a roll-out could not be written yet", "check the store if it persists"}
 	UpgradeRemoved      = Event{525, logrus.InfoLevel, "order of a roll-out was removed", "none"}
 	UpgradeStatus       = Event{526, logrus.InfoLevel, "status of a roll-out was written", "none"}
+	EndpointSlow        = Event{530, logrus.InfoLevel, "endpoint says in a response that work takes longer there than usual", "check what else runs on its VM if it persists"}
+	BadLoad             = Event{531, logrus.WarnLevel, "endpoint describes its load in a way that is not understood; the words are ignored", "check the endpoint's software version"}
 	FingerprintBanned   = Event{600, logrus.ErrorLevel, "request is quarantined after crashes of two endpoints", "see docs/operators/crashing_request.md"}
 	ClaimSettleFailed   = Event{700, logrus.WarnLevel, "outcome of a claim could not be recorded yet", "check the platform if it persists"}
 	PeerFailed          = Event{800, logrus.DebugLevel, "call to another daemon failed", "none"}
@@ -129,7 +131,7 @@
 		RequestFailed, RequestRetried, RequestPlaced, CrashRecorded, RequestAnswered, RequestWaits, RequestSilent, RequestAbandoned, ChoiceRevoked, RequestsQuarantined, SuspicionCleared, BanNotStored, RequestHopeless,
 		EndpointSuspect, EndpointWarm, OrderGiven, EndpointChanged, EndpointGone, WeightsNamed, WeightsLoaded,
 		OrderFailed, StoreState, EndpointAvoided, EndpointLeaving, EndpointQuiet,
-		UpgradeOrdered, UpgradeStopped, UpgradeCompleted, UpgradeRolledBack, UpgradeNotWritten, UpgradeRemoved, UpgradeStatus, FingerprintBanned, ClaimSettleFailed, PeerFailed, PeerLost, PeerRecovered, OwnerUnresponsive, WatcherAvoided, RelayAvoided,
+		UpgradeOrdered, UpgradeStopped, UpgradeCompleted, UpgradeRolledBack, UpgradeNotWritten, UpgradeRemoved, UpgradeStatus, EndpointSlow, BadLoad, FingerprintBanned, ClaimSettleFailed, PeerFailed, PeerLost, PeerRecovered, OwnerUnresponsive, WatcherAvoided, RelayAvoided,
 		ServerFailed, LinesDropped, DaemonStalled, MemoryRefused, ConnectionRefused, HolderEvicted,
 	}
 }
--- a/internal/zpmetric/metric.go
+++ b/internal/zpmetric/metric.go
@@ -30,6 +30,7 @@
 		PromptTokens      prometheus.Counter
 		MemoryRefusals    *prometheus.CounterVec // by port, reason
 		MemoryEvictions   *prometheus.CounterVec // by port, phase
+		LoadWords         *prometheus.CounterVec // by result
 	}
 )
 
@@ -55,6 +56,7 @@
 		ReusedTokens:      counter("reused_tokens_total", "Prompt tokens found in a cache."),
 		MemoryRefusals:    counterVec("memory_refusals_total", "Requests and connections refused for lack of memory or connections.", "port", "reason"),
 		MemoryEvictions:   counterVec("memory_evictions_total", "Connections ended because they held memory or a connection without progress that others needed.", "port", "phase"),
+		LoadWords:         counterVec("load_words_total", "Responses in which an endpoint tells its load and speed, by whether they were understood.", "result"),
 		PromptTokens:      counter("prompt_tokens_total", "Prompt tokens of completed requests."),
 	}
 	m.FirstToken = prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -69,7 +71,7 @@
 	})
 	m.Registry.MustRegister(m.Requests, m.FirstToken, m.AbandonedRequests, m.StallSeconds, m.OpenRequests, m.PlatformCalls, m.PeerCalls,
 		m.Reservations, m.ConfigVersion, m.ConfigAge, m.PartitionsOwned, m.Retries, m.Hopeless, m.Quarantined, m.Crashes,
-		m.LinkBytes, m.CrossRegion, m.ReusedTokens, m.PromptTokens, m.MemoryRefusals, m.MemoryEvictions)
+		m.LinkBytes, m.CrossRegion, m.ReusedTokens, m.PromptTokens, m.MemoryRefusals, m.MemoryEvictions, m.LoadWords)
 	return m
 }
 
--- a/internal/zppeer/digest.go
+++ b/internal/zppeer/digest.go
@@ -8,16 +8,17 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zppeer/zppeerpb"
 	"github.com/zinniapaddle/zinniapaddle/internal/zprollout"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpshare"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpspeed"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpusage"
 )
 
 // ReportLoad implements zppeerpb.DRPCSharingServer.
 func (h *SharingHandler) ReportLoad(_ context.Context, in *zppeerpb.LoadReport) (*zppeerpb.LoadDigest, error) {
-	d := h.Digest(zpdigest.Report{Name: in.Name, Instance: in.Instance, Uses: decodeUses(in.Uses), KnownAlive: in.KnownAlive})
+	d := h.Digest(zpdigest.Report{Name: in.Name, Instance: in.Instance, Uses: decodeUses(in.Uses), Speeds: decodeSpeeds(in.Speeds), KnownAlive: in.KnownAlive})
 	version, confirmed := h.catalogState()
 	return &zppeerpb.LoadDigest{
 		Uses: encodeUses(d.Uses), Alive: d.Alive, AliveUnchanged: d.AliveUnchanged, Incomplete: d.Incomplete, Targets: encodeTargets(h.Targets()),
-		CatalogVersion: version, CatalogConfirmed: confirmed,
+		CatalogVersion: version, CatalogConfirmed: confirmed, Speeds: encodeSpeeds(d.Speeds),
 	}, nil
 }
 
@@ -29,14 +30,14 @@
 // ReportLoad sends the load of this daemon to the relay at address. It returns the load of
 // the other daemons, and what the relay knows of weights and configuration.
 func ReportLoad(ctx context.Context, d *Dialer, address string, r zpdigest.Report) (zpdigest.Digest, zpshare.Reply, error) {
-	in := &zppeerpb.LoadReport{Name: r.Name, Instance: r.Instance, Uses: encodeUses(r.Uses), KnownAlive: r.KnownAlive}
+	in := &zppeerpb.LoadReport{Name: r.Name, Instance: r.Instance, Uses: encodeUses(r.Uses), Speeds: encodeSpeeds(r.Speeds), KnownAlive: r.KnownAlive}
 	out, err := doWithConn(ctx, d, address, "report_load", 0, func(ctx context.Context, conn Conn) (*zppeerpb.LoadDigest, error) {
 		return zppeerpb.NewDRPCSharingClient(conn).ReportLoad(ctx, in)
 	})
 	if err != nil {
 		return zpdigest.Digest{}, zpshare.Reply{}, err
 	}
-	digest := zpdigest.Digest{Uses: decodeUses(out.Uses), Alive: out.Alive, AliveUnchanged: out.AliveUnchanged, Incomplete: out.Incomplete}
+	digest := zpdigest.Digest{Uses: decodeUses(out.Uses), Speeds: decodeSpeeds(out.Speeds), Alive: out.Alive, AliveUnchanged: out.AliveUnchanged, Incomplete: out.Incomplete}
 	return digest, zpshare.Reply{Targets: decodeTargets(out.Targets), CatalogVersion: out.CatalogVersion, CatalogConfirmed: out.CatalogConfirmed}, nil
 }
 
@@ -53,11 +54,11 @@
 }
 
 func encodeSum(s zpdigest.Sum) *zppeerpb.LoadSum {
-	return &zppeerpb.LoadSum{Relay: s.Relay, FailureDomain: s.Domain, Members: s.Members, Uses: encodeUses(s.Uses)}
+	return &zppeerpb.LoadSum{Relay: s.Relay, FailureDomain: s.Domain, Members: s.Members, Uses: encodeUses(s.Uses), Speeds: encodeSpeeds(s.Speeds)}
 }
 
 func decodeSum(in *zppeerpb.LoadSum) zpdigest.Sum {
-	return zpdigest.Sum{Relay: in.Relay, Domain: in.FailureDomain, Members: in.Members, Uses: decodeUses(in.Uses)}
+	return zpdigest.Sum{Relay: in.Relay, Domain: in.FailureDomain, Members: in.Members, Uses: decodeUses(in.Uses), Speeds: decodeSpeeds(in.Speeds)}
 }
 
 func encodeUses(uses map[string]zpusage.Usage) []*zppeerpb.SharedUse {
@@ -78,6 +79,22 @@
 	return out
 }
 
+func encodeSpeeds(reports []zpspeed.Report) []*zppeerpb.SharedSpeed {
+	var out []*zppeerpb.SharedSpeed
+	for _, r := range reports {
+		out = append(out, &zppeerpb.SharedSpeed{Endpoint: r.Endpoint, StartedAtMs: r.StartedAtMS, Percent: int64(r.Percent), AgeMs: r.Age.Milliseconds()})
+	}
+	return out
+}
+
+func decodeSpeeds(list []*zppeerpb.SharedSpeed) []zpspeed.Report {
+	var out []zpspeed.Report
+	for _, r := range list {
+		out = append(out, zpspeed.Report{Endpoint: r.Endpoint, StartedAtMS: r.StartedAtMs, Percent: int(r.Percent), Age: milliseconds(r.AgeMs)})
+	}
+	return out
+}
+
 func encodeTargets(targets []zprollout.Target) []*zppeerpb.SharedTarget {
 	var out []*zppeerpb.SharedTarget
 	for _, t := range targets {
--- a/internal/zppeer/sharing.go
+++ b/internal/zppeer/sharing.go
@@ -164,7 +164,7 @@
 // encodeMessage encodes times as their ages at now.
 func encodeMessage(m zpshare.Message, now time.Time) *zppeerpb.ShareRequest {
 	out := &zppeerpb.ShareRequest{Instance: m.Instance, ResetHolders: m.ResetHolders, WithoutUses: m.Uses == nil, FailureDomain: m.Domain, Dark: m.Unreachable, Harmless: m.Harmless}
-	out.Uses, out.Upgrades = encodeUses(m.Uses), encodeReports(m.Upgrades)
+	out.Uses, out.Speeds, out.Upgrades = encodeUses(m.Uses), encodeSpeeds(m.Speeds), encodeReports(m.Upgrades)
 	out.Parts, out.Expected, out.Saving = encodeParts(m.Parts), encodeParts(m.Expected), encodeParts(m.Saving)
 	for _, c := range m.Changing {
 		out.Changing = append(out.Changing, &zppeerpb.SharedChange{Endpoint: c.Endpoint, LeftMs: c.Left.Milliseconds()})
@@ -186,6 +186,7 @@
 	if !in.WithoutUses {
 		m.Uses = decodeUses(in.Uses)
 	}
+	m.Speeds = decodeSpeeds(in.Speeds)
 	m.Parts, m.Expected, m.Saving = decodeParts(in.Parts), decodeParts(in.Expected), decodeParts(in.Saving)
 	for _, c := range in.Changing {
 		m.Changing = append(m.Changing, zpshare.Changing{Endpoint: c.Endpoint, Left: time.Duration(c.LeftMs) * time.Millisecond})
--- a/internal/zppeer/sharing_test.go
+++ b/internal/zppeer/sharing_test.go
@@ -11,6 +11,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zppeer"
 	"github.com/zinniapaddle/zinniapaddle/internal/zprollout"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpshare"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpspeed"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpusage"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zpobject"
 )
@@ -31,7 +32,7 @@
 }
 
 var _ = Describe("Share", func() {
-	It("carries the load of endpoints there, and recent target weight versions and the version of the configuration back", func() {
+	It("carries load and speed of endpoints there, and recent target weight versions and the version of the configuration back", func() {
 		object := zpobject.Object{Name: "config/main", Revision: 5, Body: []byte("{}")}
 		received := make(chan zpshare.Message, 1)
 		targets := []zprollout.Target{
@@ -45,13 +46,39 @@
 		d.Open()
 		DeferCleanup(d.Close)
 		uses := map[string]zpusage.Usage{"e": {Requests: 2, PrefillTokens: 5, MemoryTokens: 7}}
-		reply, err := zppeer.Share(context.Background(), d, address, zpshare.Message{Instance: "a.1", Domain: "x", Uses: uses})
+		speeds := []zpspeed.Report{{Endpoint: "e", StartedAtMS: 5, Percent: 250, Age: 80 * time.Millisecond}}
+		reply, err := zppeer.Share(context.Background(), d, address, zpshare.Message{Instance: "a.1", Domain: "x", Uses: uses, Speeds: speeds})
 		Expect(err).NotTo(HaveOccurred())
 		Expect(reply).To(Equal(zpshare.Reply{Instance: "b.1", Targets: targets, CatalogVersion: 9, CatalogConfirmed: true}))
-		Expect(<-received).To(Equal(zpshare.Message{Instance: "a.1", Domain: "x", Uses: uses}))
+		Expect(<-received).To(Equal(zpshare.Message{Instance: "a.1", Domain: "x", Uses: uses, Speeds: speeds}))
 		Expect(zppeer.ReadCatalog(context.Background(), d, address)).To(Equal(object))
 	})
 
+	It("carries the speed of endpoints in reports, digests and sums", func() {
+		heard := []zpspeed.Report{{Endpoint: "e", StartedAtMS: 5, Percent: 250, Age: 80 * time.Millisecond}}
+		told := []zpspeed.Report{{Endpoint: "f", Percent: 100, Age: 10 * time.Millisecond}}
+		address := serveSharing(&zppeer.SharingHandler{
+			Targets: func() []zprollout.Target { return nil }, CatalogVersion: func() int64 { return 1 }, CatalogConfirmed: func() bool { return true },
+			Digest: func(r zpdigest.Report) zpdigest.Digest {
+				Expect(r.Speeds).To(Equal(heard))
+				return zpdigest.Digest{Speeds: told}
+			},
+			MergeSum: func(s zpdigest.Sum) zpdigest.Sum {
+				Expect(s.Speeds).To(Equal(heard))
+				return zpdigest.Sum{Speeds: told}
+			},
+		})
+		d := &zppeer.Dialer{Timeout: time.Second}
+		d.Open()
+		DeferCleanup(d.Close)
+		digest, _, err := zppeer.ReportLoad(context.Background(), d, address, zpdigest.Report{Speeds: heard})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(digest.Speeds).To(Equal(told))
+		s, err := zppeer.ExchangeSums(context.Background(), d, address, zpdigest.Sum{Speeds: heard})
+		Expect(err).NotTo(HaveOccurred())
+		Expect(s.Speeds).To(Equal(told))
+	})
+
 	It("does not confirm an older configuration than the one that was confirmed", func() {
 		version := int64(9)
 		confirms := func() bool {
--- a/internal/zpplace/cold.go
+++ b/internal/zpplace/cold.go
@@ -93,6 +93,11 @@
 	return first
 }
 
+// Preference returns how much a daemon prefers an endpoint among equal ones, from 0 to 1.
+func Preference(daemon, endpoint string) float64 {
+	return float64(RendezvousWeight(daemon, endpoint)) / (1 << 64)
+}
+
 // RendezvousWeight returns the rendezvous hash weight of a member for a key. The member
 // with the highest weight is selected.
 func RendezvousWeight(member, key string) uint64 {
--- a/internal/zpplace/place.go
+++ b/internal/zpplace/place.go
@@ -30,7 +30,9 @@
 		CachedTokens int // prompt tokens in the engine's KV cache
 		FetchTokens  int // prompt tokens whose KV cache can be fetched from another holder
 		FetchTime    time.Duration
-		Suspect      bool // failed recently
+		Preference   float64 // of this daemon, from 0, the least, to 1; differs between daemons
+		Slowness     float64 // factor by which work takes longer than usual; below 1: as usual
+		Suspect      bool    // failed recently
 		Cold         bool
 		OldWeights   bool // a newer weight version is the target
 		Preferred    bool // all daemons pick the same engine for a prompt without a known holder
@@ -48,6 +50,7 @@
 		RecomputePerToken     time.Duration // for prefilling a shared token that another engine has prefilled already
 		PreferredBonus        time.Duration // subtracted for the preferred engine
 		RunningRequestPenalty time.Duration // per running request, since each one slows the others
+		PreferenceBonus       time.Duration // subtracted for the engine that this daemon prefers most
 		MaxMemoryShare        float64       // fraction of an engine's KV cache that requests may fill
 		RequestsPerSlot       int           // concurrent requests per slot of a service
 	}
@@ -67,7 +70,7 @@
 		cost += r.OldWeightsPenalty
 	}
 	if a.PromptTokens == 0 {
-		return cost + r.ServiceTime*time.Duration(c.Use.Requests)/time.Duration(max(c.Slots, 1))
+		return cost + c.Slowed(r.ServiceTime*time.Duration(c.Use.Requests)/time.Duration(max(c.Slots, 1))) + c.extra(r.ServiceTime)
 	}
 	reusable := c.CachedTokens + c.FetchTokens
 	cost += PrefillLatency(a, c, r)
@@ -75,7 +78,8 @@
 	if c.Preferred {
 		cost -= r.PreferredBonus
 	}
-	cost += r.RunningRequestPenalty * time.Duration(c.Use.Requests)
+	cost += c.Slowed(r.RunningRequestPenalty * time.Duration(c.Use.Requests))
+	cost -= time.Duration(c.Preference * float64(r.PreferenceBonus))
 	return cost
 }
 
@@ -83,7 +87,7 @@
 // queued before it and the fetch of cached parts.
 func PrefillLatency(a Request, c Candidate, r Rates) time.Duration {
 	uncached := max(a.PromptTokens-c.CachedTokens-c.FetchTokens, 0)
-	return prefillTime(c.Use.PrefillTokens+uncached, r.PrefillPerMS) + c.FetchTime
+	return c.Slowed(prefillTime(c.Use.PrefillTokens+uncached, r.PrefillPerMS)) + c.FetchTime
 }
 
 // HasCapacity reports whether a candidate can start a request without exceeding its
@@ -93,12 +97,12 @@
 		return true
 	}
 	if a.PromptTokens == 0 {
-		return c.Slots == 0 || c.Use.Requests < r.RequestsPerSlot*c.Slots
+		return c.Slots == 0 || c.Use.Requests < c.maxRequests(r)
 	}
 	if c.MemoryTokens > 0 && c.Use.MemoryTokens+KVTokens(a) > int(r.MaxMemoryShare*float64(c.MemoryTokens)) {
 		return false
 	}
-	return a.MaxBacklog == 0 || prefillTime(c.Use.PrefillTokens, r.PrefillPerMS) <= a.MaxBacklog
+	return a.MaxBacklog == 0 || c.Slowed(prefillTime(c.Use.PrefillTokens, r.PrefillPerMS)) <= a.MaxBacklog
 }
 
 // Best returns the index of the candidate with the lowest cost, and that cost.
@@ -128,6 +132,27 @@
 	}
 }
 
+// Slowed returns how long work takes on the candidate that usually takes d.
+func (c Candidate) Slowed(d time.Duration) time.Duration { return d + c.extra(d) }
+
+// extra returns how much longer than usual work takes on the candidate.
+func (c Candidate) extra(d time.Duration) time.Duration {
+	if c.Slowness <= 1 {
+		return 0
+	}
+	return time.Duration(float64(d) * (c.Slowness - 1))
+}
+
+// maxRequests returns the number of concurrent requests of a service. A slow replica keeps
+// its slots busy, but fewer requests wait there.
+func (c Candidate) maxRequests(r Rates) int {
+	limit := r.RequestsPerSlot * c.Slots
+	if c.Slowness > 1 {
+		limit = max(int(float64(limit)/c.Slowness), c.Slots)
+	}
+	return limit
+}
+
 func prefillTime(tokens, perMS int) time.Duration {
 	return time.Duration(tokens) * time.Millisecond / time.Duration(max(perMS, 1))
 }
--- a/internal/zpplace/place_test.go
+++ b/internal/zpplace/place_test.go
@@ -53,6 +53,13 @@
 			func(c *zpplace.Candidate) { c.Use.Requests = 12 }),
 		Entry("a distant endpoint over one that failed recently", serviceRequest, func(c *zpplace.Candidate) { c.Domain, c.Region = "c", "s" }, func(c *zpplace.Candidate) { c.Suspect = true }),
 		Entry("a warm engine", longPrompt, unchanged, func(c *zpplace.Candidate) { c.Cold = true }),
+		Entry("an engine as fast as usual", longPrompt, unchanged, func(c *zpplace.Candidate) { c.Slowness = 2.5 }),
+		Entry("a loaded engine over a slow one with the same load", longPrompt, func(c *zpplace.Candidate) { c.Use.PrefillTokens = 9_000 },
+			func(c *zpplace.Candidate) { c.Use.PrefillTokens, c.Slowness = 9_000, 2.5 }),
+		Entry("a slow engine over one whose queue takes longer", longPrompt, func(c *zpplace.Candidate) { c.Slowness = 2.5 },
+			func(c *zpplace.Candidate) { c.Use = zpusage.Usage{Requests: 3, PrefillTokens: 30_000} }),
+		Entry("a replica as fast as usual", serviceRequest, unchanged, func(c *zpplace.Candidate) { c.Slowness = 2.5 }),
+		Entry("a slow idle replica over a full one", serviceRequest, func(c *zpplace.Candidate) { c.Slowness = 2.5 }, func(c *zpplace.Candidate) { c.Use.Requests = 11 }),
 		Entry("the target weight version", longPrompt, unchanged, func(c *zpplace.Candidate) { c.OldWeights = true }),
 	)
 })
@@ -63,6 +70,25 @@
 	waiting := longPrompt
 	waiting.MaxBacklog = 350 * time.Millisecond
 
+	It("keeps the slots of a slow replica in use, with fewer requests waiting", func() {
+		c := localCandidate("e")
+		c.Slowness = 1.5
+		c.Use.Requests = 7
+		Expect(zpplace.HasCapacity(serviceRequest, c, zpplace.DefaultRates())).To(BeTrue())
+		c.Use.Requests = 8
+		Expect(zpplace.HasCapacity(serviceRequest, c, zpplace.DefaultRates())).To(BeFalse())
+		c.Slowness, c.Use.Requests = 10, 5
+		Expect(zpplace.HasCapacity(serviceRequest, c, zpplace.DefaultRates())).To(BeTrue())
+	})
+
+	It("counts the queued prompts of a slow engine with their longer time", func() {
+		c := localCandidate("e")
+		c.Use = zpusage.Usage{Requests: 2, PrefillTokens: 10_000}
+		Expect(zpplace.HasCapacity(waiting, c, zpplace.DefaultRates())).To(BeTrue())
+		c.Slowness = 2.5
+		Expect(zpplace.HasCapacity(waiting, c, zpplace.DefaultRates())).To(BeFalse())
+	})
+
 	DescribeTable("reports whether a candidate can start a request",
 		func(a zpplace.Request, use zpusage.Usage, room bool) {
 			c := localCandidate("e")
@@ -134,6 +160,33 @@
 	})
 })
 
+var _ = Describe("Preference", func() {
+	It("spreads daemons with the same view over equal engines", func() {
+		chosen := map[string]int{}
+		for d := range 90 {
+			var engines []zpplace.Candidate
+			for i := range 9 {
+				c := localCandidate(fmt.Sprint("e", i))
+				c.Preference = zpplace.Preference(fmt.Sprint("d", d), c.ID)
+				Expect(c.Preference).To(And(BeNumerically(">=", 0), BeNumerically("<=", 1)))
+				engines = append(engines, c)
+			}
+			i, _ := zpplace.Best(longPrompt, engines, zpplace.DefaultRates())
+			chosen[engines[i].ID]++
+		}
+		Expect(chosen).To(HaveLen(9))
+		for _, n := range chosen {
+			Expect(n).To(BeNumerically("<=", 20))
+		}
+	})
+
+	It("matters less than a few queued prompts", func() {
+		x, y := localCandidate("preferred"), localCandidate("idle")
+		x.Preference, x.Use = 1, zpusage.Usage{Requests: 1, PrefillTokens: 4_000}
+		expectBest(longPrompt, "idle", x, y)
+	})
+})
+
 var _ = Describe("RendezvousFirst", func() {
 	It("reassigns only the keys of a removed member", func() {
 		all, fewer := []string{"a", "b", "c", "d"}, []string{"a", "b", "d"}
--- a/internal/zpplace/rates.go
+++ b/internal/zpplace/rates.go
@@ -15,6 +15,7 @@
 		OldWeightsPenalty:     150 * time.Millisecond, // an answer of older weights is worth a fifth less
 		RecomputePerToken:     30 * time.Microsecond,  // duplicate prefill costs more than its own time
 		PreferredBonus:        150 * time.Millisecond, // same order as prefilling a long prompt again
+		PreferenceBonus:       40 * time.Millisecond,  // what other daemons have just sent to an engine takes about as long
 		RunningRequestPenalty: 2 * time.Millisecond,   // each running request slows the decode steps of all
 		MaxMemoryShare:        0.95,                   // the rest is reserved for answers longer than announced
 		RequestsPerSlot:       2,                      // per slot, one request runs and one waits
--- a/internal/zpplace/terms.go
+++ b/internal/zpplace/terms.go
@@ -27,6 +27,9 @@
 	add("suspect", without(func(c *Candidate) { c.Suspect = false }))
 	add("cold", without(func(c *Candidate) { c.Cold = false }))
 	add("old_weights", without(func(c *Candidate) { c.OldWeights = false }))
+	add("slow", without(func(c *Candidate) { c.Slowness = 0 }))
+	c.Slowness = 0 // the terms below are those of a usual endpoint
+	add("preference", without(func(c *Candidate) { c.Preference = 0 }))
 	add("preferred", without(func(c *Candidate) { c.Preferred = false }))
 	add("running", without(func(c *Candidate) { c.Use.Requests = 0 }))
 	add("queued_prompts", without(func(c *Candidate) { c.Use.PrefillTokens = 0 }))
--- a/internal/zpshare/message.go
+++ b/internal/zpshare/message.go
@@ -10,6 +10,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpparts"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpquarantine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zprollout"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpspeed"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpupgrade"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpusage"
 )
@@ -19,6 +20,7 @@
 	Message struct {
 		Instance     string
 		Uses         map[string]zpusage.Usage // complete load of the sender; nil if unchanged
+		Speeds       []zpspeed.Report         // of slow endpoints, by their own words
 		Parts        []zpparts.Change
 		Expected     []zpparts.Change // parts that an engine is about to prefill
 		Saving       []zpparts.Change // parts being saved to a store
@@ -48,12 +50,12 @@
 	}
 )
 
-// IsEmpty reports whether a message contains no updates other than Uses.
+// IsEmpty reports whether a message contains no updates other than Uses and Speeds.
 func (m *Message) IsEmpty() bool {
 	return len(m.Parts) == 0 && len(m.Expected) == 0 && len(m.Saving) == 0 && len(m.Changing) == 0 && len(m.Crashes) == 0 && len(m.Harmless) == 0 && len(m.Stores) == 0 && len(m.ResetHolders) == 0 && len(m.Unreachable) == 0
 }
 
-// append adds the updates of another message, except Uses.
+// append adds the updates of another message, except Uses and Speeds.
 func (m *Message) append(n Message) {
 	m.Parts = append(m.Parts, n.Parts...)
 	m.Expected = append(m.Expected, n.Expected...)
--- a/internal/zpshare/sharer.go
+++ b/internal/zpshare/sharer.go
@@ -7,6 +7,7 @@
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpspeed"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpusage"
 )
 
@@ -21,6 +22,7 @@
 		Others func() []zpassign.Member
 		// SendsLoad reports whether loads are sent to each other daemon; nil: always.
 		SendsLoad func() bool
+		Speeds    func() []zpspeed.Report // sent with each load; nil: none
 		Send      func(ctx context.Context, address string, m Message) (instance string, err error)
 		Snapshot  func(to zpassign.Member) Message // initial state for a daemon that has none
 		Log       *zplog.Logger
@@ -224,7 +226,7 @@
 		}
 		m.Instance, m.Domain = s.Self, s.Domain
 		if withUses {
-			m.Uses = uses
+			m.Uses, m.Speeds = uses, s.speeds()
 		}
 		instance, err := s.Send(ctx, address, m)
 		s.mu.Lock()
@@ -251,6 +253,13 @@
 	}()
 }
 
+func (s *Sharer) speeds() []zpspeed.Report {
+	if s.Speeds == nil {
+		return nil
+	}
+	return s.Speeds()
+}
+
 // Alive returns the names of the daemons that answered recently, if loads are sent to
 // each other daemon.
 func (s *Sharer) Alive() map[string]bool {
--- a/internal/zpusage/tracker.go
+++ b/internal/zpusage/tracker.go
@@ -25,7 +25,8 @@
 		ownUses    map[string]Usage
 		reports    map[string]report
 		total      map[string]Usage // sum of ownUses and of all reports
-		nextExpiry time.Time        // earliest time at which a report may expire
+		aging      aging
+		nextExpiry time.Time // earliest time at which a report may expire
 		ownVersion uint64
 	}
 
@@ -92,6 +93,20 @@
 	return t.total[endpoint]
 }
 
+// Believed returns the running work on an endpoint with the reports of peers weighted by
+// their age. Memory is not weighted: it is taken for longer.
+func (t *Tracker) Believed(endpoint string, now time.Time) Usage {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.removeExpired(now)
+	total, ok := t.total[endpoint]
+	if !ok {
+		return Usage{}
+	}
+	own := t.ownUses[endpoint]
+	return own.Plus(t.aging.of(endpoint, addSigned(total, own, -1), now))
+}
+
 // removeExpired removes reports older than MaxReportAge; t.mu must be held.
 func (t *Tracker) removeExpired(now time.Time) {
 	if now.Before(t.nextExpiry) {
@@ -111,6 +126,7 @@
 // removeReport removes a peer's report and subtracts it from the totals; t.mu must
 // be held.
 func (t *Tracker) removeReport(instance string) {
+	t.aging.add(t.reports[instance], -1)
 	for endpoint, u := range t.reports[instance].uses {
 		t.addTo(t.total, endpoint, u, -1)
 	}
@@ -141,7 +157,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.removeReport(instance)
+	t.aging.advance(now)
 	t.reports[instance] = report{receivedAt: now, uses: uses}
+	t.aging.add(t.reports[instance], 1)
 	for endpoint, u := range uses {
 		t.addTo(t.total, endpoint, u, 1)
 	}
