--- a/internal/zpgateway/choice.go
+++ b/internal/zpgateway/choice.go
@@ -60,7 +60,9 @@
 	choices, candidates := g.queue.choices[:0], g.queue.candidates[:0]
 	states := partStates{}
 	t := &terms{demand: demand, regions: regions, versions: g.versionsOf(j, now), beliefs: g.Speed.Beliefs(now)}
-	for _, e := range g.Registry.Serving(j.pool.Name, now) {
+	serving := g.Registry.Serving(j.pool.Name, now)
+	preferences := g.queue.preferences.of(g.Cold.Self, j.pool.Name, serving)
+	for i, e := range serving {
 		c, ok := g.evaluate(j, e, t, now)
 		if !ok {
 			continue
@@ -68,7 +70,7 @@
 		v = choiceNoCapacity
 		if !g.Health.IsBackingOff(e.ID, now) && zpplace.HasCapacity(demand, c.candidate, g.Rates) {
 			g.findCachedParts(j, &c, states, now)
-			c.candidate.Preference = g.queue.preferences.of(g.Cold.Self, e.ID)
+			c.candidate.Preference = preferences[i]
 			choices = append(choices, c)
 			candidates = append(candidates, c.candidate)
 		}
--- a/internal/zpgateway/where.go
+++ b/internal/zpgateway/where.go
@@ -138,7 +138,7 @@
 			continue
 		}
 		g.findCachedParts(j, &c, states, now)
-		c.candidate.Preference = g.queue.preferences.of(g.Cold.Self, e.ID)
+		c.candidate.Preference = zpplace.Preference(g.Cold.Self, e.ID)
 		usable.add(c, c.candidate)
 	}
 	var first, others choiceSet
