Responses wait for memory only if callers that do not read have been ended; a race in the queue's log line

Cause of the first: since a buffer that was replaced was given back at once, although it takes up memory until the next garbage collection, and a response without memory waited for up to a second, also where nobody was ended. The old buffer stays reserved again, and a response waits only if the guard has ended a caller.

--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -149,7 +149,7 @@
 	d.watches = newWatches(d)
 	d.memory = newMemoryGuards(n, log, d.Metrics)
 	d.memory.callers.MaxHeadBytes, d.memory.callers.TooLarge = d.headerLimit, []byte(headTooLarge)
-	d.gateway.ResponseMemory.Relieve = func() { d.memory.callers.Budget.EvictWriters(zpclock.Now()) }
+	d.gateway.ResponseMemory.Relieve = func() bool { return d.memory.callers.Budget.EvictWriters(zpclock.Now()) }
 	d.Metrics.Registry.MustRegister(&stateCollector{daemon: d})
 	d.buildServers()
 	return d
--- a/internal/zpengine/memory.go
+++ b/internal/zpengine/memory.go
@@ -16,8 +16,8 @@
 // safe for concurrent use.
 type Memory struct {
 	// Relieve is called when the memory is exhausted. It may end callers that do not read
-	// their responses. It may be nil.
-	Relieve func()
+	// their responses, and reports whether it has ended any. It may be nil.
+	Relieve func() bool
 
 	limit     int64 // bytes of one response
 	available *semaphore.Weighted
@@ -28,7 +28,8 @@
 	// against the limit, so that a few large responses cannot block small ones. The memory
 	// for requests includes it.
 	uncountedBytes = zpmemory.RequestBytes
-	// maxWait is how long a response waits for memory. The endpoint keeps it meanwhile.
+	// maxWait is how long a response waits for the memory of callers that have been ended. The
+	// endpoint keeps it meanwhile.
 	maxWait = time.Second
 	// maxShareDivisor limits one response to 1/maxShareDivisor of the memory.
 	maxShareDivisor = 4
@@ -60,18 +61,14 @@
 				return nil, reserved, fmt.Errorf("%w: more than %d bytes", errResponseTooLarge, m.limit)
 			}
 			if size > uncountedBytes {
-				// Both buffers exist during the copy.
+				// The old buffer stays reserved: both exist during the copy, and it takes up
+				// memory until the next garbage collection.
 				if !m.acquire(size) {
 					return nil, reserved, errBuffersExhausted
 				}
 				reserved += size
 			}
-			old := int64(cap(data))
 			data = append(make([]byte, 0, size), data...)
-			if old > uncountedBytes {
-				m.available.Release(old)
-				reserved -= old
-			}
 		}
 		n, err := body.Read(data[len(data):cap(data)])
 		data = data[:len(data)+n]
@@ -88,8 +85,8 @@
 	if m.available.TryAcquire(bytes) {
 		return true
 	}
-	if m.Relieve != nil {
-		m.Relieve()
+	if m.Relieve == nil || !m.Relieve() {
+		return false
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), maxWait)
 	defer cancel()
--- a/internal/zpgateway/queue.go
+++ b/internal/zpgateway/queue.go
@@ -99,13 +99,13 @@
 		return choice{}, err
 	}
 	g.enqueue(e)
-	waiting := g.queue.waiters.Len()
+	waiting, isOver := g.queue.waiters.Len(), e.IsOver
 	if !g.queue.dispatching {
 		g.queue.dispatching = true
 		go g.runDispatcher()
 	}
 	g.queue.mu.Unlock()
-	g.Log.Emit(zplog.RequestWaits, g.logFields(j, zplog.Fields{"waiting": waiting, "over_share": e.IsOver}))
+	g.Log.Emit(zplog.RequestWaits, g.logFields(j, zplog.Fields{"waiting": waiting, "over_share": isOver}))
 	return g.await(ctx, e)
 }
 
--- a/internal/zpmemory/victim.go
+++ b/internal/zpmemory/victim.go
@@ -102,8 +102,9 @@
 	return list
 }
 
-// EvictWriters ends the holders whose callers do not read their responses.
-func (b *Budget) EvictWriters(now time.Time) {
+// EvictWriters ends the holders whose callers do not read their responses, and reports whether
+// there were any.
+func (b *Budget) EvictWriters(now time.Time) bool {
 	b.mu.Lock()
 	var victims []victim
 	for _, v := range b.stalledHolders(now) {
@@ -114,6 +115,7 @@
 	}
 	b.mu.Unlock()
 	b.evict(victims)
+	return len(victims) > 0
 }
 
 func idleRank(v victim) int {
