--- a/internal/zpapp/gateway_watches.go
+++ b/internal/zpapp/gateway_watches.go
@@ -44,8 +44,7 @@
 	// still get requests.
 	listPause = 400 * time.Millisecond
 
-	// membersTimeout bounds the wait for the members after a restart, and that for answers
-	// of enough others to follow one of them.
+	// membersTimeout bounds the wait for the members after a restart.
 	membersTimeout = 300 * time.Millisecond
 	// registrationTimeout bounds the wait for the others at the first start of the fleet.
 	registrationTimeout = time.Second
@@ -97,19 +96,15 @@
 }
 
 // awaitMembers waits until the members are known, for a limited time. When the whole fleet
-// starts, it also waits until the members have registered. In a fleet in which daemons
-// follow others, it waits until a watcher has read the store: all daemons may start at once.
+// starts, it also waits until the members have registered and, unless this daemon watches
+// the store, until one that does has read it.
 func (w *watches) awaitMembers(ctx context.Context) {
 	d := w.daemon
 	if !d.Node.FirstStart {
 		waitUntil(ctx, membersTimeout, d.members.HasSynced)
-		if !d.follower.MayFollow(d.members.Others()) {
-			return
-		}
-		waitUntil(ctx, membersTimeout, d.follower.CanFollow)
-	} else {
-		waitUntil(ctx, registrationTimeout, d.follower.CanFollow)
+		return
 	}
+	waitUntil(ctx, registrationTimeout, d.follower.CanFollow)
 	ctx, cancel := context.WithTimeout(ctx, watcherTimeout)
 	defer cancel()
 	d.follower.AwaitWatcher(ctx)
--- a/internal/zprelay/follower.go
+++ b/internal/zprelay/follower.go
@@ -158,12 +158,6 @@
 	}
 }
 
-// MayFollow reports whether these daemons, with this one, are enough for some of them to
-// watch the store for the others.
-func (f *Follower) MayFollow(others []zpassign.Member) bool {
-	return len(groupOf(f.Self, append(slices.Clone(others), f.Self))) > 0
-}
-
 // CanFollow reports whether enough daemons near this one are known for some of them to
 // watch the store for the others.
 func (f *Follower) CanFollow() bool { return len(groupOf(f.Self, f.Daemons())) > 0 }
