--- a/internal/zpgateway/queue.go
+++ b/internal/zpgateway/queue.go
@@ -121,7 +121,7 @@
 		// The dispatcher chose an endpoint just before the caller disconnected.
 		if p := <-w.result; p.err == nil {
 			p.choice.use.End()
-			p.choice.upgrade.End(zpupgrade.OutcomeIgnored)
+			p.choice.upgrade.End(zpupgrade.OutcomeIgnored, g.Clock())
 		}
 	}
 	return choice{}, errCallerGone.WithState(w.job.runState)
--- a/internal/zpgateway/versions.go
+++ b/internal/zpgateway/versions.go
@@ -86,6 +86,9 @@
 	switch s.outcome {
 	case outcomeDone:
 		outcome = zpupgrade.OutcomeGood
+		if j.route.Kind == zpcatalog.KindStream {
+			c.upgrade.SetEvents(j.events)
+		}
 	case outcomeFailed, outcomeBroken, outcomeSilent:
 		outcome = zpupgrade.OutcomeBad
 	case outcomeStopped:
@@ -93,5 +96,5 @@
 			outcome = zpupgrade.OutcomeBad
 		}
 	}
-	c.upgrade.End(outcome)
+	c.upgrade.End(outcome, g.Clock())
 }
--- a/internal/zppeer/upgrades.go
+++ b/internal/zppeer/upgrades.go
@@ -38,10 +38,13 @@
 }
 
 func encodeTally(route string, isNew bool, t zpupgrade.Tally) *zppeerpb.SharedTally {
-	out := &zppeerpb.SharedTally{Route: route, New: isNew, Answers: t.Answers, Bad: t.Bad}
-	if t != (zpupgrade.Tally{Answers: t.Answers, Bad: t.Bad}) {
+	out := &zppeerpb.SharedTally{Route: route, New: isNew, Answers: t.Answers, Bad: t.Bad, TimeMs: t.Time.Milliseconds()}
+	if t.Speeds != (zpupgrade.Speeds{}) {
 		out.Speeds = t.Speeds[:]
 	}
+	if t.Paces != (zpupgrade.Speeds{}) {
+		out.Paces = t.Paces[:]
+	}
 	return out
 }
 
@@ -49,8 +52,9 @@
 	if n := len(routes); n == 0 || routes[n-1].Route != x.Route {
 		routes = append(routes, zpupgrade.RouteTally{Route: x.Route})
 	}
-	t := zpupgrade.Tally{Answers: x.Answers, Bad: x.Bad}
+	t := zpupgrade.Tally{Answers: x.Answers, Bad: x.Bad, Time: milliseconds(x.TimeMs)}
 	copy(t.Speeds[:], x.Speeds)
+	copy(t.Paces[:], x.Paces)
 	if last := &routes[len(routes)-1]; x.New {
 		last.New = t
 	} else {
@@ -62,10 +66,14 @@
 func encodeDecisions(decisions []zpupgrade.Decision) []*zppeerpb.SharedUpgrade {
 	var out []*zppeerpb.SharedUpgrade
 	for _, d := range decisions {
-		out = append(out, &zppeerpb.SharedUpgrade{
+		x := &zppeerpb.SharedUpgrade{
 			Pool: d.Pool, Order: d.Order, AgeMs: d.Age.Milliseconds(), State: int32(d.State), Reason: d.Reason, Share: d.Share, Focus: d.Focus,
-			HasSwitch: d.HasSwitch, SwitchInMs: d.SwitchIn.Milliseconds(),
-		})
+			HasSwitch: d.HasSwitch, SwitchInMs: d.SwitchIn.Milliseconds(), LeadMs: map[string]int64{},
+		}
+		for route, lead := range d.Leads {
+			x.LeadMs[route] = lead.Milliseconds()
+		}
+		out = append(out, x)
 	}
 	return out
 }
@@ -76,10 +84,14 @@
 		if x.State < int32(zpupgrade.StateNone) || x.State > int32(zpupgrade.StateRolledBack) {
 			continue // of a newer daemon
 		}
-		out = append(out, zpupgrade.Decision{
+		d := zpupgrade.Decision{
 			Pool: x.Pool, Order: x.Order, Age: milliseconds(x.AgeMs), State: zpupgrade.State(x.State), Reason: x.Reason, Share: x.Share, Focus: x.Focus,
-			HasSwitch: x.HasSwitch, SwitchIn: time.Duration(x.SwitchInMs) * time.Millisecond,
-		})
+			HasSwitch: x.HasSwitch, SwitchIn: milliseconds(x.SwitchInMs), Leads: map[string]time.Duration{},
+		}
+		for route, lead := range x.LeadMs {
+			d.Leads[route] = milliseconds(lead)
+		}
+		out = append(out, d)
 	}
 	return out
 }
--- a/internal/zpupgrade/evidence.go
+++ b/internal/zpupgrade/evidence.go
@@ -11,9 +11,14 @@
 	Tally struct {
 		Answers int64
 		Bad     int64
-		Speeds  [SpeedClasses]int64 // by time to the first byte, relative to the expected time
+		Time    time.Duration // from the send to the end, of all answers together
+		Speeds  Speeds        // by time to the first byte, relative to the expected time
+		Paces   Speeds        // of streams, by mean time between events, relative to expectedPace
 	}
 
+	// Speeds counts answers by speed class. A higher class is slower.
+	Speeds [SpeedClasses]int64
+
 	// RouteTally counts the answers on one route.
 	RouteTally struct {
 		Route    string
@@ -90,6 +95,15 @@
 	}
 }
 
+// newAnswers returns the number of answers of the new version.
+func (e *evidence) newAnswers() int64 {
+	sum := int64(0)
+	for _, s := range e.routes {
+		sum += s.total.New.Answers
+	}
+	return sum
+}
+
 // sums returns the requests sent to the pool and to its new version.
 func (e *evidence) sums() (sent, sentNew int64) {
 	for _, r := range e.reports {
@@ -98,6 +112,8 @@
 	return sent, sentNew
 }
 
+func (s *series) answers() int64 { return s.total.Old.Answers + s.total.New.Answers }
+
 // add adds answers and reports whether there were any.
 func (s *series) add(before, after Tally, now time.Time) bool {
 	if before.Answers == 0 && after.Answers == 0 {
@@ -118,37 +134,48 @@
 func (t *Tally) add(x Tally) {
 	t.Answers += x.Answers
 	t.Bad += x.Bad
+	t.Time += x.Time
 	for i := range t.Speeds {
 		t.Speeds[i] += x.Speeds[i]
+		t.Paces[i] += x.Paces[i]
 	}
 }
 
 // minus returns the answers that are in t but not in x. Counts never decrease, so a
 // negative difference comes from a damaged report and counts as none.
 func (t Tally) minus(x Tally) Tally {
-	out := Tally{Answers: max(t.Answers-x.Answers, 0), Bad: max(t.Bad-x.Bad, 0)}
+	out := Tally{Answers: max(t.Answers-x.Answers, 0), Bad: max(t.Bad-x.Bad, 0), Time: max(t.Time-x.Time, 0)}
 	for i := range t.Speeds {
 		out.Speeds[i] = max(t.Speeds[i]-x.Speeds[i], 0)
+		out.Paces[i] = max(t.Paces[i]-x.Paces[i], 0)
 	}
 	return out
 }
 
-// timed returns the number of answers whose speed is known.
-func (t Tally) timed() int64 { return t.slowerThan(-1) }
+// meanTime returns the mean time from the send to the end.
+func (t Tally) meanTime() time.Duration {
+	if t.Answers == 0 {
+		return 0
+	}
+	return t.Time / time.Duration(t.Answers)
+}
+
+// count returns the number of answers.
+func (s Speeds) count() int64 { return s.slowerThan(-1) }
 
 // slowerThan returns the number of answers in classes above one.
-func (t Tally) slowerThan(class int) int64 {
+func (s Speeds) slowerThan(class int) int64 {
 	sum := int64(0)
 	for i := max(class+1, 0); i < SpeedClasses; i++ {
-		sum += t.Speeds[i]
+		sum += s[i]
 	}
 	return sum
 }
 
-// medianSpeed returns the class of the median answer.
-func (t Tally) medianSpeed() int {
-	half, sum := t.timed()/2, int64(0)
-	for i, n := range t.Speeds {
+// median returns the class of the median answer.
+func (s Speeds) median() int {
+	half, sum := s.count()/2, int64(0)
+	for i, n := range s {
 		if sum += n; sum > half {
 			return i
 		}
--- a/internal/zpupgrade/judge.go
+++ b/internal/zpupgrade/judge.go
@@ -125,7 +125,7 @@
 		}
 		d := Decision{Pool: r.Pool, Order: r.Order, Age: now.Sub(u.orderedAt), State: u.state, Reason: u.reason, Share: u.share, Focus: u.focus}
 		if !u.switchAt.IsZero() {
-			d.SwitchIn, d.HasSwitch = u.switchAt.Sub(now), true
+			d.SwitchIn, d.HasSwitch, d.Leads = u.switchAt.Sub(now), true, u.leads
 		}
 		out = append(out, d)
 	}
@@ -154,7 +154,7 @@
 		}
 		u.share, u.focus, u.switchAt = d.Share, d.Focus, time.Time{}
 		if d.HasSwitch {
-			u.switchAt = now.Add(d.SwitchIn)
+			u.switchAt, u.leads = now.Add(d.SwitchIn), d.Leads
 		}
 	}
 	return out
--- a/internal/zpupgrade/report.go
+++ b/internal/zpupgrade/report.go
@@ -30,5 +30,6 @@
 		// SwitchIn is the time until all requests go to the new version, if HasSwitch.
 		SwitchIn  time.Duration
 		HasSwitch bool
+		Leads     map[string]time.Duration // how much sooner requests on a route do, if at all
 	}
 )
--- a/internal/zpupgrade/roll_out_test.go
+++ b/internal/zpupgrade/roll_out_test.go
@@ -102,7 +102,9 @@
 					Entry("that fails later", fault{failures: 0.5, from: 6 * time.Second}),
 					Entry("that is slow later", fault{factor: 4, from: 6 * time.Second}),
 					Entry("that fails on one route", fault{failures: 0.5, route: routes[0].name}),
+					Entry("that fails under load", fault{failures: 0.8, load: 1}),
 					Entry("that is slow on one route", fault{factor: 4, route: routes[1].name}),
+					Entry("that is slow on the other route", fault{factor: 4, route: routes[0].name}),
 				)
 			})
 		}
--- a/internal/zpupgrade/tracker.go
+++ b/internal/zpupgrade/tracker.go
@@ -39,7 +39,7 @@
 
 // unorderedDelay is the time for which a version that appears beside others gets nothing
 // until an order names it. A version without an order is an ordinary release.
-const unorderedDelay = 2 * time.Second
+const unorderedDelay = 4 * time.Second
 
 // minCapacity is the number of endpoints of the new version, as a share of that of the
 // others, from which all requests may go to it.
@@ -145,6 +145,7 @@
 		t.bar(pool, u.order.To)
 	case StateCompleted:
 		t.unbar(pool, u.order.To)
+		t.admit(pool, u.order.To)
 		for version := range t.versions[pool] {
 			if version != u.order.To {
 				t.bar(pool, version)
@@ -188,7 +189,7 @@
 			x = &versionEntry{seenAt: now}
 			known[v] = x
 		}
-		if !isKnown || !hasAdmitted || now.Sub(x.seenAt) >= unorderedDelay {
+		if !isKnown || !hasAdmitted || t.isCompletedTo(pool, v) || now.Sub(x.seenAt) >= unorderedDelay {
 			x.isAdmitted = true
 		}
 	}
@@ -200,6 +201,25 @@
 	t.admitted[pool] = admitted
 }
 
+// isCompletedTo reports whether a pool has moved to a version.
+func (t *Tracker) isCompletedTo(pool, version string) bool {
+	u, ok := t.upgrades[pool]
+	return ok && u.state == StateCompleted && u.order.To == version
+}
+
+func (t *Tracker) admit(pool, version string) {
+	x, ok := t.versions[pool][version]
+	if !ok || x.isAdmitted {
+		return
+	}
+	x.isAdmitted = true
+	admitted := map[string]bool{version: true}
+	for v, isAdmitted := range t.admitted[pool] {
+		admitted[v] = admitted[v] || isAdmitted
+	}
+	t.admitted[pool] = admitted
+}
+
 // forgetVersions forgets versions without endpoints: those that were never admitted and,
 // after a completed order, the old ones. Endpoints that start again with an old version are
 // an ordinary release.
@@ -231,7 +251,7 @@
 	v := View{isLimited: true, barred: t.barred[pool], admitted: t.admitted[pool]}
 	if u, ok := t.upgrades[pool]; ok && u.isRunning() {
 		v.isRunning, v.to, v.share = true, u.order.To, t.Limits.Share
-		v.mayUseNew, v.isSwitched = t.isAlone(u) || u.mayUseNew(t.Limits, t.slackPart(), route, now), u.isSwitched(now)
+		v.mayUseNew, v.isSwitched = t.isAlone(u) || u.mayUseNew(t.Limits, t.slackPart(), route, now), u.isRouteSwitched(route, now)
 	}
 	return v
 }
--- a/internal/zpupgrade/upgrade.go
+++ b/internal/zpupgrade/upgrade.go
@@ -19,7 +19,9 @@
 	fleet       *evidence // what judges are told
 	contactAt   time.Time // when a judge last answered, or this daemon was one
 	share       float64
-	switchAt    time.Time // zero: not planned
+	answersAt   int64                    // answers of the new version that were known at the switch
+	switchAt    time.Time                // zero: not planned
+	leads       map[string]time.Duration // how much sooner a route is switched; replaced, never changed
 	verdict     Verdict
 	sampled     int64 // requests sent at sampledAt, by all daemons
 	sampledAt   time.Time
@@ -52,10 +54,19 @@
 	// switchMargin is the share of the fleet's remaining requests that the switch is planned
 	// with. It leaves room for traffic that rises.
 	switchMargin = 0.75
-	// reservedSwitch is the length of the switch for which requests are kept.
-	reservedSwitch = 500 * time.Millisecond
+	// reportTime is the time that the switch of a route takes besides its requests: until the
+	// daemons have told the judges that none runs on old versions, and completionMargin.
+	reportTime = 300 * time.Millisecond
+	// loadAnswers is how many answers of the new version must be known after the switch: some
+	// faults show only under load.
+	loadAnswers = 20
+	// endFactor is how many times the mean time of its requests a route gets for them to end.
+	endFactor = 3
 	// rateInterval is the time over which the latest rate of requests is measured.
 	rateInterval = time.Second
+	// maxExtension is how much longer than planned the switch of a route is if enough
+	// requests are left.
+	maxExtension = 1.2
 	// maxSwitch and maxSwitchShare bound the time between the switch and the deadline.
 	maxSwitch      = 5 * time.Second
 	maxSwitchShare = 0.25
@@ -85,8 +96,18 @@
 func (u *upgrade) isRunning() bool { return u.state == StateRunning }
 
 // isSwitched reports whether all requests go to the new version.
-func (u *upgrade) isSwitched(now time.Time) bool {
-	return u.state == StateCompleted || u.isRunning() && !u.isStopped && !u.switchAt.IsZero() && !now.Before(u.switchAt) && u.hasContact(now)
+func (u *upgrade) isSwitched(now time.Time) bool { return u.isSwitchedAfter(0, now) }
+
+// isRouteSwitched reports whether all requests on a route go to the new version.
+func (u *upgrade) isRouteSwitched(route string, now time.Time) bool {
+	return u.isSwitchedAfter(u.leads[route], now)
+}
+
+func (u *upgrade) isSwitchedAfter(lead time.Duration, now time.Time) bool {
+	if !u.isRunning() || u.isStopped || u.switchAt.IsZero() || !u.hasContact(now) {
+		return u.state == StateCompleted
+	}
+	return !now.Before(u.switchAt.Add(-lead))
 }
 
 func (u *upgrade) hasContact(now time.Time) bool { return now.Sub(u.contactAt) < contactTimeout }
@@ -95,7 +116,7 @@
 // version. slack is its part of the fleet's.
 func (u *upgrade) mayUseNew(l Limits, slack float64, route string, now time.Time) bool {
 	switch {
-	case u.state == StateCompleted || u.isSwitched(now):
+	case u.isRouteSwitched(route, now):
 		return true
 	case !u.isRunning() || u.isStopped || !u.hasContact(now) || !now.Before(u.deadline()):
 		return false
@@ -164,24 +185,31 @@
 
 // plan updates the share and the time of the switch.
 func (u *upgrade) plan(l Limits, hasCapacity bool, now time.Time) {
-	newAnswers := int64(0)
-	for _, s := range u.fleet.routes {
-		newAnswers += s.total.New.Answers
-	}
+	newAnswers := u.fleet.newAnswers()
 	switch {
 	case newAnswers >= fullShareAnswers:
 		u.share, u.focus = u.observedShare(l, now), u.verdict.Route
 	case newAnswers >= lowShareAnswers:
 		u.share = lowShare
 	}
-	if u.switchAt.IsZero() || now.Before(u.switchAt) {
-		u.switchAt = time.Time{}
-		if hasCapacity {
-			u.switchAt = u.planSwitch(l, now)
+	// A plan is not changed once a route is switched, unless the verdict is open again.
+	if u.switchAt.IsZero() || now.Before(u.firstSwitchAt()) || u.verdict.Kind != VerdictGood && now.Before(u.switchAt) {
+		u.planSwitch(l, now)
+		if !hasCapacity {
+			u.switchAt, u.leads = time.Time{}, nil
 		}
 	}
 }
 
+// firstSwitchAt returns when the first route is switched.
+func (u *upgrade) firstSwitchAt() time.Time {
+	lead := time.Duration(0)
+	for _, x := range u.leads {
+		lead = max(lead, x)
+	}
+	return u.switchAt.Add(-lead)
+}
+
 // perSecond returns the rate of requests to the pool: the average since the order or the
 // latest, whichever is higher.
 func (u *upgrade) perSecond(now time.Time) float64 {
@@ -206,28 +234,64 @@
 	if shared == 0 {
 		return lowShare
 	}
-	left := shared + (1-observedSlack)*float64(l.Slack) - perSecond*reservedSwitch.Seconds()/switchMargin
+	_, needed := u.switchTimes(perSecond)
+	left := shared + (1-observedSlack)*float64(l.Slack) - needed/switchMargin
 	return min(max(left/shared, lowShare), fullShare)
 }
 
-// planSwitch returns when all requests should go to the new version: so late that even if
-// it then turned out to be bad, it would have got no more than the limits allow.
-func (u *upgrade) planSwitch(l Limits, now time.Time) time.Time {
-	if u.verdict.Kind != VerdictGood {
-		return time.Time{}
+// switchTimes returns how long before the deadline each route should be switched, so that
+// its requests on old versions have ended, and how many requests arrive in these times.
+func (u *upgrade) switchTimes(perSecond float64) (times map[string]time.Duration, requests float64) {
+	base := u.baseTime(perSecond)
+	times = map[string]time.Duration{}
+	longest := min(maxSwitch, time.Duration(maxSwitchShare*float64(u.order.Within)))
+	all := int64(0)
+	for _, s := range u.fleet.routes {
+		all += s.answers()
 	}
+	for name, s := range u.fleet.routes {
+		times[name] = min(base+endFactor*s.total.Old.meanTime(), longest)
+		requests += perSecond * float64(s.answers()) / float64(all) * times[name].Seconds()
+	}
+	return times, requests
+}
+
+// baseTime returns the time that the switch takes on each route.
+func (u *upgrade) baseTime(perSecond float64) time.Duration {
+	longest := min(maxSwitch, time.Duration(maxSwitchShare*float64(u.order.Within)))
+	if perSecond <= 0 {
+		return longest
+	}
+	return min(reportTime+time.Duration(loadAnswers/perSecond*float64(time.Second)), longest)
+}
+
+// planSwitch plans when all requests should go to the new version: so late that even if it
+// then turned out to be bad, it would have got no more than the limits allow. Routes whose
+// requests take long are switched sooner, so that these end by the deadline.
+func (u *upgrade) planSwitch(l Limits, now time.Time) {
+	u.switchAt, u.leads = time.Time{}, nil
 	perSecond := u.perSecond(now)
-	if perSecond == 0 {
-		return time.Time{}
+	times, needed := u.switchTimes(perSecond)
+	if u.verdict.Kind != VerdictGood || needed == 0 {
+		return
 	}
 	sent, sentNew := u.fleet.sums()
 	left := l.Share*float64(sent) + float64(l.Slack) - float64(sentNew)
-	duration := time.Duration(switchMargin * left / perSecond * float64(time.Second))
-	duration = min(duration, maxSwitch, time.Duration(maxSwitchShare*float64(u.order.Within)))
-	if duration < minSwitch {
-		return time.Time{}
+	shortest := u.baseTime(perSecond)
+	base := perSecond * shortest.Seconds()
+	// The times beyond the base are stretched or shortened to what is left.
+	baseTime := shortest
+	stretch := min((switchMargin*left-base)/max(needed-base, 1), maxExtension)
+	if stretch < 0 {
+		stretch, shortest = 0, time.Duration(switchMargin*left/perSecond*float64(time.Second))
+	}
+	if shortest < minSwitch {
+		return
+	}
+	u.switchAt, u.leads = u.deadline().Add(-shortest), map[string]time.Duration{}
+	for name, t := range times {
+		u.leads[name] = max(time.Duration(stretch*float64(t-baseTime)), 0)
 	}
-	return u.deadline().Add(-duration)
 }
 
 // hasDrained reports whether no live daemon sends requests to old versions any more and none
@@ -247,13 +311,19 @@
 	return true
 }
 
-// conclude ends an order whose time has come. Only the holder of the duty does so.
+// conclude ends an order whose time has come. Only the holder of the duty does so. It
+// completes none before the deadline, because some faults show only under the load after the
+// switch.
 func (u *upgrade) conclude(live map[string]bool, now time.Time) bool {
+	if !u.isSwitched(now) {
+		u.answersAt = u.fleet.newAnswers()
+	}
+	isKnown := u.fleet.newAnswers()-u.answersAt >= loadAnswers || now.After(u.deadline().Add(maxDoubt))
 	isGood, isLate := u.verdict.Kind == VerdictGood, now.After(u.deadline().Add(-completionMargin))
 	switch {
 	case !u.isRunning():
 		return false
-	case isGood && u.isSwitched(now) && (u.hasDrained(live, now) || now.After(u.deadline().Add(maxOverrun))):
+	case isGood && isLate && isKnown && u.isSwitched(now) && (u.hasDrained(live, now) || now.After(u.deadline().Add(maxOverrun))):
 		return u.end(StateCompleted, u.verdict.Reason)
 	case isLate && !u.isSwitched(now), !isGood && now.After(u.deadline().Add(maxDoubt)):
 		return u.end(StateRolledBack, "no good verdict by the deadline: "+u.verdict.Reason)
--- a/internal/zpupgrade/use.go
+++ b/internal/zpupgrade/use.go
@@ -11,8 +11,10 @@
 		side    sideKey
 		route   string
 		isNew   bool
-		isSent  bool
-		ratio   float64
+		sentAt  time.Time     // zero: not sent
+		took    time.Duration // to the first byte; zero: unknown
+		ratio   float64       // of took to the expected time
+		events  int           // of a stream
 		hasEnd  bool
 	}
 
@@ -27,6 +29,13 @@
 	OutcomeBad // a failure of the endpoint itself, or no answer in time
 )
 
+const (
+	// minPaceEvents is the number of events from which a stream has a pace.
+	minPaceEvents = 8
+	// expectedPace is the time between events that others are compared with.
+	expectedPace = 10 * time.Millisecond
+)
+
 // Begin counts a request that is about to be sent to a version.
 func (t *Tracker) Begin(pool, version, route string) *Use {
 	if t == nil {
@@ -61,7 +70,9 @@
 		u := t.upgrades[x.side.pool]
 		may = t.isAlone(u) || x.upgrade == u && !u.isStopped && u.hasContact(now)
 	}
-	x.isSent = x.isSent || may
+	if may && x.sentAt.IsZero() {
+		x.sentAt = now
+	}
 	return may
 }
 
@@ -69,13 +80,20 @@
 // expected time makes requests comparable that are not alike.
 func (x *Use) SetFirstByte(took, expected time.Duration) {
 	if x != nil && expected > 0 {
-		x.ratio = took.Seconds() / expected.Seconds()
+		x.took, x.ratio = took, took.Seconds()/expected.Seconds()
+	}
+}
+
+// SetEvents records the number of events of a complete stream.
+func (x *Use) SetEvents(n int) {
+	if x != nil {
+		x.events = n
 	}
 }
 
 // End ends the request. One that was not sent counts as if it had never begun. Only the
 // first call counts.
-func (x *Use) End(o Outcome) {
+func (x *Use) End(o Outcome, now time.Time) {
 	if x == nil {
 		return
 	}
@@ -91,15 +109,15 @@
 	}
 	switch {
 	case x.upgrade == nil:
-	case !x.isSent:
+	case x.sentAt.IsZero():
 		x.upgrade.countSend(x.route, x.isNew, -1)
 	case o != OutcomeIgnored:
-		x.upgrade.own.record(x, o == OutcomeBad)
+		x.upgrade.own.record(x, o == OutcomeBad, now)
 	}
 }
 
 // record counts an answer. A report that was sent is not changed: others may still read it.
-func (r *Report) record(x *Use, isBad bool) {
+func (r *Report) record(x *Use, isBad bool, now time.Time) {
 	routes := make([]RouteTally, len(r.Routes), len(r.Routes)+1)
 	copy(routes, r.Routes)
 	i := 0
@@ -117,11 +135,16 @@
 		tally = &routes[i].New
 	}
 	tally.Answers++
+	tally.Time += now.Sub(x.sentAt)
 	if isBad {
 		tally.Bad++
 	}
 	if x.ratio > 0 {
 		tally.Speeds[speedClass(x.ratio)]++
 	}
+	if x.events >= minPaceEvents && x.took > 0 {
+		pace := (now.Sub(x.sentAt) - x.took) / time.Duration(x.events-1)
+		tally.Paces[speedClass(pace.Seconds()/expectedPace.Seconds())]++
+	}
 	r.Routes = routes
 }
--- a/internal/zpupgrade/verdict.go
+++ b/internal/zpupgrade/verdict.go
@@ -76,12 +76,12 @@
 func (e *evidence) compareRoutes() Verdict {
 	all, judged := int64(0), 0
 	for _, s := range e.routes {
-		all += s.total.Old.Answers + s.total.New.Answers
+		all += s.answers()
 	}
 	open := Verdict{}
 	for _, name := range slices.Sorted(maps.Keys(e.routes)) {
 		s := e.routes[name]
-		isCommon := float64(s.total.Old.Answers+s.total.New.Answers) >= commonRouteShare*float64(all)
+		isCommon := float64(s.answers()) >= commonRouteShare*float64(all)
 		isJudged := isCommon || s.total.New.Answers >= minNewAnswers
 		switch v := s.judge(name, isJudged); {
 		case v.Kind == VerdictBad:
@@ -107,10 +107,10 @@
 func (s *series) judge(name string, isJudged bool) Verdict {
 	out := Verdict{Kind: VerdictGood}
 	for _, c := range s.comparisons() {
-		switch {
-		case c.latest >= badEvidence:
+		switch c.kind(isJudged) {
+		case VerdictBad:
 			return Verdict{Kind: VerdictBad, Reason: c.describe(name)}
-		case c.latest > openEvidence || isJudged && c.total > -goodEvidence:
+		case VerdictOpen:
 			out = Verdict{Reason: c.describe(name) + " not excluded", Route: name}
 		}
 	}
@@ -121,21 +121,39 @@
 // evidences are logarithms of likelihood ratios of a bad version to a good one.
 type comparison struct {
 	name                                     string
+	isPace                                   bool
 	total                                    float64 // of excludedShare, over all answers
 	latest                                   float64 // of addedShare, in the stretch up to now that speaks most against the version
 	newHits, newAnswers, oldHits, oldAnswers int64
 }
 
+// kind returns what the comparison says by itself. Few streams may have events enough for a
+// pace, so its lack does not leave the verdict open.
+func (c comparison) kind(isJudged bool) VerdictKind {
+	isNeeded := isJudged && (!c.isPace || c.newAnswers >= minNewAnswers)
+	switch {
+	case c.latest >= badEvidence:
+		return VerdictBad
+	case c.latest > openEvidence || isNeeded && c.total > -goodEvidence:
+		return VerdictOpen
+	default:
+		return VerdictGood
+	}
+}
+
 func (c comparison) describe(route string) string {
 	return fmt.Sprintf("route %s: %s (%d of %d new, %d of %d old)", route, c.name, c.newHits, c.newAnswers, c.oldHits, c.oldAnswers)
 }
 
-// comparisons compares the failures and the slow answers.
+// comparisons compares the failures, the slow answers and the slow streams.
 func (s *series) comparisons() []comparison {
-	slow := min(s.total.Old.medianSpeed()+slowClasses, SpeedClasses-2)
+	slowClass := func(old Speeds) int { return min(old.median()+slowClasses, SpeedClasses-2) }
+	slow, slowPace := slowClass(s.total.Old.Speeds), slowClass(s.total.Old.Paces)
 	failures := s.compare("failures", minFailureShare, func(t Tally) (int64, int64) { return t.Bad, t.Answers })
-	speeds := s.compare("slow answers", minSlowShare, func(t Tally) (int64, int64) { return t.slowerThan(slow), t.timed() })
-	return []comparison{failures, speeds}
+	speeds := s.compare("slow answers", minSlowShare, func(t Tally) (int64, int64) { return t.Speeds.slowerThan(slow), t.Speeds.count() })
+	paces := s.compare("slow streams", minSlowShare, func(t Tally) (int64, int64) { return t.Paces.slowerThan(slowPace), t.Paces.count() })
+	paces.isPace = true
+	return []comparison{failures, speeds, paces}
 }
 
 // compare runs a cumulative sum test over the spans. The latest stretch begins where the
