--- a/internal/zpupgrade/faults_test.go
+++ b/internal/zpupgrade/faults_test.go
@@ -83,6 +83,23 @@
 	})
 })
 
+var _ = Describe("A roll-out under a burst", func() {
+	DescribeTable("stays within the bound, whenever it begins", func(from time.Duration) {
+		burst := at(from, func(x *fleet) {
+			for i := range x.routes {
+				x.routes[i].perSecond *= 1.7
+			}
+		})
+		for seed := range uint64(10) {
+			play(seed, 9, plainRoutes(), fault{}, burst).expectBounded()
+			play(seed, 9, engineRoutes(), fault{}, burst).expectBounded()
+		}
+	},
+		Entry("early", 3*time.Second), Entry("before the switch", 10*time.Second), Entry("at the switch", 11*time.Second),
+		Entry("during the switch", 11500*time.Millisecond),
+	)
+})
+
 var _ = Describe("A roll-out of a pool whose versions fail alike", func() {
 	It("is not rolled back for a bad hour of all", func() {
 		routes := plainRoutes()
--- a/internal/zpupgrade/roll_out_test.go
+++ b/internal/zpupgrade/roll_out_test.go
@@ -70,6 +70,9 @@
 			AddReportEntry(fmt.Sprintf("seed %d", seed), strings.Join(x.results.changes, "\n"), ReportEntryVisibilityFailureOrVerbose)
 		}
 		worst = max(worst, float64(x.results.sentNew)/x.exposureLimit())
+		if x.results.endedAt.After(x.deadline()) {
+			out["late"]++
+		}
 		late = max(late, x.results.endedAt.Sub(x.deadline()))
 		if !x.results.fiftiethBadAt.IsZero() {
 			afterBad = max(afterBad, x.results.lastNewAt.Sub(x.results.fiftiethBadAt))
--- a/internal/zpupgrade/upgrade.go
+++ b/internal/zpupgrade/upgrade.go
@@ -19,6 +19,9 @@
 	fleet       *evidence // what judges are told
 	contactAt   time.Time // when a judge last answered, or this daemon was one
 	share       float64
+	sentBefore  int64                    // requests sent at switchedAt, by all daemons
+	switchedAt  time.Time                // when the leading judge last planned the switch
+	isPaused    bool                     // the switch waits for the deadline, so as not to exceed the limits
 	answersAt   int64                    // answers of the new version that were known at the switch
 	switchAt    time.Time                // zero: not planned
 	leads       map[string]time.Duration // how much sooner a route is switched; replaced, never changed
@@ -39,7 +42,7 @@
 	// version gets, as shares of Limits.Share. What fullShare leaves is for the switch.
 	firstShare = 0.1
 	lowShare   = 0.3
-	fullShare  = 0.6
+	fullShare  = 0.5
 	// lowShareAnswers and fullShareAnswers are how many answers of the new version must be
 	// known, without signs of a fault, before each step.
 	lowShareAnswers  = 5
@@ -53,7 +56,7 @@
 
 	// switchMargin is the share of the fleet's remaining requests that the switch is planned
 	// with. It leaves room for traffic that rises.
-	switchMargin = 0.75
+	switchMargin = 0.65
 	// reportTime is the time that the switch of a route takes besides its requests: until the
 	// daemons have told the judges that none runs on old versions, and completionMargin.
 	reportTime = 300 * time.Millisecond
@@ -62,6 +65,11 @@
 	loadAnswers = 20
 	// endFactor is how many times the mean time of its requests a route gets for them to end.
 	endFactor = 3
+	// learnTime is the time in which all daemons have learned of a decision, with room for
+	// traffic that has risen since the rate was measured.
+	learnTime = 350 * time.Millisecond
+	// minRateTime is the time after the switch from which the rate since it is measured.
+	minRateTime = 100 * time.Millisecond
 	// rateInterval is the time over which the latest rate of requests is measured.
 	rateInterval = time.Second
 	// maxExtension is how much longer than planned the switch of a route is if enough
@@ -192,6 +200,17 @@
 	case newAnswers >= lowShareAnswers:
 		u.share = lowShare
 	}
+	if u.isPaused {
+		return
+	}
+	if !u.isSwitched(now) {
+		u.sentBefore, _ = u.fleet.sums()
+		u.switchedAt = now
+	}
+	if u.isSwitched(now) && u.wouldExceed(l, now) {
+		u.isPaused, u.switchAt, u.leads = true, u.deadline(), nil
+		return
+	}
 	// A plan is not changed once a route is switched, unless the verdict is open again.
 	if u.switchAt.IsZero() || now.Before(u.firstSwitchAt()) || u.verdict.Kind != VerdictGood && now.Before(u.switchAt) {
 		u.planSwitch(l, now)
@@ -201,6 +220,21 @@
 	}
 }
 
+// wouldExceed reports whether the new version might get more than the limits allow before
+// the daemons could learn of it, because traffic has risen since the switch was planned.
+func (u *upgrade) wouldExceed(l Limits, now time.Time) bool {
+	left := min(u.deadline().Sub(now), learnTime)
+	if left <= 0 {
+		return false
+	}
+	sent, sentNew := u.fleet.sums()
+	perSecond := u.perSecond(now)
+	if elapsed := now.Sub(u.switchedAt); elapsed >= minRateTime {
+		perSecond = max(perSecond, float64(sent-u.sentBefore)/elapsed.Seconds())
+	}
+	return float64(sentNew)+perSecond*left.Seconds() > l.Share*float64(sent)+float64(l.Slack)
+}
+
 // firstSwitchAt returns when the first route is switched.
 func (u *upgrade) firstSwitchAt() time.Time {
 	lead := time.Duration(0)
@@ -325,7 +359,7 @@
 		return false
 	case isGood && isLate && isKnown && u.isSwitched(now) && (u.hasDrained(live, now) || now.After(u.deadline().Add(maxOverrun))):
 		return u.end(StateCompleted, u.verdict.Reason)
-	case isLate && !u.isSwitched(now), !isGood && now.After(u.deadline().Add(maxDoubt)):
+	case isLate && !u.isSwitched(now) && !u.isPaused, !isGood && now.After(u.deadline().Add(maxDoubt)):
 		return u.end(StateRolledBack, "no good verdict by the deadline: "+u.verdict.Reason)
 	}
 	return false
