--- a/internal/zpupgrade/roll_out_test.go
+++ b/internal/zpupgrade/roll_out_test.go
@@ -70,6 +70,9 @@
 			AddReportEntry(fmt.Sprintf("seed %d", seed), strings.Join(x.results.changes, "\n"), ReportEntryVisibilityFailureOrVerbose)
 		}
 		worst = max(worst, float64(x.results.sentNew)/x.exposureLimit())
+		if x.results.endedAt.After(x.deadline()) {
+			out["late"]++
+		}
 		late = max(late, x.results.endedAt.Sub(x.deadline()))
 		if !x.results.fiftiethBadAt.IsZero() {
 			afterBad = max(afterBad, x.results.lastNewAt.Sub(x.results.fiftiethBadAt))
@@ -102,7 +105,9 @@
 					Entry("that fails later", fault{failures: 0.5, from: 6 * time.Second}),
 					Entry("that is slow later", fault{factor: 4, from: 6 * time.Second}),
 					Entry("that fails on one route", fault{failures: 0.5, route: routes[0].name}),
+					Entry("that fails under load", fault{failures: 0.8, load: 1}),
 					Entry("that is slow on one route", fault{factor: 4, route: routes[1].name}),
+					Entry("that is slow on the other route", fault{factor: 4, route: routes[0].name}),
 				)
 			})
 		}
