Phases of a connection are entered without reading the clock

Cause: each write of a response read the clock twice, a system call each.

Change: the start of a phase is measured when memory is short and the connection is looked at for the first time.

--- a/internal/zpmemory/budget_test.go
+++ b/internal/zpmemory/budget_test.go
@@ -214,6 +214,16 @@
 		Expect(c.evicted).To(ConsistOf("writer"))
 	})
 
+	It("ends a response that is not read if its start was not measured", func() {
+		c := newCrowd()
+		c.open("writer", "a", zpmemory.PhaseRunning).Enter(zpmemory.PhaseWriting, time.Time{})
+		c.EvictWriters(c.now)
+		Expect(c.evicted).To(BeEmpty())
+		c.pass(time.Second)
+		c.EvictWriters(c.now)
+		Expect(c.evicted).To(ConsistOf("writer"))
+	})
+
 	// A request sent together with the one before it counted as idle while it ran.
 	It("spares a request that arrived with the one before", func() {
 		c := newCrowd()
--- a/internal/zpmemory/holder.go
+++ b/internal/zpmemory/holder.go
@@ -72,7 +72,8 @@
 	b.take(h, bytes)
 }
 
-// Enter starts a phase.
+// Enter starts a phase. With a zero time, its progress is measured from when it is next
+// looked at, which saves a reading of the clock.
 func (h *Holder) Enter(p Phase, now time.Time) {
 	b := h.budget
 	b.mu.Lock()
--- a/internal/zpmemory/victim.go
+++ b/internal/zpmemory/victim.go
@@ -10,7 +10,7 @@
 	// progress measures the bytes that a connection moves in windows of time, so that a
 	// byte now and then does not count as progress.
 	progress struct {
-		since        time.Time // start of the current window
+		since        time.Time // start of the current window; zero: starts when it is next looked at
 		bytes        int64     // in the current window
 		stalledSince time.Time // start of the first window below the floor; zero: none
 	}
@@ -34,6 +34,9 @@
 )
 
 func (p *progress) add(bytes int, now time.Time) {
+	if p.since.IsZero() {
+		p.since = now
+	}
 	if elapsed := now.Sub(p.since); elapsed >= progressWindow {
 		if p.isBelowFloor(elapsed) {
 			if p.stalledSince.IsZero() {
@@ -53,6 +56,9 @@
 
 // stalled returns how long there has been no progress.
 func (p *progress) stalled(now time.Time) time.Duration {
+	if p.since.IsZero() {
+		p.since = now
+	}
 	elapsed := now.Sub(p.since)
 	switch {
 	case !p.stalledSince.IsZero():
--- a/internal/zpnet/guard.go
+++ b/internal/zpnet/guard.go
@@ -81,7 +81,7 @@
 	}
 	switch state {
 	case http.StateActive:
-		c.holder.Enter(zpmemory.PhaseRunning, g.Clock())
+		c.holder.Enter(zpmemory.PhaseRunning, time.Time{})
 	case http.StateIdle:
 		now := g.Clock()
 		c.holder.Reset(now)
@@ -148,19 +148,20 @@
 	if n <= 0 {
 		return n, err
 	}
-	now := c.guard.Clock()
 	switch c.holder.Phase() {
 	case zpmemory.PhaseIdle, zpmemory.PhaseHead:
+		now := c.guard.Clock()
 		if response := c.checkHead(p[:n], now); response != nil {
 			c.refuse(response, now)
 			// The server closes a connection without a response after such an error.
 			return 0, &net.OpError{Op: "read", Net: "tcp", Source: c.LocalAddr(), Addr: c.RemoteAddr(), Err: errHeadRefused}
 		}
-	default:
-		c.holder.Advance(n, now)
-		if n <= serverBufferBytes {
-			c.bufferedLines = max(c.bufferedLines, bytes.Count(p[:n], []byte{'\n'}))
-		}
+		return n, err
+	case zpmemory.PhaseBody:
+		c.holder.Advance(n, c.guard.Clock())
+	}
+	if n <= serverBufferBytes {
+		c.bufferedLines = max(c.bufferedLines, bytes.Count(p[:n], []byte{'\n'}))
 	}
 	return n, err
 }
@@ -219,13 +220,13 @@
 // Write writes in pieces that show progress.
 func (c *guardedConn) Write(p []byte) (int, error) {
 	phase := c.holder.Phase()
-	c.holder.Enter(zpmemory.PhaseWriting, c.guard.Clock())
+	c.holder.Enter(zpmemory.PhaseWriting, time.Time{})
 	sent := 0
 	for {
 		n, err := c.TCPConn.Write(p[sent:min(sent+writePieceBytes, len(p))])
 		sent += n
 		if err != nil || sent == len(p) {
-			c.holder.Enter(phase, c.guard.Clock())
+			c.holder.Enter(phase, time.Time{})
 			return sent, err
 		}
 		c.holder.Advance(n, c.guard.Clock())
