The holder of the upgrades' duty reads through the circuit breaker, candidates peek at its lease

Cause: its keeper read the store directly, also while the store turned this daemon away, and each candidate read the record at the full price.

--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -142,6 +142,7 @@
 	d.catalogs = &catalogs{daemon: d}
 	d.catalogs.recordActive(zpclock.Now())
 	d.bans = newBans(d)
+	d.buildReads()
 	d.upgrades = newUpgrades(d)
 	d.gateway.Upgrades = d.upgrades.tracker
 	d.buildSharing()
--- a/internal/zpapp/gateway_sharing.go
+++ b/internal/zpapp/gateway_sharing.go
@@ -30,6 +30,14 @@
 // starts, or whose link was full for a while, gets one from each of the others.
 const maxSnapshotFingerprints = 256
 
+// buildReads builds the circuit breaker before reads of the store.
+func (d *GatewayDaemon) buildReads() {
+	d.reads = &zprelay.GuardedStore{
+		API: d.store, Stale: d.store.GetStale, Breaker: &zprelay.Breaker{Random: rand.Float64}, Log: d.Log, Clock: zpclock.Now,
+		Probe: func(ctx context.Context) error { return d.store.Probe(ctx, zpplatform.ConfigName) },
+	}
+}
+
 func (d *GatewayDaemon) buildSharing() {
 	d.dialer = &zppeer.Dialer{Timeout: peerTimeout, OnCall: d.countPeer}
 	d.dialer.Open()
@@ -55,10 +63,6 @@
 		},
 	}
 	d.live = &liveDaemons{daemon: d}
-	d.reads = &zprelay.GuardedStore{
-		API: d.store, Stale: d.store.GetStale, Breaker: &zprelay.Breaker{Random: rand.Float64}, Log: d.Log, Clock: zpclock.Now,
-		Probe: func(ctx context.Context) error { return d.store.Probe(ctx, zpplatform.ConfigName) },
-	}
 	d.recorder = &zprelay.CachingStore{API: d.reads, HeartbeatPrefix: zpplatform.ConfigPrefix, Clock: zpclock.Now, ExpectsFollowers: func() bool { return d.follower.CanFollow() && d.follower.IsWatcher() }}
 	d.lookup = &zplookup.Client{
 		Self: d.self, Owners: d.live.partOwners, Learn: d.mergeParts, Log: d.Log, Clock: zpclock.Now,
--- a/internal/zpapp/gateway_upgrades.go
+++ b/internal/zpapp/gateway_upgrades.go
@@ -63,7 +63,8 @@
 		return zpplace.RendezvousRank(d.self.Name, upgradeDuty, names), len(names)
 	})
 	timing := zpduty.Timing{Validity: upgradeDutyValidity, RenewInterval: upgradeDutyRenew}
-	u.keeper = zpduty.NewKeeper(upgradeDuty, d.self.Instance, timing, d.store, d.Log, zpclock.Now)
+	u.keeper = zpduty.NewKeeper(upgradeDuty, d.self.Instance, timing, d.reads, d.Log, zpclock.Now)
+	u.keeper.Peek = d.reads.GetStale
 	return u
 }
 
