A response buffer that was replaced stays reserved until the response ends

Cause: gave a replaced buffer back at once, while it is garbage that the runtime has not collected.

Change: it stays reserved, as before.

--- a/internal/zpengine/memory.go
+++ b/internal/zpengine/memory.go
@@ -60,18 +60,13 @@
 				return nil, reserved, fmt.Errorf("%w: more than %d bytes", errResponseTooLarge, m.limit)
 			}
 			if size > uncountedBytes {
-				// Both buffers exist during the copy.
+				// The old buffer stays reserved: it is garbage until the runtime collects it.
 				if !m.acquire(size) {
 					return nil, reserved, errBuffersExhausted
 				}
 				reserved += size
 			}
-			old := int64(cap(data))
 			data = append(make([]byte, 0, size), data...)
-			if old > uncountedBytes {
-				m.available.Release(old)
-				reserved -= old
-			}
 		}
 		n, err := body.Read(data[len(data):cap(data)])
 		data = data[:len(data)+n]
