--- /dev/null
+++ b/review/build-2.sh
@@ -0,0 +1,8 @@
+#!/bin/sh
+# Builds the programs of the second review's scripts. The daemon itself is built as
+# deploy/system.toml says.
+set -e
+cd "$(dirname "$0")/.."
+mkdir -p target
+go build -o target/review-runner ./review/rig/runner
+go build -o target/review-6 ./review/6
