--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -35,7 +35,13 @@
 		Binary   string
 		MemoryMB int
 		Store    *zpoutside.Store
+		// Placement is the zone of each daemon; nil: one zone after the other.
+		Placement []string
+		// CanCut makes the daemons reach the store and each other through links that
+		// CutZone cuts.
+		CanCut bool
 
+		network network
 		base    string // first two bytes of all addresses
 		daemons []*Daemon
 		servers []*http.Server
@@ -51,6 +57,8 @@
 		Name string
 		IP   string
 		Zone string
+
+		store string // address at which the daemon finds the store
 	}
 )
 
@@ -79,7 +87,9 @@
 func (s *Site) StoreAddress() string { return fmt.Sprintf("%s.0.2:%d", s.base, StorePort) }
 
 // RunnerAddress returns the address of the n-th runner.
-func (s *Site) RunnerAddress(n int) string { return fmt.Sprintf("%s.64.%d:%d", s.base, 10+n, RunnerPort) }
+func (s *Site) RunnerAddress(n int) string {
+	return fmt.Sprintf("%s.64.%d:%d", s.base, 10+n, RunnerPort)
+}
 
 // Serve serves HTTP at an address until Close.
 func (s *Site) Serve(address string, h http.Handler) error {
@@ -96,7 +106,15 @@
 // StartDaemons starts daemons, one zone after the other, and waits until they are ready.
 func (s *Site) StartDaemons(n int) ([]*Daemon, error) {
 	for i := range n {
-		d := &Daemon{Name: fmt.Sprintf("front-%d", i+1), IP: fmt.Sprintf("%s.1.%d", s.base, 10+i), Zone: Zones[i%len(Zones)]}
+		d := &Daemon{Name: fmt.Sprintf("front-%d", i+1), IP: fmt.Sprintf("%s.1.%d", s.base, 10+i), Zone: Zones[i%len(Zones)], store: s.StoreAddress()}
+		if s.Placement != nil {
+			d.Zone = s.Placement[i]
+		}
+		if s.CanCut {
+			if err := s.link(d, i, n); err != nil {
+				return nil, err
+			}
+		}
 		file := filepath.Join(s.Dir, d.Name+".toml")
 		if err := os.WriteFile(file, []byte(s.settings(d)), 0o600); err != nil {
 			return nil, err
@@ -153,6 +171,7 @@
 	for _, d := range s.daemons {
 		d.Kill()
 	}
+	s.network.close()
 	for _, server := range s.servers {
 		_ = server.Close()
 	}
@@ -181,6 +200,6 @@
 	fmt.Fprintf(&b, "[limits]\ncpu-share = 0.4\ncores = 1\nmemory-mb = %d\nmax-fds = 4100\nlink-mbps = 1000.0\n", s.MemoryMB)
 	b.WriteString("[contract-bounds]\nstable-window-ms = 4000\ndrain-ms = 2500\ngrace-s = 8\nloss-slack-ms = 200\nconfig-apply-ms = 2500\n")
 	b.WriteString("budget-ratio = 0.2\nbudget-window-s = 10\nbudget-slack = 56\nlease-ms = 3000\nthaw-ms = 300\nversion-ms = 10000\nversion-all-ms = 14000\nfencing-required = true\n")
-	fmt.Fprintf(&b, "[platform]\naddress = %q\nform = \"objects\"\nwrites-per-s = 400\nreads-per-s = 2000\nhistory-s = 20\nvalue-bytes = 1048576\n", s.StoreAddress())
+	fmt.Fprintf(&b, "[platform]\naddress = %q\nform = \"objects\"\nwrites-per-s = 400\nreads-per-s = 2000\nhistory-s = 20\nvalue-bytes = 1048576\n", d.store)
 	return b.String()
 }
