--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,3 +7,4 @@
 go build -o target/review-runner ./review/rig/runner
 go build -o target/review-6 ./review/6
 go build -o target/review-7 ./review/7
+go build -o target/review-8 ./review/8
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -116,7 +116,7 @@
 			}
 		}
 		file := filepath.Join(s.Dir, d.Name+".toml")
-		if err := os.WriteFile(file, []byte(s.settings(d)), 0o600); err != nil {
+		if err := os.WriteFile(file, []byte(s.settings(d, true)), 0o600); err != nil {
 			return nil, err
 		}
 		d.Process = &zpsite.Process{
@@ -131,6 +131,10 @@
 		if err := d.AwaitReady(15 * time.Second); err != nil {
 			return nil, err
 		}
+		// A daemon that is started again finds that the site has started before.
+		if err := os.WriteFile(filepath.Join(s.Dir, d.Name+".toml"), []byte(s.settings(d, false)), 0o600); err != nil {
+			return nil, err
+		}
 	}
 	return s.daemons, nil
 }
@@ -189,10 +193,10 @@
 }
 
 // settings returns the settings file of a daemon, with the figures of a small deployment.
-func (s *Site) settings(d *Daemon) string {
+func (s *Site) settings(d *Daemon, isFirstStart bool) string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "node-name = %q\nrole = \"entry\"\nmachine-class = \"front\"\nserves = [\"front\"]\nip = %q\nzone = %q\nregion = \"r\"\n", d.Name, d.IP, d.Zone)
-	fmt.Fprintf(&b, "internal-ports = [%d,%d]\nfirst-start = true\nheartbeat-ms = 1200\n[zones]\n", PeersPort, PeersPort+15)
+	fmt.Fprintf(&b, "internal-ports = [%d,%d]\nfirst-start = %t\nheartbeat-ms = 1200\n[zones]\n", PeersPort, PeersPort+15, isFirstStart)
 	for _, z := range Zones {
 		fmt.Fprintf(&b, "%s = \"r\"\n", z)
 	}
