--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -8,3 +8,4 @@
 go build -o target/review-6 ./review/6
 go build -o target/review-7 ./review/7
 go build -o target/review-8 ./review/8
+go build -o target/review-9 ./review/9
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -37,6 +37,8 @@
 		Store    *zpoutside.Store
 		// Placement is the zone of each daemon; nil: one zone after the other.
 		Placement []string
+		// Regions is the region of each zone; nil: all zones are in region "r".
+		Regions map[string]string
 		// CanCut makes the daemons reach the store and each other through links that
 		// CutZone cuts.
 		CanCut bool
@@ -62,7 +64,7 @@
 	}
 )
 
-// Zones of a site, all in region "r".
+// Zones of a site.
 var Zones = []string{"z-a", "z-b", "z-c"}
 
 // Open creates the temporary folder and the record, and starts the store.
@@ -192,13 +194,20 @@
 	}
 }
 
+func (s *Site) regionOf(zone string) string {
+	if region, ok := s.Regions[zone]; ok {
+		return region
+	}
+	return "r"
+}
+
 // settings returns the settings file of a daemon, with the figures of a small deployment.
 func (s *Site) settings(d *Daemon, isFirstStart bool) string {
 	var b strings.Builder
-	fmt.Fprintf(&b, "node-name = %q\nrole = \"entry\"\nmachine-class = \"front\"\nserves = [\"front\"]\nip = %q\nzone = %q\nregion = \"r\"\n", d.Name, d.IP, d.Zone)
+	fmt.Fprintf(&b, "node-name = %q\nrole = \"entry\"\nmachine-class = \"front\"\nserves = [\"front\"]\nip = %q\nzone = %q\nregion = %q\n", d.Name, d.IP, d.Zone, s.regionOf(d.Zone))
 	fmt.Fprintf(&b, "internal-ports = [%d,%d]\nfirst-start = %t\nheartbeat-ms = 1200\n[zones]\n", PeersPort, PeersPort+15, isFirstStart)
 	for _, z := range Zones {
-		fmt.Fprintf(&b, "%s = \"r\"\n", z)
+		fmt.Fprintf(&b, "%s = %q\n", z, s.regionOf(z))
 	}
 	fmt.Fprintf(&b, "[listen]\nfront = %q\nready = \"%s:%d\"\n", d.Front(), d.IP, ReadyPort)
 	fmt.Fprintf(&b, "[limits]\ncpu-share = 0.4\ncores = 1\nmemory-mb = %d\nmax-fds = 4100\nlink-mbps = 1000.0\n", s.MemoryMB)
