--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -9,3 +9,4 @@
 go build -o target/review-7 ./review/7
 go build -o target/review-8 ./review/8
 go build -o target/review-9 ./review/9
+go build -o target/review-10 ./review/10
--- a/review/rig/runner/main.go
+++ b/review/rig/runner/main.go
@@ -1,9 +1,11 @@
 // Command runner is a runner of a deployment: a process of its own, which a script may
-// kill. Its answers have no length and end with their connection, as our pages allow.
+// kill. Its answers have no length and end with their connection, as our pages allow, but
+// for those to prompts, which are streams in chunks.
 package main
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"os"
@@ -16,6 +18,9 @@
 	pieces = 8
 	// pause is the time before each piece of an answer.
 	pause = 250 * time.Millisecond
+	// promptTime is the time to the first event of the answer to a prompt.
+	promptTime = 300 * time.Millisecond
+	deadlyPart = "dead:"
 )
 
 // Piece returns piece n of the answer to a request.
@@ -37,6 +42,10 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if parts := r.Header.Get("Prompt-Prefix"); parts != "" {
+		servePrompt(w, id, parts)
+		return
+	}
 	isStream := strings.HasPrefix(r.URL.Path, "/stream/")
 	contentType := "text/plain"
 	if isStream {
@@ -65,6 +74,29 @@
 	}
 }
 
+// servePrompt answers a prompt. It ends the process, as a crash does, when it begins to write
+// an answer on a part that crashes runners.
+func servePrompt(w http.ResponseWriter, id, parts string) {
+	note("run %s", id)
+	time.Sleep(promptTime)
+	w.Header().Set("Request-Id", id)
+	w.Header().Set("Server-Seal", "seal."+id)
+	w.Header().Set("Content-Type", "text/event-stream")
+	w.WriteHeader(http.StatusOK)
+	_ = http.NewResponseController(w).Flush() // fails only if the daemon has left
+	if strings.Contains(parts, deadlyPart) {
+		note("crash %s", id)
+		os.Exit(1)
+	}
+	for n := 1; n <= pieces; n++ {
+		if _, err := io.WriteString(w, piece(id, n, true)); err != nil {
+			return
+		}
+		_ = http.NewResponseController(w).Flush()
+		time.Sleep(promptTime / pieces)
+	}
+}
+
 func write(conn net.Conn, text string) bool {
 	_, err := conn.Write([]byte(text))
 	return err == nil
