--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -40,6 +40,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpusage"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpwhere"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
+	"github.com/zinniapaddle/zinniapaddle/pkg/zpobject"
 	zpplatform "github.com/zinniapaddle/zinniapaddle/platform"
 )
 
@@ -52,6 +53,7 @@
 
 	self     zpassign.Member
 	store    *zpplatform.Store
+	eras     *zpobject.EraTracker
 	sender   *zpengine.Sender
 	catalog  atomic.Pointer[zpcatalog.Catalog]
 	registry *zpregistry.Registry
@@ -125,7 +127,8 @@
 		},
 		registry: zpregistry.New(lapsedEntryGrace), weights: zprollout.NewWeightVersions(time.Duration(float64(n.Bounds.OldWeightsGrace) * oldWeightsShare)), members: newMembers(s.Name),
 	}
-	d.store = &zpplatform.Store{BaseURL: s.Platform.Address, Timeout: storeTimeout, OnCall: d.countStore}
+	d.eras = &zpobject.EraTracker{OnChange: d.storeRestored}
+	d.store = &zpplatform.Store{BaseURL: s.Platform.Address, Timeout: storeTimeout, OnCall: d.countStore, Eras: d.eras, OnBadEra: d.storeEraUnusable, Clock: zpclock.Now}
 	d.store.Open()
 	d.sender = zpplatform.NewSender()
 	d.gateway = &zpgateway.Gateway{
@@ -304,7 +307,7 @@
 	holder := d.self.Name + "@" + d.self.PeerAddress
 	timing := zpduty.Timing{Validity: dutyValidity, RenewInterval: dutyRenew, HandoverDelay: d.Node.Bounds.MinOrderInterval + dutyMargin}
 	keeper := zpduty.NewKeeper(weightDuty, holder, timing, d.reads, d.Log, zpclock.Now)
-	keeper.Peek = d.reads.GetStale
+	keeper.Peek, keeper.Eras = d.reads.GetStale, d.eras
 	d.rollout = &zprollout.Rollout{
 		Self: holder, Keeper: keeper,
 		WeightVersions: d.weights, Engines: d.engines, Models: d.models,
@@ -344,6 +347,20 @@
 	d.Metrics.PlatformCalls.WithLabelValues(call, kind, outcomeLabel(err)).Inc()
 }
 
+// storeRestored logs that the store has come back from an older copy. Watches and duties take
+// the era from the tracker itself.
+func (d *GatewayDaemon) storeRestored(c zpobject.EraChange) {
+	d.Log.Emit(zplog.StoreRestored, zplog.Fields{
+		"era_before": c.Before, "era": c.After, "source": c.Source, "catalog": d.catalogVersion(),
+		"catalog_revision": zpobject.PlainRevision(d.catalogs.current().Revision),
+	})
+}
+
+func (d *GatewayDaemon) storeEraUnusable(text string) {
+	era, _ := d.eras.Current()
+	d.Log.Emit(zplog.StoreEraUnusable, zplog.Fields{"text": text, "era": era})
+}
+
 func (d *GatewayDaemon) endpointGone(e zpregistry.Endpoint) {
 	d.Log.Emit(zplog.EndpointGone, zplog.Fields{"endpoint": e.ID, "address": e.Address})
 	d.gateway.HandleEndpointRemoved(e)
--- a/internal/zpapp/gateway_metrics.go
+++ b/internal/zpapp/gateway_metrics.go
@@ -15,6 +15,7 @@
 var (
 	endpointsDesc    = describe("endpoints", "Endpoints by pool and state as this daemon sees them; one may have several states.", "pool", "state")
 	storeAgeDesc     = describe("store_age_seconds", "Age of the configuration: time since it was last read or confirmed, by the store or a watcher.")
+	storeEraDesc     = describe("store_era", "Era of the store: how often it came back from an older copy, as far as the store tells.")
 	dutyDesc         = describe("duty_held", "1 while this daemon is the one that loads new weights into engines.")
 	peersDesc        = describe("answering_daemons", "Daemons that answered recently, including this one.")
 	waitingDesc      = describe("waiting_requests", "Requests queued for an endpoint.")
@@ -50,6 +51,9 @@
 	if at := d.follower.ReadAt(); !at.IsZero() {
 		gauge(storeAgeDesc, now.Sub(at).Seconds())
 	}
+	if era, _ := d.eras.Current(); d.eras.IsKnown() {
+		gauge(storeEraDesc, float64(era))
+	}
 	held := 0.0
 	if _, _, ok := d.rollout.Keeper.Holds(); ok {
 		held = 1
--- a/internal/zpapp/gateway_sharing.go
+++ b/internal/zpapp/gateway_sharing.go
@@ -19,6 +19,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zprollout"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpshare"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpspeed"
+	"github.com/zinniapaddle/zinniapaddle/pkg/zpobject"
 	zpplatform "github.com/zinniapaddle/zinniapaddle/platform"
 )
 
@@ -77,7 +78,11 @@
 	d.follower = &zprelay.Follower{
 		API: d.recorder, Self: d.self, HeartbeatPrefix: zpplatform.ConfigPrefix, Daemons: d.live.list, IsAnswering: d.reads.IsAnswering, AnswersSince: d.reads.AnswersSince, Log: d.Log, Clock: zpclock.Now,
 		Call: func(ctx context.Context, address, prefix string, since int64, wait time.Duration) (zprelay.Update, error) {
-			return zppeer.Follow(ctx, d.dialer, address, prefix, since, wait)
+			update, err := zppeer.Follow(ctx, d.dialer, address, prefix, since, wait)
+			if era := zpobject.EraOf(update.Revision); err == nil && era > 0 {
+				d.eras.Observe(era, address, zpclock.Now())
+			}
+			return update, err
 		},
 	}
 	d.caches = newCacheFollowers(d)
--- a/internal/zpapp/gateway_upgrades.go
+++ b/internal/zpapp/gateway_upgrades.go
@@ -64,7 +64,7 @@
 	})
 	timing := zpduty.Timing{Validity: upgradeDutyValidity, RenewInterval: upgradeDutyRenew}
 	u.keeper = zpduty.NewKeeper(upgradeDuty, d.self.Instance, timing, d.reads, d.Log, zpclock.Now)
-	u.keeper.Peek = d.reads.GetStale
+	u.keeper.Peek, u.keeper.Eras = d.reads.GetStale, d.eras
 	return u
 }
 
--- a/internal/zpduty/keeper.go
+++ b/internal/zpduty/keeper.go
@@ -19,6 +19,8 @@
 	// Peek reads the object as it was some time ago, at a lower price than API. Until it
 	// shows that the duty may be free, the object is not read. It may be nil.
 	Peek func(ctx context.Context, name string) (zpobject.Object, error)
+	// Eras is the era of the store behind API; nil for a store without eras.
+	Eras *zpobject.EraTracker
 
 	mu    sync.Mutex
 	lease Lease
@@ -35,9 +37,25 @@
 func (k *Keeper) Holds() (fence int64, until time.Time, ok bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.updateEra()
 	return k.lease.Holds(k.Clock())
 }
 
+// updateEra passes the era of the store to the lease, which ends a lease of an earlier era.
+// The lock must be held.
+func (k *Keeper) updateEra() {
+	if k.Eras == nil {
+		return
+	}
+	now := k.Clock()
+	fence, _, held := k.lease.Holds(now)
+	era, since := k.Eras.Current()
+	k.lease.SetEra(era, since)
+	if _, _, holds := k.lease.Holds(now); held && !holds {
+		k.Log.Emit(zplog.DutyLeft, zplog.Fields{"duty": k.Name, "fence": fence, "era": era})
+	}
+}
+
 // Relinquish gives up the duty without a write to the store. It is used after another
 // daemon was seen to act with a higher fencing token.
 func (k *Keeper) Relinquish() {
@@ -56,6 +74,7 @@
 		}
 	}
 	k.mu.Lock()
+	k.updateEra()
 	w, due := k.lease.Next(hasWork, k.Clock())
 	k.mu.Unlock()
 	if due {
@@ -76,6 +95,7 @@
 	r := k.decode(o, err)
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.updateEra()
 	return k.lease.MayBeFree(r, o.Revision, k.Clock())
 }
 
@@ -102,6 +122,7 @@
 	r := k.decode(o, err)
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	k.updateEra()
 	k.lease.Observe(r, o.Revision, k.Clock())
 	return true
 }
@@ -115,6 +136,7 @@
 	startedAt := k.Clock()
 	o, err := k.API.Put(ctx, k.Name, body, w.IfRevision)
 	k.mu.Lock()
+	k.updateEra()
 	_, _, held := k.lease.Holds(startedAt)
 	if err == nil {
 		k.lease.Confirm(w, o.Revision, startedAt, k.Clock())
@@ -125,7 +147,7 @@
 	case err != nil:
 		k.Log.Emit(zplog.LeaseRenewFailed, zplog.Fields{"duty": k.Name, "held": held, "error": err.Error()})
 	case holds && !held:
-		k.Log.Emit(zplog.DutyTaken, zplog.Fields{"duty": k.Name, "fence": fence})
+		k.Log.Emit(zplog.DutyTaken, zplog.Fields{"duty": k.Name, "fence": fence, "era": w.Record.Era, "revision": zpobject.PlainRevision(o.Revision)})
 	case w.Record.Released:
 		k.Log.Emit(zplog.DutyLeft, zplog.Fields{"duty": k.Name, "fence": fence})
 	}
--- a/internal/zpduty/lease.go
+++ b/internal/zpduty/lease.go
@@ -15,6 +15,7 @@
 		Holder   string
 		Renewal  int64 // counter that makes each renewal change the object
 		Released bool
+		Era      int64 // era of the store in which the writer believed itself; see zpobject.EraTracker
 	}
 
 	// Timing holds the durations of the lease. All daemons must use the same ones.
@@ -34,9 +35,11 @@
 		revision       int64     // of the object as last seen; zero if it does not exist
 		revisionSeenAt time.Time // when this revision was first seen
 		known          bool      // the object was read or written since the last Relinquish
+		era            int64     // of the store
+		eraSince       time.Time // when this era was first observed
 
 		heldUntil time.Time
-		fence     int64     // fencing token: the revision of the write that acquired the duty
+		fence     int64     // fencing token: the qualified revision of the write that acquired the duty
 		renewedAt time.Time // start of the last confirmed write
 	}
 
@@ -51,6 +54,7 @@
 		Holder   string `json:"holder"`
 		Renewal  int64  `json:"renewal"`
 		Released bool   `json:"released"`
+		Era      int64  `json:"era,omitempty"`
 	}
 )
 
@@ -66,6 +70,19 @@
 	return Record(w), nil
 }
 
+// SetEra records the latest era of the store and when it was first observed. A lease of an
+// earlier era is not held any more, whatever its time: its record may be lost, and another
+// daemon may acquire the duty.
+func (l *Lease) SetEra(era int64, since time.Time) {
+	if era == l.era && since.Equal(l.eraSince) {
+		return
+	}
+	if era != l.era {
+		l.Relinquish()
+	}
+	l.era, l.eraSince = era, since
+}
+
 // Observe records the content of the object; revision zero means that it does not
 // exist. now must not be before the read, because mayAcquire counts its waiting time
 // from now.
@@ -106,12 +123,17 @@
 	if !hasWork || !l.mayAcquire(now) {
 		return ConditionalWrite{}, false
 	}
-	return ConditionalWrite{Record{Holder: l.Self, Renewal: l.stored.Renewal + 1}, l.revision}, true
+	return ConditionalWrite{Record{Holder: l.Self, Renewal: l.stored.Renewal + 1, Era: l.era}, l.revision}, true
 }
 
 // Confirm records a write that the store has confirmed. The validity counts from
-// startedAt, the start of the write.
+// startedAt, the start of the write. A write that was decided in an earlier era acquires
+// nothing.
 func (l *Lease) Confirm(w ConditionalWrite, revision int64, startedAt, now time.Time) {
+	if w.Record.Era != l.era {
+		l.Relinquish()
+		return
+	}
 	held := startedAt.Before(l.heldUntil)
 	l.stored, l.revision, l.revisionSeenAt, l.known = w.Record, revision, now, true
 	if w.Record.Released {
@@ -131,7 +153,7 @@
 }
 
 func (l *Lease) nextWhileHeld(hasWork bool, now time.Time) (ConditionalWrite, bool) {
-	r := Record{Holder: l.Self, Renewal: l.stored.Renewal + 1, Released: !hasWork}
+	r := Record{Holder: l.Self, Renewal: l.stored.Renewal + 1, Released: !hasWork, Era: l.era}
 	if hasWork && now.Sub(l.renewedAt) < l.Timing.RenewInterval {
 		return ConditionalWrite{}, false
 	}
@@ -146,12 +168,20 @@
 // mayAcquire reports whether no other daemon can still hold the duty or has acted
 // within the last HandoverDelay.
 func (l *Lease) mayAcquire(now time.Time) bool {
+	lapse := l.Timing.Validity + l.Timing.HandoverDelay
 	switch {
-	case l.revision == 0, l.stored.Holder == l.Self:
+	case l.revision == 0:
+		// A holder of an earlier era, whose record is lost, may act until its lease lapses.
+		return l.era == 0 || now.Sub(l.eraSince) >= lapse
+	case l.stored.Era != l.era:
+		// The record is that of the copy, or a late write of an earlier era, which may have
+		// replaced the record of a holder of this one.
+		return now.Sub(l.eraSince) >= lapse && now.Sub(l.revisionSeenAt) >= lapse
+	case l.stored.Holder == l.Self:
 		return true
 	case l.stored.Released:
 		return now.Sub(l.revisionSeenAt) >= l.Timing.HandoverDelay
 	default:
-		return now.Sub(l.revisionSeenAt) >= l.Timing.Validity+l.Timing.HandoverDelay
+		return now.Sub(l.revisionSeenAt) >= lapse
 	}
 }
--- a/internal/zpduty/lease_test.go
+++ b/internal/zpduty/lease_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpduty"
+	"github.com/zinniapaddle/zinniapaddle/pkg/zpobject"
 )
 
 var (
@@ -120,9 +121,69 @@
 
 	It("never lets two daemons act within a turn despite pauses, restarts, failed reads and lost or delayed writes", func() {
 		for seed := range uint64(500) {
-			simulate(rand.New(rand.NewPCG(seed, 1)))
+			simulate(rand.New(rand.NewPCG(seed, 1)), false)
 		}
 	})
+
+	// Guards against two holders with one fencing token, and against turns within the minimum
+	// interval, when revisions are given out again.
+	It("never lets two daemons act within a turn or with one token although the store comes back from older copies", func() {
+		for seed := range uint64(500) {
+			simulate(rand.New(rand.NewPCG(seed, 2)), true)
+		}
+	})
+
+	Describe("in a store with eras", func() {
+		It("ends at once when a later era is known", func() {
+			l := newLease("a")
+			l.SetEra(1, at(-10_000))
+			acquire(l, zpobject.QualifyRevision(1, 7), start)
+			expectHeld(l, at(100), true)
+			l.SetEra(2, at(100))
+			expectHeld(l, at(100), false)
+		})
+
+		It("is not acquired by a write that was decided in an earlier era", func() {
+			l := newLease("a")
+			l.SetEra(1, at(-10_000))
+			l.Observe(zpduty.Record{}, 0, start)
+			w, due := l.Next(true, start)
+			Expect(due).To(BeTrue())
+			l.SetEra(2, at(5))
+			l.Confirm(w, zpobject.QualifyRevision(2, 7), start, at(10))
+			expectHeld(l, at(10), false)
+		})
+
+		DescribeTable("is acquired only when a holder of an earlier era can't act any more",
+			func(r zpduty.Record, revision int64, wait int) {
+				l := newLease("b")
+				l.SetEra(2, start)
+				l.Observe(r, revision, start)
+				expectDue(l, at(wait-1), false)
+				expectDue(l, at(wait), true)
+			},
+			Entry("without a record", zpduty.Record{}, int64(0), 4100),
+			Entry("with its own record of the copy", zpduty.Record{Holder: "b", Era: 1}, zpobject.QualifyRevision(2, 7), 4100),
+			Entry("with a record that was released in the copy", zpduty.Record{Holder: "a", Era: 1, Released: true}, zpobject.QualifyRevision(2, 7), 4100),
+			Entry("with a record of this era that was released", zpduty.Record{Holder: "a", Era: 2, Released: true}, zpobject.QualifyRevision(2, 7), 3300),
+		)
+
+		// Guards against a late write of an earlier era that replaces the record of a holder.
+		It("is not acquired at once when a record of an earlier era appears long after that era", func() {
+			l := newLease("b")
+			l.SetEra(2, at(-60_000))
+			l.Observe(zpduty.Record{Holder: "b", Era: 1}, zpobject.QualifyRevision(2, 7), start)
+			expectDue(l, at(4099), false)
+			expectDue(l, at(4100), true)
+		})
+
+		It("is acquired at once without a record if the era has been known for long enough", func() {
+			l := newLease("b")
+			l.SetEra(2, at(-4100))
+			l.Observe(zpduty.Record{}, 0, start)
+			expectDue(l, start, true)
+		})
+	})
 })
 
 const (
@@ -133,19 +194,31 @@
 
 type (
 	// simulation runs daemons against one object. Daemons pause, restart or fail to
-	// read the object. Writes are lost, take effect late or lose their response.
+	// read the object. Writes are lost, take effect late or lose their response. The store
+	// may come back from older copies.
 	simulation struct {
 		rng           *rand.Rand
 		record        zpduty.Record
-		revision      int64
+		revision      int64 // as the store counts it
+		era           int64
+		copies        []storeCopy
+		awayUntilMS   int // the store does not answer before
 		lateWrites    []lateWrite
 		leases        []*zpduty.Lease
 		pausedUntilMS []int // by daemon
+		eras          map[*zpduty.Lease]int64
 
 		lastHolder, lastActMS int
 		lastFence             int64
 	}
 
+	// storeCopy is the store's content at a moment.
+	storeCopy struct {
+		atMS     int
+		record   zpduty.Record
+		revision int64
+	}
+
 	// lateWrite is a write that takes effect at atMS.
 	lateWrite struct {
 		write zpduty.ConditionalWrite
@@ -155,13 +228,19 @@
 
 // simulate runs a simulation and checks at each step that the holders' actions keep
 // the minimum distance and that fencing tokens never decrease.
-func simulate(rng *rand.Rand) {
+func simulate(rng *rand.Rand, withRestores bool) {
 	GinkgoHelper()
-	s := &simulation{rng: rng, pausedUntilMS: make([]int, daemons), lastHolder: -1}
+	s := &simulation{rng: rng, pausedUntilMS: make([]int, daemons), lastHolder: -1, eras: map[*zpduty.Lease]int64{}}
+	if withRestores {
+		s.era = 1
+	}
 	for i := range daemons {
 		s.leases = append(s.leases, newLease(string(rune('a'+i))))
 	}
 	for ms := 0; ms < simulatedMS; ms += stepMS {
+		if withRestores {
+			s.restore(ms)
+		}
 		s.applyLateWrites(ms)
 		for i := range s.leases {
 			if ms >= s.pausedUntilMS[i] && !s.injectFault(i, ms) {
@@ -172,6 +251,32 @@
 	}
 }
 
+// restore occasionally takes the store away and brings it back from an older copy.
+func (s *simulation) restore(ms int) {
+	s.copies = append(s.copies, storeCopy{ms, s.record, s.revision})
+	if ms < s.awayUntilMS || s.rng.IntN(200) > 0 {
+		return
+	}
+	c := s.copies[max(len(s.copies)-1-s.rng.IntN(100), 0)]
+	s.record, s.revision, s.era = c.record, c.revision, s.era+1
+	s.awayUntilMS = ms + s.rng.IntN(3000)
+	for i := range s.copies {
+		if s.copies[i].atMS > c.atMS {
+			s.copies[i].record, s.copies[i].revision = c.record, c.revision
+		}
+	}
+}
+
+// learnEra lets daemon i know the store's era, as any response does.
+func (s *simulation) learnEra(i, ms int) {
+	if s.era > s.knownEra(i) {
+		s.leases[i].SetEra(s.era, at(ms))
+		s.eras[s.leases[i]] = s.era
+	}
+}
+
+func (s *simulation) knownEra(i int) int64 { return s.eras[s.leases[i]] }
+
 // injectFault occasionally pauses or restarts a daemon and reports whether it did so.
 func (s *simulation) injectFault(i, ms int) bool {
 	switch s.rng.IntN(200) {
@@ -192,12 +297,18 @@
 	GinkgoHelper()
 	fence, _, held := s.leases[i].Holds(at(ms))
 	if !held {
-		if s.rng.IntN(4) > 0 {
-			s.leases[i].Observe(s.record, s.revision, at(ms))
+		if ms >= s.awayUntilMS && s.rng.IntN(4) > 0 {
+			s.learnEra(i, ms)
+			revision := s.revision
+			if revision > 0 {
+				revision = zpobject.QualifyRevision(s.era, revision)
+			}
+			s.leases[i].Observe(s.record, revision, at(ms))
 		}
 		return
 	}
 	if s.lastHolder >= 0 && s.lastHolder != i {
+		Expect(fence).To(BeNumerically(">", s.lastFence))
 		Expect(ms-s.lastActMS).To(BeNumerically(">=", 3000), "time in ms between actions of daemons %d and %d at %d ms", s.lastHolder, i, ms)
 	}
 	Expect(fence).To(BeNumerically(">=", s.lastFence))
@@ -208,7 +319,7 @@
 // lose their response.
 func (s *simulation) writeIfDue(i, ms int) {
 	w, due := s.leases[i].Next(s.rng.IntN(20) > 0, at(ms))
-	if !due {
+	if !due || ms < s.awayUntilMS {
 		return
 	}
 	switch s.rng.IntN(10) {
@@ -218,8 +329,11 @@
 	case 2: // takes effect, but the response is lost
 		s.apply(w)
 	default:
-		if s.apply(w) {
-			s.leases[i].Confirm(w, s.revision, at(ms), at(ms))
+		isApplied := s.apply(w)
+		isOfThisEra := w.IfRevision == 0 || zpobject.EraOf(w.IfRevision) == s.era
+		s.learnEra(i, ms)
+		if isApplied && isOfThisEra {
+			s.leases[i].Confirm(w, zpobject.QualifyRevision(s.era, s.revision), at(ms), at(ms))
 		}
 	}
 }
@@ -227,7 +341,7 @@
 func (s *simulation) applyLateWrites(ms int) {
 	var kept []lateWrite
 	for _, d := range s.lateWrites {
-		if d.atMS > ms {
+		if d.atMS > ms || ms < s.awayUntilMS {
 			kept = append(kept, d)
 			continue
 		}
@@ -236,9 +350,10 @@
 	s.lateWrites = kept
 }
 
-// apply performs a conditional write and reports whether it took effect.
+// apply performs a conditional write and reports whether it took effect. The store compares
+// revisions as it counts them, whatever their era.
 func (s *simulation) apply(w zpduty.ConditionalWrite) bool {
-	if w.IfRevision != s.revision {
+	if zpobject.PlainRevision(w.IfRevision) != s.revision {
 		return false
 	}
 	s.record, s.revision = w.Record, s.revision+1+s.rng.Int64N(5)
--- a/pkg/zpobject/object.go
+++ b/pkg/zpobject/object.go
@@ -13,7 +13,7 @@
 	// Object is one stored value.
 	Object struct {
 		Name     string
-		Revision int64 // platform-wide, increases with each change
+		Revision int64 // platform-wide, increases with each change; qualified by the era, see QualifyRevision
 		Body     []byte
 		Deleted  bool // set only in the results of a watch
 	}
