--- a/internal/zpapp/gateway_watches.go
+++ b/internal/zpapp/gateway_watches.go
@@ -172,7 +172,7 @@
 	w.daemon.weights.Loaded(e.ID, e.Weights)
 	w.daemon.Log.Emit(zplog.EndpointChanged, zplog.Fields{
 		"endpoint": e.ID, "pool": e.Pool, "address": e.Address, "region": e.Region, "draining": e.State == zpregistry.StateDraining,
-		"cold_ms": max(e.ColdUntil.Sub(now), 0).Milliseconds(), "weights": e.Weights, "born": e.StartedAtMS, "revision": o.Revision,
+		"cold_ms": max(e.ColdUntil.Sub(now), 0).Milliseconds(), "weights": e.Weights, "born": e.StartedAtMS, "software_version": e.SoftwareVersion, "revision": o.Revision,
 	})
 }
 
--- a/internal/zpgateway/choice.go
+++ b/internal/zpgateway/choice.go
@@ -1,6 +1,7 @@
 package zpgateway
 
 import (
+	"cmp"
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
@@ -231,8 +232,12 @@
 
 // choiceFields returns the data behind a choice for the log. The age of the catalog is that
 // of its last confirmation by the store.
-func (g *Gateway) choiceFields(c choice) zplog.Fields {
+func (g *Gateway) choiceFields(j *job, c choice) zplog.Fields {
 	f := c.logFields()
+	f["software_version"] = c.endpoint.SoftwareVersion
+	if after := cmp.Or(j.lastEvent, j.request.LastEventID); after != "" {
+		f["resume_after"], f["resumes"] = after, cmp.Or(j.request.ResumedID, j.request.ID)
+	}
 	f["region"], f["catalog_ms"] = c.endpoint.Region, g.Clock().Sub(g.CatalogConfirmedAt()).Milliseconds()
 	if c.candidate.Slowness > 1 {
 		f["slowness"] = c.candidate.Slowness
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -169,7 +169,7 @@
 	j.attempts++
 	j.sentAt, j.events = now, 0
 	j.setStage(stageSend)
-	g.Log.Emit(zplog.RequestPlaced, g.logFields(j, g.choiceFields(c)))
+	g.Log.Emit(zplog.RequestPlaced, g.logFields(j, g.choiceFields(j, c)))
 	g.Speed.RecordSent(c.endpoint.ID)
 	answer, err := g.Runner.Run(ctx, c.newRun(j, left), gate)
 	if err != nil {
--- a/internal/zpgateway/types.go
+++ b/internal/zpgateway/types.go
@@ -28,6 +28,7 @@
 		Timeout     time.Duration // how long the caller waits for the response; zero: unknown
 		Prompt      *Prompt       // nil for requests without a prompt
 		LastEventID string        // event after which the caller resumes a stream
+		ResumedID   string        // id of the attempt that brought the first event of that stream
 		ReceivedAt  time.Time
 		ReadDelay   time.Duration // time in this VM's receive buffer before it was read; zero: unknown
 	}
