--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -26,6 +26,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpmetric"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpnet"
+	"github.com/zinniapaddle/zinniapaddle/internal/zporigin"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpparts"
 	"github.com/zinniapaddle/zinniapaddle/internal/zppeer"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpplace"
@@ -51,33 +52,35 @@
 	Log     *zplog.Logger
 	Metrics *zpmetric.Metrics
 
-	self     zpassign.Member
-	store    *zpplatform.Store
-	eras     *zpobject.EraTracker
-	sender   *zpengine.Sender
-	catalog  atomic.Pointer[zpcatalog.Catalog]
-	registry *zpregistry.Registry
-	weights  *zprollout.WeightVersions
-	members  *members
-	watches  *watches
-	gateway  *zpgateway.Gateway
-	rollout  *zprollout.Rollout
-	dialer   *zppeer.Dialer
-	sharer   *zpshare.Sharer
-	hub      *zpdigest.Hub
-	exchange *zpdigest.Exchange
-	lookup   *zplookup.Client
-	reads    *zprelay.GuardedStore
-	recorder *zprelay.CachingStore
-	follower *zprelay.Follower
-	live     *liveDaemons
-	catalogs *catalogs
-	bans     *bans
-	trials   *zpquarantine.Trials
-	upgrades *upgrades
-	caches   *cacheFollowers
-	leaving  atomic.Bool
-	memory   memoryGuards
+	self      zpassign.Member
+	startedAt time.Time // when the daemon was built
+	store     *zpplatform.Store
+	eras      *zpobject.EraTracker
+	sender    *zpengine.Sender
+	catalog   atomic.Pointer[zpcatalog.Catalog]
+	registry  *zpregistry.Registry
+	weights   *zprollout.WeightVersions
+	members   *members
+	watches   *watches
+	gateway   *zpgateway.Gateway
+	rollout   *zprollout.Rollout
+	dialer    *zppeer.Dialer
+	sharer    *zpshare.Sharer
+	hub       *zpdigest.Hub
+	exchange  *zpdigest.Exchange
+	lookup    *zplookup.Client
+	reads     *zprelay.GuardedStore
+	recorder  *zprelay.CachingStore
+	follower  *zprelay.Follower
+	live      *liveDaemons
+	catalogs  *catalogs
+	bans      *bans
+	trials    *zpquarantine.Trials
+	origins   *zporigin.Directory
+	upgrades  *upgrades
+	caches    *cacheFollowers
+	leaving   atomic.Bool
+	memory    memoryGuards
 	// recordRevision is the revision of this daemon's record in the store; zero until it is written.
 	recordRevision atomic.Int64
 	callers        *http.Server
@@ -120,7 +123,7 @@
 func NewGatewayDaemon(n *zpplatform.Node, log *zplog.Logger) *GatewayDaemon {
 	s := n.Settings
 	d := &GatewayDaemon{
-		Node: n, Log: log, Metrics: zpmetric.New(),
+		Node: n, Log: log, Metrics: zpmetric.New(), startedAt: zpclock.Now(),
 		self: zpassign.Member{
 			Instance: s.Name + "." + randomHex(instanceRandomBytes), Name: s.Name, PeerAddress: s.Peers.Listen,
 			CallerAddress: s.Callers.Listen, Region: s.Region, Domain: s.Domain, State: zpassign.MemberServing, Cores: n.Cores,
@@ -150,6 +153,7 @@
 	d.upgrades = newUpgrades(d)
 	d.gateway.Upgrades = d.upgrades.tracker
 	d.buildSharing()
+	d.buildOrigins()
 	d.buildRollout()
 	d.watches = newWatches(d)
 	d.memory = newMemoryGuards(n, log, d.Metrics)
@@ -195,6 +199,7 @@
 	workers.Go(func() { d.caches.run(work) })
 	workers.Go(func() { d.bans.run(work) })
 	workers.Go(func() { d.upgrades.run(work) })
+	workers.Go(func() { d.watchVersions(work) })
 	stalls := &zpstall.Detector{Log: d.Log, Clock: zpclock.Now, Observe: func(late time.Duration) {
 		d.Metrics.StallSeconds.Observe(late.Seconds())
 		d.catalogs.recordActive(zpclock.Now())
--- a/internal/zpapp/gateway_sharing.go
+++ b/internal/zpapp/gateway_sharing.go
@@ -120,7 +120,7 @@
 		err = zppeer.ServeSharing(ctx, lis, &zppeer.SharingHandler{
 			Instance: d.self.Instance, Apply: d.applyMessage, CatalogVersion: d.catalogVersion, CatalogConfirmed: d.catalogs.isRecent, CatalogAge: d.catalogs.age, Catalog: d.catalogs.current, LookUpParts: d.lookUpParts, WatchObjects: d.recorder.Follow,
 			Targets:    func() []zprollout.Target { return d.weights.Recent(zpclock.Now()) },
-			GrantTrial: d.grantTrial, Digest: d.answerReport, Upgrades: d.upgrades.answer, MergeSum: d.mergeSum,
+			GrantTrial: d.grantTrial, KeepOrigins: d.keepOrigins, OriginOf: d.originOf, Digest: d.answerReport, Upgrades: d.upgrades.answer, MergeSum: d.mergeSum,
 		})
 	}
 	if err != nil && ctx.Err() == nil {
--- a/internal/zpgateway/choice.go
+++ b/internal/zpgateway/choice.go
@@ -110,7 +110,7 @@
 // evaluate returns an endpoint as a candidate, or false if the endpoint must not
 // be used. It does not look up which parts of the prompt the endpoint holds.
 func (g *Gateway) evaluate(j *job, e zpregistry.Endpoint, t *terms, now time.Time) (choice, bool) {
-	if j.tried[e.ID] || !t.versions.Allows(e.SoftwareVersion) || !t.regions.Allows(e.Region) || g.Weights.Changing(e.ID, now) {
+	if j.tried[e.ID] || !j.mayUse(e.SoftwareVersion) || !t.versions.Allows(e.SoftwareVersion) || !t.regions.Allows(e.Region) || g.Weights.Changing(e.ID, now) {
 		return choice{}, false
 	}
 	c := choice{endpoint: e, demand: t.demand, regions: t.regions}
@@ -237,6 +237,9 @@
 	f["software_version"] = c.endpoint.SoftwareVersion
 	if after := cmp.Or(j.lastEvent, j.request.LastEventID); after != "" {
 		f["resume_after"], f["resumes"] = after, cmp.Or(j.request.ResumedID, j.request.ID)
+		if j.request.LastEventID != "" {
+			f["origin"] = j.origin.String()
+		}
 	}
 	f["region"], f["catalog_ms"] = c.endpoint.Region, g.Clock().Sub(g.CatalogConfirmedAt()).Milliseconds()
 	if c.candidate.Slowness > 1 {
--- a/internal/zpgateway/deliver.go
+++ b/internal/zpgateway/deliver.go
@@ -115,6 +115,7 @@
 			g.recordHarmless(j, j.partFingerprints())
 		}
 		if !j.headerSent {
+			g.recordOrigin(ctx, j, e)
 			j.headerSent = true
 			j.firstByteAt = g.Clock()
 			reply.WriteHeader(a.Status, a.Header, j.streamLength(a))
--- a/internal/zpgateway/gateway.go
+++ b/internal/zpgateway/gateway.go
@@ -10,6 +10,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpmetric"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
+	"github.com/zinniapaddle/zinniapaddle/internal/zporigin"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpparts"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpplace"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpquarantine"
@@ -60,6 +61,7 @@
 	IsRefusing          func(ctx context.Context, address string, watch time.Duration) bool
 	AnnounceUnreachable func(endpoint string) // reports an unreachable endpoint to other daemons
 	Upgrades            *zpupgrade.Tracker    // of pools to new versions; nil allows all versions
+	Origins             *zporigin.Directory   // knows at which version streams began; nil: they may go on at any
 	Retries             *zpretry.Budgets
 	Runner              Runner
 	ResponseMemory      *zpengine.Memory // bounds the memory of buffered responses
@@ -119,6 +121,8 @@
 		"requests like this one crashed several endpoints", "do not send it again; see docs/operators/crashing_request.md")
 	errSuspected = zperror.New(zperror.KindUnavailable, "request_suspected",
 		"requests like this one were running when endpoints crashed, and it is not known yet whether they caused it", "send the request again after the time in Retry-After")
+	errOriginUnknown = zperror.New(zperror.KindUnavailable, "stream_origin_unknown",
+		"endpoints of several software versions serve the route, and it is not known which of them began the stream", "send the request again after the time in Retry-After, or begin anew")
 	errCallerGone = zperror.New(zperror.KindCancelled, "caller_gone",
 		"the caller closed the connection", "none")
 )
@@ -135,6 +139,9 @@
 	defer func() { g.ResponseMemory.Release(j.bufferedBytes) }()
 	g.AwaitCatalog(ctx)
 	err := g.resolve(j)
+	if err == nil {
+		err = g.findOrigin(ctx, j)
+	}
 	if err == nil {
 		err = g.requireTrial(ctx, j)
 	}
--- a/internal/zpgateway/job.go
+++ b/internal/zpgateway/job.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zporigin"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpquarantine"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
 )
@@ -27,7 +28,10 @@
 	events           int       // complete events received since the last send
 	possibleRuns     int       // number of sends that may have run
 	tried            map[string]bool
-	triedNewVersion  bool // it was sent to the version that its pool moves to
+	triedNewVersion  bool   // it was sent to the version that its pool moves to
+	streamVersion    string // software version at which the stream began; see isBound
+	isBound          bool   // the stream may go on at streamVersion only
+	origin           zporigin.Status
 	runState         zperror.RunState
 	failure          *bufferedResponse // last 5xx response of an endpoint
 	bufferedBytes    int64             // memory of buffered responses, released at the end
--- /dev/null
+++ b/internal/zpgateway/origin_test.go
@@ -0,0 +1,125 @@
+package zpgateway_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpgateway"
+	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zporigin"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpregistry"
+	"github.com/zinniapaddle/zinniapaddle/pkg/zperror"
+)
+
+// newMixedGateway returns a gateway whose endpoints e1 and e3 have the version v1, and e2 v2.
+// It knows no other daemons.
+func newMixedGateway(steps ...step) testGateway {
+	s := newTestGateway(steps...)
+	for id, version := range map[string]string{"e1": "v1", "e2": "v2", "e3": "v1"} {
+		s.Registry.Put(zpregistry.Endpoint{
+			ID: id, Pool: "pool", Address: id + ":1", FailureDomain: "a", Region: "n", SoftwareVersion: version, Slots: 4, Weights: map[string]int64{"m": 1},
+		})
+	}
+	s.Origins = &zporigin.Directory{
+		Ranked: func(string) [][]zpassign.Member { return nil }, Table: zporigin.NewTable(), Pools: zporigin.NewVersions(), Log: zplog.Discard(), Clock: time.Now,
+		VersionsOf: func(string, time.Time) []string { return []string{"v1", "v2"} },
+	}
+	s.Origins.Observe(context.Background(), "pool", time.Now())
+	return s
+}
+
+func (s testGateway) versionsOfRuns() []string {
+	var out []string
+	for _, r := range s.runner.runs {
+		out = append(out, r.Endpoint.SoftwareVersion)
+	}
+	return out
+}
+
+func resumedRequest(after, attempt string) *zpgateway.Request {
+	q := request("tag")
+	q.ID, q.LastEventID, q.ResumedID = "r2", after, attempt
+	return q
+}
+
+var _ = Describe("A stream in a pool of several software versions", func() {
+	first, rest := "id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"
+
+	// Guards against the rest of a stream from an endpoint of another version, by the daemon's own retry.
+	It("goes on at the version that began it when it breaks off", func() {
+		for range 10 {
+			s := newMixedGateway(resetsAfter(first), responds(http.StatusOK, rest))
+			reply := s.serve(request("tag"))
+			versions := s.versionsOfRuns()
+			if versions[0] == "v2" {
+				Expect(versions).To(HaveLen(1))
+				Expect(reply.aborted).To(BeTrue())
+				continue
+			}
+			expectResponse(reply, http.StatusOK, first+rest)
+			Expect(versions).To(Equal([]string{"v1", "v1"}))
+		}
+	})
+
+	// Guards against the rest of a stream from an endpoint of another version, by the caller's retry.
+	DescribeTable("goes on at the version that began it when its caller takes it up", func(version string) {
+		for range 5 {
+			s := newMixedGateway(responds(http.StatusOK, rest))
+			s.Origins.Table.Record(zporigin.Origin{Request: "r1", Pool: "pool", Version: version}, time.Now())
+			expectResponse(s.serve(resumedRequest("1", "r1")), http.StatusOK, rest)
+			Expect(s.versionsOfRuns()).To(Equal([]string{version}))
+		}
+	},
+		Entry("an old one", "v1"),
+		Entry("a new one", "v2"),
+	)
+
+	It("is refused as not run, and at once, if it is not known where it began", func() {
+		s := newMixedGateway(responds(http.StatusOK, rest))
+		reply := s.serve(resumedRequest("1", "r1"))
+		expectRefused(reply, http.StatusServiceUnavailable, zperror.RunStateNotRun)
+		Expect(reply.refused.Code).To(Equal("stream_origin_unknown"))
+		Expect(s.runner.runs).To(BeEmpty())
+	})
+
+	It("is known before its caller gets the first event", func() {
+		s := newMixedGateway(responds(http.StatusOK, first))
+		s.Serve(context.Background(), request("tag"), &fakeReply{failWrites: true})
+		o, ok := s.Origins.Table.Find("r", time.Now())
+		Expect(ok).To(BeTrue())
+		Expect(o.Version).To(Equal(s.runner.runs[0].Endpoint.SoftwareVersion))
+	})
+
+	It("may begin anew at another version if it broke off before its first event", func() {
+		versions := map[string]bool{}
+		for range 20 {
+			s := newMixedGateway(resets, responds(http.StatusOK, first))
+			expectResponse(s.serve(request("tag")), http.StatusOK, first)
+			versions[strings.Join(s.versionsOfRuns(), " ")] = true
+		}
+		Expect(versions).To(Or(HaveKey("v1 v2"), HaveKey("v2 v1")))
+	})
+
+	// Guards against an endpoint that starts again under its id with another version while a request is sent to it.
+	It("is not sent to an endpoint that has another version since it was chosen", func() {
+		s := newMixedGateway()
+		s.runner.steps = []step{func(ctx context.Context, gate *zpengine.Gate) (*zpgateway.Response, error) {
+			chosen := s.runner.runs[0].Endpoint
+			chosen.SoftwareVersion, chosen.StartedAtMS = "v3", 9
+			s.Registry.Put(chosen)
+			if err := gate.Open(); err != nil {
+				return nil, err
+			}
+			return responds(http.StatusOK, first)(ctx, gate)
+		}, responds(http.StatusOK, first)}
+		expectResponse(s.serve(request("tag")), http.StatusOK, first)
+		Expect(s.runner.runs).To(HaveLen(2))
+	})
+})
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -323,6 +323,9 @@
 	if now := g.Clock(); !g.Registry.IsServing(c.endpoint.ID, now) || !g.Health.QuietUntil(c.endpoint.ID, now).IsZero() {
 		return errChoiceRevoked
 	}
+	if e, ok := g.Registry.Find(c.endpoint.ID); ok && e.SoftwareVersion != c.endpoint.SoftwareVersion {
+		return errChoiceRevoked // it was started again with another version
+	}
 	if err := g.checkChoice(j, c); err != nil {
 		return err
 	}
--- a/internal/zpgateway/versions.go
+++ b/internal/zpgateway/versions.go
@@ -17,10 +17,10 @@
 }
 
 // versionsOf returns the software versions that a request may use now. One that has been
-// sent to a new version once is repeated on the old ones.
+// sent to a new version once is repeated on the old ones, unless it has begun a stream there.
 func (g *Gateway) versionsOf(j *job, now time.Time) zpupgrade.View {
 	v := g.Upgrades.View(j.pool.Name, j.route.Name, now)
-	if j.triedNewVersion {
+	if j.triedNewVersion && !j.isBound {
 		return v.WithoutNew()
 	}
 	return v
--- a/internal/zplookup/owners.go
+++ b/internal/zplookup/owners.go
@@ -81,6 +81,19 @@
 	return owner, ok
 }
 
+// Ranked returns the owners in each region, ordered by their weight for a key.
+func (o *Owners) Ranked(key string) [][]zpassign.Member {
+	var out [][]zpassign.Member
+	for _, region := range o.regions {
+		list := slices.Clone(o.byRegion[region])
+		slices.SortFunc(list, func(a, b zpassign.Member) int {
+			return cmp.Compare(zpplace.RendezvousWeight(b.Name, key), zpplace.RendezvousWeight(a.Name, key))
+		})
+		out = append(out, list)
+	}
+	return out
+}
+
 // InAllRegions returns the owners of a part, one per region.
 func (o *Owners) InAllRegions(part string) []zpassign.Member {
 	out := make([]zpassign.Member, 0, len(o.regions))
--- /dev/null
+++ b/internal/zporigin/origin_test.go
@@ -0,0 +1,269 @@
+package zporigin_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
+	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zplookup"
+	"github.com/zinniapaddle/zinniapaddle/internal/zporigin"
+)
+
+var (
+	start    = time.Unix(1000, 0)
+	errDown  = errors.New("down")
+	ofStream = zporigin.Origin{Request: "r", Pool: "p", Version: "v2"}
+)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)))
+}
+
+// fleet is a set of daemons that reach each other directly, and a clock.
+type fleet struct {
+	members     []zpassign.Member
+	directories map[string]*zporigin.Directory // by address
+
+	mu   sync.Mutex
+	now  time.Time
+	down map[string]bool // by address
+	told int             // messages
+
+	versions map[string][]string // of the pool p, by the name of the daemon that sees them
+}
+
+// newFleet returns n daemons in each of two regions.
+func newFleet(n int) *fleet {
+	f := &fleet{directories: map[string]*zporigin.Directory{}, now: start, down: map[string]bool{}, versions: map[string][]string{}}
+	for _, region := range []string{"n", "s"} {
+		for i := range n {
+			name := fmt.Sprintf("%s%d", region, i)
+			f.members = append(f.members, zpassign.Member{Name: name, PeerAddress: name, Region: region})
+		}
+	}
+	for _, m := range f.members {
+		f.restart(m)
+	}
+	return f
+}
+
+// restart gives a daemon an empty directory.
+func (f *fleet) restart(m zpassign.Member) *zporigin.Directory {
+	d := &zporigin.Directory{
+		Self: m, Ranked: zplookup.NewOwners(f.members).Ranked, Table: zporigin.NewTable(), Pools: zporigin.NewVersions(), Log: zplog.Discard(), Clock: f.clock,
+		VersionsOf: func(pool string, _ time.Time) []string {
+			if pool != "p" {
+				return nil
+			}
+			return f.versions[m.Name]
+		},
+		Tell: func(_ context.Context, address string, origins []zporigin.Origin) error {
+			peer, err := f.peer(address)
+			if err != nil {
+				return err
+			}
+			for _, o := range origins {
+				peer.Table.Record(o, f.clock())
+			}
+			return nil
+		},
+		Ask: func(_ context.Context, address, request string) (zporigin.Origin, bool, error) {
+			peer, err := f.peer(address)
+			if err != nil {
+				return zporigin.Origin{}, false, err
+			}
+			o, ok := peer.Table.Find(request, f.clock())
+			return o, ok, nil
+		},
+	}
+	f.directories[m.PeerAddress] = d
+	return d
+}
+
+func (f *fleet) clock() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.now
+}
+
+func (f *fleet) peer(address string) (*zporigin.Directory, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.told++
+	if f.down[address] {
+		return nil, errDown
+	}
+	return f.directories[address], nil
+}
+
+// observe lets all daemons see the versions of a pool.
+func (f *fleet) observe(versions ...string) {
+	for _, m := range f.members {
+		f.observeAt(m.Name, versions...)
+	}
+}
+
+// observeAt lets one daemon see the versions of a pool.
+func (f *fleet) observeAt(name string, versions ...string) {
+	f.versions[name] = versions
+	f.directories[name].Observe(context.Background(), "p", f.clock())
+}
+
+// setDown cuts off all daemons for which isDown is true.
+func (f *fleet) setDown(isDown func(m zpassign.Member) bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, m := range f.members {
+		f.down[m.PeerAddress] = isDown(m)
+	}
+}
+
+func (f *fleet) expectKnownTo(name string) {
+	GinkgoHelper()
+	Eventually(func() zporigin.Finding { return f.directories[name].Find(context.Background(), "r", "p") }, "1s").
+		Should(Equal(zporigin.Finding{Status: zporigin.StatusKnown, Version: "v2"}))
+}
+
+func (f *fleet) expectStatus(name string, status zporigin.Status) {
+	GinkgoHelper()
+	Expect(f.directories[name].Find(context.Background(), "r", "p").Status).To(Equal(status))
+}
+
+var _ = Describe("Directory", func() {
+	var f *fleet
+
+	BeforeEach(func() { f = newFleet(4) })
+
+	It("sends nothing while a pool has one version, and lets its streams go on anywhere", func() {
+		f.observe("v1")
+		f.directories["n0"].Record(context.Background(), zporigin.Origin{Request: "r", Pool: "p", Version: "v1"})
+		Expect(f.told).To(BeZero())
+		f.expectStatus("s1", zporigin.StatusAny)
+	})
+
+	It("knows in each daemon at which version a stream began", func() {
+		f.observe("v1", "v2")
+		f.directories["n0"].Record(context.Background(), ofStream)
+		for _, m := range f.members {
+			f.expectKnownTo(m.Name)
+		}
+	})
+
+	// Guards against a caller that gets an event of a stream which dies with its daemon.
+	It("has told another daemon of the region when Record returns", func() {
+		f.observe("v1", "v2")
+		f.directories["n0"].Record(context.Background(), ofStream)
+		f.setDown(func(m zpassign.Member) bool { return m.Name == "n0" || m.Region == "s" })
+		f.expectKnownTo("n1")
+	})
+
+	It("knows the streams of a daemon that is lost with one of their keepers", func() {
+		f.observe("v1", "v2")
+		for _, lost := range f.members {
+			if lost.Name == "n0" {
+				continue
+			}
+			g := newFleet(4)
+			g.observe("v1", "v2")
+			g.directories["n0"].Record(context.Background(), ofStream)
+			g.expectKnownTo("s3")
+			g.setDown(func(m zpassign.Member) bool { return m.Name == "n0" || m.Name == lost.Name })
+			g.restart(lost)
+			for _, m := range g.members {
+				if m.Name != "n0" && m.Name != lost.Name {
+					g.expectKnownTo(m.Name)
+				}
+			}
+		}
+	})
+
+	It("tells others of the streams that began before a second version appeared", func() {
+		f.observe("v1")
+		f.directories["n0"].Record(context.Background(), zporigin.Origin{Request: "r", Pool: "p", Version: "v1"})
+		f.observe("v1", "v2")
+		Eventually(func() zporigin.Finding { return f.directories["s2"].Find(context.Background(), "r", "p") }, "1s").
+			Should(Equal(zporigin.Finding{Status: zporigin.StatusKnown, Version: "v1"}))
+	})
+
+	It("learns of a stream at a version that this daemon has not seen yet", func() {
+		f.observeAt("n0", "v1", "v2")
+		f.directories["n0"].Record(context.Background(), ofStream)
+		f.observeAt("n1", "v1")
+		f.expectKnownTo("n1")
+	})
+
+	It("takes a stream that nobody knows for one of the only version before, for a short time", func() {
+		f.observe("v1")
+		f.observe("v1", "v2")
+		Expect(f.directories["n1"].Find(context.Background(), "r", "p")).To(Equal(zporigin.Finding{Status: zporigin.StatusAssumed, Version: "v1"}))
+		f.setDown(func(m zpassign.Member) bool { return m.Name == "s0" })
+		f.expectStatus("n1", statusWithout(f, "s0"))
+		f.setDown(func(zpassign.Member) bool { return false })
+		f.now = at(5)
+		f.expectStatus("n1", zporigin.StatusUnknown)
+	})
+
+	It("does not know a stream that nobody knows if it has only seen the pool mixed", func() {
+		f.observe("v1", "v2")
+		f.expectStatus("n1", zporigin.StatusUnknown)
+	})
+
+	// Guards against a daemon that has just started and takes its pools for those of one version.
+	It("looks at the versions itself before it lets a stream go on", func() {
+		f.versions["n1"] = []string{"v1", "v2"}
+		f.expectStatus("n1", zporigin.StatusUnknown)
+	})
+
+	It("lets a stream of another pool go on at any version", func() {
+		f.observeAt("n0", "v1", "v2")
+		f.directories["n0"].Record(context.Background(), ofStream)
+		Expect(f.directories["n0"].Find(context.Background(), "r", "q").Status).To(Equal(zporigin.StatusAny))
+	})
+})
+
+// statusWithout is the status that an unknown stream has while one daemon does not answer: it
+// can't be told only if that is one of those that would be asked.
+func statusWithout(f *fleet, name string) zporigin.Status {
+	for _, region := range zplookup.NewOwners(f.members).Ranked("r") {
+		for _, m := range region[:min(len(region), 3)] {
+			if m.Name == name {
+				return zporigin.StatusUnknown
+			}
+		}
+	}
+	return zporigin.StatusAssumed
+}
+
+var _ = Describe("Versions", func() {
+	It("counts a version until its streams have ended", func() {
+		v := zporigin.NewVersions()
+		v.Observe("p", []string{"v1"}, start)
+		Expect(v.Observe("p", []string{"v2"}, at(1))).To(BeTrue())
+		Expect(v.Observe("p", []string{"v2"}, at(2))).To(BeFalse())
+		Expect(v.IsMixed("p")).To(BeTrue())
+		v.Observe("p", []string{"v2"}, start.Add(zporigin.Retention))
+		Expect(v.IsMixed("p")).To(BeFalse())
+		Expect(v.IsMixed("q")).To(BeFalse())
+	})
+})
+
+var _ = Describe("Table", func() {
+	It("keeps the first origin of a request, until no caller can ask for it", func() {
+		t := zporigin.NewTable()
+		t.Record(ofStream, start)
+		t.Record(zporigin.Origin{Request: "r", Pool: "p", Version: "v9"}, at(1))
+		Expect(t.Recent("p", at(1))).To(ConsistOf(ofStream))
+		o, ok := t.Find("r", at(59))
+		Expect(ok).To(BeTrue())
+		Expect(o).To(Equal(ofStream))
+		_, ok = t.Find("r", at(60))
+		Expect(ok).To(BeFalse())
+	})
+})
--- /dev/null
+++ b/internal/zporigin/table.go
@@ -0,0 +1,77 @@
+// Package zporigin knows at which software version each resumable stream began. Callers may
+// take a stream up at any daemon, and what two versions write does not fit together. While a
+// pool has endpoints of several versions, a daemon therefore tells a few others of each
+// stream before its caller gets the first event.
+package zporigin
+
+import (
+	"fmt"
+	"time"
+
+	lru "github.com/hashicorp/golang-lru/v2"
+)
+
+type (
+	// Origin is the beginning of a stream.
+	Origin struct {
+		Request string // id of the caller's attempt that brought the first event
+		Pool    string
+		Version string // software version of the endpoint that began the stream
+	}
+
+	// Table holds the origins of recent streams, a limited number of them. It is safe for
+	// concurrent use.
+	Table struct {
+		entries *lru.Cache[string, entry]
+	}
+
+	entry struct {
+		origin Origin
+		at     time.Time
+	}
+)
+
+const (
+	// Retention is how long an origin is kept: no stream lasts longer, with the time in which
+	// its caller may take it up.
+	Retention = time.Minute
+	// maxOrigins bounds a table to some 10 MB.
+	maxOrigins = 1 << 16
+)
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	entries, err := lru.New[string, entry](maxOrigins)
+	if err != nil {
+		panic(fmt.Errorf("create table of origins: %w", err)) // the size is a valid constant
+	}
+	return &Table{entries: entries}
+}
+
+// Record adds an origin. The first one of a request stays.
+func (t *Table) Record(o Origin, now time.Time) {
+	if e, ok := t.entries.Peek(o.Request); ok && now.Sub(e.at) < Retention {
+		return
+	}
+	t.entries.Add(o.Request, entry{o, now})
+}
+
+// Find returns the origin of a request's stream.
+func (t *Table) Find(request string, now time.Time) (Origin, bool) {
+	e, ok := t.entries.Peek(request)
+	if !ok || now.Sub(e.at) >= Retention {
+		return Origin{}, false
+	}
+	return e.origin, true
+}
+
+// Recent returns the origins in a pool.
+func (t *Table) Recent(pool string, now time.Time) []Origin {
+	var out []Origin
+	for _, e := range t.entries.Values() {
+		if e.origin.Pool == pool && now.Sub(e.at) < Retention {
+			out = append(out, e.origin)
+		}
+	}
+	return out
+}
--- a/internal/zppeer/sharing.go
+++ b/internal/zppeer/sharing.go
@@ -13,6 +13,7 @@
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpclock"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpdigest"
+	"github.com/zinniapaddle/zinniapaddle/internal/zporigin"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpparts"
 	"github.com/zinniapaddle/zinniapaddle/internal/zppeer/zppeerpb"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpquarantine"
@@ -41,6 +42,8 @@
 	MergeSum         func(s zpdigest.Sum) zpdigest.Sum                     // records the sum of another relay and returns the own one
 	Upgrades         func(reports []zpupgrade.Report) []zpupgrade.Decision // records reports and answers them; may be nil
 	GrantTrial       func(fingerprint string) bool                         // grants a trial of a banned fingerprint
+	KeepOrigins      func(origins []zporigin.Origin)                       // keeps where streams began
+	OriginOf         func(request string) (zporigin.Origin, bool)          // returns where a stream began
 	WatchObjects     func(ctx context.Context, prefix string, since int64, wait time.Duration) (zprelay.Update, error)
 }
 
