--- a/internal/zporigin/origin_test.go
+++ b/internal/zporigin/origin_test.go
@@ -55,7 +55,7 @@
 }
 
 // restart gives a daemon an empty directory.
-func (f *fleet) restart(m zpassign.Member) *zporigin.Directory {
+func (f *fleet) restart(m zpassign.Member) {
 	d := &zporigin.Directory{
 		Self: m, Ranked: zplookup.NewOwners(f.members).Ranked, Table: zporigin.NewTable(), Pools: zporigin.NewVersions(), Log: zplog.Discard(), Clock: f.clock,
 		VersionsOf: func(pool string, _ time.Time) []string {
@@ -83,8 +83,9 @@
 			return o, ok, nil
 		},
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.directories[m.PeerAddress] = d
-	return d
 }
 
 func (f *fleet) clock() time.Time {
@@ -93,6 +94,12 @@
 	return f.now
 }
 
+func (f *fleet) setClock(now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.now = now
+}
+
 func (f *fleet) peer(address string) (*zporigin.Directory, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -206,7 +213,7 @@
 		f.setDown(func(m zpassign.Member) bool { return m.Name == "s0" })
 		f.expectStatus("n1", statusWithout(f, "s0"))
 		f.setDown(func(zpassign.Member) bool { return false })
-		f.now = at(5)
+		f.setClock(at(5))
 		f.expectStatus("n1", zporigin.StatusUnknown)
 	})
 
