--- a/internal/zpapp/gateway_bans.go
+++ b/internal/zpapp/gateway_bans.go
@@ -171,14 +171,33 @@
 // store.
 func (b *bans) replaceAll(objects []zpobject.Object) {
 	b.mu.Lock()
+	before := b.stored
 	b.stored = map[string]storedBan{}
 	b.mu.Unlock()
 	for _, o := range objects {
 		b.change(o)
 	}
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	b.listed = true
+	b.mu.Unlock()
+	b.storeLost(before)
+}
+
+// storeLost stores bans again that the store has lost, as it came back from an older copy. A
+// daemon that watches the store does so, if it still has the evidence.
+func (b *bans) storeLost(before map[string]storedBan) {
+	era, _ := b.daemon.eras.Current()
+	for name, x := range before {
+		b.mu.Lock()
+		_, isStored := b.stored[name]
+		b.mu.Unlock()
+		if isStored || zpobject.EraOf(x.revision) >= era {
+			continue
+		}
+		for _, r := range x.reports {
+			b.crashReported(r, false)
+		}
+	}
 }
 
 // change records a change of a stored ban and its crashes.
--- a/internal/zpapp/gateway_members.go
+++ b/internal/zpapp/gateway_members.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sort"
 	"sync"
 	"time"
@@ -28,6 +29,9 @@
 	// members of zpassign.MemberPrefix are daemons of the other kind.
 	gatewayMemberPrefix = "members/"
 	joinRetry           = 300 * time.Millisecond
+	// rejoinInterval is the mean interval between the daemons of a fleet that look for their
+	// records after a restore of the store.
+	rejoinInterval = 20 * time.Millisecond
 )
 
 func newMembers(self string) *members {
@@ -100,7 +104,8 @@
 	}
 }
 
-// join registers this daemon in the store. It retries until the store has its record.
+// join registers this daemon in the store, and again whenever the store comes back from an
+// older copy, which may lack the record.
 func (d *GatewayDaemon) join(ctx context.Context) {
 	body, err := zpassign.EncodeMember(d.self)
 	if err != nil {
@@ -109,18 +114,42 @@
 	}
 	// Before the first start of the fleet no daemon has a record, so it is not read first.
 	mayExist := !d.Node.FirstStart
-	for ctx.Err() == nil {
-		if d.register(ctx, body, mayExist) {
-			return
+	for {
+		restored := d.eras.Changed()
+		for !d.register(ctx, body, mayExist) {
+			mayExist = true
+			if !pause(ctx, joinRetry) {
+				return
+			}
 		}
 		mayExist = true
 		select {
-		case <-time.After(joinRetry):
+		case <-restored:
 		case <-ctx.Done():
+			return
+		}
+		if !pause(ctx, d.rejoinDelay()) || d.leaving.Load() {
+			return
 		}
 	}
 }
 
+// rejoinDelay returns a random delay that spreads the calls of all daemons, so that they are
+// a small part of what the store takes.
+func (d *GatewayDaemon) rejoinDelay() time.Duration {
+	return time.Duration(rand.Float64() * float64(len(d.members.Names())) * float64(rejoinInterval))
+}
+
+// pause waits and reports whether ctx is still open.
+func pause(ctx context.Context, d time.Duration) bool {
+	select {
+	case <-time.After(d):
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // register writes this instance's record unless the store already has it. It
 // reports whether the record is stored. mayExist tells whether there may be a record.
 func (d *GatewayDaemon) register(ctx context.Context, body []byte, mayExist bool) bool {
@@ -139,11 +168,16 @@
 			return false
 		}
 	}
+	isAgain := d.recordRevision.Load() != 0
 	written, err := d.store.Put(ctx, name, body, stored.Revision)
-	if err == nil {
-		d.recordRevision.Store(written.Revision)
+	if err != nil {
+		return false
+	}
+	d.recordRevision.Store(written.Revision)
+	if isAgain {
+		d.Log.Emit(zplog.WrittenAgain, zplog.Fields{"object": name, "era": zpobject.EraOf(written.Revision), "revision": zpobject.PlainRevision(written.Revision)})
 	}
-	return err == nil
+	return true
 }
 
 // unregister removes this daemon's record, so that other daemons stop using it.
@@ -153,8 +187,9 @@
 	defer cancel()
 	var err error
 	revision := d.recordRevision.Load()
-	if revision == 0 {
-		// A write without an answer may have been executed.
+	if era, _ := d.eras.Current(); revision == 0 || zpobject.EraOf(revision) != era {
+		// A write without an answer may have been executed, and a store that came back from a
+		// copy may have the record under another revision.
 		var o zpobject.Object
 		o, err = d.reads.Get(ctx, name)
 		revision = o.Revision
--- a/internal/zplog/event.go
+++ b/internal/zplog/event.go
@@ -73,6 +73,7 @@
 	StoreAnswers        = Event{313, logrus.InfoLevel, "the store answers this daemon again; reads go on", "none"}
 	StoreRestored       = Event{314, logrus.WarnLevel, "the store has come back from an older copy; its objects are listed anew and no duty is held", "see docs/OPERATIONS.md; check that the operator's last changes are stored"}
 	StoreEraUnusable    = Event{315, logrus.ErrorLevel, "the store does not tell its era as it did before; the last known one is used", "check the store"}
+	WrittenAgain        = Event{316, logrus.InfoLevel, "an object that the store had lost was written again", "none"}
 	PeerCatalogUnread   = Event{309, logrus.WarnLevel, "newer configuration of another daemon could not be read", "check the store and the other daemon if it persists"}
 	RequestFailed       = Event{400, logrus.WarnLevel, "request failed", "look up the code in docs/operators/errors.md"}
 	RequestRetried      = Event{401, logrus.InfoLevel, "request sent again to another endpoint", "none"}
@@ -131,7 +132,7 @@
 	return []Event{
 		Started, Stopping, Stopped, DrainTimedOut, Reloaded, ReloadFailed, LeaseRenewFailed, LeaseLost,
 		LeaseLapsed, MemberEnded, MemberNotWritten, PartitionTaken, PartitionLeft, DutyTaken, DutyLeft, ConfigApplied, ConfigRefused,
-		ConfigStale, ConfigFresh, WatchFailed, StoreUnavailable, StoreRecovered, EntryIgnored, EvacuationChanged, PeerCatalogUnread, CatalogConfirmed, CatalogUnconfirmed, StoreProbed, StoreAnswers, StoreRestored, StoreEraUnusable,
+		ConfigStale, ConfigFresh, WatchFailed, StoreUnavailable, StoreRecovered, EntryIgnored, EvacuationChanged, PeerCatalogUnread, CatalogConfirmed, CatalogUnconfirmed, StoreProbed, StoreAnswers, StoreRestored, StoreEraUnusable, WrittenAgain,
 		RequestFailed, RequestRetried, RequestPlaced, CrashRecorded, RequestAnswered, RequestWaits, RequestSilent, RequestAbandoned, ChoiceRevoked, RequestsQuarantined, SuspicionCleared, BanNotStored, TrialBegun, RequestHopeless,
 		EndpointSuspect, EndpointWarm, OrderGiven, EndpointChanged, EndpointGone, WeightsNamed, WeightsLoaded,
 		OrderFailed, StoreState, EndpointAvoided, EndpointLeaving, EndpointQuiet,
--- a/internal/zpsoak/cluster.go
+++ b/internal/zpsoak/cluster.go
@@ -61,6 +61,7 @@
 
 func newCluster(c Config) (*cluster, error) {
 	s := &cluster{Config: c, store: zpoutside.NewStore(), log: &zpoutside.Log{}, version: 1}
+	s.store.SetEra(1)
 	s.store.RewriteSpec = s.rewritePeerAddresses
 	s.store.Put("config", "main", s.config())
 	if err := s.serve(s.ip(0, 1)+":7000", s.store); err != nil {
--- a/internal/zpsoak/faults.go
+++ b/internal/zpsoak/faults.go
@@ -43,6 +43,11 @@
 	}
 )
 
+const (
+	restoredAge  = 3 * time.Second
+	rewriteDelay = 500 * time.Millisecond
+)
+
 // inject executes the plan. Faults overlap as planned, but a fault is skipped
 // while another one of the same scope is active.
 func (i *injector) inject(ctx context.Context, plan []Fault) {
@@ -76,7 +81,7 @@
 		return fmt.Sprintf("daemon %d", f.Target)
 	case StoreCut, StoreOneWay, StoreSilent, StoreReset:
 		return fmt.Sprintf("store link %d", f.Target)
-	case StoreDown, StoreLose, StoreLate, StoreSlow:
+	case StoreDown, StoreLose, StoreLate, StoreSlow, StoreRestore:
 		return "store"
 	case PeerCut, PeerSlow:
 		return fmt.Sprintf("peer link %d", f.Target)
@@ -135,6 +140,8 @@
 		i.setStoreModeFor(ctx, zpoutside.StoreMode{DelayWriteEvery: 2, WriteDelay: time.Second}, f.Duration)
 	case StoreSlow:
 		i.setStoreModeFor(ctx, zpoutside.StoreMode{RequestDelay: 300 * time.Millisecond}, f.Duration)
+	case StoreRestore:
+		i.restoreStore(ctx, f)
 	case PeerCut:
 		s.toPeer[f.Target].setModeFor(ctx, LinkMode{HoldToTarget: true}, f.Duration)
 	case PeerSlow:
@@ -220,6 +227,17 @@
 	i.cluster.store.SetMode(zpoutside.StoreMode{})
 }
 
+// restoreStore takes the store down and brings it back from a copy that is older than the
+// outage by restoredAge. Operators and endpoints write again a moment later.
+func (i *injector) restoreStore(ctx context.Context, f Fault) {
+	store := i.cluster.store
+	copied := time.Now().Add(-restoredAge)
+	i.setStoreModeFor(ctx, zpoutside.StoreMode{Down: true}, f.Duration)
+	store.Restore(copied)
+	sleep(ctx, rewriteDelay)
+	store.Rewrite()
+}
+
 // crash terminates an endpoint. The platform notices when the fault ends, and the
 // endpoint restarts cold under a new ID.
 func (i *injector) crash(ctx context.Context, f Fault) {
--- a/internal/zpsoak/judge.go
+++ b/internal/zpsoak/judge.go
@@ -154,7 +154,7 @@
 		switch t.Kind {
 		case DaemonStop, DaemonKill, DaemonPause, StoreCut, StoreOneWay, StoreReset:
 			return t.Target == daemon
-		case StoreDown, StoreSlow:
+		case StoreDown, StoreSlow, StoreRestore:
 			return true
 		default:
 			return false
--- a/internal/zpsoak/plan.go
+++ b/internal/zpsoak/plan.go
@@ -38,6 +38,7 @@
 	StoreLose     Kind = "store_lose"    // responses to writes are lost
 	StoreLate     Kind = "store_late"    // writes take effect late
 	StoreSlow     Kind = "store_slow"    // each response of the store is delayed
+	StoreRestore  Kind = "store_restore" // the store is down, and comes back from an older copy
 	PeerCut       Kind = "peer_cut"      // data from other daemons to one daemon is held
 	PeerSlow      Kind = "peer_slow"     // connections from other daemons to one daemon are slow
 	EndpointCut   Kind = "endpoint_cut"  // data to and from an endpoint is held
@@ -81,6 +82,10 @@
 	// to maxStoreSilence.
 	storeSilences   = 3
 	maxStoreSilence = 1600 * time.Millisecond
+	// storeRestores is the number of times in a run that the store comes back from an older
+	// copy, each after it was down for up to maxRestoreOutage.
+	storeRestores    = 4
+	maxRestoreOutage = 1500 * time.Millisecond
 	// endpointNotices is the number of times in a run that endpoints say that they leave, and
 	// that they want no requests, each for minNotice and up to extraNotice.
 	endpointNotices = 2
@@ -114,6 +119,7 @@
 	{StoreSilent, 0, 0, 0}, // these are planned a fixed number of times in each run, see Plan
 	{EndpointLeave, 0, 0, 0},
 	{EndpointQuiet, 0, 0, 0},
+	{StoreRestore, 0, 0, 0},
 }
 
 // Plan returns the faults of a run, drawn at random. Equal arguments give equal
@@ -154,6 +160,11 @@
 			out = append(out, Fault{Kind: kind, At: at, Target: random.IntN(endpoints), Duration: min(d, length-recoveryTime-at)})
 		}
 	}
+	for range storeRestores {
+		at := warmUp + time.Duration(random.Int64N(int64(length-recoveryTime-warmUp)))
+		d := minFaultDuration + time.Duration(random.Int64N(int64(maxRestoreOutage-minFaultDuration)))
+		out = append(out, Fault{Kind: StoreRestore, At: at, Duration: min(d, length-recoveryTime-at)})
+	}
 	slices.SortStableFunc(out, func(a, b Fault) int { return int(a.At - b.At) })
 	return out
 }
