--- a/internal/zpregistry/leaving.go
+++ b/internal/zpregistry/leaving.go
@@ -43,6 +43,7 @@
 func (r *Registry) IsServing(id string, now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.endWithholding(now)
 	x, ok := r.entries[id]
 	return ok && (x.removeAt.IsZero() || now.Before(x.removeAt)) && r.mayServeLocked(x.endpoint)
 }
@@ -53,5 +54,5 @@
 }
 
 func (r *Registry) mayServeLocked(e Endpoint) bool {
-	return e.State == StateReady && !r.evacuated[e.FailureDomain] && !r.isLeavingLocked(e)
+	return e.State == StateReady && !r.evacuated[e.FailureDomain] && !r.isLeavingLocked(e) && !r.isWithheldLocked(e)
 }
--- a/internal/zpregistry/registry.go
+++ b/internal/zpregistry/registry.go
@@ -49,6 +49,8 @@
 		servingByPool   map[string][]Endpoint // cache of Serving; nil if outdated
 		removed         []Endpoint            // not yet passed to OnRemoved
 		leaving         map[string]int64      // StartedAtMS of endpoints that have said that they leave
+		withheld        withheld
+		gone            map[string]goneEndpoint // by id
 	}
 
 	entry struct {
@@ -182,6 +184,7 @@
 func (r *Registry) Serving(pool string, now time.Time) []Endpoint {
 	r.mu.Lock()
 	r.removeExpired(now)
+	r.endWithholding(now)
 	serving, hasRemoved := r.servingLocked(pool), len(r.removed) > 0
 	r.mu.Unlock()
 	if hasRemoved {
@@ -246,6 +249,7 @@
 	if r.storeReturnedAt.IsZero() || !now.Before(until) {
 		delete(r.entries, id)
 		r.removed = append(r.removed, x.endpoint)
+		r.recordGone(x.endpoint, now)
 		return
 	}
 	x.removeAt = until
@@ -258,6 +262,7 @@
 		if !x.removeAt.IsZero() && !now.Before(x.removeAt) {
 			delete(r.entries, id)
 			r.removed = append(r.removed, x.endpoint)
+			r.recordGone(x.endpoint, now)
 			r.servingByPool = nil
 		}
 	}
--- a/internal/zpregistry/registry_test.go
+++ b/internal/zpregistry/registry_test.go
@@ -99,6 +99,59 @@
 		Expect(removed).To(ConsistOf("x"))
 	})
 
+	Describe("after the store came back from an older copy", func() {
+		draining := newEndpoint("x")
+		draining.State = zpregistry.StateDraining
+		at := func(seconds int) time.Time { return start.Add(time.Duration(seconds) * time.Second) }
+
+		// Guards against new work for what was taken out since the copy was made.
+		It("does not serve an endpoint that was draining, until its entry is written again", func() {
+			r.Put(draining)
+			r.StoreRestored(at(1))
+			r.Replace([]zpregistry.Endpoint{newEndpoint("x"), newEndpoint("y")}, at(1))
+			expectServing(r, at(1), "y")
+			Expect(r.IsServing("x", at(1))).To(BeFalse())
+			r.Put(draining)
+			expectServing(r, at(6), "y")
+		})
+
+		It("does not serve an endpoint that was gone, unless it has started again", func() {
+			r.Remove("x", start)
+			r.StoreRestored(at(1))
+			r.Replace([]zpregistry.Endpoint{newEndpoint("x"), newEndpoint("y")}, at(1))
+			expectServing(r, at(1), "y")
+			again := newEndpoint("x")
+			again.StartedAtMS = 9
+			r.Put(again)
+			expectServing(r, at(2), "x", "y")
+		})
+
+		It("does not serve a failure domain that was evacuated", func() {
+			r.SetEvacuated([]string{"a"})
+			r.StoreRestored(at(1))
+			r.SetEvacuated(nil)
+			expectServing(r, at(1))
+			Expect(r.IsServing("y", at(1))).To(BeFalse())
+		})
+
+		It("keeps an endpoint whose entry the copy lacks for a while", func() {
+			r.StoreRestored(at(1))
+			r.Replace([]zpregistry.Endpoint{newEndpoint("y")}, at(1))
+			expectServing(r, at(2), "x", "y")
+			expectServing(r, at(3), "y")
+		})
+
+		It("believes the store again after some seconds, also if it came back twice", func() {
+			r.SetEvacuated([]string{"a"})
+			r.StoreRestored(at(1))
+			r.SetEvacuated(nil)
+			r.StoreRestored(at(4))
+			expectServing(r, at(8))
+			expectServing(r, at(9), "x", "y")
+			Expect(r.IsServing("x", at(9))).To(BeTrue())
+		})
+	})
+
 	It("updates an observed weight version at that endpoint only", func() {
 		r.SetWeights("x", "m", 2)
 		e, _ := r.Find("x")
