--- a/internal/zpgateway/origin.go
+++ b/internal/zpgateway/origin.go
@@ -9,18 +9,18 @@
 )
 
 // findOrigin binds a stream that a caller takes up to the software version at which it began.
-// It returns an error if several versions serve the pool and it is not known which one that
-// was.
+// It returns an error if that is not known and several versions serve the pool, or may do so
+// without this daemon's knowledge.
 func (g *Gateway) findOrigin(ctx context.Context, j *job) error {
 	if j.route.Kind != zpcatalog.KindStream || j.request.LastEventID == "" {
 		return nil
 	}
 	f := g.Origins.Find(ctx, j.request.ResumedID, j.pool.Name)
 	j.origin = f.Status
-	switch f.Status {
-	case zporigin.StatusUnknown:
+	switch {
+	case f.Status == zporigin.StatusUnknown, f.Status == zporigin.StatusAny && !g.IsCatalogConfirmed():
 		return errOriginUnknown.WithRetryAfter(retryAfterUnavailable)
-	case zporigin.StatusKnown, zporigin.StatusAssumed:
+	case f.Status == zporigin.StatusKnown, f.Status == zporigin.StatusAssumed:
 		j.bindTo(f.Version)
 	}
 	return nil
@@ -33,9 +33,11 @@
 		return
 	}
 	j.bindTo(e.SoftwareVersion)
-	if j.request.LastEventID == "" {
-		g.Origins.Record(ctx, zporigin.Origin{Request: j.request.ID, Pool: j.pool.Name, Version: e.SoftwareVersion})
+	attempt := j.request.ID
+	if j.request.LastEventID != "" {
+		attempt = j.request.ResumedID // its origin may be forgotten before the stream breaks off again
 	}
+	g.Origins.Record(ctx, zporigin.Origin{Request: attempt, Pool: j.pool.Name, Version: e.SoftwareVersion})
 }
 
 func (j *job) bindTo(version string) { j.streamVersion, j.isBound = version, true }
--- a/internal/zpgateway/origin_test.go
+++ b/internal/zpgateway/origin_test.go
@@ -89,6 +89,26 @@
 		Expect(s.runner.runs).To(BeEmpty())
 	})
 
+	// Guards against a daemon that is cut off before a second version appears.
+	It("is refused if nobody knows it and this daemon may not know of other versions", func() {
+		s := newMixedGateway(responds(http.StatusOK, rest))
+		s.Origins.Pools, s.Origins.VersionsOf = zporigin.NewVersions(), func(string, time.Time) []string { return []string{"v1"} }
+		expectResponse(s.serve(resumedRequest("1", "r1")), http.StatusOK, rest)
+		s.Origins.Table = zporigin.NewTable()
+		s.IsCatalogConfirmed = func() bool { return false }
+		expectRefused(s.serve(resumedRequest("1", "r1")), http.StatusServiceUnavailable, zperror.RunStateNotRun)
+	})
+
+	It("is known by the attempt that began it after it was taken up", func() {
+		s := newMixedGateway(responds(http.StatusOK, rest))
+		s.Origins.Pools, s.Origins.VersionsOf = zporigin.NewVersions(), func(string, time.Time) []string { return []string{"v1"} }
+		expectResponse(s.serve(resumedRequest("1", "r1")), http.StatusOK, rest)
+		_, ok := s.Origins.Table.Find("r1", time.Now())
+		Expect(ok).To(BeTrue())
+		_, ok = s.Origins.Table.Find("r2", time.Now())
+		Expect(ok).To(BeFalse())
+	})
+
 	It("is known before its caller gets the first event", func() {
 		s := newMixedGateway(responds(http.StatusOK, first))
 		s.Serve(context.Background(), request("tag"), &fakeReply{failWrites: true})
--- a/internal/zporigin/directory.go
+++ b/internal/zporigin/directory.go
@@ -102,9 +102,10 @@
 // in this region knows it, or after tellTimeout: the caller must not get an event before,
 // since it may take the stream up elsewhere as soon as it has one.
 func (d *Directory) Record(ctx context.Context, o Origin) {
-	if d == nil {
+	if d == nil || o.Request == "" {
 		return
 	}
+	o.Request = keyOf(o.Request)
 	d.Table.Record(o, d.Clock())
 	if !d.Pools.IsMixed(o.Pool) {
 		return
@@ -151,6 +152,7 @@
 	if d == nil {
 		return Finding{Status: StatusAny}
 	}
+	request = keyOf(request)
 	d.Observe(ctx, pool, d.Clock()) // a daemon that has just started may not have looked yet
 	o, ok := d.Table.Find(request, d.Clock())
 	isMixed, haveAllAnswered := d.Pools.IsMixed(pool), true
--- a/internal/zporigin/origin_test.go
+++ b/internal/zporigin/origin_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
@@ -228,6 +229,17 @@
 		f.expectStatus("n1", zporigin.StatusUnknown)
 	})
 
+	It("keeps little of ids that are long", func() {
+		f.observe("v1", "v2")
+		id := strings.Repeat("r", 8000)
+		f.directories["n0"].Record(context.Background(), zporigin.Origin{Request: id, Pool: "p", Version: "v2"})
+		Expect(f.directories["n0"].Find(context.Background(), id, "p").Status).To(Equal(zporigin.StatusKnown))
+		Eventually(func() zporigin.Status { return f.directories["s1"].Find(context.Background(), id, "p").Status }, "1s").Should(Equal(zporigin.StatusKnown))
+		for _, o := range f.directories["n0"].Table.Recent("p", start) {
+			Expect(len(o.Request)).To(BeNumerically("<=", 64))
+		}
+	})
+
 	It("lets a stream of another pool go on at any version", func() {
 		f.observeAt("n0", "v1", "v2")
 		f.directories["n0"].Record(context.Background(), ofStream)
--- a/internal/zporigin/table.go
+++ b/internal/zporigin/table.go
@@ -9,6 +9,7 @@
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
+	"github.com/zeebo/xxh3"
 )
 
 type (
@@ -35,8 +36,9 @@
 	// Retention is how long an origin is kept: no stream lasts longer, with the time in which
 	// its caller may take it up.
 	Retention = time.Minute
-	// maxOrigins bounds a table to some 10 MB.
-	maxOrigins = 1 << 16
+	// maxOrigins and maxIDBytes bound a table to a few MB. Callers choose the ids.
+	maxOrigins = 1 << 14
+	maxIDBytes = 64
 )
 
 // NewTable returns an empty table.
@@ -48,6 +50,15 @@
 	return &Table{entries: entries}
 }
 
+// keyOf returns the id under which a request is known here and to other daemons.
+func keyOf(request string) string {
+	if len(request) <= maxIDBytes {
+		return request
+	}
+	h := xxh3.HashString128(request)
+	return fmt.Sprintf("%016x%016x", h.Hi, h.Lo)
+}
+
 // Record adds an origin. The first one of a request stays.
 func (t *Table) Record(o Origin, now time.Time) {
 	if e, ok := t.entries.Peek(o.Request); ok && now.Sub(e.at) < Retention {
