--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -355,7 +355,9 @@
 // storeRestored is called when the store has come back from an older copy, before any of its
 // content is used. Watches and duties take the era from the tracker itself.
 func (d *GatewayDaemon) storeRestored(c zpobject.EraChange) {
-	d.registry.StoreRestored(zpclock.Now())
+	now := zpclock.Now()
+	d.registry.StoreRestored(now)
+	time.AfterFunc(d.members.storeRestored(now).Sub(now), d.watches.members.Restart)
 	d.Log.Emit(zplog.StoreRestored, zplog.Fields{
 		"era_before": c.Before, "era": c.After, "source": c.Source, "catalog": d.catalogVersion(),
 		"catalog_revision": zpobject.PlainRevision(d.catalogs.current().Revision),
--- a/internal/zpapp/gateway_members.go
+++ b/internal/zpapp/gateway_members.go
@@ -18,7 +18,8 @@
 	self string
 
 	mu           sync.Mutex
-	listed       bool // the records were read at least once
+	listed       bool      // the records were read at least once
+	keptUntil    time.Time // members without a record are kept until then
 	byName       map[string]zpassign.Member
 	sortedNames  []string
 	otherMembers []zpassign.Member
@@ -32,6 +33,9 @@
 	// rejoinInterval is the mean interval between the daemons of a fleet that look for their
 	// records after a restore of the store.
 	rejoinInterval = 20 * time.Millisecond
+	// rejoinGrace is added to the time in which all daemons look for their records, for a store
+	// that is slow to answer.
+	rejoinGrace = 3 * time.Second
 )
 
 func newMembers(self string) *members {
@@ -63,11 +67,22 @@
 	return m.otherMembers
 }
 
-func (m *members) replace(list []zpassign.Member) {
+// storeRestored keeps the members for a while whose records the copy lacks: they write them
+// again. Otherwise this daemon would take the limits that they share for its own.
+func (m *members) storeRestored(now time.Time) (keptUntil time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.keptUntil = now.Add(rejoinGrace + time.Duration(len(m.sortedNames))*rejoinInterval)
+	return m.keptUntil
+}
+
+func (m *members) replace(list []zpassign.Member, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.listed = true
-	m.byName = map[string]zpassign.Member{}
+	if !now.Before(m.keptUntil) {
+		m.byName = map[string]zpassign.Member{}
+	}
 	for _, x := range list {
 		m.byName[x.Name] = x
 	}
--- a/internal/zpapp/gateway_watches.go
+++ b/internal/zpapp/gateway_watches.go
@@ -247,7 +247,7 @@
 			list = append(list, m)
 		}
 	}
-	w.daemon.members.replace(list)
+	w.daemon.members.replace(list, zpclock.Now())
 }
 
 func (w *watches) memberChanged(o zpobject.Object) {
