--- a/internal/zpgateway/deliver.go
+++ b/internal/zpgateway/deliver.go
@@ -110,6 +110,7 @@
 		j.events++
 		switch j.events {
 		case 1:
+			j.firstEvent = id
 			started()
 		case harmlessEvents:
 			g.recordHarmless(j, j.partFingerprints())
--- a/internal/zpgateway/gateway.go
+++ b/internal/zpgateway/gateway.go
@@ -212,7 +212,7 @@
 		if at := j.disconnectedAt.Load(); at != nil {
 			fields["after_close_ms"] = g.Clock().Sub(*at).Milliseconds()
 		}
-		g.Log.Emit(zplog.RequestFailed, g.logFields(j, fields))
+		g.Log.Emit(zplog.RequestFailed, g.logFields(j, g.eventFields(j, fields)))
 		if j.headerSent || e.Kind == zperror.KindCancelled {
 			reply.Abort()
 		} else {
@@ -244,3 +244,11 @@
 	}
 	return f
 }
+
+// eventFields adds the events of the last send to the fields of a log line about a stream.
+func (g *Gateway) eventFields(j *job, f zplog.Fields) zplog.Fields {
+	if j.route != nil && j.route.Kind == zpcatalog.KindStream {
+		f["first_event"], f["last_event"], f["events"] = j.firstEvent, j.lastEvent, j.events
+	}
+	return f
+}
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -87,6 +87,7 @@
 		g.Metrics.Retries.WithLabelValues(s.outcome.String()).Inc()
 		g.Log.Emit(zplog.RequestRetried, g.logFields(j, zplog.Fields{
 			"endpoint": c.endpoint.ID, "after": s.outcome.String(), "error": fmt.Sprint(s.err), "last_event": j.lastEvent,
+			"first_event": j.firstEvent, "events": j.events,
 		}))
 	}
 }
@@ -167,7 +168,7 @@
 	ctx, timer := g.startFirstByteTimer(ctx, j, c, budget)
 	defer timer.end()
 	j.attempts++
-	j.sentAt, j.events = now, 0
+	j.sentAt, j.events, j.firstEvent = now, 0, ""
 	j.setStage(stageSend)
 	g.Log.Emit(zplog.RequestPlaced, g.logFields(j, g.choiceFields(j, c)))
 	g.Speed.RecordSent(c.endpoint.ID)
@@ -198,10 +199,10 @@
 		if isSuccess(answer.Status) {
 			g.recordComplete(ctx, j, c.endpoint)
 		}
-		g.Log.Emit(zplog.RequestAnswered, g.logFields(j, zplog.Fields{
+		g.Log.Emit(zplog.RequestAnswered, g.logFields(j, g.eventFields(j, zplog.Fields{
 			"endpoint": c.endpoint.ID, "status": answer.Status, "first_ms": firstByteTime.Milliseconds(), "expected_ms": c.cost.Milliseconds(),
 			"weights": answer.WeightVersion,
-		}))
+		})))
 	case outcomeFailed:
 		g.recordFailure(c.endpoint.ID, FailureServerError)
 	case outcomeBroken:
