--- a/internal/zpsoak/cluster.go
+++ b/internal/zpsoak/cluster.go
@@ -57,7 +57,10 @@
 	readyLimit       = 15 * time.Second
 )
 
-var domains = []string{"a", "b", "c"}
+var (
+	domains  = []string{"a", "b", "c"}
+	versions = []string{"v1", "v2"} // software versions of the endpoints of a failure domain, in turn
+)
 
 func newCluster(c Config) (*cluster, error) {
 	s := &cluster{Config: c, store: zpoutside.NewStore(), log: &zpoutside.Log{}, version: 1}
@@ -114,6 +117,7 @@
 	target := s.ip(5, 10+i) + ":9000"
 	e := &zpoutside.Endpoint{
 		Pool: pool, Domain: domains[i%len(domains)], Address: s.ip(4, 10+i) + ":9000", Slots: slotsPerEndpoint, Work: serviceTime, Events: eventsPerStream, Log: s.log,
+		Version: versions[i/len(domains)%len(versions)],
 	}
 	l, err := s.link(e.Address, target)
 	if err != nil {
--- a/internal/zpsoak/faults.go
+++ b/internal/zpsoak/faults.go
@@ -23,6 +23,7 @@
 		drained      []change        // of endpoints
 		incarnations []int           // number of restarts by daemon
 		partCrashes  []time.Time     // by the deadly part, oldest first
+		resumeFaults int             // number of times that an endpoint has resumed streams wrongly
 		activeScopes map[string]bool // by Fault.scope
 		errors       []error
 	}
@@ -87,6 +88,8 @@
 		return fmt.Sprintf("peer link %d", f.Target)
 	case EndpointCut, EndpointMute, EndpointReset, EndpointSlow:
 		return fmt.Sprintf("endpoint link %d", f.Target)
+	case ResumeWrong:
+		return "resumption"
 	case EndpointCrash, EndpointDrain, EndpointLeave, EndpointQuiet:
 		return fmt.Sprintf("endpoint %d", f.Target)
 	default:
@@ -165,6 +168,10 @@
 		sleep(ctx, f.Duration)
 	case AnswersBreak:
 		i.breakResponses(ctx, f)
+	case StreamsBreak:
+		i.breakStreams(ctx, f)
+	case ResumeWrong:
+		i.resumeWrong(ctx, f)
 	case Evacuate:
 		i.evacuate(ctx, f)
 	case Reconfigure:
@@ -296,6 +303,29 @@
 	}
 }
 
+func (i *injector) breakStreams(ctx context.Context, f Fault) {
+	for _, e := range i.cluster.endpoints {
+		e.SetBreakStreams(true)
+	}
+	sleep(ctx, f.Duration)
+	for _, e := range i.cluster.endpoints {
+		e.SetBreakStreams(false)
+	}
+}
+
+// resumeWrong makes an endpoint resume streams wrongly, in another way at each time.
+func (i *injector) resumeWrong(ctx context.Context, f Fault) {
+	faults := []zpoutside.ResumeFault{zpoutside.ResumeRestarts, zpoutside.ResumeRepeats, zpoutside.ResumeSkips}
+	i.mu.Lock()
+	fault := faults[i.resumeFaults%len(faults)]
+	i.resumeFaults++
+	i.mu.Unlock()
+	e := i.cluster.endpoints[f.Target]
+	e.SetResumeFault(fault)
+	sleep(ctx, f.Duration)
+	e.SetResumeFault(zpoutside.ResumeCorrectly)
+}
+
 func (i *injector) evacuate(ctx context.Context, f Fault) {
 	domain := domains[f.Target]
 	i.cluster.store.Put("evacuations", domain, "{}")
--- a/internal/zpsoak/judge.go
+++ b/internal/zpsoak/judge.go
@@ -1,6 +1,7 @@
 package zpsoak
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"slices"
@@ -61,6 +62,7 @@
 		}
 		r.checkRequest(q, byRequest[q.ID], violation)
 	}
+	r.checkEventOrder(violation)
 	r.checkCanceled(byRequest, violation)
 	r.checkTakenOut(runs, violation)
 	r.checkColdStart(runs, violation)
@@ -96,6 +98,29 @@
 	}
 }
 
+// checkEventOrder checks the events of each stream over all attempts of its client: none is
+// missing, none comes twice, and all are of one software version.
+func (r *run) checkEventOrder(violation reportFunc) {
+	versionOf := map[string]string{} // by first attempt
+	for _, q := range r.requestLog.requests {
+		stream := cmp.Or(q.Resumes, q.ID)
+		for i, e := range q.Events {
+			switch expected := q.ResumeAfter + i + 1; {
+			case e.Err != nil:
+				violation("event-order", "%s through daemon %d: %v", q.ID, q.Daemon, e.Err)
+			case e.Number != expected:
+				violation("event-order", "%s through daemon %d received event %d in place of %d, %d events after it was resumed after %d", q.ID, q.Daemon, e.Number, expected, i, q.ResumeAfter)
+			case versionOf[stream] != "" && versionOf[stream] != e.Version:
+				violation("event-order", "%s through daemon %d received event %d of version %s, the events before were of %s", q.ID, q.Daemon, e.Number, e.Version, versionOf[stream])
+			default:
+				versionOf[stream] = e.Version
+				continue
+			}
+			break
+		}
+	}
+}
+
 // isExpectedInterruption reports whether a connection may have failed because of
 // a fault of the daemon other than a stop, a fault of an endpoint that ran the
 // request, a client timeout or cancellation, or the end of the run.
@@ -107,7 +132,7 @@
 		return true
 	}
 	if r.hasFault(q.SentAt, q.DoneAt, func(t faultWindow) bool {
-		return t.Kind == AnswersBreak || t.Target == q.Daemon && (t.Kind == DaemonKill || t.Kind == DaemonPause)
+		return t.Kind == AnswersBreak || t.Kind == StreamsBreak || t.Target == q.Daemon && (t.Kind == DaemonKill || t.Kind == DaemonPause)
 	}) {
 		return true
 	}
--- a/internal/zpsoak/judge_test.go
+++ b/internal/zpsoak/judge_test.go
@@ -198,6 +198,33 @@
 		Entry("reports them of a daemon that was paused long before", 5, 4, 8_500, "dead:20", faultWindow{Kind: DaemonPause, From: at(0), To: at(4_000)}, true),
 	)
 
+	events := func(version string, numbers ...int) (out []event) {
+		for _, n := range numbers {
+			out = append(out, event{Number: n, Version: version})
+		}
+		return out
+	}
+	DescribeTable("checks the events of a stream over the attempts of its client",
+		func(first, second []event, resumeAfter int, isViolation bool) {
+			r := newTestRun(1)
+			r.requestLog.add(request{ID: "s", Kind: "stream", SentAt: at(0), DoneAt: at(50), Status: http.StatusOK, Interrupted: true, Events: first})
+			r.requestLog.add(request{ID: "s-1", Kind: "stream", Resumes: "s", ResumeAfter: resumeAfter, SentAt: at(60), DoneAt: at(90), Status: http.StatusOK, Interrupted: true, Events: second})
+			if isViolation {
+				expectViolation(r, "event-order")
+			} else {
+				expectNoViolation(r)
+			}
+		},
+		Entry("allows the rest of the stream", events("v1", 1, 2), events("v1", 3, 4), 2, false),
+		Entry("allows a second attempt without events", events("v1", 1, 2), nil, 2, false),
+		Entry("reports an event that comes twice", events("v1", 1, 2, 2), nil, 2, true),
+		Entry("reports a missing event", events("v1", 1, 3), nil, 3, true),
+		Entry("reports an event that comes again in the second attempt", events("v1", 1, 2), events("v1", 2, 3), 2, true),
+		Entry("reports a missing event between the attempts", events("v1", 1, 2), events("v1", 4), 2, true),
+		Entry("reports the rest of the stream from another version", events("v1", 1, 2), events("v2", 3), 2, true),
+		Entry("reports an event of another request", events("v1", 1), []event{{Number: 2, Err: http.ErrNotSupported}}, 1, true),
+	)
+
 	DescribeTable("checks refusals of prompts",
 		func(parts string, status int, isViolation bool) {
 			r := newTestRun(1)
--- a/internal/zpsoak/plan.go
+++ b/internal/zpsoak/plan.go
@@ -50,6 +50,8 @@
 	EndpointLeave Kind = "endpoint_leave" // says so in its responses only, then restarts cold under a new ID
 	EndpointQuiet Kind = "endpoint_quiet" // rejects requests and says for how long
 	AnswersBreak  Kind = "answers_break"  // all endpoints run requests but cut their responses short
+	StreamsBreak  Kind = "streams_break"  // all endpoints cut some streams short after some events
+	ResumeWrong   Kind = "resume_wrong"   // an endpoint resumes streams at another event than it is asked to
 	Evacuate      Kind = "evacuate"
 	Reconfigure   Kind = "reconfigure"
 	DeadlyPart    Kind = "deadly_part" // a client sends prompts with a part that crashes endpoints
@@ -86,6 +88,10 @@
 	// copy, each after it was down for up to maxRestoreOutage.
 	storeRestores    = 4
 	maxRestoreOutage = 1500 * time.Millisecond
+	// streamBreaks is the number of times in a run that streams break off, each while one
+	// endpoint resumes them wrongly.
+	streamBreaks   = 3
+	minStreamBreak = 2 * time.Second
 	// endpointNotices is the number of times in a run that endpoints say that they leave, and
 	// that they want no requests, each for minNotice and up to extraNotice.
 	endpointNotices = 2
@@ -120,6 +126,8 @@
 	{EndpointLeave, 0, 0, 0},
 	{EndpointQuiet, 0, 0, 0},
 	{StoreRestore, 0, 0, 0},
+	{StreamsBreak, 0, 0, 0},
+	{ResumeWrong, 0, 0, 0},
 }
 
 // Plan returns the faults of a run, drawn at random. Equal arguments give equal
@@ -165,6 +173,11 @@
 		d := minFaultDuration + time.Duration(random.Int64N(int64(maxRestoreOutage-minFaultDuration)))
 		out = append(out, Fault{Kind: StoreRestore, At: at, Duration: min(d, length-recoveryTime-at)})
 	}
+	for range streamBreaks {
+		at := warmUp + time.Duration(random.Int64N(int64(length-recoveryTime-warmUp)))
+		d := min(minStreamBreak, length-recoveryTime-at)
+		out = append(out, Fault{Kind: StreamsBreak, At: at, Duration: d}, Fault{Kind: ResumeWrong, At: at, Target: random.IntN(endpoints), Duration: d})
+	}
 	slices.SortStableFunc(out, func(a, b Fault) int { return int(a.At - b.At) })
 	return out
 }
@@ -183,7 +196,7 @@
 	switch k {
 	case DaemonStop, DaemonKill, DaemonPause, StoreCut, StoreOneWay, StoreSilent, StoreReset, PeerCut, PeerSlow:
 		return daemons
-	case EndpointCut, EndpointMute, EndpointReset, EndpointSlow, EndpointCrash, EndpointDrain, EndpointLeave, EndpointQuiet:
+	case EndpointCut, EndpointMute, EndpointReset, EndpointSlow, EndpointCrash, EndpointDrain, EndpointLeave, EndpointQuiet, ResumeWrong:
 		return endpoints
 	case Evacuate:
 		return domains
--- a/internal/zpsoak/requests.go
+++ b/internal/zpsoak/requests.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -29,6 +30,16 @@
 		Complete    bool      // the body is the complete response to this request
 		Interrupted bool      // the connection or body ended early, also by cancellation or timeout
 		Body        string    // only of a 200 response that is neither complete nor interrupted
+		Resumes     string    // attempt that brought the first event of a stream; empty: the stream begins
+		ResumeAfter int       // event after which the client resumes a stream; zero: it begins
+		Events      []event   // complete events received of a stream
+	}
+
+	// event is one event that a client received.
+	event struct {
+		Number  int
+		Version string // software version of the endpoint
+		Err     error  // the event is malformed or answers another request
 	}
 
 	// requestLog records the requests of all clients. It is safe for concurrent use.
@@ -46,6 +57,10 @@
 	cancelOneIn    = 5
 	maxCancelDelay = 500 * time.Millisecond
 
+	// maxStreamAttempts bounds how often a client sends one stream.
+	maxStreamAttempts = 4
+	eventEnd          = "\n\n"
+
 	deadlyPart        = "dead"
 	soundParts        = "system:40,document:40"
 	partCrashDowntime = 2 * time.Second
@@ -69,15 +84,40 @@
 	random := rand.New(rand.NewPCG(r.cluster.Seed, uint64(daemon*r.cluster.Callers+clientIndex)))
 	for n := 0; ctx.Err() == nil; n++ {
 		q := request{ID: fmt.Sprintf("r-%d-%d-%d", daemon, clientIndex, n), Kind: kinds[(n+clientIndex)%len(kinds)], Daemon: daemon}
-		if random.IntN(cancelOneIn) == 0 {
+		switch {
+		case random.IntN(cancelOneIn) == 0:
 			r.sendAndCancel(ctx, client, &q, time.Duration(random.Int64N(int64(maxCancelDelay))))
-		} else {
+		case q.Kind == "stream":
+			r.sendStream(ctx, client, q)
+		default:
 			r.send(ctx, client, &q, "/"+q.Kind+"/1")
 		}
 		sleep(ctx, requestInterval)
 	}
 }
 
+// sendStream sends a stream. Its client resumes it at the next daemon when it breaks off.
+func (r *run) sendStream(ctx context.Context, client *http.Client, q request) {
+	first := q
+	for attempt := 1; ; attempt++ {
+		r.send(ctx, client, &q, "/stream/1")
+		if !q.Interrupted || attempt == maxStreamAttempts || ctx.Err() != nil {
+			return
+		}
+		last := q.ResumeAfter
+		if n := len(q.Events); n > 0 {
+			last = q.Events[n-1].Number
+		}
+		resumes := q.Resumes
+		if resumes == "" && last > 0 {
+			resumes = q.ID
+		}
+		q = request{
+			ID: fmt.Sprintf("%s-%d", first.ID, attempt), Kind: first.Kind, Daemon: (q.Daemon + 1) % r.cluster.Daemons, Resumes: resumes, ResumeAfter: last,
+		}
+	}
+}
+
 // pollConfig repeatedly checks whether the newest configuration version is in
 // effect on one daemon.
 func (r *run) pollConfig(ctx context.Context, daemon int) {
@@ -154,7 +194,12 @@
 	body, err := io.ReadAll(res.Body)
 	_ = res.Body.Close()
 	q.DoneAt, q.Status, q.Interrupted = time.Now(), res.StatusCode, err != nil
-	q.Complete = string(body) == expectedBody(q)
+	if q.Kind == "stream" && q.Status == http.StatusOK {
+		q.Events = parseEvents(q, string(body))
+		q.Complete = q.hasAllEvents() && (len(body) == 0 || strings.HasSuffix(string(body), eventEnd))
+	} else {
+		q.Complete = string(body) == zpoutside.Answer(q.ID)
+	}
 	if !q.Complete && !q.Interrupted && q.Status == http.StatusOK {
 		q.Body = string(body)
 	}
@@ -174,20 +219,41 @@
 	req.Host = zpoutside.Host
 	req.Header.Set("Request-Id", q.ID)
 	req.Header.Set("Authorization", "Bearer "+apiKey)
+	if q.Resumes != "" {
+		req.Header.Set("Resumes", q.Resumes)
+		req.Header.Set("Last-Event-Id", strconv.Itoa(q.ResumeAfter))
+	}
 	if q.Parts != "" {
 		zpoutside.SetPrompt(req.Header, q.Parts+","+q.ID+":10")
 	}
 	return req, nil
 }
 
-// expectedBody returns the body of a complete response.
-func expectedBody(q *request) string {
-	if q.Kind != "stream" {
-		return zpoutside.Answer(q.ID)
+// parseEvents returns the complete events of a stream.
+func parseEvents(q *request, body string) []event {
+	var out []event
+	for text := range strings.SplitAfterSeq(body, eventEnd) {
+		if !strings.HasSuffix(text, eventEnd) {
+			break
+		}
+		n, id, version, err := zpoutside.ParseEvent(text)
+		if err == nil && id != q.ID {
+			err = fmt.Errorf("event %d answers %s", n, id)
+		}
+		out = append(out, event{Number: n, Version: version, Err: err})
 	}
-	var b strings.Builder
-	for i := 1; i <= eventsPerStream; i++ {
-		b.WriteString(zpoutside.Event(q.ID, i))
+	return out
+}
+
+// hasAllEvents reports whether the events of a response are the rest of a stream.
+func (q *request) hasAllEvents() bool {
+	if len(q.Events) != eventsPerStream-q.ResumeAfter {
+		return false
+	}
+	for i, e := range q.Events {
+		if e.Err != nil || e.Number != q.ResumeAfter+i+1 {
+			return false
+		}
 	}
-	return b.String()
+	return true
 }
