--- /dev/null
+++ b/internal/zpdetour/dialer.go
@@ -0,0 +1,278 @@
+package zpdetour
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+)
+
+type (
+	// Dialer connects to endpoints, through another daemon where this one cannot. Set the
+	// exported fields before use.
+	Dialer struct {
+		Tracker *Tracker
+		Direct  func(ctx context.Context, network, address string) (net.Conn, error)
+		Open    OpenFunc
+		Region  string        // of this daemon
+		Peers   func() []Peer // daemons that may be asked, without this one
+		Log     *zplog.Logger
+		Clock   func() time.Time
+		// OnDetour is called for each connection through another daemon, and each that failed;
+		// for metrics. It may be nil.
+		OnDetour func(peer string, took time.Duration, err error)
+
+		mu    sync.Mutex
+		peers map[string]*peerState // by address
+	}
+
+	// Peer is a daemon that may be asked for connections.
+	Peer struct {
+		Name    string
+		Address string // IP:PORT of the port between daemons
+		Region  string
+		Cores   float64 // zero: unknown
+	}
+
+	peerState struct {
+		open       int           // connections through it
+		connect    time.Duration // moving average of the time to a connection
+		avoidUntil time.Time
+	}
+
+	// detourConn counts as open until it is closed.
+	detourConn struct {
+		net.Conn
+		release func()
+	}
+)
+
+const (
+	// maxPeersAsked is how many daemons are asked for one connection.
+	maxPeersAsked = 3
+	// openTimeout bounds one of these questions: the other daemon's connect and two round trips
+	// between regions.
+	openTimeout = 350 * time.Millisecond
+	// cutPeerAvoidance is how long a daemon that is cut off itself, or that fails, is not asked.
+	cutPeerAvoidance = 2 * time.Second
+	busyAvoidance    = 100 * time.Millisecond
+	// unsupportedAvoidance is the pause until a daemon that does not know the call is asked
+	// again; it may be replaced by a newer one.
+	unsupportedAvoidance = time.Minute
+	connectWeight        = 0.2 // of the latest connection in the moving average
+)
+
+var errNoPeer = errors.New("no other daemon may be asked for a connection")
+
+// DialContext connects to an endpoint. The error after a detour that failed, too, is that of
+// the connect of this daemon.
+func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
+	if IsDirectOnly(ctx) {
+		return d.DialDirect(ctx, network, address)
+	}
+	if d.Tracker.IsBlocked(address, d.Clock()) {
+		conn, err := d.detour(ctx, address)
+		if err == nil || !errors.Is(err, errNoPeer) {
+			return conn, err
+		}
+	}
+	conn, err := d.DialDirect(ctx, network, address)
+	if err == nil || ctx.Err() != nil || !d.Tracker.MayDetour(address, d.Clock()) {
+		return conn, err
+	}
+	if conn, detourErr := d.detour(ctx, address); detourErr == nil {
+		return conn, nil
+	}
+	return nil, err
+}
+
+// DialDirect connects without a detour, and records the result.
+func (d *Dialer) DialDirect(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := d.Direct(ctx, network, address)
+	if err == nil {
+		d.connected(address)
+	}
+	return conn, err
+}
+
+// IsRefusing reports whether another daemon finds that an address refuses connections. ok is
+// false if none could tell.
+func (d *Dialer) IsRefusing(ctx context.Context, address string) (refusing, ok bool) {
+	conn, err := d.detour(ctx, address)
+	if err == nil {
+		_ = conn.Close()
+		return false, true
+	}
+	return errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, ErrNoPath)
+}
+
+// RunProbes looks for the way back to blocked endpoints until ctx ends.
+func (d *Dialer) RunProbes(ctx context.Context) {
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		if address, ok := d.Tracker.NextProbe(d.Clock()); ok {
+			d.probe(ctx, address)
+		}
+	}
+}
+
+func (d *Dialer) probe(ctx context.Context, address string) {
+	conn, err := d.Direct(ctx, "tcp", address)
+	if err != nil {
+		return
+	}
+	_ = conn.Close()
+	d.connected(address)
+}
+
+// connected records a connect of this daemon. What else is blocked is probed at once.
+func (d *Dialer) connected(address string) {
+	probe, wasCut := d.Tracker.RecordConnect(address, d.Clock())
+	if wasCut {
+		d.Log.Emit(zplog.EndpointsReachable, zplog.Fields{"address": address, "blocked": len(probe)})
+	}
+	for _, other := range probe {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
+			defer cancel()
+			d.probe(ctx, other)
+		}()
+	}
+}
+
+// detour connects to an endpoint through another daemon.
+func (d *Dialer) detour(ctx context.Context, address string) (net.Conn, error) {
+	err := errNoPeer
+	for _, p := range d.rank(ctx) {
+		var conn net.Conn
+		conn, err = d.open(ctx, p, address)
+		now := d.Clock()
+		switch {
+		case err == nil:
+			if d.Tracker.RecordDetour(address, now) {
+				d.Log.Emit(zplog.EndpointsUnreachable, zplog.Fields{"address": address, "blocked": d.Tracker.Reach(now).Blocked, "through": p.Name})
+			}
+			return conn, nil
+		case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, ErrNoPath):
+			d.Tracker.RecordDead(address, now)
+			return nil, err
+		case ctx.Err() != nil:
+			return nil, err
+		}
+	}
+	return nil, err
+}
+
+func (d *Dialer) open(ctx context.Context, p Peer, address string) (net.Conn, error) {
+	startedAt := d.Clock()
+	openCtx, cancel := context.WithTimeout(ctx, openTimeout)
+	defer cancel()
+	conn, err := d.Open(openCtx, p.Address, address)
+	now := d.Clock()
+	took := now.Sub(startedAt)
+	if d.OnDetour != nil {
+		d.OnDetour(p.Name, took, err)
+	}
+	d.record(p, took, err, now)
+	if err != nil {
+		return nil, fmt.Errorf("through %s: %w", p.Name, err)
+	}
+	return &detourConn{Conn: conn, release: sync.OnceFunc(func() { d.release(p) })}, nil
+}
+
+// record updates what is known of a daemon from the result of asking it.
+func (d *Dialer) record(p Peer, took time.Duration, err error, now time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s := d.stateOf(p)
+	switch {
+	case err == nil:
+		s.open++
+		s.connect += time.Duration(connectWeight * float64(took-s.connect))
+	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, ErrNoPath), errors.Is(err, context.Canceled):
+	case errors.Is(err, ErrBusy):
+		s.avoidUntil = now.Add(busyAvoidance)
+	case errors.Is(err, ErrUnsupported):
+		s.avoidUntil = now.Add(unsupportedAvoidance)
+	default:
+		s.avoidUntil = now.Add(cutPeerAvoidance)
+	}
+}
+
+func (d *Dialer) release(p Peer) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.stateOf(p).open--
+}
+
+func (d *Dialer) stateOf(p Peer) *peerState {
+	s, ok := d.peers[p.Address]
+	if !ok {
+		if d.peers == nil {
+			d.peers = map[string]*peerState{}
+		}
+		s = &peerState{}
+		d.peers[p.Address] = s
+	}
+	return s
+}
+
+// rank returns the daemons to ask, those of the own region first, and of these the one with the
+// least expected wait.
+func (d *Dialer) rank(ctx context.Context) []Peer {
+	type ranked struct {
+		Peer
+		isFar  bool
+		load   float64
+		random uint32
+	}
+	now := d.Clock()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var list []ranked
+	for _, p := range d.Peers() {
+		s := d.stateOf(p)
+		if !AllowsRegion(ctx, p.Region) || now.Before(s.avoidUntil) {
+			continue
+		}
+		load := float64(s.open+1) * float64(s.connect+time.Millisecond) / max(p.Cores, minCores)
+		list = append(list, ranked{p, p.Region != d.Region, load, rand.Uint32()})
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		if a.isFar != b.isFar {
+			if b.isFar {
+				return -1
+			}
+			return 1
+		}
+		return cmp.Or(cmp.Compare(a.load, b.load), cmp.Compare(a.random, b.random))
+	})
+	out := make([]Peer, 0, maxPeersAsked)
+	for _, r := range list[:min(len(list), maxPeersAsked)] {
+		out = append(out, r.Peer)
+	}
+	return out
+}
+
+// minCores stands for the cores of a daemon that has not told them.
+const minCores = 0.1
+
+// Close closes the connection.
+func (c *detourConn) Close() error {
+	c.release()
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/zpdetour/dialer_test.go
@@ -0,0 +1,186 @@
+package zpdetour_test
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpdetour"
+	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+)
+
+// testNetwork answers connects by address, and questions by the daemon asked. What it has no
+// error for succeeds.
+type testNetwork struct {
+	mu     sync.Mutex
+	direct map[string]error
+	open   map[string]error
+	asked  []string // daemons
+	dialed []string // addresses, directly
+}
+
+var errHang = errors.New("connect timed out")
+
+func (n *testNetwork) dialDirect(_ context.Context, _, address string) (net.Conn, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.dialed = append(n.dialed, address)
+	return newConn(n.direct[address])
+}
+
+func (n *testNetwork) dialThrough(_ context.Context, peer, _ string) (net.Conn, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.asked = append(n.asked, peer)
+	return newConn(n.open[peer])
+}
+
+func newConn(err error) (net.Conn, error) {
+	if err != nil {
+		return nil, err
+	}
+	conn, other := net.Pipe()
+	_ = other.Close()
+	return conn, nil
+}
+
+func newDialer(n *testNetwork, peers ...zpdetour.Peer) *zpdetour.Dialer {
+	return &zpdetour.Dialer{
+		Tracker: &zpdetour.Tracker{}, Direct: n.dialDirect, Open: n.dialThrough, Region: "n", Log: zplog.Discard(), Clock: time.Now,
+		Peers: func() []zpdetour.Peer { return peers },
+	}
+}
+
+func expectConnect(ctx context.Context, d *zpdetour.Dialer, address string) {
+	GinkgoHelper()
+	conn, err := d.DialContext(ctx, "tcp", address)
+	Expect(err).NotTo(HaveOccurred())
+	Expect(conn.Close()).To(Succeed())
+}
+
+var _ = Describe("Dialer", func() {
+	near, near2, far := zpdetour.Peer{Name: "near", Address: "near", Region: "n", Cores: 1}, zpdetour.Peer{Name: "near2", Address: "near2", Region: "n", Cores: 1}, zpdetour.Peer{Name: "far", Address: "far", Region: "s", Cores: 1}
+	ctx := context.Background()
+
+	It("asks nobody while it can connect", func() {
+		n := &testNetwork{}
+		expectConnect(ctx, newDialer(n, near), "a")
+		Expect(n.asked).To(BeEmpty())
+	})
+
+	It("connects through another daemon once it cannot, and later without a connect of its own", func() {
+		n := &testNetwork{direct: map[string]error{"a": errHang}}
+		d := newDialer(n, near)
+		expectConnect(ctx, d, "a")
+		expectConnect(ctx, d, "a")
+		Expect(n.dialed).To(Equal([]string{"a"}))
+		Expect(n.asked).To(Equal([]string{"near", "near"}))
+	})
+
+	It("asks daemons of the own region first", func() {
+		n := &testNetwork{direct: map[string]error{"a": errHang}, open: map[string]error{"near": zpdetour.ErrPeerCut}}
+		expectConnect(ctx, newDialer(n, far, near), "a")
+		Expect(n.asked).To(Equal([]string{"near", "far"}))
+	})
+
+	// Guards against the body of a request with home regions at a daemon of another region.
+	It("asks no daemon of a region that the request is not allowed in", func() {
+		n := &testNetwork{direct: map[string]error{"a": errHang}}
+		only := zpdetour.WithRegions(ctx, func(region string) bool { return region == "s" })
+		expectConnect(only, newDialer(n, near, far), "a")
+		Expect(n.asked).To(Equal([]string{"far"}))
+	})
+
+	DescribeTable("does not ask a daemon again at once that",
+		func(err error) {
+			n := &testNetwork{direct: map[string]error{"a": errHang, "b": errHang}, open: map[string]error{"near": err}}
+			d := newDialer(n, near, far)
+			expectConnect(ctx, d, "a")
+			expectConnect(ctx, d, "b")
+			Expect(n.asked).To(Equal([]string{"near", "far", "far"}))
+		},
+		Entry("is cut off itself", zpdetour.ErrPeerCut),
+		Entry("cannot be reached", zpdetour.ErrPeerFailed),
+		Entry("does not know the call", zpdetour.ErrUnsupported),
+		Entry("has no room", zpdetour.ErrBusy),
+	)
+
+	// Guards against loading other daemons for endpoints that are down.
+	DescribeTable("reports its own error for an endpoint that others cannot connect to either, and asks no more",
+		func(err error) {
+			n := &testNetwork{direct: map[string]error{"a": errHang}, open: map[string]error{"near": err, "near2": err}}
+			d := newDialer(n, near, near2)
+			for range 3 {
+				_, dialErr := d.DialContext(ctx, "tcp", "a")
+				Expect(dialErr).To(MatchError(errHang))
+			}
+			Expect(n.asked).To(HaveLen(1))
+			Expect(d.Tracker.Reach(time.Now())).To(Equal(zpdetour.Reach{}))
+		},
+		Entry("it refuses connections", syscall.ECONNREFUSED),
+		Entry("it does not answer", zpdetour.ErrNoPath),
+	)
+
+	It("takes no detour where the endpoint must see this daemon", func() {
+		n := &testNetwork{direct: map[string]error{"a": errHang}}
+		_, err := newDialer(n, near).DialContext(zpdetour.DirectOnly(ctx), "tcp", "a")
+		Expect(err).To(MatchError(errHang))
+		Expect(n.asked).To(BeEmpty())
+	})
+
+	It("connects by itself if nobody can be asked", func() {
+		n := &testNetwork{direct: map[string]error{"a": errHang}}
+		d := newDialer(n)
+		d.Tracker.RecordDetour("a", time.Now())
+		_, err := d.DialContext(ctx, "tcp", "a")
+		Expect(err).To(MatchError(errHang))
+	})
+
+	It("spreads open connections over daemons", func() {
+		n := &testNetwork{direct: map[string]error{"a": errHang}}
+		d := newDialer(n, near, near2)
+		for range 8 {
+			_, err := d.DialContext(ctx, "tcp", "a")
+			Expect(err).NotTo(HaveOccurred())
+		}
+		count := map[string]int{}
+		for _, p := range n.asked {
+			count[p]++
+		}
+		Expect(count).To(HaveKeyWithValue("near", BeNumerically(">=", 3)))
+		Expect(count).To(HaveKeyWithValue("near2", BeNumerically(">=", 3)))
+	})
+
+	It("finds the way back by probes", func() {
+		n := &testNetwork{direct: map[string]error{"a": errHang, "b": errHang}}
+		d := newDialer(n, near)
+		expectConnect(ctx, d, "a")
+		expectConnect(ctx, d, "b")
+		Expect(d.Tracker.IsCut(time.Now())).To(BeTrue())
+		n.mu.Lock()
+		n.direct = nil
+		n.mu.Unlock()
+		probing, stop := context.WithCancel(ctx)
+		defer stop()
+		go d.RunProbes(probing)
+		Eventually(func() zpdetour.Reach { return d.Tracker.Reach(time.Now()) }, time.Second).Should(Equal(zpdetour.Reach{}))
+	})
+
+	DescribeTable("tells whether an endpoint refuses connections of others",
+		func(err error, refusing, ok bool) {
+			n := &testNetwork{open: map[string]error{"near": err}}
+			gotRefusing, gotOK := newDialer(n, near).IsRefusing(ctx, "a")
+			Expect([]bool{gotRefusing, gotOK}).To(Equal([]bool{refusing, ok}))
+		},
+		Entry("it does", syscall.ECONNREFUSED, true, true),
+		Entry("it does not", nil, false, true),
+		Entry("it does not answer", zpdetour.ErrNoPath, false, true),
+		Entry("nobody could tell", zpdetour.ErrPeerFailed, false, false),
+	)
+})
