--- a/internal/zpdetour/detour.go
+++ b/internal/zpdetour/detour.go
@@ -25,8 +25,10 @@
 
 	// regionsKey is the key of the allowed regions in a context.
 	regionsKey struct{}
-	// directKey is the key in a context that forbids detours.
+	// directKey is the key in a context that forbids detours, failedKey in one that forbids a
+	// connect of this daemon.
 	directKey struct{}
+	failedKey struct{}
 )
 
 // Errors of an OpenFunc, in place of a connection. syscall.ECONNREFUSED means that the
@@ -58,3 +60,11 @@
 
 // IsDirectOnly reports whether detours are forbidden.
 func IsDirectOnly(ctx context.Context) bool { return ctx.Value(directKey{}) != nil }
+
+// AfterConnect tells that a connect of this daemon has just failed, so that only a detour is
+// left to try.
+func AfterConnect(ctx context.Context) context.Context {
+	return context.WithValue(ctx, failedKey{}, true)
+}
+
+func isAfterConnect(ctx context.Context) bool { return ctx.Value(failedKey{}) != nil }
--- a/internal/zpdetour/dialer.go
+++ b/internal/zpdetour/dialer.go
@@ -75,8 +75,11 @@
 // DialContext connects to an endpoint. The error after a detour that failed, too, is that of
 // the connect of this daemon.
 func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
-	if IsDirectOnly(ctx) {
+	switch {
+	case IsDirectOnly(ctx):
 		return d.DialDirect(ctx, network, address)
+	case isAfterConnect(ctx):
+		return d.detourUnlessDead(ctx, address)
 	}
 	if d.Tracker.IsBlocked(address, d.Clock()) {
 		conn, err := d.detour(ctx, address)
@@ -85,15 +88,23 @@
 		}
 	}
 	conn, err := d.DialDirect(ctx, network, address)
-	if err == nil || ctx.Err() != nil || !d.Tracker.MayDetour(address, d.Clock()) {
+	if err == nil || ctx.Err() != nil {
 		return conn, err
 	}
-	if conn, detourErr := d.detour(ctx, address); detourErr == nil {
+	if conn, detourErr := d.detourUnlessDead(ctx, address); detourErr == nil {
 		return conn, nil
 	}
 	return nil, err
 }
 
+// detourUnlessDead connects through another daemon, unless one has just failed to.
+func (d *Dialer) detourUnlessDead(ctx context.Context, address string) (net.Conn, error) {
+	if !d.Tracker.MayDetour(address, d.Clock()) {
+		return nil, ErrNoPath
+	}
+	return d.detour(ctx, address)
+}
+
 // DialDirect connects without a detour, and records the result.
 func (d *Dialer) DialDirect(ctx context.Context, network, address string) (net.Conn, error) {
 	conn, err := d.Direct(ctx, network, address)
--- /dev/null
+++ b/internal/zpdetour/server.go
@@ -0,0 +1,83 @@
+package zpdetour
+
+import (
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+)
+
+// Server opens connections to endpoints for other daemons. Set the exported fields before use.
+type Server struct {
+	Dial    func(ctx context.Context, network, address string) (net.Conn, error) // without a detour
+	Tracker *Tracker
+	// IsEndpoint reports whether an address belongs to an endpoint or a KV cache store.
+	IsEndpoint func(address string) bool
+	IsStopping func() bool
+	MaxOpen    int // connections at the same time
+	Log        *zplog.Logger
+	Clock      func() time.Time
+
+	open atomic.Int64
+}
+
+var errNoEndpoint = errors.New("no endpoint has the address")
+
+// Open connects to an endpoint within a time. Its errors are those of an OpenFunc.
+func (s *Server) Open(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	conn, err := s.connect(ctx, address, timeout)
+	if err != nil {
+		s.Log.Emit(zplog.DetourRefused, zplog.Fields{"address": address, "open": s.open.Load(), "error": err.Error()})
+	}
+	return conn, err
+}
+
+func (s *Server) connect(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
+	switch {
+	case s.IsStopping():
+		return nil, ErrBusy
+	case s.Tracker.IsBlocked(address, s.Clock()):
+		return nil, ErrPeerCut
+	case !s.IsEndpoint(address):
+		return nil, errors.Join(ErrPeerCut, errNoEndpoint) // it may be known elsewhere
+	}
+	if s.open.Add(1) > int64(s.MaxOpen) {
+		s.open.Add(-1)
+		return nil, ErrBusy
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	conn, err := s.Dial(ctx, "tcp", address)
+	if err != nil {
+		s.open.Add(-1)
+		if errors.Is(err, syscall.ECONNREFUSED) {
+			return nil, syscall.ECONNREFUSED
+		}
+		return nil, errors.Join(ErrNoPath, err)
+	}
+	return &detourConn{Conn: conn, release: sync.OnceFunc(func() { s.open.Add(-1) })}, nil
+}
+
+// OpenConnections returns the number of connections that are open for other daemons.
+func (s *Server) OpenConnections() int { return int(s.open.Load()) }
+
+// Wait waits until no connection is open for another daemon, or ctx ends.
+func (s *Server) Wait(ctx context.Context) {
+	ticker := time.NewTicker(waitInterval)
+	defer ticker.Stop()
+	for s.open.Load() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// waitInterval is the interval at which Wait looks at the open connections.
+const waitInterval = 20 * time.Millisecond
--- a/internal/zpengine/sender.go
+++ b/internal/zpengine/sender.go
@@ -10,6 +10,7 @@
 	"syscall"
 	"time"
 
+	"github.com/zinniapaddle/zinniapaddle/internal/zpdetour"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpnet"
 )
 
@@ -20,11 +21,18 @@
 	ConnectTimeout time.Duration
 	AckTimeout     time.Duration // how long sent bytes may stay unacknowledged before the connection fails
 	IdleTimeout    time.Duration // of pooled connections
+	// Detour connects through other daemons where this one cannot; nil: nobody does. Open sets
+	// its Direct.
+	Detour *zpdetour.Dialer
 
+	direct   dialFunc
 	pooled   *http.Client // reuses connections
 	unpooled *http.Client // opens a connection for each request
 }
 
+// dialFunc opens a connection.
+type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // maxResponseHeaderBytes limits the header of a response, including
 // informational (1xx) responses, which a faulty server may send without end.
 const maxResponseHeaderBytes = 64 << 10
@@ -36,8 +44,14 @@
 
 // Open creates the HTTP clients.
 func (s *Sender) Open() {
+	s.direct = zpnet.NewDialer(s.ConnectTimeout, s.AckTimeout).DialContext
+	direct, anyWay := s.direct, s.direct
+	if s.Detour != nil {
+		s.Detour.Direct = s.direct
+		direct, anyWay = s.Detour.DialDirect, s.Detour.DialContext
+	}
 	s.pooled = &http.Client{Transport: &http.Transport{
-		DialContext:         newGatedDial(s.ConnectTimeout, s.AckTimeout),
+		DialContext:         newGatedDial(direct),
 		MaxIdleConnsPerHost: maxIdleConnsPerHost,
 		IdleConnTimeout:     s.IdleTimeout,
 		DisableCompression:  true,
@@ -45,7 +59,7 @@
 		MaxResponseHeaderBytes: maxResponseHeaderBytes,
 	}}
 	s.unpooled = &http.Client{Transport: &http.Transport{
-		DialContext:        newGatedDial(s.ConnectTimeout, s.AckTimeout),
+		DialContext:        newGatedDial(anyWay),
 		DisableKeepAlives:  true,
 		DisableCompression: true,
 
@@ -69,21 +83,46 @@
 //
 // The transport never gets GetBody, so that it cannot send the body again.
 func (s *Sender) Send(ctx context.Context, req *http.Request, pooled bool, g *Gate, accept func(*http.Response) error) (*http.Response, error) {
-	if !pooled {
+	if !pooled || s.isBlocked(ctx, req) {
 		res, _, err := attempt(ctx, s.unpooled, req, g, accept)
 		return res, err
 	}
 	res, wasBarred, err := attempt(ctx, s.pooled, req, g, accept)
-	if wasBarred && ctx.Err() == nil && hasRepeatableBody(req) {
+	if err == nil || ctx.Err() != nil || !hasRepeatableBody(req) {
+		return res, err
+	}
+	switch {
+	case wasBarred:
 		res, _, err = attempt(ctx, s.unpooled, req, g, accept)
+	case s.Detour != nil && isConnectError(err):
+		detoured, _, detourErr := attempt(zpdetour.AfterConnect(ctx), s.unpooled, req, g, accept)
+		if detourErr == nil || g.Sent() {
+			return detoured, detourErr
+		}
 	}
 	return res, err
 }
 
+// isBlocked reports whether a request takes a detour. Connections through other daemons are
+// not kept: another request may not be allowed there.
+func (s *Sender) isBlocked(ctx context.Context, req *http.Request) bool {
+	return s.Detour != nil && !zpdetour.IsDirectOnly(ctx) && s.Detour.Tracker.IsBlocked(req.URL.Host, s.Detour.Clock())
+}
+
+// isConnectError reports whether a request failed because there was no connection.
+func isConnectError(err error) bool {
+	opErr, ok := errors.AsType[*net.OpError](err)
+	return ok && opErr.Op == "dial"
+}
+
 // Do sends a request that may be repeated, over a pooled connection.
 func (s *Sender) Do(req *http.Request) (*http.Response, error) {
 	x := &exchange{}
-	res, err := s.pooled.Do(req.WithContext(x.attach(req.Context())))
+	client := s.pooled
+	if s.isBlocked(req.Context(), req) {
+		client = s.unpooled
+	}
+	res, err := client.Do(req.WithContext(x.attach(req.Context())))
 	x.end(err == nil)
 	return res, err
 }
@@ -134,7 +173,11 @@
 // connections at its limit resets them, too, but does not refuse the next. watch is how
 // long an accepted connection is watched for that.
 func (s *Sender) IsRefusing(ctx context.Context, address string, watch time.Duration) bool {
-	dial := newGatedDial(s.ConnectTimeout, s.AckTimeout)
+	return s.isRefusingDirectly(ctx, address, watch) && s.isRefusingOthers(ctx, address)
+}
+
+func (s *Sender) isRefusingDirectly(ctx context.Context, address string, watch time.Duration) bool {
+	dial := newGatedDial(zpnet.NewDialer(s.ConnectTimeout, s.AckTimeout).DialContext)
 	conn, err := dial(ctx, "tcp", address)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
@@ -149,6 +192,18 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
+// isRefusingOthers reports whether an address refuses the connections of other daemons, too. A
+// firewall may refuse those of this one alone.
+func (s *Sender) isRefusingOthers(ctx context.Context, address string) bool {
+	if s.Detour == nil {
+		return true
+	}
+	if refusing, ok := s.Detour.IsRefusing(ctx, address); ok {
+		return refusing
+	}
+	return !s.Detour.Tracker.IsCut(s.Detour.Clock())
+}
+
 // endsWithin reports whether the other side ends a connection within the time, and closes it.
 func endsWithin(conn net.Conn, d time.Duration) bool {
 	defer func() { _ = conn.Close() }()
@@ -163,10 +218,9 @@
 }
 
 // newGatedDial returns a dial function whose connections can be guarded by a Gate.
-func newGatedDial(connectTimeout, ackTimeout time.Duration) func(ctx context.Context, network, address string) (net.Conn, error) {
-	d := zpnet.NewDialer(connectTimeout, ackTimeout)
+func newGatedDial(dial dialFunc) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := d.DialContext(ctx, network, address)
+		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
--- a/internal/zpnet/dialer.go
+++ b/internal/zpnet/dialer.go
@@ -22,16 +22,26 @@
 	return &net.Dialer{
 		Timeout:         connectTimeout,
 		KeepAliveConfig: keepAliveConfig(),
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var setErr error
-			err := raw.Control(func(fd uintptr) {
-				setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
-			})
-			if err != nil {
-				return err
-			}
-			return setErr
-		},
+		Control:         setUserTimeout(ackTimeout),
+	}
+}
+
+// NewAckListenConfig returns a listener configuration whose accepted connections fail once sent
+// bytes have gone unacknowledged for ackTimeout.
+func NewAckListenConfig(ackTimeout time.Duration) *net.ListenConfig {
+	return &net.ListenConfig{Control: setUserTimeout(ackTimeout)}
+}
+
+func setUserTimeout(d time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var setErr error
+		err := raw.Control(func(fd uintptr) {
+			setErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(d.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return setErr
 	}
 }
 
--- a/internal/zppeer/server.go
+++ b/internal/zppeer/server.go
@@ -9,13 +9,14 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"github.com/zinniapaddle/zinniapaddle/internal/zpnet"
 	"github.com/zinniapaddle/zinniapaddle/internal/zppeer/zppeerpb"
 )
 
 // Listen opens the listener for calls of other daemons, without TLS if config is
 // nil.
 func Listen(address string, config *tls.Config) (net.Listener, error) {
-	lis, err := net.Listen("tcp", address)
+	lis, err := zpnet.NewAckListenConfig(tcpUserTimeout).Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
--- a/internal/zppeer/sharing.go
+++ b/internal/zppeer/sharing.go
@@ -44,7 +44,9 @@
 	GrantTrial       func(fingerprint string) bool                         // grants a trial of a banned fingerprint
 	KeepOrigins      func(origins []zporigin.Origin)                       // keeps where streams began
 	OriginOf         func(request string) (zporigin.Origin, bool)          // returns where a stream began
-	WatchObjects     func(ctx context.Context, prefix string, since int64, wait time.Duration) (zprelay.Update, error)
+	// OpenEndpoint opens a connection to an endpoint for another daemon; see zpdetour.Server.
+	OpenEndpoint func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error)
+	WatchObjects func(ctx context.Context, prefix string, since int64, wait time.Duration) (zprelay.Update, error)
 }
 
 // Share implements zppeerpb.DRPCSharingServer.
