--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpclock"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpdetour"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpdigest"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpduty"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
@@ -57,6 +58,8 @@
 	store     *zpplatform.Store
 	eras      *zpobject.EraTracker
 	sender    *zpengine.Sender
+	detour    *zpdetour.Dialer // connects to endpoints through others
+	connector *zpdetour.Server // connects to endpoints for others
 	catalog   atomic.Pointer[zpcatalog.Catalog]
 	registry  *zpregistry.Registry
 	weights   *zprollout.WeightVersions
@@ -133,7 +136,8 @@
 	d.eras = &zpobject.EraTracker{OnChange: d.storeRestored}
 	d.store = &zpplatform.Store{BaseURL: s.Platform.Address, Timeout: storeTimeout, OnCall: d.countStore, Eras: d.eras, OnBadEra: d.storeEraUnusable, Clock: zpclock.Now}
 	d.store.Open()
-	d.sender = zpplatform.NewSender()
+	d.buildDetours()
+	d.sender = zpplatform.NewSender(d.detour)
 	d.gateway = &zpgateway.Gateway{
 		Domain: s.Domain, Region: s.Region, RegionOf: n.RegionOf, Catalog: d.catalog.Load, CatalogConfirmedAt: func() time.Time { return d.follower.ReadAt() },
 		AwaitCatalog: func(ctx context.Context) { d.catalogs.await(ctx) }, IsCatalogConfirmed: func() bool { return d.catalogs.isConfirmed() }, Registry: d.registry, HasSynced: d.hasSynced,
@@ -200,6 +204,7 @@
 	workers.Go(func() { d.bans.run(work) })
 	workers.Go(func() { d.upgrades.run(work) })
 	workers.Go(func() { d.watchVersions(work) })
+	workers.Go(func() { d.detour.RunProbes(work) })
 	stalls := &zpstall.Detector{Log: d.Log, Clock: zpclock.Now, Observe: func(late time.Duration) {
 		d.Metrics.StallSeconds.Observe(late.Seconds())
 		d.catalogs.recordActive(zpclock.Now())
@@ -241,6 +246,7 @@
 	if err := d.callers.Shutdown(ctx); err != nil {
 		d.Log.Emit(zplog.DrainTimedOut, zplog.Fields{"open_requests": d.gateway.OpenRequests.Load()})
 	}
+	d.connector.Wait(ctx)
 	// These servers have no requests that need a graceful shutdown.
 	_ = d.ready.Close()
 	_ = d.admin.Close()
@@ -318,8 +324,9 @@
 		WeightVersions: d.weights, Engines: d.engines, Models: d.models,
 		Load:       func(endpoint string, now time.Time) int { return d.gateway.Usage.Total(endpoint, now).Requests },
 		SetWeights: d.registry.SetWeights, Announce: d.announceWeightChange, Orderer: &zpplatform.Orderer{Sender: d.sender, Clock: zpclock.Now, Notice: d.gateway.RecordNotice},
-		Rank:   func() int { return zpplace.RendezvousRank(d.self.Name, weightDuty, d.members.Names()) },
-		Timing: zprollout.Timing{PollInterval: weightPollInterval, RepeatDelay: orderRetryInterval}, Log: d.Log, Clock: zpclock.Now,
+		CanReach: func(now time.Time) bool { return !d.detour.Tracker.IsCut(now) },
+		Rank:     func() int { return zpplace.RendezvousRank(d.self.Name, weightDuty, d.members.Names()) },
+		Timing:   zprollout.Timing{PollInterval: weightPollInterval, RepeatDelay: orderRetryInterval}, Log: d.Log, Clock: zpclock.Now,
 	}
 }
 
--- /dev/null
+++ b/internal/zpapp/gateway_detours.go
@@ -0,0 +1,69 @@
+package zpapp
+
+import (
+	"context"
+	"net"
+	"slices"
+	"time"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpclock"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpdetour"
+	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zppeer"
+)
+
+const (
+	// bytesPerDetour is the memory that a connection for another daemon may take, and
+	// detourMemoryShare the share of the VM's memory for all of them.
+	bytesPerDetour    = 128 << 10
+	detourMemoryShare = 0.1
+	minDetours        = 16
+	maxDetours        = 512
+)
+
+// buildDetours builds what connects to endpoints through other daemons, and for them.
+func (d *GatewayDaemon) buildDetours() {
+	tracker := &zpdetour.Tracker{}
+	d.detour = &zpdetour.Dialer{
+		Tracker: tracker, Domain: d.self.Domain, Region: d.self.Region, Peers: d.detourPeers, Log: d.Log, Clock: zpclock.Now, OnDetour: d.countDetour,
+		Open: func(ctx context.Context, peer, endpoint string) (net.Conn, error) {
+			return zppeer.OpenEndpoint(ctx, d.dialer, peer, endpoint)
+		},
+	}
+	d.connector = &zpdetour.Server{
+		Tracker: tracker, Dial: d.detour.DialDirect, IsEndpoint: d.isEndpoint, IsStopping: d.leaving.Load, Log: d.Log, Clock: zpclock.Now,
+		MaxOpen: min(max(int(float64(d.Node.Memory)*detourMemoryShare)/bytesPerDetour, minDetours), maxDetours),
+	}
+}
+
+// detourPeers returns the other daemons that answered recently.
+func (d *GatewayDaemon) detourPeers() []zpdetour.Peer {
+	var out []zpdetour.Peer
+	for _, m := range d.live.list() {
+		if m.Name != d.self.Name {
+			out = append(out, zpdetour.Peer{Name: m.Name, Address: m.PeerAddress, Domain: m.Domain, Region: m.Region, Cores: m.Cores})
+		}
+	}
+	return out
+}
+
+// isEndpoint reports whether an address belongs to an endpoint or a KV cache store.
+func (d *GatewayDaemon) isEndpoint(address string) bool {
+	if d.registry.HasAddress(address) {
+		return true
+	}
+	catalog := d.catalog.Load()
+	return catalog != nil && slices.ContainsFunc(catalog.Pools, func(p zpcatalog.Pool) bool {
+		return p.CacheStore != nil && p.CacheStore.Address == address
+	})
+}
+
+func (d *GatewayDaemon) countDetour(peer string, took time.Duration, err error) {
+	d.Metrics.Detours.WithLabelValues(outcomeLabel(err)).Inc()
+	if err != nil {
+		d.Log.Emit(zplog.DetourFailed, zplog.Fields{"through": peer, "took_ms": took.Milliseconds(), "error": err.Error()})
+		return
+	}
+	d.Metrics.DetourSeconds.Observe(took.Seconds())
+}
--- a/internal/zpapp/gateway_metrics.go
+++ b/internal/zpapp/gateway_metrics.go
@@ -18,6 +18,9 @@
 	storeEraDesc     = describe("store_era", "Era of the store: how often it came back from an older copy, as far as the store tells.")
 	dutyDesc         = describe("duty_held", "1 while this daemon is the one that loads new weights into engines.")
 	peersDesc        = describe("answering_daemons", "Daemons that answered recently, including this one.")
+	cutOffDesc       = describe("cut_off_from_endpoints", "1 while this daemon connects to no endpoint by itself although others do.")
+	blockedDesc      = describe("blocked_endpoints", "Addresses of endpoints that this daemon reaches only through other daemons.")
+	detoursDesc      = describe("open_detours_for_others", "Connections to endpoints that are open for other daemons.")
 	waitingDesc      = describe("waiting_requests", "Requests queued for an endpoint.")
 	heldDesc         = describe("memory_held_bytes", "Bytes reserved for connections and their requests.", "port")
 	connsDesc        = describe("memory_connections", "Open connections that are charged to the memory for requests.", "port")
@@ -54,6 +57,13 @@
 	if era, _ := d.eras.Current(); d.eras.IsKnown() {
 		gauge(storeEraDesc, float64(era))
 	}
+	reach, isCut := d.detour.Tracker.Reach(now), 0.0
+	if reach.IsCut {
+		isCut = 1
+	}
+	gauge(cutOffDesc, isCut)
+	gauge(blockedDesc, float64(len(reach.Blocked)))
+	gauge(detoursDesc, float64(d.connector.OpenConnections()))
 	held := 0.0
 	if _, _, ok := d.rollout.Keeper.Holds(); ok {
 		held = 1
--- a/internal/zpapp/gateway_sharing.go
+++ b/internal/zpapp/gateway_sharing.go
@@ -119,8 +119,9 @@
 	if err == nil {
 		err = zppeer.ServeSharing(ctx, lis, &zppeer.SharingHandler{
 			Instance: d.self.Instance, Apply: d.applyMessage, CatalogVersion: d.catalogVersion, CatalogConfirmed: d.catalogs.isRecent, CatalogAge: d.catalogs.age, Catalog: d.catalogs.current, LookUpParts: d.lookUpParts, WatchObjects: d.recorder.Follow,
-			Targets:    func() []zprollout.Target { return d.weights.Recent(zpclock.Now()) },
-			GrantTrial: d.grantTrial, KeepOrigins: d.keepOrigins, OriginOf: d.originOf, Digest: d.answerReport, Upgrades: d.upgrades.answer, MergeSum: d.mergeSum,
+			OpenEndpoint: d.connector.Open,
+			Targets:      func() []zprollout.Target { return d.weights.Recent(zpclock.Now()) },
+			GrantTrial:   d.grantTrial, KeepOrigins: d.keepOrigins, OriginOf: d.originOf, Digest: d.answerReport, Upgrades: d.upgrades.answer, MergeSum: d.mergeSum,
 		})
 	}
 	if err != nil && ctx.Err() == nil {
@@ -256,7 +257,12 @@
 	return d.trials.Grant(fingerprint, zpclock.Now())
 }
 
+// announceUnreachable tells other daemons of an endpoint that this one and another could not
+// connect to. A daemon that is cut off from all endpoints knows nothing of them.
 func (d *GatewayDaemon) announceUnreachable(endpoint string) {
+	if d.detour.Tracker.IsCut(zpclock.Now()) {
+		return
+	}
 	d.sharer.Add(zpshare.Message{Unreachable: []string{endpoint}})
 }
 
--- a/internal/zpdetour/dialer.go
+++ b/internal/zpdetour/dialer.go
@@ -22,7 +22,8 @@
 		Tracker *Tracker
 		Direct  func(ctx context.Context, network, address string) (net.Conn, error)
 		Open    OpenFunc
-		Region  string        // of this daemon
+		Domain  string // failure domain of this daemon
+		Region  string
 		Peers   func() []Peer // daemons that may be asked, without this one
 		Log     *zplog.Logger
 		Clock   func() time.Time
@@ -38,6 +39,7 @@
 	Peer struct {
 		Name    string
 		Address string // IP:PORT of the port between daemons
+		Domain  string
 		Region  string
 		Cores   float64 // zero: unknown
 	}
@@ -48,6 +50,15 @@
 		avoidUntil time.Time
 	}
 
+	// verdicts are what other daemons found at an endpoint to which they did not connect. Those of
+	// one failure domain may be cut off together.
+	verdicts struct {
+		count      int
+		needsOther bool // a daemon of another failure domain can be asked
+		hasOther   bool
+		err        error
+	}
+
 	// detourConn counts as open until it is closed.
 	detourConn struct {
 		net.Conn
@@ -57,10 +68,16 @@
 
 const (
 	// maxPeersAsked is how many daemons are asked for one connection.
-	maxPeersAsked = 3
+	maxPeersAsked = 4
+	// maxDomainPeers is how many of them may be of the own failure domain, which may be cut off
+	// as a whole.
+	maxDomainPeers = 2
+	// deadVerdicts is how many daemons must have failed to connect, one of them of another
+	// failure domain, before an endpoint counts as down.
+	deadVerdicts = 2
 	// openTimeout bounds one of these questions: the other daemon's connect and two round trips
 	// between regions.
-	openTimeout = 350 * time.Millisecond
+	openTimeout = 300 * time.Millisecond
 	// cutPeerAvoidance is how long a daemon that is cut off itself, or that fails, is not asked.
 	cutPeerAvoidance = 2 * time.Second
 	busyAvoidance    = 100 * time.Millisecond
@@ -110,6 +127,8 @@
 	conn, err := d.Direct(ctx, network, address)
 	if err == nil {
 		d.connected(address)
+	} else {
+		d.Tracker.RecordFailure(address, d.Clock())
 	}
 	return conn, err
 }
@@ -165,29 +184,51 @@
 	}
 }
 
-// detour connects to an endpoint through another daemon.
+// detour connects to an endpoint through another daemon. The error is syscall.ECONNREFUSED or
+// ErrNoPath if the endpoint seems to be down.
 func (d *Dialer) detour(ctx context.Context, address string) (net.Conn, error) {
 	err := errNoPeer
-	for _, p := range d.rank(ctx) {
+	peers := d.rank(ctx)
+	v := verdicts{needsOther: slices.ContainsFunc(peers, func(p Peer) bool { return p.Domain != d.Domain })}
+	for _, p := range peers {
 		var conn net.Conn
 		conn, err = d.open(ctx, p, address)
 		now := d.Clock()
-		switch {
-		case err == nil:
+		if err == nil {
 			if d.Tracker.RecordDetour(address, now) {
 				d.Log.Emit(zplog.EndpointsUnreachable, zplog.Fields{"address": address, "blocked": d.Tracker.Reach(now).Blocked, "through": p.Name})
 			}
 			return conn, nil
-		case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, ErrNoPath):
+		}
+		if v.add(p.Domain != d.Domain, err) {
 			d.Tracker.RecordDead(address, now)
-			return nil, err
-		case ctx.Err() != nil:
-			return nil, err
+			return nil, v.err
+		}
+		if ctx.Err() != nil {
+			break
 		}
 	}
+	if len(peers) == v.count && v.count > 0 {
+		return nil, v.err
+	}
 	return nil, err
 }
 
+// add counts the failure of another daemon to connect to an endpoint, and reports whether the
+// endpoint seems to be down.
+func (v *verdicts) add(isOther bool, err error) bool {
+	isRefused := errors.Is(err, syscall.ECONNREFUSED)
+	if !isRefused && !errors.Is(err, ErrNoPath) {
+		return false
+	}
+	v.count++
+	v.hasOther = v.hasOther || isOther
+	if v.err == nil || isRefused {
+		v.err = err
+	}
+	return v.count >= deadVerdicts && (v.hasOther || !v.needsOther)
+}
+
 func (d *Dialer) open(ctx context.Context, p Peer, address string) (net.Conn, error) {
 	startedAt := d.Clock()
 	openCtx, cancel := context.WithTimeout(ctx, openTimeout)
@@ -242,14 +283,14 @@
 	return s
 }
 
-// rank returns the daemons to ask, those of the own region first, and of these the one with the
-// least expected wait.
+// rank returns the daemons to ask: those of the own region first, of these those of other
+// failure domains, and of these the one with the least expected wait.
 func (d *Dialer) rank(ctx context.Context) []Peer {
 	type ranked struct {
 		Peer
-		isFar  bool
-		load   float64
-		random uint32
+		distance int
+		load     float64
+		random   uint32
 	}
 	now := d.Clock()
 	d.mu.Lock()
@@ -261,24 +302,38 @@
 			continue
 		}
 		load := float64(s.open+1) * float64(s.connect+time.Millisecond) / max(p.Cores, minCores)
-		list = append(list, ranked{p, p.Region != d.Region, load, rand.Uint32()})
+		list = append(list, ranked{p, d.distanceTo(p), load, rand.Uint32()})
 	}
 	slices.SortFunc(list, func(a, b ranked) int {
-		if a.isFar != b.isFar {
-			if b.isFar {
-				return -1
-			}
-			return 1
-		}
-		return cmp.Or(cmp.Compare(a.load, b.load), cmp.Compare(a.random, b.random))
+		return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(a.load, b.load), cmp.Compare(a.random, b.random))
 	})
 	out := make([]Peer, 0, maxPeersAsked)
-	for _, r := range list[:min(len(list), maxPeersAsked)] {
+	domainPeers := 0
+	for _, r := range list {
+		if len(out) == maxPeersAsked {
+			break
+		}
+		if r.Domain == d.Domain {
+			if domainPeers++; domainPeers > maxDomainPeers {
+				continue
+			}
+		}
 		out = append(out, r.Peer)
 	}
 	return out
 }
 
+func (d *Dialer) distanceTo(p Peer) int {
+	switch {
+	case p.Region != d.Region:
+		return 2
+	case p.Domain == d.Domain:
+		return 1
+	default:
+		return 0
+	}
+}
+
 // minCores stands for the cores of a daemon that has not told them.
 const minCores = 0.1
 
--- a/internal/zpdetour/dialer_test.go
+++ b/internal/zpdetour/dialer_test.go
@@ -52,7 +52,7 @@
 
 func newDialer(n *testNetwork, peers ...zpdetour.Peer) *zpdetour.Dialer {
 	return &zpdetour.Dialer{
-		Tracker: &zpdetour.Tracker{}, Direct: n.dialDirect, Open: n.dialThrough, Region: "n", Log: zplog.Discard(), Clock: time.Now,
+		Tracker: &zpdetour.Tracker{}, Direct: n.dialDirect, Open: n.dialThrough, Domain: "a", Region: "n", Log: zplog.Discard(), Clock: time.Now,
 		Peers: func() []zpdetour.Peer { return peers },
 	}
 }
@@ -65,7 +65,11 @@
 }
 
 var _ = Describe("Dialer", func() {
-	near, near2, far := zpdetour.Peer{Name: "near", Address: "near", Region: "n", Cores: 1}, zpdetour.Peer{Name: "near2", Address: "near2", Region: "n", Cores: 1}, zpdetour.Peer{Name: "far", Address: "far", Region: "s", Cores: 1}
+	peer := func(name, domain, region string) zpdetour.Peer {
+		return zpdetour.Peer{Name: name, Address: name, Domain: domain, Region: region, Cores: 1}
+	}
+	near, near2, far := peer("near", "b", "n"), peer("near2", "b", "n"), peer("far", "z", "s")
+	same, same2, same3 := peer("same", "a", "n"), peer("same2", "a", "n"), peer("same3", "a", "n")
 	ctx := context.Background()
 
 	It("asks nobody while it can connect", func() {
@@ -120,13 +124,25 @@
 				_, dialErr := d.DialContext(ctx, "tcp", "a")
 				Expect(dialErr).To(MatchError(errHang))
 			}
-			Expect(n.asked).To(HaveLen(1))
+			Expect(n.asked).To(ConsistOf("near", "near2"))
 			Expect(d.Tracker.Reach(time.Now())).To(Equal(zpdetour.Reach{}))
 		},
 		Entry("it refuses connections", syscall.ECONNREFUSED),
 		Entry("it does not answer", zpdetour.ErrNoPath),
 	)
 
+	// Guards against daemons of one failure domain that are cut off together and take all endpoints for down.
+	DescribeTable("does not believe daemons of its own failure domain that an endpoint is down",
+		func(err error) {
+			n := &testNetwork{direct: map[string]error{"a": errHang}, open: map[string]error{"same": err, "same2": err, "same3": err}}
+			expectConnect(ctx, newDialer(n, same, same2, same3, far), "a")
+			Expect(n.asked).To(HaveLen(3))
+			Expect(n.asked[2]).To(Equal("far"))
+		},
+		Entry("it refuses connections", syscall.ECONNREFUSED),
+		Entry("it does not answer", zpdetour.ErrNoPath),
+	)
+
 	It("takes no detour where the endpoint must see this daemon", func() {
 		n := &testNetwork{direct: map[string]error{"a": errHang}}
 		_, err := newDialer(n, near).DialContext(zpdetour.DirectOnly(ctx), "tcp", "a")
@@ -174,8 +190,8 @@
 
 	DescribeTable("tells whether an endpoint refuses connections of others",
 		func(err error, refusing, ok bool) {
-			n := &testNetwork{open: map[string]error{"near": err}}
-			gotRefusing, gotOK := newDialer(n, near).IsRefusing(ctx, "a")
+			n := &testNetwork{open: map[string]error{"near": err, "near2": err}}
+			gotRefusing, gotOK := newDialer(n, near, near2).IsRefusing(ctx, "a")
 			Expect([]bool{gotRefusing, gotOK}).To(Equal([]bool{refusing, ok}))
 		},
 		Entry("it does", syscall.ECONNREFUSED, true, true),
--- a/internal/zpdetour/server.go
+++ b/internal/zpdetour/server.go
@@ -55,10 +55,14 @@
 	conn, err := s.Dial(ctx, "tcp", address)
 	if err != nil {
 		s.open.Add(-1)
-		if errors.Is(err, syscall.ECONNREFUSED) {
-			return nil, syscall.ECONNREFUSED
+		switch {
+		case s.Tracker.MayBeCut():
+			return nil, errors.Join(ErrPeerCut, err)
+		case errors.Is(err, syscall.ECONNREFUSED):
+			return nil, err
+		default:
+			return nil, errors.Join(ErrNoPath, err)
 		}
-		return nil, errors.Join(ErrNoPath, err)
 	}
 	return &detourConn{Conn: conn, release: sync.OnceFunc(func() { s.open.Add(-1) })}, nil
 }
--- a/internal/zpdetour/tracker.go
+++ b/internal/zpdetour/tracker.go
@@ -16,6 +16,7 @@
 		deadUntil     map[string]time.Time
 		lastConnectAt time.Time // of the latest connect of this daemon that succeeded
 		cutSince      time.Time
+		failed        map[string]bool // addresses to which connects have failed since the latest that succeeded
 		probedAt      time.Time
 	}
 
@@ -46,7 +47,7 @@
 func (t *Tracker) RecordConnect(address string, now time.Time) (probe []string, wasCut bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.lastConnectAt = now
+	t.lastConnectAt, t.failed = now, nil
 	wasCut = !t.cutSince.IsZero()
 	t.cutSince = time.Time{}
 	delete(t.deadUntil, address)
@@ -58,6 +59,26 @@
 	return t.addresses(), wasCut
 }
 
+// RecordFailure records a connect of this daemon that failed.
+func (t *Tracker) RecordFailure(address string, _ time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.failed == nil {
+		t.failed = map[string]bool{}
+	}
+	if len(t.failed) < cutAddresses {
+		t.failed[address] = true
+	}
+}
+
+// MayBeCut reports whether this daemon may be cut off from all endpoints: what it finds at one
+// of them says nothing.
+func (t *Tracker) MayBeCut() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.failed) >= cutAddresses || !t.cutSince.IsZero()
+}
+
 // RecordDetour records that another daemon has connected to an address to which this one could
 // not connect, or does not try to. It reports whether this daemon counts as cut off since now.
 func (t *Tracker) RecordDetour(address string, now time.Time) (isNewlyCut bool) {
--- a/internal/zpdetour/tracker_test.go
+++ b/internal/zpdetour/tracker_test.go
@@ -85,6 +85,17 @@
 		Expect(t.Reach(at(31_000))).To(Equal(zpdetour.Reach{}))
 	})
 
+	// Guards against the word of a daemon that is cut off without knowing it.
+	It("may be cut off once connects to two addresses have failed, until one succeeds", func() {
+		t.RecordFailure("a", at(0))
+		t.RecordFailure("a", at(1))
+		Expect(t.MayBeCut()).To(BeFalse())
+		t.RecordFailure("b", at(2))
+		Expect(t.MayBeCut()).To(BeTrue())
+		t.RecordConnect("c", at(3))
+		Expect(t.MayBeCut()).To(BeFalse())
+	})
+
 	It("probes nothing while nothing is blocked", func() {
 		_, ok := t.NextProbe(at(0))
 		Expect(ok).To(BeFalse())
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpdetour"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
@@ -165,6 +166,9 @@
 	defer release()
 	ctx, cancel := context.WithTimeoutCause(ctx, left, errEndpointTimeout)
 	defer cancel()
+	if !c.regions.IsEmpty() {
+		ctx = zpdetour.WithRegions(ctx, c.regions.Allows)
+	}
 	ctx, timer := g.startFirstByteTimer(ctx, j, c, budget)
 	defer timer.end()
 	j.attempts++
--- a/internal/zpmetric/metric.go
+++ b/internal/zpmetric/metric.go
@@ -16,6 +16,8 @@
 		OpenRequests      prometheus.Gauge
 		PlatformCalls     *prometheus.CounterVec // by call, kind of object, result
 		PeerCalls         *prometheus.CounterVec // by call, result
+		Detours           *prometheus.CounterVec // by result
+		DetourSeconds     prometheus.Histogram
 		Reservations      *prometheus.CounterVec // by result
 		ConfigVersion     prometheus.Gauge
 		ConfigAge         prometheus.Gauge // seconds
@@ -44,6 +46,7 @@
 		OpenRequests:      gauge("open_requests", "Requests in progress."),
 		PlatformCalls:     counterVec("platform_calls_total", "Calls to the platform.", "call", "kind", "result"),
 		PeerCalls:         counterVec("peer_calls_total", "Calls to other daemons.", "call", "result"),
+		Detours:           counterVec("detours_total", "Connections to endpoints through other daemons, by result.", "result"),
 		Reservations:      counterVec("reservations_total", "Reservations decided as owner.", "result"),
 		ConfigVersion:     gauge("config_version", "Version of the manifest in effect on this daemon."),
 		ConfigAge:         gauge("config_age_seconds", "Age of the proof of freshness."),
@@ -71,7 +74,11 @@
 		Help:    "Delay of a short sleep beyond its duration: time during which the daemon was not running.",
 		Buckets: prometheus.ExponentialBuckets(0.001, 4, 8),
 	})
-	m.Registry.MustRegister(m.Requests, m.FirstToken, m.AbandonedRequests, m.StallSeconds, m.OpenRequests, m.PlatformCalls, m.PeerCalls,
+	m.DetourSeconds = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: "zinniapaddle", Name: "detour_connect_seconds", Help: "Time until another daemon had connected to an endpoint for this one.",
+		Buckets: prometheus.ExponentialBuckets(0.001, 2, 10),
+	})
+	m.Registry.MustRegister(m.Detours, m.DetourSeconds, m.Requests, m.FirstToken, m.AbandonedRequests, m.StallSeconds, m.OpenRequests, m.PlatformCalls, m.PeerCalls,
 		m.Reservations, m.ConfigVersion, m.ConfigAge, m.PartitionsOwned, m.Retries, m.Hopeless, m.Quarantined, m.Trials, m.Crashes,
 		m.LinkBytes, m.CrossRegion, m.ReusedTokens, m.PromptTokens, m.MemoryRefusals, m.MemoryEvictions, m.LoadWords)
 	return m
--- a/internal/zppeer/connect.go
+++ b/internal/zppeer/connect.go
@@ -34,7 +34,7 @@
 
 const (
 	// connectTimeout is the time in which another daemon must connect to an endpoint.
-	connectTimeout = 200 * time.Millisecond
+	connectTimeout = 120 * time.Millisecond
 	// closeTimeout is the time in which another daemon must confirm that a connection is
 	// closed, so that the one to it can be used again.
 	closeTimeout     = 200 * time.Millisecond
@@ -112,12 +112,16 @@
 }
 
 func encodeConnectError(err error) zppeerpb.ConnectResult {
-	for result, e := range connectErrors {
-		if errors.Is(err, e) {
-			return result
-		}
+	switch {
+	case errors.Is(err, zpdetour.ErrPeerCut):
+		return zppeerpb.ConnectResult_CONNECT_RESULT_CUT
+	case errors.Is(err, zpdetour.ErrBusy):
+		return zppeerpb.ConnectResult_CONNECT_RESULT_BUSY
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return zppeerpb.ConnectResult_CONNECT_RESULT_REFUSED
+	default:
+		return zppeerpb.ConnectResult_CONNECT_RESULT_UNREACHABLE
 	}
-	return zppeerpb.ConnectResult_CONNECT_RESULT_UNREACHABLE
 }
 
 // OpenEndpoint opens a connection to an endpoint through the daemon at address peer. Its errors
--- a/internal/zpregistry/registry.go
+++ b/internal/zpregistry/registry.go
@@ -225,6 +225,18 @@
 	return out
 }
 
+// HasAddress reports whether any endpoint has an address.
+func (r *Registry) HasAddress(address string) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, x := range r.entries {
+		if x.endpoint.Address == address {
+			return true
+		}
+	}
+	return false
+}
+
 // putLocked adds or updates an endpoint; r.mu must be held. It ignores an entry that
 // was written late by an earlier run of the endpoint.
 func (r *Registry) putLocked(e Endpoint) {
--- a/internal/zprollout/rollout.go
+++ b/internal/zprollout/rollout.go
@@ -51,9 +51,12 @@
 		Announce       func(endpoint string, left time.Duration) // announces that an engine is changing; 0 means no longer
 		Orderer        Orderer
 		Rank           func() int // position of this daemon among the candidates for the duty
-		Timing         Timing
-		Log            *zplog.Logger
-		Clock          func() time.Time
+		// CanReach reports whether this daemon reaches engines by itself; it leaves the duty to
+		// others while it does not.
+		CanReach func(now time.Time) bool
+		Timing   Timing
+		Log      *zplog.Logger
+		Clock    func() time.Time
 
 		changes       map[string]*Change
 		outdatedSince time.Time
@@ -110,7 +113,7 @@
 // releases it afterwards. It returns the delay until the next call.
 func (r *Rollout) maintainDuty(ctx context.Context) time.Duration {
 	now := r.Clock()
-	outdated := AnyOutdated(r.describe(r.Engines(now), now), r.WeightVersions.Targets())
+	outdated := r.CanReach(now) && AnyOutdated(r.describe(r.Engines(now), now), r.WeightVersions.Targets())
 	_, _, held := r.Keeper.Holds()
 	switch {
 	case !outdated && !held:
--- a/internal/zprollout/rollout_test.go
+++ b/internal/zprollout/rollout_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -72,8 +73,10 @@
 var _ = Describe("Rollout", func() {
 	var engines *fakeEngines
 	var versions *zprollout.WeightVersions
+	var isCut atomic.Bool
 
 	BeforeEach(func() {
+		isCut.Store(false)
 		engines = &fakeEngines{weights: map[string]map[string]int64{}, changing: map[string]bool{}}
 		for _, id := range []string{"e1", "e2", "e3", "e4"} {
 			engines.weights[id] = map[string]int64{"a": 1, "b": 1}
@@ -83,7 +86,8 @@
 		versions.SetTarget("b", 1, time.Now())
 		timing := zpduty.Timing{Validity: 800 * time.Millisecond, RenewInterval: 250 * time.Millisecond}
 		r := &zprollout.Rollout{
-			Self: "d", Keeper: zpduty.NewKeeper("duties/weights", "d", timing, zpobject.NewMemory(), zplog.Discard(), time.Now),
+			CanReach: func(time.Time) bool { return !isCut.Load() },
+			Self:     "d", Keeper: zpduty.NewKeeper("duties/weights", "d", timing, zpobject.NewMemory(), zplog.Discard(), time.Now),
 			WeightVersions: versions, Engines: engines.list, Models: func(string) []string { return []string{"a", "b"} },
 			Load: func(string, time.Time) int { return 0 }, SetWeights: func(string, string, int64) {}, Announce: engines.announce,
 			Orderer: engines, Rank: func() int { return 0 }, Log: zplog.Discard(), Clock: time.Now,
@@ -135,6 +139,19 @@
 		Expect(engines.most).To(Equal(zprollout.MaxChanging(4)))
 	})
 
+	// Guards against a duty that stays with a daemon that cannot order anything.
+	It("leaves the duty to others while it reaches no engine", func() {
+		isCut.Store(true)
+		versions.SetTarget("a", 2, time.Now())
+		Consistently(func() int {
+			engines.mu.Lock()
+			defer engines.mu.Unlock()
+			return len(engines.orders)
+		}, "500ms").Should(BeZero())
+		isCut.Store(false)
+		expectLoaded("a", 2)
+	})
+
 	It("orders nothing for a model that an engine does not serve", func() {
 		engines.mu.Lock()
 		delete(engines.weights["e1"], "b")
