--- a/internal/zpengine/detour_test.go
+++ b/internal/zpengine/detour_test.go
@@ -34,7 +34,9 @@
 	s := &detouringSender{address: lis.Addr().String(), opened: &atomic.Int32{}}
 	detour := &zpdetour.Dialer{
 		Tracker: &zpdetour.Tracker{}, Region: "n", Log: zplog.Discard(), Clock: time.Now,
-		Peers: func() []zpdetour.Peer { return []zpdetour.Peer{{Name: "peer", Address: "peer", Domain: "b", Region: "n"}} },
+		Peers: func() []zpdetour.Peer {
+			return []zpdetour.Peer{{Name: "peer", Address: "peer", Domain: "b", Region: "n"}}
+		},
 		Open: func(ctx context.Context, _, _ string) (net.Conn, error) {
 			s.opened.Add(1)
 			conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", target)
@@ -62,11 +64,6 @@
 	return string(body), err
 }
 
-// openGate returns a gate that lets a request pass for a minute.
-func openGate() *zpengine.Gate {
-	return &zpengine.Gate{Deadline: time.Now().Add(time.Minute), Clock: time.Now}
-}
-
 var _ = Describe("A sender that cannot connect to an endpoint", func() {
 	ctx := context.Background()
 	var requests atomic.Int32
@@ -85,7 +82,7 @@
 			server := newServer()
 			s := newDetouringSender(server.Listener.Addr().String())
 			for n := range int32(3) {
-				Expect(s.send(ctx, pooled, openGate())).To(Equal("answer"))
+				Expect(s.send(ctx, pooled, newGate())).To(Equal("answer"))
 				Expect(s.opened.Load()).To(Equal(n + 1))
 			}
 			Expect(requests.Load()).To(Equal(int32(3)))
@@ -97,7 +94,7 @@
 	DescribeTable("has sent nothing if no other daemon may be used",
 		func(pooled bool) {
 			s := newDetouringSender(newServer().Listener.Addr().String())
-			gate := openGate()
+			gate := newGate()
 			_, err := s.send(zpdetour.WithRegions(ctx, func(string) bool { return false }), pooled, gate)
 			Expect(err).To(HaveOccurred())
 			Expect(gate.Sent()).To(BeFalse())
@@ -117,7 +114,7 @@
 		DeferCleanup(server.Close)
 		requests.Store(0)
 		s = newDetouringSender(server.Listener.Addr().String())
-		gate := openGate()
+		gate := newGate()
 		_, err := s.send(ctx, false, gate)
 		Expect(err).To(HaveOccurred())
 		Expect(gate.Sent()).To(BeTrue())
