--- a/internal/zpdetour/detour.go
+++ b/internal/zpdetour/detour.go
@@ -41,6 +41,10 @@
 	ErrPeerFailed  = errors.New("the other daemon could not be reached")
 )
 
+// ErrNoPeer is returned by a Dialer that cannot connect itself and found no daemon that can. It
+// says nothing about the endpoint.
+var ErrNoPeer = errors.New("no other daemon can connect to endpoints now")
+
 // WithRegions limits the daemons through which a request may be sent to those whose region is
 // allowed. Without it, those of all regions may be used.
 func WithRegions(ctx context.Context, allows func(region string) bool) context.Context {
--- a/internal/zpdetour/dialer.go
+++ b/internal/zpdetour/dialer.go
@@ -47,9 +47,18 @@
 	peerState struct {
 		open       int           // connections through it
 		connect    time.Duration // moving average of the time to a connection
+		failures   int           // consecutive ones
 		avoidUntil time.Time
 	}
 
+	// rankedPeer is a daemon with what decides when it is asked.
+	rankedPeer struct {
+		Peer
+		distance int
+		load     float64
+		random   uint32
+	}
+
 	// verdicts are what other daemons found at an endpoint to which they did not connect. Those of
 	// one failure domain may be cut off together.
 	verdicts struct {
@@ -78,8 +87,10 @@
 	// openTimeout bounds one of these questions: the other daemon's connect and two round trips
 	// between regions.
 	openTimeout = 300 * time.Millisecond
-	// cutPeerAvoidance is how long a daemon that is cut off itself, or that fails, is not asked.
+	// cutPeerAvoidance is how long a daemon that is cut off itself is not asked, and the most for
+	// one that fails.
 	cutPeerAvoidance = 2 * time.Second
+	failureAvoidance = 200 * time.Millisecond // doubles with each consecutive failure
 	busyAvoidance    = 100 * time.Millisecond
 	// unsupportedAvoidance is the pause until a daemon that does not know the call is asked
 	// again; it may be replaced by a newer one.
@@ -87,8 +98,6 @@
 	connectWeight        = 0.2 // of the latest connection in the moving average
 )
 
-var errNoPeer = errors.New("no other daemon may be asked for a connection")
-
 // DialContext connects to an endpoint. The error after a detour that failed, too, is that of
 // the connect of this daemon.
 func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
@@ -98,11 +107,8 @@
 	case isAfterConnect(ctx):
 		return d.detourUnlessDead(ctx, address)
 	}
-	if d.Tracker.IsBlocked(address, d.Clock()) {
-		conn, err := d.detour(ctx, address)
-		if err == nil || !errors.Is(err, errNoPeer) {
-			return conn, err
-		}
+	if d.Tracker.IsBlocked(address, d.Clock()) && len(d.Peers()) > 0 {
+		return d.detour(ctx, address)
 	}
 	conn, err := d.DialDirect(ctx, network, address)
 	if err == nil || ctx.Err() != nil {
@@ -185,14 +191,12 @@
 }
 
 // detour connects to an endpoint through another daemon. The error is syscall.ECONNREFUSED or
-// ErrNoPath if the endpoint seems to be down.
+// ErrNoPath if the endpoint seems to be down, and ErrNoPeer if nobody could tell.
 func (d *Dialer) detour(ctx context.Context, address string) (net.Conn, error) {
-	err := errNoPeer
 	peers := d.rank(ctx)
 	v := verdicts{needsOther: slices.ContainsFunc(peers, func(p Peer) bool { return p.Domain != d.Domain })}
 	for _, p := range peers {
-		var conn net.Conn
-		conn, err = d.open(ctx, p, address)
+		conn, err := d.open(ctx, p, address)
 		now := d.Clock()
 		if err == nil {
 			if d.Tracker.RecordDetour(address, now) {
@@ -205,13 +209,13 @@
 			return nil, v.err
 		}
 		if ctx.Err() != nil {
-			break
+			return nil, context.Cause(ctx)
 		}
 	}
 	if len(peers) == v.count && v.count > 0 {
 		return nil, v.err
 	}
-	return nil, err
+	return nil, ErrNoPeer
 }
 
 // add counts the failure of another daemon to connect to an endpoint, and reports whether the
@@ -251,17 +255,22 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.stateOf(p)
+	s.failures++
 	switch {
 	case err == nil:
 		s.open++
+		s.failures = 0
 		s.connect += time.Duration(connectWeight * float64(took-s.connect))
 	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, ErrNoPath), errors.Is(err, context.Canceled):
+		s.failures = 0 // not its own
 	case errors.Is(err, ErrBusy):
 		s.avoidUntil = now.Add(busyAvoidance)
 	case errors.Is(err, ErrUnsupported):
 		s.avoidUntil = now.Add(unsupportedAvoidance)
-	default:
+	case errors.Is(err, ErrPeerCut):
 		s.avoidUntil = now.Add(cutPeerAvoidance)
+	default:
+		s.avoidUntil = now.Add(min(failureAvoidance<<min(s.failures-1, 8), cutPeerAvoidance))
 	}
 }
 
@@ -284,32 +293,36 @@
 }
 
 // rank returns the daemons to ask: those of the own region first, of these those of other
-// failure domains, and of these the one with the least expected wait.
+// failure domains, and of these the one with the least expected wait. One that has failed is
+// asked again first, by one request alone.
 func (d *Dialer) rank(ctx context.Context) []Peer {
-	type ranked struct {
-		Peer
-		distance int
-		load     float64
-		random   uint32
-	}
 	now := d.Clock()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var list []ranked
+	var sound []rankedPeer
+	var doubtful *rankedPeer
 	for _, p := range d.Peers() {
 		s := d.stateOf(p)
 		if !AllowsRegion(ctx, p.Region) || now.Before(s.avoidUntil) {
 			continue
 		}
 		load := float64(s.open+1) * float64(s.connect+time.Millisecond) / max(p.Cores, minCores)
-		list = append(list, ranked{p, d.distanceTo(p), load, rand.Uint32()})
+		r := rankedPeer{p, d.distanceTo(p), load, rand.Uint32()}
+		switch {
+		case s.failures == 0:
+			sound = append(sound, r)
+		case doubtful == nil || compareRanked(r, *doubtful) < 0:
+			doubtful = &r
+		}
+	}
+	slices.SortFunc(sound, compareRanked)
+	out := make([]Peer, 0, maxPeersAsked+1)
+	if doubtful != nil {
+		d.stateOf(doubtful.Peer).avoidUntil = now.Add(openTimeout)
+		out = append(out, doubtful.Peer)
 	}
-	slices.SortFunc(list, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(a.load, b.load), cmp.Compare(a.random, b.random))
-	})
-	out := make([]Peer, 0, maxPeersAsked)
 	domainPeers := 0
-	for _, r := range list {
+	for _, r := range sound {
 		if len(out) == maxPeersAsked {
 			break
 		}
@@ -323,6 +336,10 @@
 	return out
 }
 
+func compareRanked(a, b rankedPeer) int {
+	return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(a.load, b.load), cmp.Compare(a.random, b.random))
+}
+
 func (d *Dialer) distanceTo(p Peer) int {
 	switch {
 	case p.Region != d.Region:
--- a/internal/zpdetour/dialer_test.go
+++ b/internal/zpdetour/dialer_test.go
@@ -150,7 +150,7 @@
 		Expect(n.asked).To(BeEmpty())
 	})
 
-	It("connects by itself if nobody can be asked", func() {
+	It("connects by itself if it is alone", func() {
 		n := &testNetwork{direct: map[string]error{"a": errHang}}
 		d := newDialer(n)
 		d.Tracker.RecordDetour("a", time.Now())
@@ -158,6 +158,40 @@
 		Expect(err).To(MatchError(errHang))
 	})
 
+	// Guards against blaming endpoints for the lack of daemons that reach them.
+	It("says that nobody can connect while all other daemons are cut off, too", func() {
+		n := &testNetwork{direct: map[string]error{"a": errHang}, open: map[string]error{"near": zpdetour.ErrPeerCut}}
+		d := newDialer(n, near)
+		d.Tracker.RecordDetour("a", time.Now())
+		for range 3 {
+			_, err := d.DialContext(ctx, "tcp", "a")
+			Expect(err).To(MatchError(zpdetour.ErrNoPeer))
+		}
+		Expect(n.asked).To(HaveLen(1))
+	})
+
+	// Guards against asking daemons that are cut off in place of the one that is not.
+	It("asks the daemon that has connected before those that have failed", func() {
+		n := &testNetwork{direct: map[string]error{"a": errHang}, open: map[string]error{}}
+		peers := []zpdetour.Peer{near}
+		for _, name := range []string{"c1", "c2", "c3", "c4", "c5"} {
+			peers = append(peers, peer(name, "b", "n"))
+			n.open[name] = zpdetour.ErrPeerCut
+		}
+		d := newDialer(n, peers...)
+		now := time.Now()
+		d.Clock = func() time.Time { return now }
+		for range 6 { // finds out about each of them
+			_, _ = d.DialContext(ctx, "tcp", "a")
+		}
+		for range 4 {
+			now = now.Add(2100 * time.Millisecond) // those that have failed may be asked again
+			for range 3 {
+				expectConnect(ctx, d, "a")
+			}
+		}
+	})
+
 	It("spreads open connections over daemons", func() {
 		n := &testNetwork{direct: map[string]error{"a": errHang}}
 		d := newDialer(n, near, near2)
--- a/internal/zpdetour/server.go
+++ b/internal/zpdetour/server.go
@@ -39,9 +39,7 @@
 
 func (s *Server) connect(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
 	switch {
-	case s.IsStopping():
-		return nil, ErrBusy
-	case s.Tracker.IsBlocked(address, s.Clock()):
+	case s.IsStopping(), s.Tracker.IsBlocked(address, s.Clock()):
 		return nil, ErrPeerCut
 	case !s.IsEndpoint(address):
 		return nil, errors.Join(ErrPeerCut, errNoEndpoint) // it may be known elsewhere
--- a/internal/zpgateway/gateway.go
+++ b/internal/zpgateway/gateway.go
@@ -108,6 +108,8 @@
 		"the route's pool is not configured", "correct the configuration")
 	errNoEndpoint = zperror.New(zperror.KindUnavailable, "no_endpoint",
 		"no endpoint may take the request now", "send the request again after the time in Retry-After")
+	errNoPath = zperror.New(zperror.KindUnavailable, "no_path",
+		"neither this daemon nor another one can connect to endpoints now", "send the request again after the time in Retry-After")
 	errRegionUnconfirmed = zperror.New(zperror.KindUnavailable, "region_unconfirmed",
 		"this VM cannot confirm now which regions may run the request", "send the request again after the time in Retry-After")
 	errOverloaded = zperror.New(zperror.KindUnavailable, "overloaded",
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -41,9 +41,13 @@
 	outcomeBroken                   // the request may have run, but its response is lost
 	outcomeSilent                   // no byte arrived in time; the run was cancelled and may be retried
 	outcomeStopped                  // the caller disconnected or the deadline passed
+	outcomeNoPath                   // no byte was sent, because neither this daemon nor another one could connect now
 	outcomeUnsent                   // the choice no longer held when the first byte was due; another may be made
 )
 
+// pathRetryInterval is the pause after which a way to endpoints is looked for again.
+const pathRetryInterval = 50 * time.Millisecond
+
 // run sends the request until it has a response or must not be sent again.
 func (g *Gateway) run(ctx context.Context, j *job, reply Reply) error {
 	budget := g.Retries.For("", j.pool.Name)
@@ -77,6 +81,11 @@
 			}
 		case outcomeUnsent:
 			continue
+		case outcomeNoPath:
+			if !g.awaitPath(ctx, j) {
+				return g.giveUp(j, reply, sendResult{err: g.withRunState(j, errNoPath.WithRetryAfter(retryAfterUnavailable).WithCause(s.err))})
+			}
+			continue
 		case outcomeSilent:
 			// The first-byte timer has taken the retry from the budget.
 		case outcomeFailed, outcomeBroken:
@@ -105,6 +114,20 @@
 	return t.refusals <= maxRefusals && budget.Take()
 }
 
+// awaitPath waits a moment for a way to endpoints. It returns false once the request has
+// waited for its objective.
+func (g *Gateway) awaitPath(ctx context.Context, j *job) bool {
+	now := g.Clock()
+	if now.Sub(j.request.ReceivedAt) >= j.route.TargetLatency || j.remaining(now) < 2*pathRetryInterval {
+		return false
+	}
+	select {
+	case <-time.After(pathRetryInterval):
+	case <-ctx.Done():
+	}
+	return true
+}
+
 // placeAllowed chooses an endpoint once it is known which endpoints the request is allowed.
 func (g *Gateway) placeAllowed(ctx context.Context, j *job) (choice, error) {
 	g.AwaitCatalog(ctx)
@@ -234,6 +257,10 @@
 			j.attempts--
 			return sendResult{outcomeUnsent, gate.Err()}
 		}
+		if errors.Is(err, zpdetour.ErrNoPeer) {
+			j.attempts--
+			return sendResult{outcomeNoPath, err}
+		}
 		failure := FailureConnect
 		if netErr, ok := errors.AsType[net.Error](err); ok && netErr.Timeout() {
 			failure = FailureConnectTimeout
@@ -342,9 +369,9 @@
 
 // mayHaveRun reports whether the endpoint may have run the request.
 func (o outcome) mayHaveRun() bool {
-	return o != outcomeNotRun && o != outcomeUnreached && o != outcomeUnsent
+	return o != outcomeNotRun && o != outcomeUnreached && o != outcomeNoPath && o != outcomeUnsent
 }
 
 func (o outcome) String() string {
-	return [...]string{"done", "not_run", "unreached", "failed", "broken", "silent", "stopped", "unsent"}[o]
+	return [...]string{"done", "not_run", "unreached", "failed", "broken", "silent", "stopped", "no_path", "unsent"}[o]
 }
