--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -246,7 +246,8 @@
 	if err := d.callers.Shutdown(ctx); err != nil {
 		d.Log.Emit(zplog.DrainTimedOut, zplog.Fields{"open_requests": d.gateway.OpenRequests.Load()})
 	}
-	d.connector.Wait(ctx)
+	// Until here, daemons that are cut off from endpoints may have no other way than this one.
+	d.connector.Shutdown(ctx)
 	// These servers have no requests that need a graceful shutdown.
 	_ = d.ready.Close()
 	_ = d.admin.Close()
--- a/internal/zpapp/gateway_detours.go
+++ b/internal/zpapp/gateway_detours.go
@@ -32,7 +32,7 @@
 		},
 	}
 	d.connector = &zpdetour.Server{
-		Tracker: tracker, Dial: d.detour.DialDirect, IsEndpoint: d.isEndpoint, IsStopping: d.leaving.Load, Log: d.Log, Clock: zpclock.Now,
+		Tracker: tracker, Dial: d.detour.DialDirect, IsEndpoint: d.isEndpoint, Log: d.Log, Clock: zpclock.Now,
 		MaxOpen: min(max(int(float64(d.Node.Memory)*detourMemoryShare)/bytesPerDetour, minDetours), maxDetours),
 	}
 }
--- a/internal/zpdetour/dialer.go
+++ b/internal/zpdetour/dialer.go
@@ -49,6 +49,8 @@
 		connect    time.Duration // moving average of the time to a connection
 		failures   int           // consecutive ones
 		avoidUntil time.Time
+		peer       Peer
+		usedAt     time.Time // when it last opened a connection
 	}
 
 	// rankedPeer is a daemon with what decides when it is asked.
@@ -95,7 +97,10 @@
 	// unsupportedAvoidance is the pause until a daemon that does not know the call is asked
 	// again; it may be replaced by a newer one.
 	unsupportedAvoidance = time.Minute
-	connectWeight        = 0.2 // of the latest connection in the moving average
+	// departedPeerUse is how long a daemon that is not listed any more is asked after it has last
+	// opened a connection.
+	departedPeerUse = 2 * time.Second
+	connectWeight   = 0.2 // of the latest connection in the moving average
 )
 
 // DialContext connects to an endpoint. The error after a detour that failed, too, is that of
@@ -260,6 +265,7 @@
 	case err == nil:
 		s.open++
 		s.failures = 0
+		s.peer, s.usedAt = p, now
 		s.connect += time.Duration(connectWeight * float64(took-s.connect))
 	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, ErrNoPath), errors.Is(err, context.Canceled):
 		s.failures = 0 // not its own
@@ -301,7 +307,7 @@
 	defer d.mu.Unlock()
 	var sound []rankedPeer
 	var doubtful *rankedPeer
-	for _, p := range d.Peers() {
+	for _, p := range d.knownPeers(now) {
 		s := d.stateOf(p)
 		if !AllowsRegion(ctx, p.Region) || now.Before(s.avoidUntil) {
 			continue
@@ -336,6 +342,25 @@
 	return out
 }
 
+// knownPeers returns the daemons that may be asked. One that has left the list while it opened
+// connections may be stopping, and still has time to. The lock must be held.
+func (d *Dialer) knownPeers(now time.Time) []Peer {
+	list := slices.Clone(d.Peers())
+	isListed := map[string]bool{}
+	for _, p := range list {
+		isListed[p.Address] = true
+	}
+	for address, s := range d.peers {
+		switch {
+		case !isListed[address] && now.Sub(s.usedAt) < departedPeerUse:
+			list = append(list, s.peer)
+		case !isListed[address] && s.open == 0:
+			delete(d.peers, address)
+		}
+	}
+	return list
+}
+
 func compareRanked(a, b rankedPeer) int {
 	return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(a.load, b.load), cmp.Compare(a.random, b.random))
 }
--- a/internal/zpdetour/dialer_test.go
+++ b/internal/zpdetour/dialer_test.go
@@ -192,6 +192,20 @@
 		}
 	})
 
+	// Guards against the loss of the only way while daemons are stopped one after the other.
+	It("still asks a daemon that stops, for as long as it opens connections", func() {
+		n := &testNetwork{direct: map[string]error{"a": errHang}, open: map[string]error{"far": zpdetour.ErrPeerCut}}
+		d := newDialer(n)
+		peers := []zpdetour.Peer{near, far}
+		d.Peers = func() []zpdetour.Peer { return peers }
+		expectConnect(ctx, d, "a")
+		peers = peers[1:]
+		expectConnect(ctx, d, "a")
+		n.open["near"] = zpdetour.ErrPeerCut
+		_, err := d.DialContext(ctx, "tcp", "a")
+		Expect(err).To(MatchError(zpdetour.ErrNoPeer))
+	})
+
 	It("spreads open connections over daemons", func() {
 		n := &testNetwork{direct: map[string]error{"a": errHang}}
 		d := newDialer(n, near, near2)
--- a/internal/zpdetour/server.go
+++ b/internal/zpdetour/server.go
@@ -18,12 +18,12 @@
 	Tracker *Tracker
 	// IsEndpoint reports whether an address belongs to an endpoint or a KV cache store.
 	IsEndpoint func(address string) bool
-	IsStopping func() bool
 	MaxOpen    int // connections at the same time
 	Log        *zplog.Logger
 	Clock      func() time.Time
 
-	open atomic.Int64
+	open     atomic.Int64
+	isClosed atomic.Bool
 }
 
 var errNoEndpoint = errors.New("no endpoint has the address")
@@ -39,7 +39,7 @@
 
 func (s *Server) connect(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
 	switch {
-	case s.IsStopping(), s.Tracker.IsBlocked(address, s.Clock()):
+	case s.isClosed.Load(), s.Tracker.IsBlocked(address, s.Clock()):
 		return nil, ErrPeerCut
 	case !s.IsEndpoint(address):
 		return nil, errors.Join(ErrPeerCut, errNoEndpoint) // it may be known elsewhere
@@ -68,8 +68,9 @@
 // OpenConnections returns the number of connections that are open for other daemons.
 func (s *Server) OpenConnections() int { return int(s.open.Load()) }
 
-// Wait waits until no connection is open for another daemon, or ctx ends.
-func (s *Server) Wait(ctx context.Context) {
+// Shutdown takes no more connections and waits until none is open, or ctx ends.
+func (s *Server) Shutdown(ctx context.Context) {
+	s.isClosed.Store(true)
 	ticker := time.NewTicker(waitInterval)
 	defer ticker.Stop()
 	for s.open.Load() > 0 {
@@ -81,5 +82,5 @@
 	}
 }
 
-// waitInterval is the interval at which Wait looks at the open connections.
+// waitInterval is the interval at which Shutdown looks at the open connections.
 const waitInterval = 20 * time.Millisecond
