--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -325,9 +325,9 @@
 		WeightVersions: d.weights, Engines: d.engines, Models: d.models,
 		Load:       func(endpoint string, now time.Time) int { return d.gateway.Usage.Total(endpoint, now).Requests },
 		SetWeights: d.registry.SetWeights, Announce: d.announceWeightChange, Orderer: &zpplatform.Orderer{Sender: d.sender, Clock: zpclock.Now, Notice: d.gateway.RecordNotice},
-		CanReach: func(now time.Time) bool { return !d.detour.Tracker.IsCut(now) },
-		Rank:     func() int { return zpplace.RendezvousRank(d.self.Name, weightDuty, d.members.Names()) },
-		Timing:   zprollout.Timing{PollInterval: weightPollInterval, RepeatDelay: orderRetryInterval}, Log: d.Log, Clock: zpclock.Now,
+		Reaches: func(address string, now time.Time) bool { return !d.detour.Tracker.IsBlocked(address, now) },
+		Rank:    func() int { return zpplace.RendezvousRank(d.self.Name, weightDuty, d.members.Names()) },
+		Timing:  zprollout.Timing{PollInterval: weightPollInterval, RepeatDelay: orderRetryInterval}, Log: d.Log, Clock: zpclock.Now,
 	}
 }
 
--- a/internal/zprollout/rollout.go
+++ b/internal/zprollout/rollout.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -51,12 +52,12 @@
 		Announce       func(endpoint string, left time.Duration) // announces that an engine is changing; 0 means no longer
 		Orderer        Orderer
 		Rank           func() int // position of this daemon among the candidates for the duty
-		// CanReach reports whether this daemon reaches engines by itself; it leaves the duty to
-		// others while it does not.
-		CanReach func(now time.Time) bool
-		Timing   Timing
-		Log      *zplog.Logger
-		Clock    func() time.Time
+		// Reaches reports whether this daemon can connect to an address by itself. Engines that it
+		// cannot reach are left to the next holder of the duty.
+		Reaches func(address string, now time.Time) bool
+		Timing  Timing
+		Log     *zplog.Logger
+		Clock   func() time.Time
 
 		changes       map[string]*Change
 		outdatedSince time.Time
@@ -113,7 +114,7 @@
 // releases it afterwards. It returns the delay until the next call.
 func (r *Rollout) maintainDuty(ctx context.Context) time.Duration {
 	now := r.Clock()
-	outdated := r.CanReach(now) && AnyOutdated(r.describe(r.Engines(now), now), r.WeightVersions.Targets())
+	outdated := AnyOutdated(r.describe(r.reachable(now), now), r.WeightVersions.Targets())
 	_, _, held := r.Keeper.Holds()
 	switch {
 	case !outdated && !held:
@@ -141,11 +142,16 @@
 		return activeInterval
 	}
 	now := r.Clock()
-	endpoints := r.Engines(now)
+	endpoints := r.reachable(now)
 	r.advance(ctx, endpoints, r.describe(endpoints, now), r.WeightVersions.Targets())
 	return activeInterval
 }
 
+// reachable returns the engines that this daemon can connect to by itself.
+func (r *Rollout) reachable(now time.Time) []zpregistry.Endpoint {
+	return slices.DeleteFunc(r.Engines(now), func(e zpregistry.Endpoint) bool { return !r.Reaches(e.Address, now) })
+}
+
 func (r *Rollout) describe(endpoints []zpregistry.Endpoint, now time.Time) []Engine {
 	var out []Engine
 	for _, e := range endpoints {
--- a/internal/zprollout/rollout_test.go
+++ b/internal/zprollout/rollout_test.go
@@ -30,7 +30,7 @@
 	defer f.mu.Unlock()
 	var out []zpregistry.Endpoint
 	for id := range f.weights {
-		out = append(out, zpregistry.Endpoint{ID: id, Pool: "p", Weights: f.loaded(id)})
+		out = append(out, zpregistry.Endpoint{ID: id, Address: id, Pool: "p", Weights: f.loaded(id)})
 	}
 	return out
 }
@@ -74,9 +74,12 @@
 	var engines *fakeEngines
 	var versions *zprollout.WeightVersions
 	var isCut atomic.Bool
+	var rollout *zprollout.Rollout
+	var unreachable atomic.Value // the address of an engine that cannot be reached
 
 	BeforeEach(func() {
 		isCut.Store(false)
+		unreachable.Store("none")
 		engines = &fakeEngines{weights: map[string]map[string]int64{}, changing: map[string]bool{}}
 		for _, id := range []string{"e1", "e2", "e3", "e4"} {
 			engines.weights[id] = map[string]int64{"a": 1, "b": 1}
@@ -86,13 +89,14 @@
 		versions.SetTarget("b", 1, time.Now())
 		timing := zpduty.Timing{Validity: 800 * time.Millisecond, RenewInterval: 250 * time.Millisecond}
 		r := &zprollout.Rollout{
-			CanReach: func(time.Time) bool { return !isCut.Load() },
-			Self:     "d", Keeper: zpduty.NewKeeper("duties/weights", "d", timing, zpobject.NewMemory(), zplog.Discard(), time.Now),
+			Reaches: func(address string, _ time.Time) bool { return address != unreachable.Load() && !isCut.Load() },
+			Self:    "d", Keeper: zpduty.NewKeeper("duties/weights", "d", timing, zpobject.NewMemory(), zplog.Discard(), time.Now),
 			WeightVersions: versions, Engines: engines.list, Models: func(string) []string { return []string{"a", "b"} },
 			Load: func(string, time.Time) int { return 0 }, SetWeights: func(string, string, int64) {}, Announce: engines.announce,
 			Orderer: engines, Rank: func() int { return 0 }, Log: zplog.Discard(), Clock: time.Now,
 			Timing: zprollout.Timing{PollInterval: 50 * time.Millisecond, RepeatDelay: time.Second},
 		}
+		rollout = r
 		ctx, cancel := context.WithCancel(context.Background())
 		done := make(chan struct{})
 		go func() {
@@ -152,6 +156,29 @@
 		expectLoaded("a", 2)
 	})
 
+	// Guards against a duty that stays with a daemon for an engine that it cannot order anything.
+	It("leaves engines that it cannot reach to the next holder of the duty", func() {
+		unreachable.Store("e2")
+		versions.SetTarget("a", 2, time.Now())
+		loaded := func() (out []string) {
+			engines.mu.Lock()
+			defer engines.mu.Unlock()
+			for id, w := range engines.weights {
+				if w["a"] == 2 {
+					out = append(out, id)
+				}
+			}
+			return out
+		}
+		Eventually(loaded, "5s").Should(ConsistOf("e1", "e3", "e4"))
+		Eventually(func() bool {
+			_, _, held := rollout.Keeper.Holds()
+			return held
+		}, "3s").Should(BeFalse())
+		unreachable.Store("none")
+		expectLoaded("a", 2)
+	})
+
 	It("orders nothing for a model that an engine does not serve", func() {
 		engines.mu.Lock()
 		delete(engines.weights["e1"], "b")
