--- a/internal/zpengine/client.go
+++ b/internal/zpengine/client.go
@@ -40,7 +40,7 @@
 	HeaderSalt          = "X-Cache-Salt"
 	HeaderPriority      = "X-Priority"
 	HeaderRequestID     = "X-Request-Id"
-	HeaderResumeFrom    = "X-Resume-From"
+	HeaderResumeFrom    = "X-Resume-From" // tokens that the caller already has; the engine repeats it in its response
 	HeaderImportFrom    = "X-Import-From"
 	HeaderImportBlocks  = "X-Import-Blocks"
 	HeaderWorkspace     = "X-Workspace"
--- a/internal/zpengine/engine_test.go
+++ b/internal/zpengine/engine_test.go
@@ -82,6 +82,32 @@
 func abortConnection(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) }
 
 var _ = Describe("Generate", func() {
+	// Guards against pieces that come twice because an engine starts a resumed stream again.
+	DescribeTable("goes on with a stream only if the engine confirms where",
+		func(confirmed string, isDone bool) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				if confirmed != "" {
+					w.Header().Set(zpengine.HeaderResumeFrom, confirmed)
+				}
+				stream(token("c"), "[DONE]")(w, r)
+			}))
+			DeferCleanup(server.Close)
+			gen := zpengine.GenerationRequest{
+				Address: server.URL, Body: []byte("{}"), ResumeFrom: 2, FirstTokenTimeout: 300 * time.Millisecond, StallTimeout: 300 * time.Millisecond,
+			}
+			pieces := 0
+			o := newClient().Generate(ctx, gen, newGate(), func(zpengine.Piece) error {
+				pieces++
+				return nil
+			})
+			Expect(o.Done).To(Equal(isDone))
+			Expect(pieces > 0).To(Equal(isDone))
+		},
+		Entry("it does", "2", true),
+		Entry("it says nothing", "", false),
+		Entry("it goes on elsewhere", "1", false),
+	)
+
 	It("receives all pieces up to [DONE]", func() {
 		usage := `{"choices":[],"usage":{"prompt_tokens":7,"completion_tokens":2,"prompt_tokens_details":{"cached_tokens":3}}}`
 		text, o := generate(serve(stream(token("a"), token("b"), usage, "[DONE]")), newGate(), acceptPiece)
--- a/internal/zpengine/generate.go
+++ b/internal/zpengine/generate.go
@@ -57,6 +57,7 @@
 
 var (
 	errStalled         = errors.New("the stream stalled")
+	errNotResumed      = errors.New("the engine does not go on where the stream broke off")
 	errStreamTruncated = errors.New("the stream ended without [DONE]")
 )
 
@@ -81,9 +82,21 @@
 	if res.StatusCode != http.StatusOK {
 		return c.finishOutcome(ctx, errorStatusOutcome(o, res), start)
 	}
+	if err := checkResumed(gen, res); err != nil {
+		return c.finishOutcome(ctx, brokenOutcome(o, err), start)
+	}
 	return c.finishOutcome(ctx, c.readStream(res.Body, o, wd, start, handle), start)
 }
 
+// checkResumed returns an error if an engine does not confirm that it goes on after what the
+// caller already has. The pieces of a stream have no numbers by which that could be seen.
+func checkResumed(gen GenerationRequest, res *http.Response) error {
+	if gen.ResumeFrom > 0 && res.Header.Get(HeaderResumeFrom) != strconv.Itoa(gen.ResumeFrom) {
+		return fmt.Errorf("%w: at %q in place of %d", errNotResumed, res.Header.Get(HeaderResumeFrom), gen.ResumeFrom)
+	}
+	return nil
+}
+
 // readStream passes on the pieces of a stream until [DONE].
 func (c *Client) readStream(body io.Reader, o Outcome, wd *watchdog, start time.Time, handle func(Piece) error) Outcome {
 	for event, err := range sse.Read(body, &sse.ReadConfig{MaxEventSize: maxEventBytes}) {
--- a/internal/zpstandin/generate.go
+++ b/internal/zpstandin/generate.go
@@ -207,6 +207,9 @@
 	h.Set("Content-Type", "text/event-stream")
 	h.Set(zpengine.HeaderBoot, run.boot)
 	h.Set(zpengine.HeaderWeightVersion, run.version)
+	if run.resumeFrom > 0 {
+		h.Set(zpengine.HeaderResumeFrom, strconv.Itoa(run.resumeFrom))
+	}
 	w.WriteHeader(http.StatusOK)
 	flusher, _ := w.(http.Flusher)
 	for n := run.resumeFrom; n < run.tokens; n++ {
