--- a/internal/zpdetour/dialer.go
+++ b/internal/zpdetour/dialer.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpnet"
 )
 
 type (
@@ -337,6 +339,16 @@
 // minCores stands for the cores of a daemon that has not told them.
 const minCores = 0.1
 
+// Read reads bytes. The end of a connection to the endpoint that was reset is an error, also if
+// a write has got the kernel's report of the reset.
+func (c *detourConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if errors.Is(err, io.EOF) && zpnet.WasReset(c.Conn) {
+		err = syscall.ECONNRESET
+	}
+	return n, err
+}
+
 // Close closes the connection.
 func (c *detourConn) Close() error {
 	c.release()
--- a/internal/zppeer/connect_test.go
+++ b/internal/zppeer/connect_test.go
@@ -15,6 +15,7 @@
 	"storj.io/drpc/drpcserver"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpdetour"
+	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zppeer"
 )
 
@@ -189,3 +190,42 @@
 		Expect(time.Since(started)).To(BeNumerically("<", 500*time.Millisecond))
 	})
 })
+
+// serveDetours serves connections for others as a daemon does, with dial in place of its own.
+func serveDetours(dial func(ctx context.Context, network, address string) (net.Conn, error)) (address string, server *zpdetour.Server) {
+	server = &zpdetour.Server{
+		Dial: dial, Tracker: &zpdetour.Tracker{}, IsEndpoint: func(string) bool { return true }, IsStopping: func() bool { return false },
+		MaxOpen: 16, Log: zplog.Discard(), Clock: time.Now,
+	}
+	address, _ = serveConnects(server.Open)
+	return address, server
+}
+
+var _ = Describe("The end of a connection to an endpoint through another daemon", func() {
+	ctx := context.Background()
+	open := func(peer, endpoint string) net.Conn {
+		GinkgoHelper()
+		conn, err := zppeer.OpenEndpoint(ctx, newPeerDialer(), peer, endpoint)
+		Expect(err).NotTo(HaveOccurred())
+		return conn
+	}
+
+	// Guards against a response that was cut off by a reset and looks complete.
+	It("is a reset if a write of the other daemon has got the error of the reset", func() {
+		peer, _ := serveDetours(func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			for err == nil {
+				if _, writeErr := conn.Write([]byte("x")); writeErr != nil {
+					break
+				}
+			}
+			return conn, err
+		})
+		conn := open(peer, listenEndpoint(func(conn *net.TCPConn) {
+			_ = conn.SetLinger(0)
+			_ = conn.Close()
+		}))
+		_, err := conn.Read(make([]byte, 1))
+		Expect(err).To(MatchError(syscall.ECONNRESET))
+	})
+})
