--- a/internal/zppeer/connect.go
+++ b/internal/zppeer/connect.go
@@ -19,14 +19,20 @@
 type (
 	// endpointConn is a connection to an endpoint through another daemon.
 	endpointConn struct {
-		stream  zppeerpb.DRPCSharing_ConnectClient
-		cancel  context.CancelFunc
-		address endpointAddress
-		chunks  chan []byte   // received, not read yet; closed after readErr is set
-		closed  chan struct{} // closed by Close
-		close   func()
-		rest    []byte // of the chunk that was read last
-		readErr error
+		stream   zppeerpb.DRPCSharing_ConnectClient
+		cancel   context.CancelFunc
+		address  endpointAddress
+		requests *sendWindow
+		replies  *receiveBuffer
+		close    func()
+	}
+
+	// relayedConn is a connection to an endpoint that was opened for another daemon.
+	relayedConn struct {
+		net.Conn
+		stream   zppeerpb.DRPCSharing_ConnectStream
+		requests *receiveBuffer
+		replies  *sendWindow
 	}
 
 	endpointAddress string
@@ -37,9 +43,8 @@
 	connectTimeout = 120 * time.Millisecond
 	// closeTimeout is the time in which another daemon must confirm that a connection is
 	// closed, so that the one to it can be used again.
-	closeTimeout     = 200 * time.Millisecond
-	connectChunk     = 16 << 10 // bytes
-	maxBufferedChunk = 2
+	closeTimeout = 200 * time.Millisecond
+	connectChunk = 16 << 10 // bytes
 	// unknownCall is part of the error of a daemon that does not know a call.
 	unknownCall = "unknown rpc"
 )
@@ -69,43 +74,68 @@
 	if err := stream.Send(&zppeerpb.ConnectReply{Result: zppeerpb.ConnectResult_CONNECT_RESULT_CONNECTED}); err != nil {
 		return err
 	}
-	replies := make(chan struct{})
-	go func() {
-		defer close(replies)
-		sendReplies(stream, conn)
-	}()
-	err = forwardRequests(stream, conn)
-	// Nothing may be sent on the stream after its handler has returned.
+	c := &relayedConn{Conn: conn, stream: stream, requests: newReceiveBuffer(), replies: newSendWindow()}
+	var workers sync.WaitGroup
+	workers.Go(c.writeRequests)
+	workers.Go(c.sendReplies)
+	err = c.receive()
+	c.requests.discard(net.ErrClosed)
+	c.replies.close()
 	_ = conn.Close()
-	<-replies
+	// Nothing may be sent on the stream after its handler has returned.
+	workers.Wait()
 	return err
 }
 
-// forwardRequests writes what the other daemon sends to the endpoint, until it sends nothing
-// more or leaves.
-func forwardRequests(stream zppeerpb.DRPCSharing_ConnectStream, conn net.Conn) error {
+// receive takes what the other daemon sends from the stream, until it leaves.
+func (c *relayedConn) receive() error {
 	for {
-		m, err := stream.Recv()
+		m, err := c.stream.Recv()
 		if errors.Is(err, io.EOF) {
 			return nil
 		}
 		if err != nil {
 			return err
 		}
-		if _, err := conn.Write(m.GetData()); err != nil {
-			return nil // the reader of the endpoint's bytes tells the other daemon
+		c.replies.add(int(m.GetTaken()))
+		if err := c.requests.put(m.GetData()); err != nil {
+			return err
+		}
+	}
+}
+
+// writeRequests writes what the other daemon sends to the endpoint.
+func (c *relayedConn) writeRequests() {
+	buffer := make([]byte, connectChunk)
+	for {
+		n, taken, err := c.requests.take(buffer)
+		if err != nil {
+			return
+		}
+		if _, err := c.Write(buffer[:n]); err != nil {
+			return // sendReplies tells the other daemon, after what the endpoint may have sent
+		}
+		if taken > 0 {
+			if err := c.stream.Send(&zppeerpb.ConnectReply{Taken: int64(taken)}); err != nil {
+				return // the other daemon has left, which ends receive
+			}
 		}
 	}
 }
 
 // sendReplies sends what the endpoint sends to the other daemon, and how that ended.
-func sendReplies(stream zppeerpb.DRPCSharing_ConnectStream, conn net.Conn) {
+func (c *relayedConn) sendReplies() {
 	buffer := make([]byte, connectChunk)
 	for {
-		n, err := conn.Read(buffer)
+		room := c.replies.reserve(len(buffer))
+		if room == 0 {
+			return
+		}
+		n, err := c.Read(buffer[:room])
+		c.replies.add(room - n)
 		m := &zppeerpb.ConnectReply{Data: buffer[:n], End: errors.Is(err, io.EOF), Reset_: err != nil && !errors.Is(err, io.EOF)}
-		// An error means that the other daemon has left, which ends forwardRequests.
-		if sendErr := stream.Send(m); sendErr != nil || err != nil {
+		// An error means that the other daemon has left, which ends receive.
+		if sendErr := c.stream.Send(m); sendErr != nil || err != nil {
 			return
 		}
 	}
@@ -166,9 +196,7 @@
 		}
 		return nil, fmt.Errorf("%w: result %d", zpdetour.ErrUnsupported, reply.GetResult())
 	}
-	c := &endpointConn{
-		stream: stream, cancel: cancel, address: endpointAddress(endpoint), chunks: make(chan []byte, maxBufferedChunk), closed: make(chan struct{}),
-	}
+	c := &endpointConn{stream: stream, cancel: cancel, address: endpointAddress(endpoint), requests: newSendWindow(), replies: newReceiveBuffer()}
 	c.close = sync.OnceFunc(c.end)
 	go c.receive()
 	return c, nil
@@ -176,52 +204,43 @@
 
 // receive takes what the endpoint sends from the stream until that ends.
 func (c *endpointConn) receive() {
-	defer close(c.chunks)
+	defer c.requests.close()
 	for {
 		m, err := c.stream.Recv()
-		if err != nil {
-			c.readErr = errors.Join(errPeerLost, syscall.ECONNRESET)
-			return
+		if err == nil {
+			c.requests.add(int(m.GetTaken()))
+			err = c.replies.put(m.GetData())
 		}
-		if len(m.GetData()) > 0 {
-			select {
-			case c.chunks <- m.GetData():
-			case <-c.closed:
-			}
-		}
-		if m.GetEnd() || m.GetReset_() {
-			c.readErr = io.EOF
-			if m.GetReset_() {
-				c.readErr = syscall.ECONNRESET
-			}
+		switch {
+		case err != nil:
+			c.replies.end(errors.Join(errPeerLost, syscall.ECONNRESET))
 			return
+		case m.GetReset_():
+			c.replies.end(syscall.ECONNRESET)
+		case m.GetEnd():
+			c.replies.end(io.EOF)
 		}
 	}
 }
 
 // Read implements net.Conn.
 func (c *endpointConn) Read(b []byte) (int, error) {
-	if len(c.rest) == 0 {
-		select {
-		case chunk, ok := <-c.chunks:
-			if !ok {
-				return 0, c.readErr
-			}
-			c.rest = chunk
-		case <-c.closed:
-			return 0, net.ErrClosed
-		}
+	n, taken, err := c.replies.take(b)
+	if taken > 0 {
+		// An error means that the stream has ended, which receive reports after the data.
+		_ = c.stream.Send(&zppeerpb.ConnectRequest{Taken: int64(taken)})
 	}
-	n := copy(b, c.rest)
-	c.rest = c.rest[n:]
-	return n, nil
+	return n, err
 }
 
 // Write implements net.Conn.
 func (c *endpointConn) Write(b []byte) (int, error) {
 	written := 0
 	for len(b) > 0 {
-		n := min(len(b), connectChunk)
+		n := c.requests.reserve(min(len(b), connectChunk))
+		if n == 0 {
+			return written, net.ErrClosed
+		}
 		if err := c.stream.Send(&zppeerpb.ConnectRequest{Data: b[:n]}); err != nil {
 			return written, errors.Join(errPeerLost, err)
 		}
@@ -237,10 +256,14 @@
 }
 
 func (c *endpointConn) end() {
-	close(c.closed)
-	// An error means that the stream has ended.
-	_ = c.stream.CloseSend()
+	c.requests.close()
+	c.replies.discard(net.ErrClosed)
 	time.AfterFunc(closeTimeout, c.cancel)
+	go func() {
+		// It waits while the link to the other daemon is full. An error means that the stream
+		// has ended.
+		_ = c.stream.CloseSend()
+	}()
 }
 
 // LocalAddr implements net.Conn.
--- a/internal/zppeer/connect_test.go
+++ b/internal/zppeer/connect_test.go
@@ -222,10 +222,56 @@
 			return conn, err
 		})
 		conn := open(peer, listenEndpoint(func(conn *net.TCPConn) {
+			_, _ = conn.Read(make([]byte, 1))
 			_ = conn.SetLinger(0)
 			_ = conn.Close()
 		}))
 		_, err := conn.Read(make([]byte, 1))
 		Expect(err).To(MatchError(syscall.ECONNRESET))
 	})
+
+	// Guards against work for callers that have left while their body is on the way.
+	It("reaches an endpoint that does not read", func() {
+		closed := make(chan struct{})
+		accepted := make(chan struct{})
+		peer, server := serveDetours((&net.Dialer{}).DialContext)
+		conn := open(peer, listenEndpoint(func(conn *net.TCPConn) {
+			close(accepted)
+			defer close(closed)
+			for { // looks at the state alone, as an endpoint that works on a request
+				time.Sleep(time.Millisecond)
+				if _, err := conn.Write([]byte("x")); err != nil {
+					return
+				}
+			}
+		}))
+		<-accepted
+		written := make(chan error, 1)
+		go func() {
+			_, err := conn.Write(make([]byte, 64<<20))
+			written <- err
+		}()
+		Consistently(written, 300*time.Millisecond).ShouldNot(Receive())
+		started := time.Now()
+		Expect(conn.Close()).To(Succeed())
+		Expect(time.Since(started)).To(BeNumerically("<", 100*time.Millisecond))
+		Eventually(written, 100*time.Millisecond).Should(Receive(HaveOccurred()))
+		Eventually(closed, 400*time.Millisecond).Should(BeClosed())
+		Eventually(server.OpenConnections, 100*time.Millisecond).Should(BeZero())
+	})
+
+	// Guards against the end of the connection between daemons while a caller reads slowly.
+	It("does not come while a caller reads nothing for seconds", func() {
+		size := 32 << 20
+		peer, _ := serveDetours((&net.Dialer{}).DialContext)
+		conn := open(peer, listenEndpoint(func(conn *net.TCPConn) {
+			_, _ = conn.Write(make([]byte, size))
+			_ = conn.Close()
+		}))
+		time.Sleep(4 * time.Second)
+		got, err := io.Copy(io.Discard, conn)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(got).To(Equal(int64(size)))
+		Expect(conn.Close()).To(Succeed())
+	})
 })
