--- a/internal/zpdetour/detour.go
+++ b/internal/zpdetour/detour.go
@@ -38,7 +38,9 @@
 	ErrPeerCut     = errors.New("the other daemon is cut off from all endpoints")
 	ErrBusy        = errors.New("the other daemon takes no more connections for others")
 	ErrUnsupported = errors.New("the other daemon does not know the call")
-	ErrPeerFailed  = errors.New("the other daemon could not be reached")
+	// ErrUndecided is the error of a detour after which the endpoint may still be up.
+	ErrUndecided  = errors.New("too few other daemons could tell whether the endpoint is up")
+	ErrPeerFailed = errors.New("the other daemon could not be reached")
 )
 
 // WithRegions limits the daemons through which a request may be sent to those whose region is
--- a/internal/zpdetour/dialer.go
+++ b/internal/zpdetour/dialer.go
@@ -56,7 +56,8 @@
 	// one failure domain may be cut off together.
 	verdicts struct {
 		count      int
-		needsOther bool // a daemon of another failure domain can be asked
+		needed     int
+		needsOther bool // daemons of other failure domains exist
 		hasOther   bool
 		err        error
 	}
@@ -135,15 +136,19 @@
 	return conn, err
 }
 
-// IsRefusing reports whether another daemon finds that an address refuses connections. ok is
-// false if none could tell.
+// IsRefusing reports whether an address that has refused a connection of this daemon refuses
+// those of others, too. ok is false if none could tell.
 func (d *Dialer) IsRefusing(ctx context.Context, address string) (refusing, ok bool) {
 	conn, err := d.detour(ctx, address)
-	if err == nil {
+	switch {
+	case err == nil:
 		_ = conn.Close()
 		return false, true
+	case errors.Is(err, errNoPeer):
+		return true, len(d.Peers()) == 0
 	}
-	return errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, ErrNoPath)
+	isRefused := errors.Is(err, syscall.ECONNREFUSED)
+	return isRefused, isRefused || errors.Is(err, ErrNoPath)
 }
 
 // RunProbes looks for the way back to blocked endpoints until ctx ends.
@@ -187,12 +192,12 @@
 }
 
 // detour connects to an endpoint through another daemon. The error is syscall.ECONNREFUSED or
-// ErrNoPath if the endpoint seems to be down.
+// ErrNoPath if the endpoint seems to be down, and ErrUndecided if too few daemons could tell.
 func (d *Dialer) detour(ctx context.Context, address string) (net.Conn, error) {
 	err := errNoPeer
-	peers := d.rank(ctx)
-	v := verdicts{needsOther: slices.ContainsFunc(peers, func(p Peer) bool { return p.Domain != d.Domain })}
-	for _, p := range peers {
+	allowed := d.peersFor(ctx)
+	v := verdicts{needed: min(deadVerdicts, len(allowed)), needsOther: slices.ContainsFunc(allowed, func(p Peer) bool { return p.Domain != d.Domain })}
+	for _, p := range d.rank(allowed) {
 		var conn net.Conn
 		conn, err = d.open(ctx, p, address)
 		now := d.Clock()
@@ -210,10 +215,22 @@
 			break
 		}
 	}
-	if len(peers) == v.count && v.count > 0 {
-		return nil, v.err
+	if errors.Is(err, errNoPeer) {
+		return nil, err
 	}
-	return nil, err
+	// What a single daemon found is no verdict, so its error is not wrapped.
+	return nil, fmt.Errorf("%w: %v", ErrUndecided, err)
+}
+
+// peersFor returns the daemons that may be asked for a request.
+func (d *Dialer) peersFor(ctx context.Context) []Peer {
+	var out []Peer
+	for _, p := range d.Peers() {
+		if AllowsRegion(ctx, p.Region) {
+			out = append(out, p)
+		}
+	}
+	return out
 }
 
 // add counts the failure of another daemon to connect to an endpoint, and reports whether the
@@ -228,7 +245,7 @@
 	if v.err == nil || isRefused {
 		v.err = err
 	}
-	return v.count >= deadVerdicts && (v.hasOther || !v.needsOther)
+	return v.count >= v.needed && (v.hasOther || !v.needsOther)
 }
 
 func (d *Dialer) open(ctx context.Context, p Peer, address string) (net.Conn, error) {
@@ -287,7 +304,7 @@
 
 // rank returns the daemons to ask: those of the own region first, of these those of other
 // failure domains, and of these the one with the least expected wait.
-func (d *Dialer) rank(ctx context.Context) []Peer {
+func (d *Dialer) rank(peers []Peer) []Peer {
 	type ranked struct {
 		Peer
 		distance int
@@ -298,9 +315,9 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var list []ranked
-	for _, p := range d.Peers() {
+	for _, p := range peers {
 		s := d.stateOf(p)
-		if !AllowsRegion(ctx, p.Region) || now.Before(s.avoidUntil) {
+		if now.Before(s.avoidUntil) {
 			continue
 		}
 		load := float64(s.open+1) * float64(s.connect+time.Millisecond) / max(p.Cores, minCores)
--- a/internal/zpdetour/dialer_test.go
+++ b/internal/zpdetour/dialer_test.go
@@ -199,4 +199,28 @@
 		Entry("it does not answer", zpdetour.ErrNoPath, false, true),
 		Entry("nobody could tell", zpdetour.ErrPeerFailed, false, false),
 	)
+
+	// Guards against crashes of sound endpoints that a daemon of the same cut reports.
+	It("does not take the word of one daemon where others exist", func() {
+		n := &testNetwork{open: map[string]error{"near": zpdetour.ErrPeerCut, "same": syscall.ECONNREFUSED}}
+		_, ok := newDialer(n, near, same).IsRefusing(ctx, "a")
+		Expect(ok).To(BeFalse())
+		_, ok = newDialer(n, near, same).IsRefusing(ctx, "a")
+		Expect(ok).To(BeFalse())
+	})
+
+	It("does not take the word of its own failure domain while no other daemon can be asked", func() {
+		n := &testNetwork{direct: map[string]error{"a": errHang}, open: map[string]error{"near": zpdetour.ErrPeerCut, "same": syscall.ECONNREFUSED, "same2": syscall.ECONNREFUSED}}
+		d := newDialer(n, near, same, same2)
+		for range 2 {
+			_, ok := d.IsRefusing(ctx, "a")
+			Expect(ok).To(BeFalse())
+		}
+		Expect(d.Tracker.MayDetour("a", time.Now())).To(BeTrue())
+	})
+
+	It("believes its own connect where no other daemon exists", func() {
+		refusing, ok := newDialer(&testNetwork{}).IsRefusing(ctx, "a")
+		Expect([]bool{refusing, ok}).To(Equal([]bool{true, true}))
+	})
 })
--- a/internal/zpengine/sender.go
+++ b/internal/zpengine/sender.go
@@ -193,15 +193,13 @@
 }
 
 // isRefusingOthers reports whether an address refuses the connections of other daemons, too. A
-// firewall may refuse those of this one alone.
+// firewall may refuse those of this one alone, so it does not if no other could tell.
 func (s *Sender) isRefusingOthers(ctx context.Context, address string) bool {
 	if s.Detour == nil {
 		return true
 	}
-	if refusing, ok := s.Detour.IsRefusing(ctx, address); ok {
-		return refusing
-	}
-	return !s.Detour.Tracker.IsCut(s.Detour.Clock())
+	refusing, ok := s.Detour.IsRefusing(ctx, address)
+	return refusing && ok
 }
 
 // endsWithin reports whether the other side ends a connection within the time, and closes it.
