--- a/internal/zpdetour/dialer_test.go
+++ b/internal/zpdetour/dialer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"syscall"
@@ -188,6 +189,25 @@
 		Eventually(func() zpdetour.Reach { return d.Tracker.Reach(time.Now()) }, time.Second).Should(Equal(zpdetour.Reach{}))
 	})
 
+	// Guards against a storm of connects when a part of the endpoints is reached again.
+	It("probes each blocked address once when one of them is reached again", func() {
+		n := &testNetwork{}
+		d := newDialer(n, near)
+		blocked := 20
+		d.Tracker.RecordConnect("z", time.Now())
+		for i := range blocked {
+			d.Tracker.RecordDetour(fmt.Sprint(i), time.Now())
+			d.Tracker.RecordConnect("z", time.Now())
+		}
+		expectConnect(zpdetour.DirectOnly(ctx), d, "0")
+		Eventually(func() []string { return d.Tracker.Reach(time.Now()).Blocked }, time.Second).Should(BeEmpty())
+		Consistently(func() int {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return len(n.dialed)
+		}, 50*time.Millisecond).Should(Equal(blocked))
+	})
+
 	DescribeTable("tells whether an endpoint refuses connections of others",
 		func(err error, refusing, ok bool) {
 			n := &testNetwork{open: map[string]error{"near": err, "near2": err}}
--- a/internal/zpdetour/tracker.go
+++ b/internal/zpdetour/tracker.go
@@ -44,6 +44,7 @@
 
 // RecordConnect records a connect of this daemon that succeeded. It returns the addresses to
 // probe at once, as they may be within reach again, too, and whether this daemon was cut off.
+// Those that were probed just before are left out.
 func (t *Tracker) RecordConnect(address string, now time.Time) (probe []string, wasCut bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -56,7 +57,13 @@
 	}
 	delete(t.blocked, address)
 	maps.DeleteFunc(t.blocked, func(_ string, b *block) bool { return b.isAssumed })
-	return t.addresses(), wasCut
+	for _, other := range t.addresses() {
+		if b := t.blocked[other]; now.Sub(b.probedAt) >= probeInterval {
+			b.probedAt = now
+			probe = append(probe, other)
+		}
+	}
+	return probe, wasCut
 }
 
 // RecordFailure records a connect of this daemon that failed.
