--- a/internal/zpdetour/dialer.go
+++ b/internal/zpdetour/dialer.go
@@ -128,9 +128,10 @@
 // DialDirect connects without a detour, and records the result.
 func (d *Dialer) DialDirect(ctx context.Context, network, address string) (net.Conn, error) {
 	conn, err := d.Direct(ctx, network, address)
-	if err == nil {
+	switch {
+	case err == nil:
 		d.connected(address)
-	} else {
+	case !errors.Is(ctx.Err(), context.Canceled): // else the caller has left
 		d.Tracker.RecordFailure(address, d.Clock())
 	}
 	return conn, err
--- a/internal/zpdetour/dialer_test.go
+++ b/internal/zpdetour/dialer_test.go
@@ -208,6 +208,19 @@
 		}, 50*time.Millisecond).Should(Equal(blocked))
 	})
 
+	// Guards against a cut that callers who leave make up.
+	It("does not count connects that were given up because the caller left", func() {
+		gone, leave := context.WithCancel(ctx)
+		leave()
+		n := &testNetwork{direct: map[string]error{"a": context.Canceled, "b": context.Canceled}}
+		d := newDialer(n, near)
+		for _, address := range []string{"a", "b"} {
+			_, err := d.DialContext(gone, "tcp", address)
+			Expect(err).To(HaveOccurred())
+		}
+		Expect(d.Tracker.MayBeCut()).To(BeFalse())
+	})
+
 	DescribeTable("tells whether an endpoint refuses connections of others",
 		func(err error, refusing, ok bool) {
 			n := &testNetwork{open: map[string]error{"near": err, "near2": err}}
