--- a/internal/zpdetour/dialer.go
+++ b/internal/zpdetour/dialer.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -13,6 +14,7 @@
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpnet"
 )
 
 type (
@@ -65,7 +67,8 @@
 	// one failure domain may be cut off together.
 	verdicts struct {
 		count      int
-		needsOther bool // a daemon of another failure domain can be asked
+		needed     int
+		needsOther bool // daemons of other failure domains exist
 		hasOther   bool
 		err        error
 	}
@@ -136,23 +139,29 @@
 // DialDirect connects without a detour, and records the result.
 func (d *Dialer) DialDirect(ctx context.Context, network, address string) (net.Conn, error) {
 	conn, err := d.Direct(ctx, network, address)
-	if err == nil {
+	switch {
+	case err == nil:
 		d.connected(address)
-	} else {
+	case !errors.Is(ctx.Err(), context.Canceled): // else the caller has left
 		d.Tracker.RecordFailure(address, d.Clock())
 	}
 	return conn, err
 }
 
-// IsRefusing reports whether another daemon finds that an address refuses connections. ok is
-// false if none could tell.
+// IsRefusing reports whether an address that has refused a connection of this daemon refuses
+// those of others, too. ok is false if none could tell.
 func (d *Dialer) IsRefusing(ctx context.Context, address string) (refusing, ok bool) {
 	conn, err := d.detour(ctx, address)
-	if err == nil {
+	switch {
+	case err == nil:
 		_ = conn.Close()
 		return false, true
+	case errors.Is(err, ErrNoPeer):
+		isAlone := len(d.Peers()) == 0
+		return isAlone, isAlone
 	}
-	return errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, ErrNoPath)
+	isRefused := errors.Is(err, syscall.ECONNREFUSED)
+	return isRefused, isRefused || errors.Is(err, ErrNoPath)
 }
 
 // RunProbes looks for the way back to blocked endpoints until ctx ends.
@@ -196,11 +205,11 @@
 }
 
 // detour connects to an endpoint through another daemon. The error is syscall.ECONNREFUSED or
-// ErrNoPath if the endpoint seems to be down, and ErrNoPeer if nobody could tell.
+// ErrNoPath if the endpoint seems to be down, and ErrNoPeer if too few daemons could tell.
 func (d *Dialer) detour(ctx context.Context, address string) (net.Conn, error) {
-	peers := d.rank(ctx)
-	v := verdicts{needsOther: slices.ContainsFunc(peers, func(p Peer) bool { return p.Domain != d.Domain })}
-	for _, p := range peers {
+	allowed := d.peersFor(ctx)
+	v := verdicts{needed: min(deadVerdicts, len(allowed)), needsOther: slices.ContainsFunc(allowed, func(p Peer) bool { return p.Domain != d.Domain })}
+	for _, p := range d.rank(allowed) {
 		conn, err := d.open(ctx, p, address)
 		now := d.Clock()
 		if err == nil {
@@ -217,12 +226,16 @@
 			return nil, context.Cause(ctx)
 		}
 	}
-	if len(peers) == v.count && v.count > 0 {
-		return nil, v.err
-	}
 	return nil, ErrNoPeer
 }
 
+// peersFor returns the daemons that may be asked for a request.
+func (d *Dialer) peersFor(ctx context.Context) []Peer {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.DeleteFunc(d.knownPeers(d.Clock()), func(p Peer) bool { return !AllowsRegion(ctx, p.Region) })
+}
+
 // add counts the failure of another daemon to connect to an endpoint, and reports whether the
 // endpoint seems to be down.
 func (v *verdicts) add(isOther bool, err error) bool {
@@ -235,7 +248,7 @@
 	if v.err == nil || isRefused {
 		v.err = err
 	}
-	return v.count >= deadVerdicts && (v.hasOther || !v.needsOther)
+	return v.count >= v.needed && (v.hasOther || !v.needsOther)
 }
 
 func (d *Dialer) open(ctx context.Context, p Peer, address string) (net.Conn, error) {
@@ -301,15 +314,15 @@
 // rank returns the daemons to ask: those of the own region first, of these those of other
 // failure domains, and of these the one with the least expected wait. One that has failed is
 // asked again first, by one request alone.
-func (d *Dialer) rank(ctx context.Context) []Peer {
+func (d *Dialer) rank(peers []Peer) []Peer {
 	now := d.Clock()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var sound []rankedPeer
 	var doubtful *rankedPeer
-	for _, p := range d.knownPeers(now) {
+	for _, p := range peers {
 		s := d.stateOf(p)
-		if !AllowsRegion(ctx, p.Region) || now.Before(s.avoidUntil) {
+		if now.Before(s.avoidUntil) {
 			continue
 		}
 		load := float64(s.open+1) * float64(s.connect+time.Millisecond) / max(p.Cores, minCores)
@@ -379,6 +392,16 @@
 // minCores stands for the cores of a daemon that has not told them.
 const minCores = 0.1
 
+// Read reads bytes. The end of a connection to the endpoint that was reset is an error, also if
+// a write has got the kernel's report of the reset.
+func (c *detourConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if errors.Is(err, io.EOF) && zpnet.WasReset(c.Conn) {
+		err = syscall.ECONNRESET
+	}
+	return n, err
+}
+
 // Close closes the connection.
 func (c *detourConn) Close() error {
 	c.release()
