--- a/internal/zpgateway/stream_order.go
+++ b/internal/zpgateway/stream_order.go
@@ -9,11 +9,11 @@
 )
 
 type (
-	// streamPosition is how far the caller has a stream. The zero value is its beginning.
+	// streamPosition is how far the caller has a stream. The zero value is its beginning, or
+	// unknown.
 	streamPosition struct {
-		lastID    uint64 // of the last event that the caller has
-		hasID     bool   // the caller has an event
-		isUnknown bool   // the caller has named an event by an id that is no number
+		lastID uint64 // of the last event that the caller has
+		hasID  bool   // the caller has an event, by a number
 	}
 
 	// numberings knows in which pools the ids of events are consecutive. The zero value takes
@@ -49,11 +49,12 @@
 		return streamPosition{}
 	}
 	n, err := strconv.ParseUint(id, 10, 64)
-	return streamPosition{lastID: n, hasID: err == nil, isUnknown: err != nil}
+	return streamPosition{lastID: n, hasID: err == nil}
 }
 
 // advance moves the position to an event with the given id, the first of a resumed run or
-// another. It returns an error, and stays, if the event does not follow.
+// another. It returns an error, and stays, if the event does not follow. The first event of a
+// stream may have any number.
 func (p *streamPosition) advance(id string, isResumption bool, pool string, n *numberings) error {
 	next := positionAfter(id)
 	if !next.hasID {
@@ -62,11 +63,11 @@
 	if p.hasID && next.lastID <= p.lastID {
 		return fmt.Errorf("%w: %d after %d", errEventOutOfOrder, next.lastID, p.lastID)
 	}
-	isConsecutive := next.lastID == p.lastID+1 || !p.hasID && next.lastID == 0
+	isConsecutive := !p.hasID || next.lastID == p.lastID+1
 	if !isResumption {
 		n.record(pool, isConsecutive)
 	}
-	if !isConsecutive && !p.isUnknown && !n.isSparse(pool) {
+	if !isConsecutive && !n.isSparse(pool) {
 		return fmt.Errorf("%w: %d after %d", errEventOutOfOrder, next.lastID, p.lastID)
 	}
 	*p = next
