--- a/internal/zpgateway/deliver.go
+++ b/internal/zpgateway/deliver.go
@@ -103,8 +103,7 @@
 		event := events.Bytes()
 		id, err := eventID(event)
 		if err == nil {
-			isResumption := j.events == 0 && (j.lastEvent != "" || j.request.LastEventID != "")
-			err = j.position.advance(id, isResumption, j.pool.Name, &g.numberings)
+			err = j.position.advance(id, j.events == 0, j.pool.Name, &g.numberings)
 		}
 		if err != nil {
 			return sendResult{outcomeBroken, err}
@@ -140,6 +139,9 @@
 	if g.isCutOff(ctx, e, a, streamEndWatch) {
 		return sendResult{outcomeBroken, errCutOff}
 	}
+	if j.events > 1 && !j.position.hasGap {
+		g.numberings.recordConsecutive(j.pool.Name)
+	}
 	j.runState = zperror.RunStateRan
 	if !j.headerSent {
 		j.headerSent = true
--- a/internal/zpgateway/stream_order.go
+++ b/internal/zpgateway/stream_order.go
@@ -14,20 +14,21 @@
 	streamPosition struct {
 		lastID uint64 // of the last event that the caller has
 		hasID  bool   // the caller has an event, by a number
+		hasGap bool   // an endpoint has left out ids within its own response
 	}
 
 	// numberings knows in which pools the ids of events are consecutive. The zero value takes
 	// them for consecutive. It is safe for concurrent use.
 	numberings struct {
 		mu   sync.Mutex
-		gaps map[string]int // by pool: recent evidence of ids that are left out
+		gaps map[string]int // by pool: recent evidence of streams that leave out ids
 	}
 )
 
 const (
-	// gapEvidence is what one id that is left out counts for, against one consecutive id.
+	// gapEvidence is what one stream that leaves out ids counts for, against one that does not.
 	gapEvidence = 16
-	// maxGapEvidence bounds the evidence, and so the number of consecutive ids after which
+	// maxGapEvidence bounds the evidence, and so the number of consecutive streams after which
 	// gaps count as damage again.
 	maxGapEvidence = 4 * gapEvidence
 	// sparseGapEvidence is the evidence at which ids may be left out. A damaged stream or two
@@ -52,10 +53,10 @@
 	return streamPosition{lastID: n, hasID: err == nil}
 }
 
-// advance moves the position to an event with the given id, the first of a resumed run or
-// another. It returns an error, and stays, if the event does not follow. The first event of a
-// stream may have any number.
-func (p *streamPosition) advance(id string, isResumption bool, pool string, n *numberings) error {
+// advance moves the position to an event with the given id, the first of a run or another. It
+// returns an error, and stays, if the event does not follow. The first event of a stream may
+// have any number.
+func (p *streamPosition) advance(id string, isFirstOfRun bool, pool string, n *numberings) error {
 	next := positionAfter(id)
 	if !next.hasID {
 		return fmt.Errorf("%w: %q", errInvalidEventID, id)
@@ -64,33 +65,36 @@
 		return fmt.Errorf("%w: %d after %d", errEventOutOfOrder, next.lastID, p.lastID)
 	}
 	isConsecutive := !p.hasID || next.lastID == p.lastID+1
-	if !isResumption {
-		n.record(pool, isConsecutive)
+	if !isConsecutive && !isFirstOfRun && !p.hasGap {
+		p.hasGap = true
+		n.recordGap(pool)
 	}
 	if !isConsecutive && !n.isSparse(pool) {
 		return fmt.Errorf("%w: %d after %d", errEventOutOfOrder, next.lastID, p.lastID)
 	}
-	*p = next
+	p.lastID, p.hasID = next.lastID, true
 	return nil
 }
 
-// record records an id that is consecutive, or comes after others that were left out, within
-// the response of one endpoint.
-func (n *numberings) record(pool string, isConsecutive bool) {
+// recordGap records a stream that left out ids within the response of one endpoint.
+func (n *numberings) recordGap(pool string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if isConsecutive {
-		if n.gaps[pool] > 0 {
-			n.gaps[pool]--
-		}
-		return
-	}
 	if n.gaps == nil {
 		n.gaps = map[string]int{}
 	}
 	n.gaps[pool] = min(n.gaps[pool]+gapEvidence, maxGapEvidence)
 }
 
+// recordConsecutive records a stream that left out no id.
+func (n *numberings) recordConsecutive(pool string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.gaps[pool] > 0 {
+		n.gaps[pool]--
+	}
+}
+
 // isSparse reports whether the endpoints of a pool leave out ids.
 func (n *numberings) isSparse(pool string) bool {
 	n.mu.Lock()
--- a/internal/zpgateway/stream_order_test.go
+++ b/internal/zpgateway/stream_order_test.go
@@ -113,6 +113,8 @@
 		},
 		Entry("it begins at 0", "draft", 0, 60, -1),
 		Entry("it begins elsewhere", "draft", 100, 160, -1),
+		Entry("it leaves out an id now and then", "draft", 1, 60, 31),
+		Entry("it leaves out an id now and then, in streams that may be resumed", "tag", 1, 60, 31),
 	)
 
 	It("may begin at any id", func() {
