--- a/internal/zpgateway/choice.go
+++ b/internal/zpgateway/choice.go
@@ -121,7 +121,7 @@
 	t.addBelief(&c.candidate, e)
 	if p := j.request.Prompt; p != nil && j.pool.Engine != nil {
 		c.weights = e.Weights[p.Model]
-		if g.Weights.Expired(p.Model, c.weights, now) {
+		if g.Weights.Expired(p.Model, c.weights, now) || c.weights > 0 && c.weights < j.weights {
 			return choice{}, false
 		}
 		c.candidate.MemoryTokens = j.pool.Engine.CacheTokens
--- a/internal/zpgateway/deliver.go
+++ b/internal/zpgateway/deliver.go
@@ -99,9 +99,14 @@
 	events := bufio.NewScanner(a.Body)
 	events.Buffer(make([]byte, 0, eventBufferBytes), maxEventBytes)
 	events.Split(j.splitEvents)
+	weights := a.WeightVersion
 	for events.Scan() {
 		event := events.Bytes()
+		weights = a.weightsAt(event, weights)
 		id, err := eventID(event)
+		if err == nil {
+			err = j.checkWeights(weights)
+		}
 		if err == nil {
 			err = j.position.advance(id, j.events == 0, j.pool.Name, &g.numberings)
 		}
@@ -126,6 +131,7 @@
 			return sendResult{outcomeStopped, errCallerGone.WithState(j.runState).WithCause(err)}
 		}
 		j.lastEvent, j.isInsideEvent = id, false
+		j.weights = max(j.weights, weights)
 	}
 	if err := events.Err(); err != nil {
 		return sendResult{outcomeBroken, err}
--- a/internal/zpgateway/job.go
+++ b/internal/zpgateway/job.go
@@ -39,6 +39,7 @@
 	headerSent       bool              // status and header were written to the caller
 	lastEvent        string            // id of the last event written to the caller
 	position         streamPosition    // of the caller in the stream, from earlier attempts, too
+	weights          int64             // newest weights that made an event that the caller has from this response; zero: unknown
 	isInsideEvent    bool              // a stream broke off inside the event after lastEvent
 	firstByteAt      time.Time         // when writing the body to the caller began
 	partsRefreshedAt time.Time         // when the directory was refreshed for the prompt's parts
--- a/internal/zpgateway/types.go
+++ b/internal/zpgateway/types.go
@@ -81,6 +81,9 @@
 		OtherInstance bool  // another endpoint has the address, or the weights differ
 		WeightVersion int64 // zero: unknown
 		Notice        Notice
+		// WeightsOf returns the weights that an event names because they changed before it, or
+		// zero. It may be nil.
+		WeightsOf func(event []byte) int64
 
 		// EndsWithConnection means that only the end of the connection ends the body,
 		// which the crash of an endpoint may also cause.
