--- a/internal/zpupgrade/tracker_test.go
+++ b/internal/zpupgrade/tracker_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpupgrade"
+	"github.com/zinniapaddle/zinniapaddle/pkg/zpobject"
 )
 
 var _ = Describe("Tracker", func() {
@@ -151,6 +152,19 @@
 		Expect(t.Unwritten()).To(BeEmpty())
 	})
 
+	// Guards against a status that goes back where an entry is told late, or the store comes back from an older copy.
+	It("does not take a final status back", func() {
+		t.SetVersions(pool, both, now)
+		t.Put(order("v2", 6, zpupgrade.Status{State: zpupgrade.StateRunning, To: "v2"}), now)
+		t.Put(order("v2", 7, zpupgrade.Status{State: zpupgrade.StateCompleted, To: "v2"}), now)
+		t.Put(order("v2", 6, zpupgrade.Status{State: zpupgrade.StateRunning, To: "v2"}), now)
+		Expect(t.Unwritten()).To(BeEmpty())
+		restored := order("v2", zpobject.QualifyRevision(1, 6), zpupgrade.Status{State: zpupgrade.StateRunning, To: "v2"})
+		t.Put(restored, now)
+		Expect(t.Unwritten()).To(ConsistOf(HaveField("Status.State", zpupgrade.StateCompleted)))
+		Expect(allows("v2")).To(BeTrue())
+	})
+
 	DescribeTable("rolls an order back that cannot be followed", func(within time.Duration, versions map[string]int) {
 		t.SetVersions(pool, versions, now)
 		o := order("v2", 6, zpupgrade.Status{})
