--- a/internal/zpdetour/dialer.go
+++ b/internal/zpdetour/dialer.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpnet"
 )
 
 type (
@@ -133,13 +134,18 @@
 	return conn, err
 }
 
-// IsRefusing reports whether another daemon finds that an address refuses connections. ok is
-// false if none could tell.
-func (d *Dialer) IsRefusing(ctx context.Context, address string) (refusing, ok bool) {
+// IsRefusing reports whether another daemon finds that an address refuses connections, or does
+// so after one that it accepted has ended within the watch. ok is false if none could tell.
+func (d *Dialer) IsRefusing(ctx context.Context, address string, watch time.Duration) (refusing, ok bool) {
 	conn, err := d.detour(ctx, address)
 	if err == nil {
-		_ = conn.Close()
-		return false, true
+		if !zpnet.EndsWithin(conn, watch) {
+			return false, true
+		}
+		if conn, err = d.detour(ctx, address); err == nil {
+			_ = conn.Close()
+			return false, true
+		}
 	}
 	return errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, ErrNoPath)
 }
--- a/internal/zpdetour/dialer_test.go
+++ b/internal/zpdetour/dialer_test.go
@@ -191,7 +191,7 @@
 	DescribeTable("tells whether an endpoint refuses connections of others",
 		func(err error, refusing, ok bool) {
 			n := &testNetwork{open: map[string]error{"near": err, "near2": err}}
-			gotRefusing, gotOK := newDialer(n, near, near2).IsRefusing(ctx, "a")
+			gotRefusing, gotOK := newDialer(n, near, near2).IsRefusing(ctx, "a", 0)
 			Expect([]bool{gotRefusing, gotOK}).To(Equal([]bool{refusing, ok}))
 		},
 		Entry("it does", syscall.ECONNREFUSED, true, true),
--- a/internal/zpengine/detour_test.go
+++ b/internal/zpengine/detour_test.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -18,6 +20,28 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
 )
 
+// newHangingAddress returns an address at which connects hang, as its listener accepts nothing.
+func newHangingAddress() string {
+	GinkgoHelper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	Expect(err).NotTo(HaveOccurred())
+	DeferCleanup(syscall.Close, fd)
+	Expect(syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}})).To(Succeed())
+	Expect(syscall.Listen(fd, 0)).To(Succeed())
+	name, err := syscall.Getsockname(fd)
+	Expect(err).NotTo(HaveOccurred())
+	address := fmt.Sprintf("127.0.0.1:%d", name.(*syscall.SockaddrInet4).Port)
+	for range 4 {
+		conn, err := net.DialTimeout("tcp", address, 50*time.Millisecond)
+		if err != nil {
+			return address
+		}
+		DeferCleanup(conn.Close)
+	}
+	Fail("connects do not hang")
+	return ""
+}
+
 // detouringSender is a sender that cannot connect to its endpoint by itself.
 type detouringSender struct {
 	*zpengine.Sender
@@ -127,6 +151,43 @@
 		Expect(s.IsRefusing(ctx, s.address, 0)).To(BeFalse())
 	})
 
+	// Guards against a stream that a crash cuts off and that passes for complete, as this daemon's connects hang.
+	DescribeTable("asks others whether the endpoint has crashed where its own connects hang",
+		func(target func() string, isRefusing bool) {
+			s := newDetouringSender(target())
+			s.address = newHangingAddress()
+			s.Detour.Tracker.RecordDetour(s.address, time.Now())
+			ctx, cancel := context.WithTimeout(ctx, 200*time.Millisecond)
+			defer cancel()
+			Expect(s.IsRefusing(ctx, s.address, 20*time.Millisecond)).To(Equal(isRefusing))
+		},
+		Entry("it has", func() string { return "127.0.0.1:1" }, true),
+		Entry("it has not", func() string { return newServer().Listener.Addr().String() }, false),
+	)
+
+	// Guards against the listener of an endpoint that outlives its other connections for a moment.
+	DescribeTable("watches a connection through another daemon",
+		func(isBlocked bool) {
+			lis, err := net.Listen("tcp", "127.0.0.1:0")
+			Expect(err).NotTo(HaveOccurred())
+			go func() {
+				defer GinkgoRecover()
+				conn, err := lis.Accept()
+				Expect(err).NotTo(HaveOccurred())
+				time.Sleep(30 * time.Millisecond)
+				_ = lis.Close()
+				_ = conn.Close()
+			}()
+			s := newDetouringSender(lis.Addr().String())
+			if isBlocked {
+				s.Detour.Tracker.RecordDetour(s.address, time.Now())
+			}
+			Expect(s.IsRefusing(ctx, s.address, 90*time.Millisecond)).To(BeTrue())
+		},
+		Entry("where its own take a detour", true),
+		Entry("where its own are refused", false),
+	)
+
 	It("takes it for crashed if others cannot connect to it either", func() {
 		s := newDetouringSender("127.0.0.1:1")
 		Expect(s.IsRefusing(ctx, s.address, 0)).To(BeTrue())
--- a/internal/zpengine/sender.go
+++ b/internal/zpengine/sender.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
 	"syscall"
 	"time"
 
@@ -173,7 +172,12 @@
 // connections at its limit resets them, too, but does not refuse the next. watch is how
 // long an accepted connection is watched for that.
 func (s *Sender) IsRefusing(ctx context.Context, address string, watch time.Duration) bool {
-	return s.isRefusingDirectly(ctx, address, watch) && s.isRefusingOthers(ctx, address)
+	if s.Detour != nil && s.Detour.Tracker.IsBlocked(address, s.Detour.Clock()) {
+		if refusing, ok := s.Detour.IsRefusing(ctx, address, watch); ok {
+			return refusing
+		}
+	}
+	return s.isRefusingDirectly(ctx, address, watch) && s.isRefusingOthers(ctx, address, watch)
 }
 
 func (s *Sender) isRefusingDirectly(ctx context.Context, address string, watch time.Duration) bool {
@@ -182,7 +186,7 @@
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return true
-	case err != nil && !errors.Is(err, syscall.ECONNRESET), err == nil && !endsWithin(conn, watch):
+	case err != nil && !errors.Is(err, syscall.ECONNRESET), err == nil && !zpnet.EndsWithin(conn, watch):
 		return false
 	}
 	conn, err = dial(ctx, "tcp", address)
@@ -194,29 +198,16 @@
 
 // isRefusingOthers reports whether an address refuses the connections of other daemons, too. A
 // firewall may refuse those of this one alone.
-func (s *Sender) isRefusingOthers(ctx context.Context, address string) bool {
+func (s *Sender) isRefusingOthers(ctx context.Context, address string, watch time.Duration) bool {
 	if s.Detour == nil {
 		return true
 	}
-	if refusing, ok := s.Detour.IsRefusing(ctx, address); ok {
+	if refusing, ok := s.Detour.IsRefusing(ctx, address, watch); ok {
 		return refusing
 	}
 	return !s.Detour.Tracker.IsCut(s.Detour.Clock())
 }
 
-// endsWithin reports whether the other side ends a connection within the time, and closes it.
-func endsWithin(conn net.Conn, d time.Duration) bool {
-	defer func() { _ = conn.Close() }()
-	if d <= 0 {
-		return false
-	}
-	if err := conn.SetReadDeadline(time.Now().Add(d)); err != nil {
-		return true
-	}
-	_, err := conn.Read(make([]byte, 1))
-	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
-}
-
 // newGatedDial returns a dial function whose connections can be guarded by a Gate.
 func newGatedDial(dial dialFunc) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
