--- a/internal/zpgateway/quarantine.go
+++ b/internal/zpgateway/quarantine.go
@@ -18,8 +18,8 @@
 	// harmlessEvents is the number of events after which the parts of a prompt count as
 	// harmless. An engine may still send the first event before it crashes.
 	harmlessEvents = 2
-	// refusalTimeout bounds the wait for an endpoint to refuse a connection, as the request
-	// waits too. It is more than twice the round trip between regions.
+	// refusalTimeout bounds the wait for an endpoint to refuse a connection, besides the time
+	// for which one is watched, as the request waits too. It is more than twice the round trip between regions.
 	refusalTimeout = 100 * time.Millisecond
 	// maxReportedFingerprints bounds the size of a crash report.
 	maxReportedFingerprints = 256
@@ -149,7 +149,7 @@
 // hasCrashed reports whether an endpoint accepts no connections any more. watch is how long
 // a connection that it accepts is watched.
 func (g *Gateway) hasCrashed(ctx context.Context, e zpregistry.Endpoint, watch time.Duration) bool {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), refusalTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), watch+refusalTimeout)
 	defer cancel()
 	return g.IsRefusing(ctx, e.Address, watch)
 }
--- a/internal/zpgateway/stream_end_test.go
+++ b/internal/zpgateway/stream_end_test.go
@@ -43,6 +43,25 @@
 		Expect(s.runner.runs).To(HaveLen(2))
 	})
 
+	// Guards against a crash that is not found, as the time to find it ends with the watch.
+	DescribeTable("leaves time to find a crash after an accepted connection was watched",
+		func(route, body string) {
+			s := newTestGateway(responds(http.StatusOK, body, endsWithConnection))
+			isAsked := false
+			s.IsRefusing = func(ctx context.Context, _ string, watch time.Duration) bool {
+				isAsked = true
+				deadline, ok := ctx.Deadline()
+				Expect(ok).To(BeTrue())
+				Expect(time.Until(deadline)).To(BeNumerically(">", watch+50*time.Millisecond))
+				return false
+			}
+			expectResponse(s.serve(request(route)), http.StatusOK, body)
+			Expect(isAsked).To(BeTrue())
+		},
+		Entry("a stream", "draft", events),
+		Entry("a body", "book", "done"),
+	)
+
 	// Guards against a crash of an endpoint that drains, taken for the planned end of its last response.
 	DescribeTable("is not complete if its endpoint leaves and accepts no connections any more",
 		func(route, body string, leave func(s testGateway, e zpregistry.Endpoint)) {
