--- a/internal/zpgateway/deliver.go
+++ b/internal/zpgateway/deliver.go
@@ -103,13 +103,7 @@
 	for events.Scan() {
 		event := events.Bytes()
 		weights = a.weightsAt(event, weights)
-		id, err := eventID(event)
-		if err == nil {
-			err = j.checkWeights(weights)
-		}
-		if err == nil {
-			err = j.position.advance(id, j.events == 0, j.pool.Name, &g.numberings)
-		}
+		id, err := g.checkEvent(j, event, weights)
 		if err != nil {
 			return sendResult{outcomeBroken, err}
 		}
@@ -156,6 +150,19 @@
 	return sendResult{outcome: outcomeDone}
 }
 
+// checkEvent returns the id of an event that follows what the caller has, and moves the
+// caller's position to it.
+func (g *Gateway) checkEvent(j *job, event []byte, weights int64) (string, error) {
+	id, err := eventID(event)
+	if err != nil {
+		return "", err
+	}
+	if err := j.checkWeights(weights); err != nil {
+		return "", err
+	}
+	return id, j.position.advance(id, j.events == 0, j.pool.Name, &g.numberings)
+}
+
 // splitEvents splits a stream after each blank line. Bytes after the last blank
 // line are a truncated event.
 func splitEvents(data []byte, atEOF bool) (int, []byte, error) {
