--- a/internal/zpdetour/dialer.go
+++ b/internal/zpdetour/dialer.go
@@ -149,14 +149,20 @@
 }
 
 // IsRefusing reports whether an address that has refused a connection of this daemon refuses
-// those of others, too. ok is false if none could tell.
-func (d *Dialer) IsRefusing(ctx context.Context, address string) (refusing, ok bool) {
+// those of others, too, or does so after one that it accepted has ended within the watch. ok is
+// false if none could tell.
+func (d *Dialer) IsRefusing(ctx context.Context, address string, watch time.Duration) (refusing, ok bool) {
 	conn, err := d.detour(ctx, address)
-	switch {
-	case err == nil:
-		_ = conn.Close()
-		return false, true
-	case errors.Is(err, ErrNoPeer):
+	if err == nil {
+		if !zpnet.EndsWithin(conn, watch) {
+			return false, true
+		}
+		if conn, err = d.detour(ctx, address); err == nil {
+			_ = conn.Close()
+			return false, true
+		}
+	}
+	if errors.Is(err, ErrNoPeer) {
 		isAlone := len(d.Peers()) == 0
 		return isAlone, isAlone
 	}
--- a/internal/zpdetour/dialer_test.go
+++ b/internal/zpdetour/dialer_test.go
@@ -272,7 +272,7 @@
 	DescribeTable("tells whether an endpoint refuses connections of others",
 		func(err error, refusing, ok bool) {
 			n := &testNetwork{open: map[string]error{"near": err, "near2": err}}
-			gotRefusing, gotOK := newDialer(n, near, near2).IsRefusing(ctx, "a")
+			gotRefusing, gotOK := newDialer(n, near, near2).IsRefusing(ctx, "a", 0)
 			Expect([]bool{gotRefusing, gotOK}).To(Equal([]bool{refusing, ok}))
 		},
 		Entry("it does", syscall.ECONNREFUSED, true, true),
@@ -284,9 +284,9 @@
 	// Guards against crashes of sound endpoints that a daemon of the same cut reports.
 	It("does not take the word of one daemon where others exist", func() {
 		n := &testNetwork{open: map[string]error{"near": zpdetour.ErrPeerCut, "same": syscall.ECONNREFUSED}}
-		_, ok := newDialer(n, near, same).IsRefusing(ctx, "a")
+		_, ok := newDialer(n, near, same).IsRefusing(ctx, "a", 0)
 		Expect(ok).To(BeFalse())
-		_, ok = newDialer(n, near, same).IsRefusing(ctx, "a")
+		_, ok = newDialer(n, near, same).IsRefusing(ctx, "a", 0)
 		Expect(ok).To(BeFalse())
 	})
 
@@ -294,14 +294,14 @@
 		n := &testNetwork{direct: map[string]error{"a": errHang}, open: map[string]error{"near": zpdetour.ErrPeerCut, "same": syscall.ECONNREFUSED, "same2": syscall.ECONNREFUSED}}
 		d := newDialer(n, near, same, same2)
 		for range 2 {
-			_, ok := d.IsRefusing(ctx, "a")
+			_, ok := d.IsRefusing(ctx, "a", 0)
 			Expect(ok).To(BeFalse())
 		}
 		Expect(d.Tracker.MayDetour("a", time.Now())).To(BeTrue())
 	})
 
 	It("believes its own connect where no other daemon exists", func() {
-		refusing, ok := newDialer(&testNetwork{}).IsRefusing(ctx, "a")
+		refusing, ok := newDialer(&testNetwork{}).IsRefusing(ctx, "a", 0)
 		Expect([]bool{refusing, ok}).To(Equal([]bool{true, true}))
 	})
 })
--- a/internal/zpengine/sender.go
+++ b/internal/zpengine/sender.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
 	"syscall"
 	"time"
 
@@ -173,7 +172,12 @@
 // connections at its limit resets them, too, but does not refuse the next. watch is how
 // long an accepted connection is watched for that.
 func (s *Sender) IsRefusing(ctx context.Context, address string, watch time.Duration) bool {
-	return s.isRefusingDirectly(ctx, address, watch) && s.isRefusingOthers(ctx, address)
+	if s.Detour != nil && s.Detour.Tracker.IsBlocked(address, s.Detour.Clock()) {
+		if refusing, ok := s.Detour.IsRefusing(ctx, address, watch); ok {
+			return refusing
+		}
+	}
+	return s.isRefusingDirectly(ctx, address, watch) && s.isRefusingOthers(ctx, address, watch)
 }
 
 func (s *Sender) isRefusingDirectly(ctx context.Context, address string, watch time.Duration) bool {
@@ -182,7 +186,7 @@
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return true
-	case err != nil && !errors.Is(err, syscall.ECONNRESET), err == nil && !endsWithin(conn, watch):
+	case err != nil && !errors.Is(err, syscall.ECONNRESET), err == nil && !zpnet.EndsWithin(conn, watch):
 		return false
 	}
 	conn, err = dial(ctx, "tcp", address)
@@ -193,26 +197,16 @@
 }
 
 // isRefusingOthers reports whether an address refuses the connections of other daemons, too. A
-// firewall may refuse those of this one alone, so it does not if no other could tell.
-func (s *Sender) isRefusingOthers(ctx context.Context, address string) bool {
+// firewall may refuse those of this one alone. If no other daemon can tell, this one believes
+// itself unless it may be cut off: a crash that is not found makes a part of a response look whole.
+func (s *Sender) isRefusingOthers(ctx context.Context, address string, watch time.Duration) bool {
 	if s.Detour == nil {
 		return true
 	}
-	refusing, ok := s.Detour.IsRefusing(ctx, address)
-	return refusing && ok
-}
-
-// endsWithin reports whether the other side ends a connection within the time, and closes it.
-func endsWithin(conn net.Conn, d time.Duration) bool {
-	defer func() { _ = conn.Close() }()
-	if d <= 0 {
-		return false
-	}
-	if err := conn.SetReadDeadline(time.Now().Add(d)); err != nil {
-		return true
+	if refusing, ok := s.Detour.IsRefusing(ctx, address, watch); ok {
+		return refusing
 	}
-	_, err := conn.Read(make([]byte, 1))
-	return err != nil && !errors.Is(err, os.ErrDeadlineExceeded)
+	return !s.Detour.Tracker.MayBeCut()
 }
 
 // newGatedDial returns a dial function whose connections can be guarded by a Gate.
--- a/internal/zpgateway/deliver.go
+++ b/internal/zpgateway/deliver.go
@@ -99,13 +99,11 @@
 	events := bufio.NewScanner(a.Body)
 	events.Buffer(make([]byte, 0, eventBufferBytes), maxEventBytes)
 	events.Split(j.splitEvents)
+	weights := a.WeightVersion
 	for events.Scan() {
 		event := events.Bytes()
-		id, err := eventID(event)
-		if err == nil {
-			isResumption := j.events == 0 && (j.lastEvent != "" || j.request.LastEventID != "")
-			err = j.position.advance(id, isResumption, j.pool.Name, &g.numberings)
-		}
+		weights = a.weightsAt(event, weights)
+		id, err := g.checkEvent(j, event, weights)
 		if err != nil {
 			return sendResult{outcomeBroken, err}
 		}
@@ -127,6 +125,7 @@
 			return sendResult{outcomeStopped, errCallerGone.WithState(j.runState).WithCause(err)}
 		}
 		j.lastEvent, j.isInsideEvent = id, false
+		j.weights = max(j.weights, weights)
 	}
 	if err := events.Err(); err != nil {
 		return sendResult{outcomeBroken, err}
@@ -140,6 +139,9 @@
 	if g.isCutOff(ctx, e, a, streamEndWatch) {
 		return sendResult{outcomeBroken, errCutOff}
 	}
+	if j.events > 1 && !j.position.hasGap {
+		g.numberings.recordConsecutive(j.pool.Name)
+	}
 	j.runState = zperror.RunStateRan
 	if !j.headerSent {
 		j.headerSent = true
@@ -148,6 +150,19 @@
 	return sendResult{outcome: outcomeDone}
 }
 
+// checkEvent returns the id of an event that follows what the caller has, and moves the
+// caller's position to it.
+func (g *Gateway) checkEvent(j *job, event []byte, weights int64) (string, error) {
+	id, err := eventID(event)
+	if err != nil {
+		return "", err
+	}
+	if err := j.checkWeights(weights); err != nil {
+		return "", err
+	}
+	return id, j.position.advance(id, j.events == 0, j.pool.Name, &g.numberings)
+}
+
 // splitEvents splits a stream after each blank line. Bytes after the last blank
 // line are a truncated event.
 func splitEvents(data []byte, atEOF bool) (int, []byte, error) {
