--- a/internal/zpengine/client.go
+++ b/internal/zpengine/client.go
@@ -50,7 +50,7 @@
 const (
 	maxIdleConnsPerHost = 64
 	idleTimeout         = 30 * time.Second
-	ackTimeout          = 15 * time.Second
+	silenceTimeout      = 15 * time.Second
 	reportTimeout       = 2 * time.Second
 	maxReportBytes      = 64 << 10 // bytes
 	maxErrorTextBytes   = 4 << 10
@@ -63,7 +63,7 @@
 
 // Open creates the HTTP clients and the response buffers.
 func (c *Client) Open() {
-	c.sender = Sender{ConnectTimeout: c.ConnectTimeout, AckTimeout: ackTimeout, IdleTimeout: idleTimeout}
+	c.sender = Sender{ConnectTimeout: c.ConnectTimeout, SilenceTimeout: silenceTimeout, IdleTimeout: idleTimeout}
 	c.sender.Open()
 	c.buffers = NewMemory(DefaultMemoryBytes)
 }
--- a/internal/zpengine/detour_test.go
+++ b/internal/zpengine/detour_test.go
@@ -46,7 +46,7 @@
 			return conn, err
 		},
 	}
-	s.Sender = &zpengine.Sender{ConnectTimeout: time.Second, AckTimeout: time.Second, IdleTimeout: time.Second, Detour: detour}
+	s.Sender = &zpengine.Sender{ConnectTimeout: time.Second, SilenceTimeout: time.Second, IdleTimeout: time.Second, Detour: detour}
 	s.Open()
 	DeferCleanup(s.Close)
 	return s
--- a/internal/zpengine/refusing_test.go
+++ b/internal/zpengine/refusing_test.go
@@ -12,7 +12,7 @@
 )
 
 var _ = Describe("Sender.IsRefusing", func() {
-	sender := &zpengine.Sender{ConnectTimeout: time.Second, AckTimeout: time.Second}
+	sender := &zpengine.Sender{ConnectTimeout: time.Second, SilenceTimeout: time.Second}
 
 	// listen serves connections on a loopback address.
 	listen := func(serve func(lis net.Listener, conn *net.TCPConn)) string {
--- a/internal/zpengine/sender.go
+++ b/internal/zpengine/sender.go
@@ -19,7 +19,7 @@
 // then call Open.
 type Sender struct {
 	ConnectTimeout time.Duration
-	AckTimeout     time.Duration // how long sent bytes may stay unacknowledged before the connection fails
+	SilenceTimeout time.Duration // how long sent bytes or probes may stay unacknowledged before the connection fails
 	IdleTimeout    time.Duration // of pooled connections
 	// Detour connects through other daemons where this one cannot; nil: nobody does. Open sets
 	// its Direct.
@@ -44,7 +44,7 @@
 
 // Open creates the HTTP clients.
 func (s *Sender) Open() {
-	s.direct = zpnet.NewDialer(s.ConnectTimeout, s.AckTimeout).DialContext
+	s.direct = zpnet.NewDialer(s.ConnectTimeout, s.SilenceTimeout).DialContext
 	direct, anyWay := s.direct, s.direct
 	if s.Detour != nil {
 		s.Detour.Direct = s.direct
@@ -177,7 +177,7 @@
 }
 
 func (s *Sender) isRefusingDirectly(ctx context.Context, address string, watch time.Duration) bool {
-	dial := newGatedDial(zpnet.NewDialer(s.ConnectTimeout, s.AckTimeout).DialContext)
+	dial := newGatedDial(zpnet.NewDialer(s.ConnectTimeout, s.SilenceTimeout).DialContext)
 	conn, err := dial(ctx, "tcp", address)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
--- a/internal/zpnet/dialer.go
+++ b/internal/zpnet/dialer.go
@@ -10,26 +10,23 @@
 	"golang.org/x/sys/unix"
 )
 
-const (
-	keepAliveIdle     = time.Second // minimum of the socket option
-	keepAliveInterval = time.Second
-	keepAliveCount    = 2
-)
+// callerSilenceTimeout is the silence timeout of connections from callers.
+const callerSilenceTimeout = 3 * time.Second
 
-// NewDialer returns a dialer whose connections fail once sent bytes or
-// keep-alive probes have gone unacknowledged for ackTimeout.
-func NewDialer(connectTimeout, ackTimeout time.Duration) *net.Dialer {
+// NewDialer returns a dialer whose connections fail once sent bytes have gone unacknowledged
+// for silenceTimeout, or an idle peer has not acknowledged probes for that long.
+func NewDialer(connectTimeout, silenceTimeout time.Duration) *net.Dialer {
 	return &net.Dialer{
 		Timeout:         connectTimeout,
-		KeepAliveConfig: keepAliveConfig(),
-		Control:         setUserTimeout(ackTimeout),
+		KeepAliveConfig: probesFor(silenceTimeout),
+		Control:         setUserTimeout(silenceTimeout),
 	}
 }
 
-// NewAckListenConfig returns a listener configuration whose accepted connections fail once sent
-// bytes have gone unacknowledged for ackTimeout.
-func NewAckListenConfig(ackTimeout time.Duration) *net.ListenConfig {
-	return &net.ListenConfig{Control: setUserTimeout(ackTimeout)}
+// NewSilenceListenConfig returns a listener configuration whose accepted connections fail
+// like those of NewDialer.
+func NewSilenceListenConfig(silenceTimeout time.Duration) *net.ListenConfig {
+	return &net.ListenConfig{KeepAliveConfig: probesFor(silenceTimeout), Control: setUserTimeout(silenceTimeout)}
 }
 
 func setUserTimeout(d time.Duration) func(network, address string, raw syscall.RawConn) error {
@@ -48,9 +45,5 @@
 // NewListenConfig returns a listener configuration whose accepted connections
 // send keep-alive probes and receive little that is not read.
 func NewListenConfig() *net.ListenConfig {
-	return &net.ListenConfig{KeepAliveConfig: keepAliveConfig(), Control: LimitReceiveBuffer}
-}
-
-func keepAliveConfig() net.KeepAliveConfig {
-	return net.KeepAliveConfig{Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount}
+	return &net.ListenConfig{KeepAliveConfig: probesFor(callerSilenceTimeout), Control: LimitReceiveBuffer}
 }
--- a/internal/zppeer/client.go
+++ b/internal/zppeer/client.go
@@ -42,7 +42,7 @@
 	poolCapacity    = 2048
 	poolKeyCapacity = 64
 	poolExpiration  = 30 * time.Second
-	tcpUserTimeout  = 2 * time.Second // limit on unacknowledged data; detects a peer that lost power
+	silenceTimeout  = 2 * time.Second // detects a peer that lost power
 )
 
 // ErrPeer is returned when a call fails. The call may still have taken effect
@@ -97,7 +97,7 @@
 }
 
 func (d *Dialer) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
-	conn, err := zpnet.NewDialer(d.Timeout, tcpUserTimeout).DialContext(ctx, "tcp", address)
+	conn, err := zpnet.NewDialer(d.Timeout, silenceTimeout).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/zppeer/server.go
+++ b/internal/zppeer/server.go
@@ -16,7 +16,7 @@
 // Listen opens the listener for calls of other daemons, without TLS if config is
 // nil.
 func Listen(address string, config *tls.Config) (net.Listener, error) {
-	lis, err := zpnet.NewAckListenConfig(tcpUserTimeout).Listen(context.Background(), "tcp", address)
+	lis, err := zpnet.NewSilenceListenConfig(silenceTimeout).Listen(context.Background(), "tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen for peers: %w", err)
 	}
