--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpbrittle"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpclock"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpdetour"
@@ -143,7 +144,7 @@
 		AwaitCatalog: func(ctx context.Context) { d.catalogs.await(ctx) }, IsCatalogConfirmed: func() bool { return d.catalogs.isConfirmed() }, Registry: d.registry, HasSynced: d.hasSynced,
 		Weights: d.weights, Usage: zpusage.NewTracker(usageMaxAge), Parts: zpparts.NewDirectory(maxPartsPerHolder),
 		Stores: zpparts.NewStores(cacheStoreStateMaxAge, cacheStoreSettleDelay), AnnounceParts: d.announceParts, RefreshParts: d.query,
-		Health: zpgateway.NewHealthTracker(), Speed: zpspeed.NewTracker(), Cold: &zpplace.ColdLimiter{Self: s.Name}, Daemons: d.members.Names,
+		Health: zpgateway.NewHealthTracker(), Speed: zpspeed.NewTracker(), Cold: &zpplace.ColdLimiter{Self: s.Name}, Brittle: zpbrittle.New(s.Name), Daemons: d.members.Names,
 		Quarantine: zpquarantine.NewTracker(crashRetention), AnnounceCrash: d.announceCrash, AnnounceHarmless: d.announceHarmless, RequestTrial: d.requestTrial, IsRefusing: d.sender.IsRefusing, AnnounceUnreachable: d.announceUnreachable,
 		Retries: &zpretry.Budgets{Ratio: n.Bounds.RetryRatio * retryShare, Burst: retryBurst},
 		Runner:  &zpplatform.Runner{Sender: d.sender}, ResponseMemory: zpengine.NewMemory(zpmemory.PlanFor(n.Memory).Responses), Rates: zpplace.DefaultRates(),
--- a/internal/zpgateway/choice.go
+++ b/internal/zpgateway/choice.go
@@ -93,7 +93,7 @@
 	for len(choices) > 0 {
 		i, cost := zpplace.Best(demand, candidates, g.Rates)
 		c := choices[i]
-		if c.candidate.Cold && !g.Cold.Allow(c.endpoint.ID, j.pool.ColdRequestsPerSecond, g.Daemons(), now) {
+		if !g.mayTry(j.pool, c, now) || c.candidate.Cold && !g.Cold.Allow(c.endpoint.ID, j.pool.ColdRequestsPerSecond, g.Daemons(), now) {
 			choices = append(choices[:i], choices[i+1:]...)
 			candidates = append(candidates[:i], candidates[i+1:]...)
 			continue
--- a/internal/zpgateway/gateway.go
+++ b/internal/zpgateway/gateway.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/zinniapaddle/zinniapaddle/internal/zpbrittle"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
@@ -48,6 +49,7 @@
 	Health           *HealthTracker
 	Speed            *zpspeed.Tracker
 	Cold             *zpplace.ColdLimiter
+	Brittle          *zpbrittle.Tracker
 	Daemons          func() []string // names of all daemons, including this one
 	Quarantine       *zpquarantine.Tracker
 	AnnounceCrash    func(r zpquarantine.Report) // reports a crash to other daemons
--- a/internal/zpgateway/helpers_test.go
+++ b/internal/zpgateway/helpers_test.go
@@ -14,6 +14,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/zinniapaddle/zinniapaddle/internal/zpbrittle"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpgateway"
@@ -191,7 +192,7 @@
 		HasSynced: func() bool { return true },
 		Weights:   zprollout.NewWeightVersions(8 * time.Second), Usage: zpusage.NewTracker(time.Second), Parts: zpparts.NewDirectory(100),
 		Stores: zpparts.NewStores(time.Hour, 0), AnnounceParts: func(zpgateway.PartChanges) {}, RefreshParts: func(context.Context, [][]zpparts.Key) {}, Health: zpgateway.NewHealthTracker(), Speed: zpspeed.NewTracker(),
-		Cold: &zpplace.ColdLimiter{Self: "d"}, Daemons: func() []string { return []string{"d"} },
+		Cold: &zpplace.ColdLimiter{Self: "d"}, Brittle: zpbrittle.New("d"), Daemons: func() []string { return []string{"d"} },
 		Quarantine: zpquarantine.NewTracker(time.Hour), AnnounceCrash: func(zpquarantine.Report) {}, AnnounceHarmless: func([]string) {}, RequestTrial: func(context.Context, string) bool { return true }, AnnounceUnreachable: func(string) {},
 		IsRefusing: func(context.Context, string, time.Duration) bool { return false },
 		Retries:    &zpretry.Budgets{Ratio: 0.1, Burst: 5}, Runner: runner, ResponseMemory: zpengine.NewMemory(1 << 20), Rates: zpplace.DefaultRates(),
--- a/internal/zpgateway/notice.go
+++ b/internal/zpgateway/notice.go
@@ -15,6 +15,10 @@
 	// QuietFor is the time for which the endpoint wants no requests from this daemon.
 	QuietFor time.Duration
 	Load     zpspeed.Load
+	// IsBrittle says that the endpoints of the pool fall over when one of them refuses more than
+	// MaxRefusals requests in a second.
+	IsBrittle   bool
+	MaxRefusals int
 }
 
 const (
@@ -35,6 +39,7 @@
 		g.Log.Emit(zplog.EndpointLeaving, zplog.Fields{"endpoint": endpoint, "source": source})
 	}
 	g.recordLoad(endpoint, source, n.Load)
+	g.recordBrittle(endpoint, source, n)
 	if n.QuietFor <= 0 || zpmutant.Active(zpmutant.Quiet) {
 		return
 	}
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -316,6 +316,7 @@
 		g.recordFailure(c.endpoint.ID, FailureOtherInstance)
 	case a.NotRun:
 		g.recordFailure(c.endpoint.ID, FailureNotRun)
+		g.recordRefusal(j.pool.Name, c.endpoint.ID)
 	}
 }
 
--- a/internal/zplog/event.go
+++ b/internal/zplog/event.go
@@ -105,6 +105,7 @@
 	EndpointsReachable   = Event{513, logrus.InfoLevel, "this daemon connects to endpoints again", "none"}
 	DetourFailed         = Event{514, logrus.InfoLevel, "another daemon could not open a connection to an endpoint for this one", "none; see docs/operators/cut_off_from_endpoints.md if it repeats"}
 	DetourRefused        = Event{515, logrus.InfoLevel, "a connection to an endpoint was not opened for another daemon", "none"}
+	EndpointsBrittle     = Event{516, logrus.WarnLevel, "endpoints of a pool say that they fall over when they refuse too much; requests wait until one has room", "check the load of the pool"}
 	UpgradeOrdered       = Event{520, logrus.InfoLevel, "a pool is to move to endpoints of another software version", "none"}
 	UpgradeStopped       = Event{521, logrus.WarnLevel, "this daemon sends nothing more to a new version, by its own evidence", "see docs/operators/roll_outs.md"}
 	UpgradeCompleted     = Event{522, logrus.InfoLevel, "a pool has moved to a new version", "none"}
@@ -139,7 +140,7 @@
 		ConfigStale, ConfigFresh, WatchFailed, StoreUnavailable, StoreRecovered, EntryIgnored, EvacuationChanged, PeerCatalogUnread, CatalogConfirmed, CatalogUnconfirmed, StoreProbed, StoreAnswers, StoreRestored, StoreEraUnusable, WrittenAgain,
 		RequestFailed, RequestRetried, RequestPlaced, CrashRecorded, RequestAnswered, RequestWaits, RequestSilent, RequestAbandoned, ChoiceRevoked, RequestsQuarantined, SuspicionCleared, BanNotStored, TrialBegun, RequestHopeless,
 		EndpointSuspect, EndpointWarm, OrderGiven, EndpointChanged, EndpointGone, WeightsNamed, WeightsLoaded,
-		OrderFailed, StoreState, EndpointAvoided, EndpointLeaving, EndpointQuiet, EndpointsUnreachable, EndpointsReachable, DetourFailed, DetourRefused,
+		OrderFailed, StoreState, EndpointAvoided, EndpointLeaving, EndpointQuiet, EndpointsUnreachable, EndpointsReachable, DetourFailed, DetourRefused, EndpointsBrittle,
 		UpgradeOrdered, UpgradeStopped, UpgradeCompleted, UpgradeRolledBack, UpgradeNotWritten, UpgradeRemoved, UpgradeStatus, VersionsMixed, EndpointSlow, BadLoad, FingerprintBanned, ClaimSettleFailed, PeerFailed, PeerLost, PeerRecovered, OwnerUnresponsive, WatcherAvoided, RelayAvoided,
 		ServerFailed, LinesDropped, DaemonStalled, MemoryRefused, ConnectionRefused, HolderEvicted,
 	}
--- a/internal/zpmetric/metric.go
+++ b/internal/zpmetric/metric.go
@@ -34,6 +34,7 @@
 		MemoryRefusals    *prometheus.CounterVec // by port, reason
 		MemoryEvictions   *prometheus.CounterVec // by port, phase
 		LoadWords         *prometheus.CounterVec // by result
+		BrittleHeld       *prometheus.CounterVec // by pool
 	}
 )
 
@@ -62,6 +63,7 @@
 		MemoryRefusals:    counterVec("memory_refusals_total", "Requests and connections refused for lack of memory or connections.", "port", "reason"),
 		MemoryEvictions:   counterVec("memory_evictions_total", "Connections ended because they held memory or a connection without progress that others needed.", "port", "phase"),
 		LoadWords:         counterVec("load_words_total", "Responses in which an endpoint tells its load and speed, by whether they were understood.", "result"),
+		BrittleHeld:       counterVec("brittle_held_total", "Endpoints passed over because they are brittle and were not known to have room.", "pool"),
 		PromptTokens:      counter("prompt_tokens_total", "Prompt tokens of completed requests."),
 	}
 	m.FirstToken = prometheus.NewHistogramVec(prometheus.HistogramOpts{
@@ -80,7 +82,7 @@
 	})
 	m.Registry.MustRegister(m.Detours, m.DetourSeconds, m.Requests, m.FirstToken, m.AbandonedRequests, m.StallSeconds, m.OpenRequests, m.PlatformCalls, m.PeerCalls,
 		m.Reservations, m.ConfigVersion, m.ConfigAge, m.PartitionsOwned, m.Retries, m.Hopeless, m.Quarantined, m.Trials, m.Crashes,
-		m.LinkBytes, m.CrossRegion, m.ReusedTokens, m.PromptTokens, m.MemoryRefusals, m.MemoryEvictions, m.LoadWords)
+		m.LinkBytes, m.CrossRegion, m.ReusedTokens, m.PromptTokens, m.MemoryRefusals, m.MemoryEvictions, m.LoadWords, m.BrittleHeld)
 	return m
 }
 
--- a/internal/zpusage/tracker.go
+++ b/internal/zpusage/tracker.go
@@ -64,6 +64,10 @@
 // once more.
 func WaitingOfKey(pool, workspace string) string { return "waiting-of/" + pool + "/" + workspace }
 
+// RefusedKey returns the key under which the latest refusals of an endpoint are counted, in place
+// of an endpoint.
+func RefusedKey(endpoint string) string { return "refused/" + endpoint }
+
 // Begin adds a request to an endpoint. prefill and memory are numbers of tokens.
 func (t *Tracker) Begin(endpoint string, prefill, memory int) *RunningRequest {
 	r := &RunningRequest{tracker: t, endpoint: endpoint, use: Usage{Requests: 1, PrefillTokens: prefill, MemoryTokens: memory}}
@@ -85,6 +89,13 @@
 	r.use = Usage{}
 }
 
+// OwnOf returns the running work of this daemon on an endpoint.
+func (t *Tracker) OwnOf(endpoint string) Usage {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.ownUses[endpoint]
+}
+
 // Total returns the running work on an endpoint, as far as this daemon knows.
 func (t *Tracker) Total(endpoint string, now time.Time) Usage {
 	t.mu.Lock()
