--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -137,7 +137,7 @@
 	d.store = &zpplatform.Store{BaseURL: s.Platform.Address, Timeout: storeTimeout, OnCall: d.countStore, Eras: d.eras, OnBadEra: d.storeEraUnusable, Clock: zpclock.Now}
 	d.store.Open()
 	d.buildDetours()
-	d.sender = zpplatform.NewSender(d.detour)
+	d.sender = d.newSender()
 	d.gateway = &zpgateway.Gateway{
 		Domain: s.Domain, Region: s.Region, RegionOf: n.RegionOf, Catalog: d.catalog.Load, CatalogConfirmedAt: func() time.Time { return d.follower.ReadAt() },
 		AwaitCatalog: func(ctx context.Context) { d.catalogs.await(ctx) }, IsCatalogConfirmed: func() bool { return d.catalogs.isConfirmed() }, Registry: d.registry, HasSynced: d.hasSynced,
--- a/internal/zpapp/gateway_detours.go
+++ b/internal/zpapp/gateway_detours.go
@@ -9,8 +9,11 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpclock"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpdetour"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 	"github.com/zinniapaddle/zinniapaddle/internal/zppeer"
+	zpplatform "github.com/zinniapaddle/zinniapaddle/platform"
 )
 
 const (
@@ -37,6 +40,13 @@
 	}
 }
 
+func (d *GatewayDaemon) newSender() *zpengine.Sender {
+	if zpmutant.Active(zpmutant.Detour) {
+		return zpplatform.NewSender(nil)
+	}
+	return zpplatform.NewSender(d.detour)
+}
+
 // detourPeers returns the other daemons that answered recently.
 func (d *GatewayDaemon) detourPeers() []zpdetour.Peer {
 	var out []zpdetour.Peer
--- a/internal/zpmutant/name.go
+++ b/internal/zpmutant/name.go
@@ -22,4 +22,5 @@
 	Departure     Name = "departure"      // client disconnects are not detected
 	Leaving       Name = "leaving"        // that an endpoint says that it leaves is ignored
 	Quiet         Name = "quiet"          // that an endpoint says for how long it wants no requests is ignored
+	Detour        Name = "detour"         // requests to endpoints that only other daemons reach take no detour
 )
--- a/internal/zpsoak/cluster.go
+++ b/internal/zpsoak/cluster.go
@@ -40,7 +40,7 @@
 		daemons    []*zpsite.Process
 		toStore    []*Link // by daemon
 		toPeer     []*Link // to each daemon from the others
-		toEndpoint []*Link // by endpoint
+		toEndpoint []links // by endpoint
 		version    int
 	}
 )
@@ -89,8 +89,9 @@
 }
 
 // ip returns an address of the cluster. Group 0 is the store, 1 the daemons, 2 the
-// links to the store, 3 those between daemons, 4 those to endpoints, 5 the
-// endpoints.
+// links to the store, 3 those between daemons, 4 the endpoints in their entries, 5 the
+// endpoints, 6 the store as each daemon sees it. Those from firstEndpointGroup are the
+// links of each daemon to the endpoints.
 func (s *cluster) ip(group, i int) string { return fmt.Sprintf("127.%d.%d.%d", s.Number, group, i) }
 
 func (s *cluster) config() string {
@@ -119,11 +120,15 @@
 		Pool: pool, Domain: domains[i%len(domains)], Address: s.ip(4, 10+i) + ":9000", Slots: slotsPerEndpoint, Work: serviceTime, Events: eventsPerStream, Log: s.log,
 		Version: versions[i/len(domains)%len(versions)],
 	}
-	l, err := s.link(e.Address, target)
-	if err != nil {
-		return err
+	var list links
+	for d := range s.Daemons {
+		l, err := s.link(s.endpointAddress(d, i), target)
+		if err != nil {
+			return err
+		}
+		list = append(list, l)
 	}
-	s.endpoints, s.toEndpoint = append(s.endpoints, e), append(s.toEndpoint, l)
+	s.endpoints, s.toEndpoint = append(s.endpoints, e), append(s.toEndpoint, list)
 	e.Start(fmt.Sprintf("i-%d", i), 0)
 	s.register(e)
 	return s.serve(target, e)
@@ -135,13 +140,17 @@
 }
 
 func (s *cluster) addDaemon(i int) error {
-	toStore, err := s.link(s.ip(2, 10+i)+":7000", s.ip(0, 1)+":7000")
+	view := s.viewOf(i)
+	if err := s.serve(s.ip(6, 10+i)+":7000", &storeView{store: s.store, replacer: view}); err != nil {
+		return err
+	}
+	toStore, err := s.link(s.ip(2, 10+i)+":7000", s.ip(6, 10+i)+":7000")
 	if err != nil {
 		return err
 	}
 	peers := fmt.Sprintf(":%d", zpoutside.PeersPort)
-	toPeer, err := s.link(s.ip(3, 10+i)+peers, s.daemonIP(i)+peers)
-	if err != nil {
+	toPeer := &Link{Listen: s.ip(3, 10+i) + peers, Target: s.daemonIP(i) + peers, Rewrite: func(data []byte) []byte { return []byte(view.Replace(string(data))) }}
+	if err := toPeer.Open(); err != nil {
 		return err
 	}
 	s.toStore, s.toPeer = append(s.toStore, toStore), append(s.toPeer, toPeer)
@@ -214,7 +223,7 @@
 	for _, d := range s.daemons {
 		d.Kill()
 	}
-	for _, list := range [][]*Link{s.toStore, s.toPeer, s.toEndpoint} {
+	for _, list := range append(s.toEndpoint, s.toStore, s.toPeer) {
 		for _, l := range list {
 			l.Close()
 		}
--- a/internal/zpsoak/faults.go
+++ b/internal/zpsoak/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -15,6 +16,7 @@
 	injector struct {
 		cluster     *cluster
 		sendPrompts func(ctx context.Context, d time.Duration) // sound ones and ones with the deadly part
+		sendSteady  func(ctx context.Context, d time.Duration) // to all daemons, whatever they answer
 
 		mu           sync.Mutex
 		faultWindows []faultWindow
@@ -32,6 +34,7 @@
 	faultWindow struct {
 		Kind     Kind
 		Target   int
+		Stranded Stranded
 		From, To time.Time // To is zero while the fault is active
 	}
 
@@ -49,6 +52,13 @@
 	rewriteDelay = 500 * time.Millisecond
 )
 
+var endpointModes = map[Kind]LinkMode{
+	EndpointCut:    {HoldToTarget: true, HoldFromTarget: true},
+	EndpointMute:   {HoldFromTarget: true},
+	EndpointSilent: {HoldFromTarget: true},
+	EndpointSlow:   {Delay: 150 * time.Millisecond},
+}
+
 // inject executes the plan. Faults overlap as planned, but a fault is skipped
 // while another one of the same scope is active.
 func (i *injector) inject(ctx context.Context, plan []Fault) {
@@ -86,8 +96,10 @@
 		return "store"
 	case PeerCut, PeerSlow:
 		return fmt.Sprintf("peer link %d", f.Target)
-	case EndpointCut, EndpointMute, EndpointReset, EndpointSlow:
+	case EndpointCut, EndpointMute, EndpointReset, EndpointSlow, EndpointSilent:
 		return fmt.Sprintf("endpoint link %d", f.Target)
+	case StrandedHang, StrandedReset, StrandedRefuse:
+		return "stranded"
 	case ResumeWrong:
 		return "resumption"
 	case EndpointCrash, EndpointDrain, EndpointLeave, EndpointQuiet:
@@ -106,7 +118,7 @@
 		return false
 	}
 	i.activeScopes[f.scope()] = true
-	i.faultWindows = append(i.faultWindows, faultWindow{Kind: f.Kind, Target: f.Target, From: time.Now()})
+	i.faultWindows = append(i.faultWindows, faultWindow{Kind: f.Kind, Target: f.Target, Stranded: f.Stranded, From: time.Now()})
 	return true
 }
 
@@ -149,14 +161,12 @@
 		s.toPeer[f.Target].setModeFor(ctx, LinkMode{HoldToTarget: true}, f.Duration)
 	case PeerSlow:
 		s.toPeer[f.Target].setModeFor(ctx, LinkMode{Delay: 100 * time.Millisecond}, f.Duration)
-	case EndpointCut:
-		s.toEndpoint[f.Target].setModeFor(ctx, LinkMode{HoldToTarget: true, HoldFromTarget: true}, f.Duration)
-	case EndpointMute:
-		s.toEndpoint[f.Target].setModeFor(ctx, LinkMode{HoldFromTarget: true}, f.Duration)
+	case EndpointCut, EndpointMute, EndpointSilent, EndpointSlow:
+		s.toEndpoint[f.Target].setModeFor(ctx, endpointModes[f.Kind], f.Duration)
 	case EndpointReset:
 		s.toEndpoint[f.Target].resetFor(ctx, f.Duration)
-	case EndpointSlow:
-		s.toEndpoint[f.Target].setModeFor(ctx, LinkMode{Delay: 150 * time.Millisecond}, f.Duration)
+	case StrandedHang, StrandedReset, StrandedRefuse:
+		return i.strand(ctx, f)
 	case EndpointCrash:
 		i.crash(ctx, f)
 	case EndpointDrain:
@@ -214,6 +224,14 @@
 	return nil
 }
 
+// strand cuts daemons off from endpoints while callers send to all daemons.
+func (i *injector) strand(ctx context.Context, f Fault) error {
+	cut := i.cluster.linksOf(f.Stranded)
+	err := cut.each(func(l *Link) error { return l.cutClient(f.Kind) })
+	i.sendSteady(ctx, f.Duration)
+	return errors.Join(err, cut.each((*Link).joinClient))
+}
+
 func (l *Link) setModeFor(ctx context.Context, m LinkMode, d time.Duration) {
 	l.SetMode(m)
 	sleep(ctx, d)
--- a/internal/zpsoak/link.go
+++ b/internal/zpsoak/link.go
@@ -13,13 +13,21 @@
 	Link struct {
 		Listen string // IP:PORT
 		Target string // IP:PORT
+		// Rewrite replaces data on its way to the target with data of the same length. It may be nil.
+		Rewrite func([]byte) []byte
 
-		mu    sync.Mutex
-		lis   net.Listener
-		mode  LinkMode
-		conns map[net.Conn]bool
+		mu        sync.Mutex
+		lis       net.Listener
+		accepting chan struct{}       // closed when no more connections are accepted
+		modes     [linkSides]LinkMode // by side
+		conns     map[net.Conn]bool
+		partition Kind       // how the client is cut off; empty: it is not
+		fillers   []net.Conn // keep the queue of new connections full while they hang
 	}
 
+	// linkSide says on whose side of a link a failure is. Those of both sides add up.
+	linkSide int
+
 	// LinkMode defines how a link fails.
 	LinkMode struct {
 		Delay          time.Duration // added before data is forwarded
@@ -30,16 +38,27 @@
 	}
 )
 
+const (
+	targetSide linkSide = iota
+	clientSide
+	linkSides
+)
+
 const copyBuffer = 16 << 10
 
 // Open starts accepting connections.
 func (l *Link) Open() error {
+	l.conns = map[net.Conn]bool{}
+	return l.listen()
+}
+
+func (l *Link) listen() error {
 	lis, err := net.Listen("tcp", l.Listen)
 	if err != nil {
 		return fmt.Errorf("open link to %s: %w", l.Target, err)
 	}
-	l.lis, l.conns = lis, map[net.Conn]bool{}
-	go l.accept()
+	l.lis = lis
+	l.startAccepting()
 	return nil
 }
 
@@ -50,10 +69,12 @@
 }
 
 // SetMode changes how the link fails.
-func (l *Link) SetMode(m LinkMode) {
+func (l *Link) SetMode(m LinkMode) { l.setSideMode(targetSide, m) }
+
+func (l *Link) setSideMode(s linkSide, m LinkMode) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.mode = m
+	l.modes[s] = m
 }
 
 // Reset resets all open connections.
@@ -66,9 +87,15 @@
 	clear(l.conns)
 }
 
-func (l *Link) accept() {
+func (l *Link) startAccepting() {
+	l.accepting = make(chan struct{})
+	go l.accept(l.lis, l.accepting)
+}
+
+func (l *Link) accept(lis net.Listener, done chan struct{}) {
+	defer close(done)
 	for {
-		in, err := l.lis.Accept()
+		in, err := lis.Accept()
 		if err != nil {
 			return
 		}
@@ -91,10 +118,10 @@
 	l.mu.Unlock()
 	var wg sync.WaitGroup
 	wg.Go(func() {
-		l.copy(out, in, func(m LinkMode) bool { return m.HoldToTarget }, func(LinkMode) bool { return false })
+		l.copy(out, in, l.Rewrite, func(m LinkMode) bool { return m.HoldToTarget }, func(LinkMode) bool { return false })
 	})
 	wg.Go(func() {
-		l.copy(in, out, func(m LinkMode) bool { return m.HoldFromTarget }, func(m LinkMode) bool { return m.LoseFromTarget })
+		l.copy(in, out, nil, func(m LinkMode) bool { return m.HoldFromTarget }, func(m LinkMode) bool { return m.LoseFromTarget })
 	})
 	wg.Wait()
 	l.mu.Lock()
@@ -106,7 +133,7 @@
 // copy forwards data until either side closes. Data and the end of the connection
 // that arrive while the link is cut in this direction are held until the cut ends,
 // as TCP would do. Nothing is forwarded any more once data was lost.
-func (l *Link) copy(to, from net.Conn, isCut, isLossy func(LinkMode) bool) {
+func (l *Link) copy(to, from net.Conn, rewrite func([]byte) []byte, isCut, isLossy func(LinkMode) bool) {
 	buffer := make([]byte, copyBuffer)
 	lost := false
 	for {
@@ -117,7 +144,11 @@
 		}
 		lost = lost || n > 0 && isLossy(l.currentMode())
 		if n > 0 && !lost {
-			if _, writeErr := to.Write(buffer[:n]); writeErr != nil {
+			data := buffer[:n]
+			if rewrite != nil {
+				data = rewrite(data)
+			}
+			if _, writeErr := to.Write(data); writeErr != nil {
 				abort(from)
 				return
 			}
@@ -136,7 +167,11 @@
 func (l *Link) currentMode() LinkMode {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.mode
+	a, b := l.modes[targetSide], l.modes[clientSide]
+	return LinkMode{
+		Delay: a.Delay + b.Delay, Refuse: a.Refuse || b.Refuse, HoldToTarget: a.HoldToTarget || b.HoldToTarget,
+		HoldFromTarget: a.HoldFromTarget || b.HoldFromTarget, LoseFromTarget: a.LoseFromTarget || b.LoseFromTarget,
+	}
 }
 
 // abort closes a connection with a TCP reset.
--- a/internal/zpsoak/link_test.go
+++ b/internal/zpsoak/link_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"syscall"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -99,4 +100,32 @@
 		link.SetMode(LinkMode{})
 		Expect(connect()).To(Succeed())
 	})
+
+	DescribeTable("cuts its client off until that joins again",
+		func(kind Kind, isHeld, isRefused bool) {
+			Expect(link.cutClient(kind)).To(Succeed())
+			Expect(echoLine("x") == nil).To(Equal(!isHeld))
+			_, err := net.DialTimeout("tcp", link.Listen, 200*time.Millisecond)
+			if isRefused {
+				Expect(err).To(MatchError(syscall.ECONNREFUSED))
+			} else {
+				Expect(err).To(HaveOccurred())
+				Expect(err.(net.Error).Timeout()).To(BeTrue(), err.Error())
+			}
+			Expect(link.joinClient()).To(Succeed())
+			Expect(connect()).To(Succeed())
+		},
+		Entry("where connections hang", StrandedHang, true, false),
+		Entry("where they are reset", StrandedReset, true, true),
+		Entry("where they go on", StrandedRefuse, false, true),
+	)
+
+	It("stays cut off from a target that fails as well", func() {
+		Expect(link.cutClient(StrandedHang)).To(Succeed())
+		link.SetMode(LinkMode{HoldToTarget: true})
+		Expect(link.joinClient()).To(Succeed())
+		Expect(echoLine("x")).NotTo(Succeed())
+		link.SetMode(LinkMode{})
+		Expect(echoLine("y")).To(Succeed())
+	})
 })
--- a/internal/zpsoak/plan.go
+++ b/internal/zpsoak/plan.go
@@ -19,6 +19,7 @@
 		Target   int // index of a daemon, endpoint or failure domain, depending on Kind
 		At       time.Duration
 		Duration time.Duration
+		Stranded Stranded // only of kinds that cut daemons off from endpoints
 	}
 
 	// Kind is the kind of a fault.
@@ -55,6 +56,12 @@
 	Evacuate      Kind = "evacuate"
 	Reconfigure   Kind = "reconfigure"
 	DeadlyPart    Kind = "deadly_part" // a client sends prompts with a part that crashes endpoints
+	// EndpointSilent holds data from a sound endpoint for about a second. It is no excuse.
+	EndpointSilent Kind = "endpoint_silent"
+	// Daemons are cut off from endpoints; callers, the store and other daemons still reach them.
+	StrandedHang   Kind = "daemon_stranded_hang"   // data is held, and new connections hang
+	StrandedReset  Kind = "daemon_stranded_reset"  // connections are reset, and new ones refused
+	StrandedRefuse Kind = "daemon_stranded_refuse" // connections go on, and new ones are refused
 )
 
 // faultSpec defines how often a kind of fault occurs and how long it lasts.
@@ -128,6 +135,10 @@
 	{StoreRestore, 0, 0, 0},
 	{StreamsBreak, 0, 0, 0},
 	{ResumeWrong, 0, 0, 0},
+	{EndpointSilent, 0, 0, 0},
+	{StrandedHang, 0, 0, 0},
+	{StrandedReset, 0, 0, 0},
+	{StrandedRefuse, 0, 0, 0},
 }
 
 // Plan returns the faults of a run, drawn at random. Equal arguments give equal
@@ -178,6 +189,8 @@
 		d := min(minStreamBreak, length-recoveryTime-at)
 		out = append(out, Fault{Kind: StreamsBreak, At: at, Duration: d}, Fault{Kind: ResumeWrong, At: at, Target: random.IntN(endpoints), Duration: d})
 	}
+	out = append(out, planSilences(random, length, endpoints)...)
+	out = append(out, planStranded(random, length, daemons, endpoints, domains)...)
 	slices.SortStableFunc(out, func(a, b Fault) int { return int(a.At - b.At) })
 	return out
 }
@@ -196,7 +209,7 @@
 	switch k {
 	case DaemonStop, DaemonKill, DaemonPause, StoreCut, StoreOneWay, StoreSilent, StoreReset, PeerCut, PeerSlow:
 		return daemons
-	case EndpointCut, EndpointMute, EndpointReset, EndpointSlow, EndpointCrash, EndpointDrain, EndpointLeave, EndpointQuiet, ResumeWrong:
+	case EndpointCut, EndpointMute, EndpointReset, EndpointSlow, EndpointCrash, EndpointDrain, EndpointLeave, EndpointQuiet, EndpointSilent, ResumeWrong:
 		return endpoints
 	case Evacuate:
 		return domains
--- a/internal/zpsoak/requests.go
+++ b/internal/zpsoak/requests.go
@@ -30,6 +30,7 @@
 		Complete    bool      // the body is the complete response to this request
 		Interrupted bool      // the connection or body ended early, also by cancellation or timeout
 		Body        string    // only of a 200 response that is neither complete nor interrupted
+		IsRetry     bool      // the client has sent the same before
 		Resumes     string    // attempt that brought the first event of a stream; empty: the stream begins
 		ResumeAfter int       // event after which the client resumes a stream; zero: it begins
 		Events      []event   // complete events received of a stream
@@ -66,6 +67,8 @@
 	partCrashDowntime = 2 * time.Second
 	promptInterval    = 120 * time.Millisecond
 	promptTimeout     = time.Second
+
+	steadyInterval = 100 * time.Millisecond // per daemon
 )
 
 func (h *requestLog) add(r request) {
@@ -113,7 +116,7 @@
 			resumes = q.ID
 		}
 		q = request{
-			ID: fmt.Sprintf("%s-%d", first.ID, attempt), Kind: first.Kind, Daemon: (q.Daemon + 1) % r.cluster.Daemons, Resumes: resumes, ResumeAfter: last,
+			ID: fmt.Sprintf("%s-%d", first.ID, attempt), Kind: first.Kind, Daemon: (q.Daemon + 1) % r.cluster.Daemons, IsRetry: true, Resumes: resumes, ResumeAfter: last,
 		}
 	}
 }
@@ -149,6 +152,23 @@
 	}
 }
 
+// sendSteady sends bookings and reads to all daemons, each over a connection of its own and
+// without waiting for responses, so that a daemon that does not answer gets as many as others.
+func (r *run) sendSteady(ctx context.Context, d time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: requestTimeout}
+	kinds := []string{"book", "read"}
+	ms := time.Since(r.startedAt).Milliseconds()
+	for n := 0; ctx.Err() == nil; n++ {
+		for daemon := range r.cluster.Daemons {
+			q := request{ID: fmt.Sprintf("s-%d-%d-%d", ms, daemon, n), Kind: kinds[n%len(kinds)], Daemon: daemon}
+			r.sending.Go(func() { r.send(ctx, client, &q, "/"+q.Kind+"/1") })
+		}
+		sleep(ctx, steadyInterval)
+	}
+}
+
 // sendPrompt sends a prompt. Its client closes the connection after promptTimeout.
 func (r *run) sendPrompt(ctx context.Context, client *http.Client, q *request) {
 	r.roundTrip(context.WithoutCancel(ctx), client, q, "/"+q.Kind+"/1")
--- a/internal/zpsoak/run.go
+++ b/internal/zpsoak/run.go
@@ -15,6 +15,7 @@
 		requestLog *requestLog
 		startedAt  time.Time
 		endedAt    time.Time
+		sending    sync.WaitGroup // requests of sendSteady
 	}
 
 	// Outcome is the result of a run.
@@ -23,6 +24,8 @@
 		Requests   int
 		Served     int
 		Runs       int // executions of requests on endpoints
+		Stranded   int // first attempts at daemons that were cut off from all endpoints, as far as judged
+		StrandedOK int // of these, served
 		Violations []string
 	}
 )
@@ -43,7 +46,7 @@
 	r.faults = &injector{
 		cluster: s, activeScopes: map[string]bool{}, incarnations: make([]int, c.Daemons), versions: []change{{Version: s.version, From: r.startedAt}},
 	}
-	r.faults.sendPrompts = r.sendPrompts
+	r.faults.sendPrompts, r.faults.sendSteady = r.sendPrompts, r.sendSteady
 	r.execute(ctx)
 	outcome := r.evaluate()
 	return outcome, errors.Join(r.faults.errors...)
@@ -63,5 +66,6 @@
 	}
 	r.faults.inject(ctx, Plan(c.Seed, c.Length, c.Daemons, c.Endpoints, len(domains)))
 	wg.Wait()
+	r.sending.Wait()
 	r.endedAt = time.Now()
 }
--- /dev/null
+++ b/internal/zpsoak/view.go
@@ -0,0 +1,104 @@
+package zpsoak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"maps"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+)
+
+type (
+	// storeView is the store as one daemon sees it. The addresses of endpoints are those of the
+	// daemon's links to them.
+	storeView struct {
+		store    http.Handler
+		replacer *strings.Replacer
+	}
+
+	// links are those of all daemons to one endpoint, by daemon.
+	links []*Link
+)
+
+// firstEndpointGroup is the group of addresses of the first daemon's links to endpoints. All
+// groups from there on have as many digits.
+const firstEndpointGroup = 20
+
+func (s *cluster) endpointAddress(daemon, endpoint int) string {
+	return s.ip(firstEndpointGroup+daemon, 10+endpoint) + ":9000"
+}
+
+// viewOf returns a replacer of the addresses of endpoints by those that a daemon uses. Other
+// daemons' addresses have the same length, so that they can be replaced in messages.
+func (s *cluster) viewOf(daemon int) *strings.Replacer {
+	var pairs []string
+	for e := range s.Endpoints {
+		pairs = append(pairs, s.ip(4, 10+e)+":9000", s.endpointAddress(daemon, e))
+		for other := range s.Daemons {
+			if other != daemon {
+				pairs = append(pairs, s.endpointAddress(other, e), s.endpointAddress(daemon, e))
+			}
+		}
+	}
+	return strings.NewReplacer(pairs...)
+}
+
+// ServeHTTP implements http.Handler.
+func (v *storeView) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	recorded := httptest.NewRecorder()
+	v.store.ServeHTTP(recorded, r)
+	maps.Copy(w.Header(), recorded.Header())
+	w.WriteHeader(recorded.Code)
+	_, _ = fmt.Fprint(w, v.replacer.Replace(recorded.Body.String())) // fails only if the daemon has closed the connection
+}
+
+// linksOf returns the links that are cut while daemons are stranded.
+func (s *cluster) linksOf(t Stranded) (out links) {
+	for e, list := range s.toEndpoint {
+		if t.Endpoints != nil && !slices.Contains(t.Endpoints, e) {
+			continue
+		}
+		for _, d := range t.Daemons {
+			out = append(out, list[d])
+		}
+	}
+	return out
+}
+
+// each calls f for all links at the same time.
+func (g links) each(f func(*Link) error) error {
+	var wg sync.WaitGroup
+	errs := make([]error, len(g))
+	for n, l := range g {
+		wg.Go(func() { errs[n] = f(l) })
+	}
+	wg.Wait()
+	return errors.Join(errs...)
+}
+
+func (g links) setMode(m LinkMode) {
+	for _, l := range g {
+		l.SetMode(m)
+	}
+}
+
+func (g links) setModeFor(ctx context.Context, m LinkMode, d time.Duration) {
+	g.setMode(m)
+	sleep(ctx, d)
+	g.setMode(LinkMode{})
+}
+
+// resetFor resets the open connections, and then each new one until d has passed.
+func (g links) resetFor(ctx context.Context, d time.Duration) {
+	g.setMode(LinkMode{Refuse: true})
+	for _, l := range g {
+		l.Reset()
+	}
+	sleep(ctx, d)
+	g.setMode(LinkMode{})
+}
