--- a/internal/zpsoak/judge_stranded.go
+++ b/internal/zpsoak/judge_stranded.go
@@ -14,6 +14,8 @@
 	// strandedAllowanceOneIn of all first attempts fail there.
 	strandedAllowance      = 10
 	strandedAllowanceOneIn = 50
+	// maxServiceTime is the timeout of most routes.
+	maxServiceTime = 4 * time.Second
 )
 
 // tally counts the first attempts of clients.
@@ -43,16 +45,13 @@
 	}
 }
 
-// countFirstAttempts counts first attempts at daemons that are cut off and at others. Daemons
-// with a fault of their own are left out.
+// countFirstAttempts counts first attempts at daemons that are cut off and at others. Those at
+// daemons that have, or had shortly before, a fault of their own are left out, and those at a time
+// at which all daemons that are not cut off do.
 func (r *run) countFirstAttempts(stranded []int, from, to time.Time) (cut, others tally) {
-	isSound := map[int]bool{}
-	for d := range r.cluster.Daemons {
-		isSound[d] = !r.hasOwnFault(d, from.Add(-faultSettleTime), to)
-	}
 	for _, q := range r.requestLog.requests {
-		isCounted := !q.IsRetry && q.Kind != "cfg" && !q.isDeadly() && q.CanceledAt.IsZero() && isSound[q.Daemon]
-		if !isCounted || q.SentAt.Before(from) || !q.SentAt.Before(to) {
+		isCounted := !q.IsRetry && q.Kind != "cfg" && !q.isDeadly() && q.CanceledAt.IsZero() && !q.SentAt.Before(from) && q.SentAt.Before(to)
+		if !isCounted || !r.isSound(q.Daemon, q) || !r.hasSoundOther(stranded, q) {
 			continue
 		}
 		t := &others
@@ -67,17 +66,35 @@
 	return cut, others
 }
 
+// hasSoundOther reports whether a daemon that is not cut off is sound during a request.
+func (r *run) hasSoundOther(stranded []int, q request) bool {
+	for d := range r.cluster.Daemons {
+		if !slices.Contains(stranded, d) && r.isSound(d, q) {
+			return true
+		}
+	}
+	return false
+}
+
+// isSound reports whether a daemon has no fault of its own for as long as a request may take,
+// and had none shortly before. The time does not depend on the outcome of the request.
+func (r *run) isSound(daemon int, q request) bool {
+	return !r.hasOwnFault(daemon, q.SentAt.Add(-stableWindow), q.SentAt.Add(maxServiceTime))
+}
+
 // hasOwnFault reports whether a daemon may have had a fault other than being cut off from
 // endpoints during the period.
 func (r *run) hasOwnFault(daemon int, from, to time.Time) bool {
-	return r.hasFault(from, to, func(t faultWindow) bool {
-		switch t.Kind {
-		case DaemonStop, DaemonKill, DaemonPause, StoreCut, StoreOneWay, StoreSilent, StoreReset, PeerCut, PeerSlow:
-			return t.Target == daemon
-		default:
-			return false
-		}
-	})
+	return r.hasFault(from, to, func(t faultWindow) bool { return isOwnFault(t.Kind) && t.Target == daemon })
+}
+
+func isOwnFault(k Kind) bool {
+	switch k {
+	case DaemonStop, DaemonKill, DaemonPause, StoreCut, StoreOneWay, StoreSilent, StoreReset, PeerCut, PeerSlow:
+		return true
+	default:
+		return false
+	}
 }
 
 // mayBeHeld reports whether data that a daemon sent to an endpoint for a request, before until,
--- a/internal/zpsoak/judge_stranded_test.go
+++ b/internal/zpsoak/judge_stranded_test.go
@@ -44,6 +44,7 @@
 		Entry("allows them after the cut", 9_100, 40, 0, false, cutOff(StrandedReset, 0, 9_000, 0)),
 		Entry("allows them of a daemon that was stopped as well", 5_000, 40, 0, false, cutOff(StrandedReset, 0, 9_000, 0), faultWindow{Kind: DaemonStop, From: at(4_000), To: at(5_000)}),
 		Entry("reports them while an endpoint is down", 5_000, 40, 0, true, cutOff(StrandedReset, 0, 9_000, 0), faultWindow{Kind: EndpointCrash, From: at(4_000), To: at(5_000)}),
+		Entry("reports them long after the daemon was stopped", 5_000, 40, 0, true, cutOff(StrandedReset, 0, 9_000, 0), faultWindow{Kind: DaemonStop, From: at(0), To: at(900)}),
 		Entry("allows them while no other daemon is sound", 5_000, 40, 0, false, cutOff(StrandedReset, 0, 9_000, 0), faultWindow{Kind: DaemonKill, Target: 1, From: at(4_000), To: at(5_000)}),
 		Entry("allows them where some endpoints are within reach", 5_000, 40, 0, false,
 			faultWindow{Kind: StrandedHang, Stranded: Stranded{Daemons: []int{0}, Endpoints: []int{0}}, From: at(0), To: at(9_000)}),
--- a/internal/zpsoak/plan.go
+++ b/internal/zpsoak/plan.go
@@ -190,7 +190,8 @@
 		out = append(out, Fault{Kind: StreamsBreak, At: at, Duration: d}, Fault{Kind: ResumeWrong, At: at, Target: random.IntN(endpoints), Duration: d})
 	}
 	out = append(out, planSilences(random, length, endpoints)...)
-	out = append(out, planStranded(random, length, daemons, endpoints, domains)...)
+	stranded, calm := planStranded(random, length, daemons, endpoints, domains)
+	out = append(slices.DeleteFunc(out, func(f Fault) bool { return isOwnFault(f.Kind) && f.overlaps(calm) }), stranded...)
 	slices.SortStableFunc(out, func(a, b Fault) int { return int(a.At - b.At) })
 	return out
 }
--- a/internal/zpsoak/plan_stranded.go
+++ b/internal/zpsoak/plan_stranded.go
@@ -21,6 +21,8 @@
 	// partialOneIn is the number of these faults of which, on average, one leaves some endpoints
 	// within reach.
 	partialOneIn = 4
+	// calmOneIn is the number of them of which, on average, one is calm.
+	calmOneIn = 2
 	// hopFaults is the number of faults of daemons that are not cut off during each of them.
 	hopFaults        = 2
 	maxHopFault      = 1500 * time.Millisecond
@@ -44,8 +46,8 @@
 }
 
 // planStranded plans daemons that are cut off from endpoints, one time after the other, and
-// faults of the other daemons meanwhile.
-func planStranded(random *rand.Rand, length time.Duration, daemons, endpoints, domains int) (out []Fault) {
+// faults of the other daemons meanwhile. While calm ones last, daemons have no faults of their own.
+func planStranded(random *rand.Rand, length time.Duration, daemons, endpoints, domains int) (out, calm []Fault) {
 	end := length - recoveryTime
 	for from := warmUp; from+minStranded <= end; from += strandedInterval {
 		f := Fault{Kind: strandedKinds[random.IntN(len(strandedKinds))], At: from, Target: random.IntN(daemons)}
@@ -55,6 +57,10 @@
 			f.Stranded.Endpoints = random.Perm(endpoints)[:endpoints/2]
 		}
 		out = append(out, f)
+		if random.IntN(calmOneIn) == 0 {
+			calm = append(calm, f)
+			continue
+		}
 		for range hopFaults {
 			hop := Fault{Kind: hopKinds[random.IntN(len(hopKinds))], Target: random.IntN(daemons)}
 			for slices.Contains(f.Stranded.Daemons, hop.Target) {
@@ -65,7 +71,12 @@
 			out = append(out, hop)
 		}
 	}
-	return out
+	return out, calm
+}
+
+// overlaps reports whether a fault is active in the interval of one of those that strand daemons.
+func (f Fault) overlaps(stranded []Fault) bool {
+	return slices.ContainsFunc(stranded, func(t Fault) bool { return f.At < t.At+strandedInterval && t.At < f.At+f.Duration })
 }
 
 // strandedDaemons returns one daemon, those of its failure domain, or most.
--- a/internal/zpsoak/requests.go
+++ b/internal/zpsoak/requests.go
@@ -68,7 +68,7 @@
 	promptInterval    = 120 * time.Millisecond
 	promptTimeout     = time.Second
 
-	steadyInterval = 100 * time.Millisecond // per daemon
+	steadyInterval = 60 * time.Millisecond // per daemon
 )
 
 func (h *requestLog) add(r request) {
