--- a/internal/zpsoak/judge_stranded.go
+++ b/internal/zpsoak/judge_stranded.go
@@ -1,6 +1,7 @@
 package zpsoak
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"time"
@@ -23,6 +24,14 @@
 
 func (t tally) failed() int { return t.sent - t.served }
 
+func (t *tally) add(other tally) {
+	t.sent += other.sent
+	t.served += other.served
+}
+
+// String returns the share of attempts that were served.
+func (t tally) String() string { return fmt.Sprintf("%d of %d", t.served, t.sent) }
+
 // checkStranded checks that daemons that are cut off from all endpoints serve nearly as often
 // as others.
 func (r *run) checkStranded(outcome *Outcome, violation reportFunc) {
@@ -36,11 +45,12 @@
 		}
 		cut, others := r.countFirstAttempts(t.Stranded.Daemons, from, to)
 		if others.sent > 0 {
-			outcome.Stranded, outcome.StrandedOK = outcome.Stranded+cut.sent, outcome.StrandedOK+cut.served
+			outcome.Stranded.add(cut)
+			outcome.Others.add(others)
 		}
 		allowed := strandedAllowance + (cut.sent+others.sent)/strandedAllowanceOneIn
 		if 3*cut.served*others.sent < 2*others.served*cut.sent && cut.failed() > allowed {
-			violation("stranded-service", "daemons %v served %d of %d first attempts, the others %d of %d, from %s after %s", t.Stranded.Daemons, cut.served, cut.sent, others.served, others.sent, stableWindow, t.Kind)
+			violation("stranded-service", "daemons %v served %s first attempts, the others %s, from %s after %s", t.Stranded.Daemons, cut, others, stableWindow, t.Kind)
 		}
 	}
 }
--- a/internal/zpsoak/run.go
+++ b/internal/zpsoak/run.go
@@ -23,9 +23,9 @@
 		Faults     int
 		Requests   int
 		Served     int
-		Runs       int // executions of requests on endpoints
-		Stranded   int // first attempts at daemons that were cut off from all endpoints, as far as judged
-		StrandedOK int // of these, served
+		Runs       int   // executions of requests on endpoints
+		Stranded   tally // first attempts at daemons that were cut off from all endpoints, as far as judged
+		Others     tally // meanwhile, at the other daemons
 		Violations []string
 	}
 )
