--- a/internal/zpsoak/judge_stranded.go
+++ b/internal/zpsoak/judge_stranded.go
@@ -17,6 +17,8 @@
 	strandedAllowanceOneIn = 50
 	// maxServiceTime is the timeout of most routes.
 	maxServiceTime = 4 * time.Second
+	// wayBackLimit is how long after a cut requests may still go through other daemons.
+	wayBackLimit = time.Second
 )
 
 // tally counts the first attempts of clients.
@@ -136,7 +138,7 @@
 
 // usesDetours reports whether a request may have run over a connection of another daemon.
 func (r *run) usesDetours(q request, x zpoutside.Run, until time.Time) bool {
-	return r.hasFault(q.SentAt.Add(-faultSettleTime), until, func(t faultWindow) bool { return isStranded(t.Kind) && t.isCut(q.Daemon, r.endpointOf(x)) })
+	return r.hasFault(q.SentAt.Add(-wayBackLimit), until, func(t faultWindow) bool { return isStranded(t.Kind) && t.isCut(q.Daemon, r.endpointOf(x)) })
 }
 
 // isCut reports whether a daemon is cut off from an endpoint.
--- a/internal/zpsoak/judge_stranded_test.go
+++ b/internal/zpsoak/judge_stranded_test.go
@@ -99,6 +99,7 @@
 		Entry("reports one at a daemon that is not cut off", 900, true, cutOff(StrandedReset, 1_000, 9_000, 1)),
 		Entry("reports one whose connection goes on", 900, true, cutOff(StrandedRefuse, 1_000, 9_000, 0)),
 		Entry("allows one through a daemon that was killed", 2_000, false, cutOff(StrandedReset, 1_000, 9_000, 0), faultWindow{Kind: DaemonKill, Target: 1, From: at(2_100), To: at(3_000)}),
+		Entry("reports one at a daemon that was cut off long before another was killed", 2_000, true, cutOff(StrandedReset, 100, 900, 0), faultWindow{Kind: DaemonKill, Target: 1, From: at(2_100), To: at(3_000)}),
 		Entry("reports one through a daemon that was stopped", 2_000, true, cutOff(StrandedReset, 1_000, 9_000, 0), faultWindow{Kind: DaemonStop, Target: 1, From: at(2_100), To: at(3_000)}),
 		Entry("reports one at an endpoint that was silent", 2_000, true, faultWindow{Kind: EndpointSilent, From: at(2_000), To: at(3_000)}),
 	)
