--- a/internal/zpgateway/brittle_test.go
+++ b/internal/zpgateway/brittle_test.go
@@ -94,20 +94,10 @@
 	e.running--
 }
 
-// serveTooMuch sends twice as much as the endpoints can serve to several daemons that tell
-// each other their loads. It returns how many requests were served, and how often endpoints
-// fell over.
-func serveTooMuch(daemons int) (served, falls int) {
-	const (
-		rounds        = 30
-		roundTime     = 100 * time.Millisecond
-		perRound      = 48                     // for all daemons
-		exchangeEvery = 200 * time.Millisecond // as between failure domains
-	)
-	runner := brittleRunner{}
-	for _, id := range []string{"e1", "e2", "e3"} {
-		runner[id] = &brittleEndpoint{}
-	}
+// startBrittleGateways returns the gateways of several daemons that know that the endpoints are
+// brittle, and tell each other their loads until ctx ends.
+func startBrittleGateways(ctx context.Context, daemons int, runner brittleRunner) []testGateway {
+	const exchangeEvery = 200 * time.Millisecond // as between failure domains
 	names := make([]string, daemons)
 	gateways := make([]testGateway, daemons)
 	for i := range gateways {
@@ -118,30 +108,45 @@
 		gateways[i] = s
 		s.serve(request("book")) // tells the daemon that its endpoints are brittle
 	}
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
 	go func() {
 		for ; ctx.Err() == nil; time.Sleep(exchangeEvery) {
-			for i, from := range gateways {
-				for k, to := range gateways {
-					if uses, _ := from.Usage.Own(); k != i {
-						to.Usage.SetPeer(names[i], uses, time.Now())
-					}
-				}
-			}
+			exchangeLoads(names, gateways)
 		}
 	}()
+	return gateways
+}
+
+func exchangeLoads(names []string, gateways []testGateway) {
+	for i, from := range gateways {
+		for k, to := range gateways {
+			if uses, _ := from.Usage.Own(); k != i {
+				to.Usage.SetPeer(names[i], uses, time.Now())
+			}
+		}
+	}
+}
+
+// serveTooMuch sends twice as much as the endpoints can serve to several daemons. It returns
+// how many requests were served, and how often endpoints fell over.
+func serveTooMuch(daemons int) (served, falls int) {
+	const (
+		rounds    = 30
+		roundTime = 100 * time.Millisecond
+		perRound  = 48 // for all daemons
+	)
+	runner := brittleRunner{"e1": {}, "e2": {}, "e3": {}}
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	gateways := startBrittleGateways(ctx, daemons, runner)
 	var done atomic.Int32
 	var callers sync.WaitGroup
 	for range rounds {
-		for _, s := range gateways {
-			for range perRound / daemons {
-				callers.Go(func() {
-					if reply := s.serve(request("book")); reply.status == http.StatusOK {
-						done.Add(1)
-					}
-				})
-			}
+		for i := range perRound {
+			callers.Go(func() {
+				if reply := gateways[i%daemons].serve(request("book")); reply.status == http.StatusOK {
+					done.Add(1)
+				}
+			})
 		}
 		time.Sleep(roundTime)
 	}
