--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -75,33 +75,48 @@
 			return nil
 		case outcomeStopped:
 			return s.err
-		case outcomeNotRun, outcomeUnreached:
-			if !away.mayTryAnother(s.outcome, budget) {
-				return g.giveUp(j, reply, sendResult{err: g.withRunState(j, errOverloaded.WithRetryAfter(g.returnAfter(j)).WithCause(s.err))})
-			}
 		case outcomeUnsent:
 			continue
-		case outcomeNoPath:
-			if !g.awaitPath(ctx, j) {
-				return g.giveUp(j, reply, sendResult{err: g.withRunState(j, errNoPath.WithRetryAfter(retryAfterUnavailable).WithCause(s.err))})
-			}
-			continue
-		case outcomeSilent:
-			// The first-byte timer has taken the retry from the budget.
-		case outcomeFailed, outcomeBroken:
-			if !g.mayRetry(j) || g.hasSuspectedPart(j) || !budget.Take() {
-				return g.giveUp(j, reply, s)
-			}
 		}
-		j.tried[c.endpoint.ID] = true
-		g.Metrics.Retries.WithLabelValues(s.outcome.String()).Inc()
-		g.Log.Emit(zplog.RequestRetried, g.logFields(j, zplog.Fields{
-			"endpoint": c.endpoint.ID, "after": s.outcome.String(), "error": fmt.Sprint(s.err), "last_event": j.lastEvent,
-			"first_event": j.firstEvent, "events": j.events,
-		}))
+		if end, ok := g.mayGoOn(ctx, j, s, &away, budget); !ok {
+			return g.giveUp(j, reply, end)
+		}
+		if s.outcome != outcomeNoPath {
+			g.excludeTried(j, c, s)
+		}
 	}
 }
 
+// mayGoOn reports whether a request may be sent again after a send that failed, and returns
+// with which result it ends if not.
+func (g *Gateway) mayGoOn(ctx context.Context, j *job, s sendResult, away *turnedAway, budget *zpretry.Budget) (end sendResult, ok bool) {
+	switch s.outcome {
+	case outcomeNotRun, outcomeUnreached:
+		if away.mayTryAnother(s.outcome, budget) {
+			return s, true
+		}
+		return sendResult{err: g.withRunState(j, errOverloaded.WithRetryAfter(g.returnAfter(j)).WithCause(s.err))}, false
+	case outcomeNoPath:
+		if g.awaitPath(ctx, j) {
+			return s, true
+		}
+		return sendResult{err: g.withRunState(j, errNoPath.WithRetryAfter(retryAfterUnavailable).WithCause(s.err))}, false
+	case outcomeFailed, outcomeBroken:
+		return s, g.mayRetry(j) && !g.hasSuspectedPart(j) && budget.Take()
+	default: // after silence, the first-byte timer has taken the retry from the budget
+		return s, true
+	}
+}
+
+// excludeTried excludes an endpoint from the further choices for a request.
+func (g *Gateway) excludeTried(j *job, c choice, s sendResult) {
+	j.tried[c.endpoint.ID] = true
+	g.Metrics.Retries.WithLabelValues(s.outcome.String()).Inc()
+	g.Log.Emit(zplog.RequestRetried, g.logFields(j, g.eventFields(j, zplog.Fields{
+		"endpoint": c.endpoint.ID, "after": s.outcome.String(), "error": fmt.Sprint(s.err),
+	})))
+}
+
 // mayTryAnother counts an endpoint that turned the request away and reports whether the
 // request may be sent to another one. Nothing arrived at an endpoint that accepted no
 // connection, so another one costs no retry.
@@ -189,9 +204,7 @@
 	defer release()
 	ctx, cancel := context.WithTimeoutCause(ctx, left, errEndpointTimeout)
 	defer cancel()
-	if !c.regions.IsEmpty() {
-		ctx = zpdetour.WithRegions(ctx, c.regions.Allows)
-	}
+	ctx = zpdetour.WithRegions(ctx, c.regions.Allows)
 	ctx, timer := g.startFirstByteTimer(ctx, j, c, budget)
 	defer timer.end()
 	j.attempts++
@@ -222,14 +235,7 @@
 	})
 	switch s.outcome {
 	case outcomeDone:
-		g.Health.RecordSuccess(c.endpoint.ID, g.Clock())
-		if isSuccess(answer.Status) {
-			g.recordComplete(ctx, j, c.endpoint)
-		}
-		g.Log.Emit(zplog.RequestAnswered, g.logFields(j, g.eventFields(j, zplog.Fields{
-			"endpoint": c.endpoint.ID, "status": answer.Status, "first_ms": firstByteTime.Milliseconds(), "expected_ms": c.cost.Milliseconds(),
-			"weights": answer.WeightVersion,
-		})))
+		g.recordAnswered(ctx, j, c, answer, firstByteTime)
 	case outcomeFailed:
 		g.recordFailure(c.endpoint.ID, FailureServerError)
 	case outcomeBroken:
@@ -238,6 +244,18 @@
 	return s
 }
 
+// recordAnswered records that the caller has the complete response of an endpoint.
+func (g *Gateway) recordAnswered(ctx context.Context, j *job, c choice, a *Response, firstByteTime time.Duration) {
+	g.Health.RecordSuccess(c.endpoint.ID, g.Clock())
+	if isSuccess(a.Status) {
+		g.recordComplete(ctx, j, c.endpoint)
+	}
+	g.Log.Emit(zplog.RequestAnswered, g.logFields(j, g.eventFields(j, zplog.Fields{
+		"endpoint": c.endpoint.ID, "status": a.Status, "first_ms": firstByteTime.Milliseconds(), "expected_ms": c.cost.Milliseconds(),
+		"weights": a.WeightVersion,
+	})))
+}
+
 // handleNoResponse returns the result of a send that got no response.
 func (g *Gateway) handleNoResponse(ctx context.Context, j *job, c choice, gate *zpengine.Gate, err error) sendResult {
 	if !gate.Sent() {
