--- a/internal/zpgateway/stream_order.go
+++ b/internal/zpgateway/stream_order.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"strconv"
 	"sync"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 )
 
 type (
@@ -58,6 +60,9 @@
 // have any number.
 func (p *streamPosition) advance(id string, isFirstOfRun bool, pool string, n *numberings) error {
 	next := positionAfter(id)
+	if zpmutant.Active(zpmutant.EventOrder) || zpmutant.Active(zpmutant.Resume) {
+		return nil
+	}
 	if !next.hasID {
 		return fmt.Errorf("%w: %q", errInvalidEventID, id)
 	}
--- a/internal/zpmutant/name.go
+++ b/internal/zpmutant/name.go
@@ -11,6 +11,7 @@
 	Freshness     Name = "freshness"      // new requests are accepted however stale the cached configuration is
 	VersionOrder  Name = "version_order"  // any manifest that arrives is applied, also an older one
 	Resume        Name = "resume"         // an interrupted stream restarts from the beginning
+	EventOrder    Name = "event_order"    // events are forwarded whatever the caller has of the stream
 	Drain         Name = "drain"          // shutdown closes connections immediately
 	Quarantine    Name = "quarantine"     // crashes are not attributed to requests
 	FairQueue     Name = "fair_queue"     // requests are served first come, first served
