--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpbrittle"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpclock"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpdetour"
@@ -137,13 +138,13 @@
 	d.store = &zpplatform.Store{BaseURL: s.Platform.Address, Timeout: storeTimeout, OnCall: d.countStore, Eras: d.eras, OnBadEra: d.storeEraUnusable, Clock: zpclock.Now}
 	d.store.Open()
 	d.buildDetours()
-	d.sender = zpplatform.NewSender(d.detour)
+	d.sender = d.newSender()
 	d.gateway = &zpgateway.Gateway{
 		Domain: s.Domain, Region: s.Region, RegionOf: n.RegionOf, Catalog: d.catalog.Load, CatalogConfirmedAt: func() time.Time { return d.follower.ReadAt() },
 		AwaitCatalog: func(ctx context.Context) { d.catalogs.await(ctx) }, IsCatalogConfirmed: func() bool { return d.catalogs.isConfirmed() }, Registry: d.registry, HasSynced: d.hasSynced,
 		Weights: d.weights, Usage: zpusage.NewTracker(usageMaxAge), Parts: zpparts.NewDirectory(maxPartsPerHolder),
 		Stores: zpparts.NewStores(cacheStoreStateMaxAge, cacheStoreSettleDelay), AnnounceParts: d.announceParts, RefreshParts: d.query,
-		Health: zpgateway.NewHealthTracker(), Speed: zpspeed.NewTracker(), Cold: &zpplace.ColdLimiter{Self: s.Name}, Daemons: d.members.Names,
+		Health: zpgateway.NewHealthTracker(), Speed: zpspeed.NewTracker(), Cold: &zpplace.ColdLimiter{Self: s.Name}, Brittle: zpbrittle.New(s.Name), Daemons: d.members.Names,
 		Quarantine: zpquarantine.NewTracker(crashRetention), AnnounceCrash: d.announceCrash, AnnounceHarmless: d.announceHarmless, RequestTrial: d.requestTrial, IsRefusing: d.sender.IsRefusing, AnnounceUnreachable: d.announceUnreachable,
 		Retries: &zpretry.Budgets{Ratio: n.Bounds.RetryRatio * retryShare, Burst: retryBurst},
 		Runner:  &zpplatform.Runner{Sender: d.sender}, ResponseMemory: zpengine.NewMemory(zpmemory.PlanFor(n.Memory).Responses), Rates: zpplace.DefaultRates(),
@@ -246,7 +247,8 @@
 	if err := d.callers.Shutdown(ctx); err != nil {
 		d.Log.Emit(zplog.DrainTimedOut, zplog.Fields{"open_requests": d.gateway.OpenRequests.Load()})
 	}
-	d.connector.Wait(ctx)
+	// Until here, daemons that are cut off from endpoints may have no other way than this one.
+	d.connector.Shutdown(ctx)
 	// These servers have no requests that need a graceful shutdown.
 	_ = d.ready.Close()
 	_ = d.admin.Close()
@@ -324,9 +326,9 @@
 		WeightVersions: d.weights, Engines: d.engines, Models: d.models,
 		Load:       func(endpoint string, now time.Time) int { return d.gateway.Usage.Total(endpoint, now).Requests },
 		SetWeights: d.registry.SetWeights, Announce: d.announceWeightChange, Orderer: &zpplatform.Orderer{Sender: d.sender, Clock: zpclock.Now, Notice: d.gateway.RecordNotice},
-		CanReach: func(now time.Time) bool { return !d.detour.Tracker.IsCut(now) },
-		Rank:     func() int { return zpplace.RendezvousRank(d.self.Name, weightDuty, d.members.Names()) },
-		Timing:   zprollout.Timing{PollInterval: weightPollInterval, RepeatDelay: orderRetryInterval}, Log: d.Log, Clock: zpclock.Now,
+		Reaches: func(address string, now time.Time) bool { return !d.detour.Tracker.IsBlocked(address, now) },
+		Rank:    func() int { return zpplace.RendezvousRank(d.self.Name, weightDuty, d.members.Names()) },
+		Timing:  zprollout.Timing{PollInterval: weightPollInterval, RepeatDelay: orderRetryInterval}, Log: d.Log, Clock: zpclock.Now,
 	}
 }
 
--- a/internal/zpapp/gateway_detours.go
+++ b/internal/zpapp/gateway_detours.go
@@ -9,8 +9,11 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpclock"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpdetour"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 	"github.com/zinniapaddle/zinniapaddle/internal/zppeer"
+	zpplatform "github.com/zinniapaddle/zinniapaddle/platform"
 )
 
 const (
@@ -32,11 +35,18 @@
 		},
 	}
 	d.connector = &zpdetour.Server{
-		Tracker: tracker, Dial: d.detour.DialDirect, IsEndpoint: d.isEndpoint, IsStopping: d.leaving.Load, Log: d.Log, Clock: zpclock.Now,
+		Tracker: tracker, Dial: d.detour.DialDirect, IsEndpoint: d.isEndpoint, Log: d.Log, Clock: zpclock.Now,
 		MaxOpen: min(max(int(float64(d.Node.Memory)*detourMemoryShare)/bytesPerDetour, minDetours), maxDetours),
 	}
 }
 
+func (d *GatewayDaemon) newSender() *zpengine.Sender {
+	if zpmutant.Active(zpmutant.Detour) {
+		return zpplatform.NewSender(nil)
+	}
+	return zpplatform.NewSender(d.detour)
+}
+
 // detourPeers returns the other daemons that answered recently.
 func (d *GatewayDaemon) detourPeers() []zpdetour.Peer {
 	var out []zpdetour.Peer
--- a/internal/zpdetour/dialer.go
+++ b/internal/zpdetour/dialer.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand/v2"
 	"net"
 	"slices"
@@ -48,14 +49,26 @@
 	peerState struct {
 		open       int           // connections through it
 		connect    time.Duration // moving average of the time to a connection
+		failures   int           // consecutive ones
 		avoidUntil time.Time
+		peer       Peer
+		usedAt     time.Time // when it last opened a connection
+	}
+
+	// rankedPeer is a daemon with what decides when it is asked.
+	rankedPeer struct {
+		Peer
+		distance int
+		load     float64
+		random   uint32
 	}
 
 	// verdicts are what other daemons found at an endpoint to which they did not connect. Those of
 	// one failure domain may be cut off together.
 	verdicts struct {
 		count      int
-		needsOther bool // a daemon of another failure domain can be asked
+		needed     int
+		needsOther bool // daemons of other failure domains exist
 		hasOther   bool
 		err        error
 	}
@@ -79,17 +92,20 @@
 	// openTimeout bounds one of these questions: the other daemon's connect and two round trips
 	// between regions.
 	openTimeout = 300 * time.Millisecond
-	// cutPeerAvoidance is how long a daemon that is cut off itself, or that fails, is not asked.
+	// cutPeerAvoidance is how long a daemon that is cut off itself is not asked, and the most for
+	// one that fails.
 	cutPeerAvoidance = 2 * time.Second
+	failureAvoidance = 200 * time.Millisecond // doubles with each consecutive failure
 	busyAvoidance    = 100 * time.Millisecond
 	// unsupportedAvoidance is the pause until a daemon that does not know the call is asked
 	// again; it may be replaced by a newer one.
 	unsupportedAvoidance = time.Minute
-	connectWeight        = 0.2 // of the latest connection in the moving average
+	// departedPeerUse is how long a daemon that is not listed any more is asked after it has last
+	// opened a connection.
+	departedPeerUse = 2 * time.Second
+	connectWeight   = 0.2 // of the latest connection in the moving average
 )
 
-var errNoPeer = errors.New("no other daemon may be asked for a connection")
-
 // DialContext connects to an endpoint. The error after a detour that failed, too, is that of
 // the connect of this daemon.
 func (d *Dialer) DialContext(ctx context.Context, network, address string) (net.Conn, error) {
@@ -99,11 +115,8 @@
 	case isAfterConnect(ctx):
 		return d.detourUnlessDead(ctx, address)
 	}
-	if d.Tracker.IsBlocked(address, d.Clock()) {
-		conn, err := d.detour(ctx, address)
-		if err == nil || !errors.Is(err, errNoPeer) {
-			return conn, err
-		}
+	if d.Tracker.IsBlocked(address, d.Clock()) && len(d.Peers()) > 0 {
+		return d.detour(ctx, address)
 	}
 	conn, err := d.DialDirect(ctx, network, address)
 	if err == nil || ctx.Err() != nil {
@@ -126,16 +139,18 @@
 // DialDirect connects without a detour, and records the result.
 func (d *Dialer) DialDirect(ctx context.Context, network, address string) (net.Conn, error) {
 	conn, err := d.Direct(ctx, network, address)
-	if err == nil {
+	switch {
+	case err == nil:
 		d.connected(address)
-	} else {
+	case !errors.Is(ctx.Err(), context.Canceled): // else the caller has left
 		d.Tracker.RecordFailure(address, d.Clock())
 	}
 	return conn, err
 }
 
-// IsRefusing reports whether another daemon finds that an address refuses connections, or does
-// so after one that it accepted has ended within the watch. ok is false if none could tell.
+// IsRefusing reports whether an address that has refused a connection of this daemon refuses
+// those of others, too, or does so after one that it accepted has ended within the watch. ok is
+// false if none could tell.
 func (d *Dialer) IsRefusing(ctx context.Context, address string, watch time.Duration) (refusing, ok bool) {
 	conn, err := d.detour(ctx, address)
 	if err == nil {
@@ -147,7 +162,12 @@
 			return false, true
 		}
 	}
-	return errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, ErrNoPath)
+	if errors.Is(err, ErrNoPeer) {
+		isAlone := len(d.Peers()) == 0
+		return isAlone, isAlone
+	}
+	isRefused := errors.Is(err, syscall.ECONNREFUSED)
+	return isRefused, isRefused || errors.Is(err, ErrNoPath)
 }
 
 // RunProbes looks for the way back to blocked endpoints until ctx ends.
@@ -191,14 +211,12 @@
 }
 
 // detour connects to an endpoint through another daemon. The error is syscall.ECONNREFUSED or
-// ErrNoPath if the endpoint seems to be down.
+// ErrNoPath if the endpoint seems to be down, and ErrNoPeer if too few daemons could tell.
 func (d *Dialer) detour(ctx context.Context, address string) (net.Conn, error) {
-	err := errNoPeer
-	peers := d.rank(ctx)
-	v := verdicts{needsOther: slices.ContainsFunc(peers, func(p Peer) bool { return p.Domain != d.Domain })}
-	for _, p := range peers {
-		var conn net.Conn
-		conn, err = d.open(ctx, p, address)
+	allowed := d.peersFor(ctx)
+	v := verdicts{needed: min(deadVerdicts, len(allowed)), needsOther: slices.ContainsFunc(allowed, func(p Peer) bool { return p.Domain != d.Domain })}
+	for _, p := range d.rank(allowed) {
+		conn, err := d.open(ctx, p, address)
 		now := d.Clock()
 		if err == nil {
 			if d.Tracker.RecordDetour(address, now) {
@@ -211,13 +229,17 @@
 			return nil, v.err
 		}
 		if ctx.Err() != nil {
-			break
+			return nil, context.Cause(ctx)
 		}
 	}
-	if len(peers) == v.count && v.count > 0 {
-		return nil, v.err
-	}
-	return nil, err
+	return nil, ErrNoPeer
+}
+
+// peersFor returns the daemons that may be asked for a request.
+func (d *Dialer) peersFor(ctx context.Context) []Peer {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return slices.DeleteFunc(d.knownPeers(d.Clock()), func(p Peer) bool { return !AllowsRegion(ctx, p.Region) })
 }
 
 // add counts the failure of another daemon to connect to an endpoint, and reports whether the
@@ -232,7 +254,7 @@
 	if v.err == nil || isRefused {
 		v.err = err
 	}
-	return v.count >= deadVerdicts && (v.hasOther || !v.needsOther)
+	return v.count >= v.needed && (v.hasOther || !v.needsOther)
 }
 
 func (d *Dialer) open(ctx context.Context, p Peer, address string) (net.Conn, error) {
@@ -257,17 +279,23 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.stateOf(p)
+	s.failures++
 	switch {
 	case err == nil:
 		s.open++
+		s.failures = 0
+		s.peer, s.usedAt = p, now
 		s.connect += time.Duration(connectWeight * float64(took-s.connect))
 	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, ErrNoPath), errors.Is(err, context.Canceled):
+		s.failures = 0 // not its own
 	case errors.Is(err, ErrBusy):
 		s.avoidUntil = now.Add(busyAvoidance)
 	case errors.Is(err, ErrUnsupported):
 		s.avoidUntil = now.Add(unsupportedAvoidance)
-	default:
+	case errors.Is(err, ErrPeerCut):
 		s.avoidUntil = now.Add(cutPeerAvoidance)
+	default:
+		s.avoidUntil = now.Add(min(failureAvoidance<<min(s.failures-1, 8), cutPeerAvoidance))
 	}
 }
 
@@ -290,32 +318,36 @@
 }
 
 // rank returns the daemons to ask: those of the own region first, of these those of other
-// failure domains, and of these the one with the least expected wait.
-func (d *Dialer) rank(ctx context.Context) []Peer {
-	type ranked struct {
-		Peer
-		distance int
-		load     float64
-		random   uint32
-	}
+// failure domains, and of these the one with the least expected wait. One that has failed is
+// asked again first, by one request alone.
+func (d *Dialer) rank(peers []Peer) []Peer {
 	now := d.Clock()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var list []ranked
-	for _, p := range d.Peers() {
+	var sound []rankedPeer
+	var doubtful *rankedPeer
+	for _, p := range peers {
 		s := d.stateOf(p)
-		if !AllowsRegion(ctx, p.Region) || now.Before(s.avoidUntil) {
+		if now.Before(s.avoidUntil) {
 			continue
 		}
 		load := float64(s.open+1) * float64(s.connect+time.Millisecond) / max(p.Cores, minCores)
-		list = append(list, ranked{p, d.distanceTo(p), load, rand.Uint32()})
+		r := rankedPeer{p, d.distanceTo(p), load, rand.Uint32()}
+		switch {
+		case s.failures == 0:
+			sound = append(sound, r)
+		case doubtful == nil || compareRanked(r, *doubtful) < 0:
+			doubtful = &r
+		}
+	}
+	slices.SortFunc(sound, compareRanked)
+	out := make([]Peer, 0, maxPeersAsked+1)
+	if doubtful != nil {
+		d.stateOf(doubtful.Peer).avoidUntil = now.Add(openTimeout)
+		out = append(out, doubtful.Peer)
 	}
-	slices.SortFunc(list, func(a, b ranked) int {
-		return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(a.load, b.load), cmp.Compare(a.random, b.random))
-	})
-	out := make([]Peer, 0, maxPeersAsked)
 	domainPeers := 0
-	for _, r := range list {
+	for _, r := range sound {
 		if len(out) == maxPeersAsked {
 			break
 		}
@@ -329,6 +361,29 @@
 	return out
 }
 
+// knownPeers returns the daemons that may be asked. One that has left the list while it opened
+// connections may be stopping, and still has time to. The lock must be held.
+func (d *Dialer) knownPeers(now time.Time) []Peer {
+	list := slices.Clone(d.Peers())
+	isListed := map[string]bool{}
+	for _, p := range list {
+		isListed[p.Address] = true
+	}
+	for address, s := range d.peers {
+		switch {
+		case !isListed[address] && now.Sub(s.usedAt) < departedPeerUse:
+			list = append(list, s.peer)
+		case !isListed[address] && s.open == 0:
+			delete(d.peers, address)
+		}
+	}
+	return list
+}
+
+func compareRanked(a, b rankedPeer) int {
+	return cmp.Or(cmp.Compare(a.distance, b.distance), cmp.Compare(a.load, b.load), cmp.Compare(a.random, b.random))
+}
+
 func (d *Dialer) distanceTo(p Peer) int {
 	switch {
 	case p.Region != d.Region:
@@ -343,6 +398,16 @@
 // minCores stands for the cores of a daemon that has not told them.
 const minCores = 0.1
 
+// Read reads bytes. The end of a connection to the endpoint that was reset is an error, also if
+// a write has got the kernel's report of the reset.
+func (c *detourConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if errors.Is(err, io.EOF) && zpnet.WasReset(c.Conn) {
+		err = syscall.ECONNRESET
+	}
+	return n, err
+}
+
 // Close closes the connection.
 func (c *detourConn) Close() error {
 	c.release()
--- a/internal/zpdetour/dialer_test.go
+++ b/internal/zpdetour/dialer_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"sync"
 	"syscall"
@@ -150,7 +151,7 @@
 		Expect(n.asked).To(BeEmpty())
 	})
 
-	It("connects by itself if nobody can be asked", func() {
+	It("connects by itself if it is alone", func() {
 		n := &testNetwork{direct: map[string]error{"a": errHang}}
 		d := newDialer(n)
 		d.Tracker.RecordDetour("a", time.Now())
@@ -158,6 +159,54 @@
 		Expect(err).To(MatchError(errHang))
 	})
 
+	// Guards against blaming endpoints for the lack of daemons that reach them.
+	It("says that nobody can connect while all other daemons are cut off, too", func() {
+		n := &testNetwork{direct: map[string]error{"a": errHang}, open: map[string]error{"near": zpdetour.ErrPeerCut}}
+		d := newDialer(n, near)
+		d.Tracker.RecordDetour("a", time.Now())
+		for range 3 {
+			_, err := d.DialContext(ctx, "tcp", "a")
+			Expect(err).To(MatchError(zpdetour.ErrNoPeer))
+		}
+		Expect(n.asked).To(HaveLen(1))
+	})
+
+	// Guards against asking daemons that are cut off in place of the one that is not.
+	It("asks the daemon that has connected before those that have failed", func() {
+		n := &testNetwork{direct: map[string]error{"a": errHang}, open: map[string]error{}}
+		peers := []zpdetour.Peer{near}
+		for _, name := range []string{"c1", "c2", "c3", "c4", "c5"} {
+			peers = append(peers, peer(name, "b", "n"))
+			n.open[name] = zpdetour.ErrPeerCut
+		}
+		d := newDialer(n, peers...)
+		now := time.Now()
+		d.Clock = func() time.Time { return now }
+		for range 6 { // finds out about each of them
+			_, _ = d.DialContext(ctx, "tcp", "a")
+		}
+		for range 4 {
+			now = now.Add(2100 * time.Millisecond) // those that have failed may be asked again
+			for range 3 {
+				expectConnect(ctx, d, "a")
+			}
+		}
+	})
+
+	// Guards against the loss of the only way while daemons are stopped one after the other.
+	It("still asks a daemon that stops, for as long as it opens connections", func() {
+		n := &testNetwork{direct: map[string]error{"a": errHang}, open: map[string]error{"far": zpdetour.ErrPeerCut}}
+		d := newDialer(n)
+		peers := []zpdetour.Peer{near, far}
+		d.Peers = func() []zpdetour.Peer { return peers }
+		expectConnect(ctx, d, "a")
+		peers = peers[1:]
+		expectConnect(ctx, d, "a")
+		n.open["near"] = zpdetour.ErrPeerCut
+		_, err := d.DialContext(ctx, "tcp", "a")
+		Expect(err).To(MatchError(zpdetour.ErrNoPeer))
+	})
+
 	It("spreads open connections over daemons", func() {
 		n := &testNetwork{direct: map[string]error{"a": errHang}}
 		d := newDialer(n, near, near2)
@@ -188,6 +237,38 @@
 		Eventually(func() zpdetour.Reach { return d.Tracker.Reach(time.Now()) }, time.Second).Should(Equal(zpdetour.Reach{}))
 	})
 
+	// Guards against a storm of connects when a part of the endpoints is reached again.
+	It("probes each blocked address once when one of them is reached again", func() {
+		n := &testNetwork{}
+		d := newDialer(n, near)
+		blocked := 20
+		d.Tracker.RecordConnect("z", time.Now())
+		for i := range blocked {
+			d.Tracker.RecordDetour(fmt.Sprint(i), time.Now())
+			d.Tracker.RecordConnect("z", time.Now())
+		}
+		expectConnect(zpdetour.DirectOnly(ctx), d, "0")
+		Eventually(func() []string { return d.Tracker.Reach(time.Now()).Blocked }, time.Second).Should(BeEmpty())
+		Consistently(func() int {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			return len(n.dialed)
+		}, 50*time.Millisecond).Should(Equal(blocked))
+	})
+
+	// Guards against a cut that callers who leave make up.
+	It("does not count connects that were given up because the caller left", func() {
+		gone, leave := context.WithCancel(ctx)
+		leave()
+		n := &testNetwork{direct: map[string]error{"a": context.Canceled, "b": context.Canceled}}
+		d := newDialer(n, near)
+		for _, address := range []string{"a", "b"} {
+			_, err := d.DialContext(gone, "tcp", address)
+			Expect(err).To(HaveOccurred())
+		}
+		Expect(d.Tracker.MayBeCut()).To(BeFalse())
+	})
+
 	DescribeTable("tells whether an endpoint refuses connections of others",
 		func(err error, refusing, ok bool) {
 			n := &testNetwork{open: map[string]error{"near": err, "near2": err}}
@@ -199,4 +280,28 @@
 		Entry("it does not answer", zpdetour.ErrNoPath, false, true),
 		Entry("nobody could tell", zpdetour.ErrPeerFailed, false, false),
 	)
+
+	// Guards against crashes of sound endpoints that a daemon of the same cut reports.
+	It("does not take the word of one daemon where others exist", func() {
+		n := &testNetwork{open: map[string]error{"near": zpdetour.ErrPeerCut, "same": syscall.ECONNREFUSED}}
+		_, ok := newDialer(n, near, same).IsRefusing(ctx, "a", 0)
+		Expect(ok).To(BeFalse())
+		_, ok = newDialer(n, near, same).IsRefusing(ctx, "a", 0)
+		Expect(ok).To(BeFalse())
+	})
+
+	It("does not take the word of its own failure domain while no other daemon can be asked", func() {
+		n := &testNetwork{direct: map[string]error{"a": errHang}, open: map[string]error{"near": zpdetour.ErrPeerCut, "same": syscall.ECONNREFUSED, "same2": syscall.ECONNREFUSED}}
+		d := newDialer(n, near, same, same2)
+		for range 2 {
+			_, ok := d.IsRefusing(ctx, "a", 0)
+			Expect(ok).To(BeFalse())
+		}
+		Expect(d.Tracker.MayDetour("a", time.Now())).To(BeTrue())
+	})
+
+	It("believes its own connect where no other daemon exists", func() {
+		refusing, ok := newDialer(&testNetwork{}).IsRefusing(ctx, "a", 0)
+		Expect([]bool{refusing, ok}).To(Equal([]bool{true, true}))
+	})
 })
--- a/internal/zpengine/detour_test.go
+++ b/internal/zpengine/detour_test.go
@@ -70,7 +70,7 @@
 			return conn, err
 		},
 	}
-	s.Sender = &zpengine.Sender{ConnectTimeout: time.Second, AckTimeout: time.Second, IdleTimeout: time.Second, Detour: detour}
+	s.Sender = &zpengine.Sender{ConnectTimeout: time.Second, SilenceTimeout: time.Second, IdleTimeout: time.Second, Detour: detour}
 	s.Open()
 	DeferCleanup(s.Close)
 	return s
@@ -192,4 +192,14 @@
 		s := newDetouringSender("127.0.0.1:1")
 		Expect(s.IsRefusing(ctx, s.address, 0)).To(BeTrue())
 	})
+
+	// Guards against a crash that is not found while other daemons were just killed.
+	It("takes it for crashed if no other daemon answers, unless this one may be cut off", func() {
+		s := newDetouringSender("")
+		s.Detour.Open = func(context.Context, string, string) (net.Conn, error) { return nil, zpdetour.ErrPeerFailed }
+		Expect(s.IsRefusing(ctx, s.address, 0)).To(BeTrue())
+		s.Detour.Tracker.RecordFailure("a", time.Now())
+		s.Detour.Tracker.RecordFailure("b", time.Now())
+		Expect(s.IsRefusing(ctx, s.address, 0)).To(BeFalse())
+	})
 })
--- a/internal/zpengine/sender.go
+++ b/internal/zpengine/sender.go
@@ -18,7 +18,7 @@
 // then call Open.
 type Sender struct {
 	ConnectTimeout time.Duration
-	AckTimeout     time.Duration // how long sent bytes may stay unacknowledged before the connection fails
+	SilenceTimeout time.Duration // how long sent bytes or probes may stay unacknowledged before the connection fails
 	IdleTimeout    time.Duration // of pooled connections
 	// Detour connects through other daemons where this one cannot; nil: nobody does. Open sets
 	// its Direct.
@@ -43,7 +43,7 @@
 
 // Open creates the HTTP clients.
 func (s *Sender) Open() {
-	s.direct = zpnet.NewDialer(s.ConnectTimeout, s.AckTimeout).DialContext
+	s.direct = zpnet.NewDialer(s.ConnectTimeout, s.SilenceTimeout).DialContext
 	direct, anyWay := s.direct, s.direct
 	if s.Detour != nil {
 		s.Detour.Direct = s.direct
@@ -181,7 +181,7 @@
 }
 
 func (s *Sender) isRefusingDirectly(ctx context.Context, address string, watch time.Duration) bool {
-	dial := newGatedDial(zpnet.NewDialer(s.ConnectTimeout, s.AckTimeout).DialContext)
+	dial := newGatedDial(zpnet.NewDialer(s.ConnectTimeout, s.SilenceTimeout).DialContext)
 	conn, err := dial(ctx, "tcp", address)
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
@@ -197,7 +197,8 @@
 }
 
 // isRefusingOthers reports whether an address refuses the connections of other daemons, too. A
-// firewall may refuse those of this one alone.
+// firewall may refuse those of this one alone. If no other daemon can tell, this one believes
+// itself unless it may be cut off: a crash that is not found makes a part of a response look whole.
 func (s *Sender) isRefusingOthers(ctx context.Context, address string, watch time.Duration) bool {
 	if s.Detour == nil {
 		return true
@@ -205,7 +206,7 @@
 	if refusing, ok := s.Detour.IsRefusing(ctx, address, watch); ok {
 		return refusing
 	}
-	return !s.Detour.Tracker.IsCut(s.Detour.Clock())
+	return !s.Detour.Tracker.MayBeCut()
 }
 
 // newGatedDial returns a dial function whose connections can be guarded by a Gate.
--- a/internal/zpgateway/gateway.go
+++ b/internal/zpgateway/gateway.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/zinniapaddle/zinniapaddle/internal/zpbrittle"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
@@ -48,6 +49,7 @@
 	Health           *HealthTracker
 	Speed            *zpspeed.Tracker
 	Cold             *zpplace.ColdLimiter
+	Brittle          *zpbrittle.Tracker
 	Daemons          func() []string // names of all daemons, including this one
 	Quarantine       *zpquarantine.Tracker
 	AnnounceCrash    func(r zpquarantine.Report) // reports a crash to other daemons
@@ -108,6 +110,8 @@
 		"the route's pool is not configured", "correct the configuration")
 	errNoEndpoint = zperror.New(zperror.KindUnavailable, "no_endpoint",
 		"no endpoint may take the request now", "send the request again after the time in Retry-After")
+	errNoPath = zperror.New(zperror.KindUnavailable, "no_path",
+		"neither this daemon nor another one can connect to endpoints now", "send the request again after the time in Retry-After")
 	errRegionUnconfirmed = zperror.New(zperror.KindUnavailable, "region_unconfirmed",
 		"this VM cannot confirm now which regions may run the request", "send the request again after the time in Retry-After")
 	errOverloaded = zperror.New(zperror.KindUnavailable, "overloaded",
