--- a/internal/zpdetour/dialer.go
+++ b/internal/zpdetour/dialer.go
@@ -83,7 +83,9 @@
 	openTimeout = 300 * time.Millisecond
 	// cutPeerAvoidance is how long a daemon that is cut off itself, or that fails, is not asked.
 	cutPeerAvoidance = 2 * time.Second
-	busyAvoidance    = 100 * time.Millisecond
+	// reachTimeout bounds the connects to other endpoints that show whether a refusal counts.
+	reachTimeout  = 100 * time.Millisecond
+	busyAvoidance = 100 * time.Millisecond
 	// unsupportedAvoidance is the pause until a daemon that does not know the call is asked
 	// again; it may be replaced by a newer one.
 	unsupportedAvoidance = time.Minute
@@ -138,18 +140,32 @@
 }
 
 // IsRefusing reports whether an address that has refused a connection of this daemon refuses
-// those of others, too. ok is false if none could tell.
-func (d *Dialer) IsRefusing(ctx context.Context, address string) (refusing, ok bool) {
+// those of others, too. If none could tell, the refusal counts while this daemon connects to
+// other endpoints.
+func (d *Dialer) IsRefusing(ctx context.Context, address string) bool {
 	conn, err := d.detour(ctx, address)
 	switch {
 	case err == nil:
 		_ = conn.Close()
-		return false, true
-	case errors.Is(err, errNoPeer):
-		return true, len(d.Peers()) == 0
+		return false
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return true
+	case errors.Is(err, ErrNoPath):
+		return false
 	}
-	isRefused := errors.Is(err, syscall.ECONNREFUSED)
-	return isRefused, isRefused || errors.Is(err, ErrNoPath)
+	return len(d.Peers()) == 0 || d.reachesOther(ctx, address)
+}
+
+// reachesOther reports whether this daemon connects to any endpoint but the one at an address.
+func (d *Dialer) reachesOther(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reachTimeout)
+	defer cancel()
+	for _, other := range d.Tracker.Reached(address) {
+		if err := d.probe(ctx, other); err == nil {
+			return true
+		}
+	}
+	return false
 }
 
 // RunProbes looks for the way back to blocked endpoints until ctx ends.
@@ -163,18 +179,19 @@
 			return
 		}
 		if address, ok := d.Tracker.NextProbe(d.Clock()); ok {
-			d.probe(ctx, address)
+			_ = d.probe(ctx, address) // it stays blocked
 		}
 	}
 }
 
-func (d *Dialer) probe(ctx context.Context, address string) {
+func (d *Dialer) probe(ctx context.Context, address string) error {
 	conn, err := d.Direct(ctx, "tcp", address)
 	if err != nil {
-		return
+		return err
 	}
 	_ = conn.Close()
 	d.connected(address)
+	return nil
 }
 
 // connected records a connect of this daemon. What else is blocked is probed at once.
@@ -187,7 +204,7 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
 			defer cancel()
-			d.probe(ctx, other)
+			_ = d.probe(ctx, other) // it stays blocked
 		}()
 	}
 }
--- a/internal/zpdetour/dialer_test.go
+++ b/internal/zpdetour/dialer_test.go
@@ -222,38 +222,45 @@
 	})
 
 	DescribeTable("tells whether an endpoint refuses connections of others",
-		func(err error, refusing, ok bool) {
+		func(err error, refusing bool) {
 			n := &testNetwork{open: map[string]error{"near": err, "near2": err}}
-			gotRefusing, gotOK := newDialer(n, near, near2).IsRefusing(ctx, "a")
-			Expect([]bool{gotRefusing, gotOK}).To(Equal([]bool{refusing, ok}))
+			Expect(newDialer(n, near, near2).IsRefusing(ctx, "a")).To(Equal(refusing))
 		},
-		Entry("it does", syscall.ECONNREFUSED, true, true),
-		Entry("it does not", nil, false, true),
-		Entry("it does not answer", zpdetour.ErrNoPath, false, true),
-		Entry("nobody could tell", zpdetour.ErrPeerFailed, false, false),
+		Entry("it does", syscall.ECONNREFUSED, true),
+		Entry("it does not", nil, false),
+		Entry("it does not answer", zpdetour.ErrNoPath, false),
+		Entry("nobody could tell", zpdetour.ErrPeerFailed, false),
+	)
+
+	// Guards against crashes that go unseen because other daemons saw two endpoints crash and may be cut off.
+	DescribeTable("believes its own refusal if nobody could tell, while it connects to another endpoint",
+		func(err error, refusing bool) {
+			n := &testNetwork{open: map[string]error{"near": zpdetour.ErrPeerCut}}
+			d := newDialer(n, near)
+			expectConnect(ctx, d, "b")
+			n.direct = map[string]error{"a": syscall.ECONNREFUSED, "b": err}
+			Expect(d.IsRefusing(ctx, "a")).To(Equal(refusing))
+		},
+		Entry("it does", nil, true),
+		Entry("it no longer does", errHang, false),
 	)
 
 	// Guards against crashes of sound endpoints that a daemon of the same cut reports.
 	It("does not take the word of one daemon where others exist", func() {
 		n := &testNetwork{open: map[string]error{"near": zpdetour.ErrPeerCut, "same": syscall.ECONNREFUSED}}
-		_, ok := newDialer(n, near, same).IsRefusing(ctx, "a")
-		Expect(ok).To(BeFalse())
-		_, ok = newDialer(n, near, same).IsRefusing(ctx, "a")
-		Expect(ok).To(BeFalse())
+		Expect(newDialer(n, near, same).IsRefusing(ctx, "a")).To(BeFalse())
 	})
 
 	It("does not take the word of its own failure domain while no other daemon can be asked", func() {
 		n := &testNetwork{direct: map[string]error{"a": errHang}, open: map[string]error{"near": zpdetour.ErrPeerCut, "same": syscall.ECONNREFUSED, "same2": syscall.ECONNREFUSED}}
 		d := newDialer(n, near, same, same2)
 		for range 2 {
-			_, ok := d.IsRefusing(ctx, "a")
-			Expect(ok).To(BeFalse())
+			Expect(d.IsRefusing(ctx, "a")).To(BeFalse())
 		}
 		Expect(d.Tracker.MayDetour("a", time.Now())).To(BeTrue())
 	})
 
 	It("believes its own connect where no other daemon exists", func() {
-		refusing, ok := newDialer(&testNetwork{}).IsRefusing(ctx, "a")
-		Expect([]bool{refusing, ok}).To(Equal([]bool{true, true}))
+		Expect(newDialer(&testNetwork{}).IsRefusing(ctx, "a")).To(BeTrue())
 	})
 })
--- a/internal/zpdetour/tracker.go
+++ b/internal/zpdetour/tracker.go
@@ -18,6 +18,7 @@
 		cutSince      time.Time
 		failed        map[string]bool // addresses to which connects have failed since the latest that succeeded
 		probedAt      time.Time
+		reached       []string // latest addresses with a connect that succeeded, the latest last
 	}
 
 	// block is an address to which detours are used.
@@ -38,6 +39,8 @@
 	deadTime = time.Second
 	// probeInterval is the interval between two probes of blocked addresses.
 	probeInterval = 250 * time.Millisecond
+	// maxReached is how many reached addresses are known.
+	maxReached = 16
 	// unusedBlockTime is how long an address stays blocked while no request needs it.
 	unusedBlockTime = 30 * time.Second
 )
@@ -52,6 +55,8 @@
 	wasCut = !t.cutSince.IsZero()
 	t.cutSince = time.Time{}
 	delete(t.deadUntil, address)
+	others := t.reachedExcept(address)
+	t.reached = append(others[max(len(others)-maxReached+1, 0):], address)
 	if _, ok := t.blocked[address]; !ok && !wasCut {
 		return nil, false
 	}
@@ -128,6 +133,17 @@
 	maps.DeleteFunc(t.deadUntil, func(_ string, until time.Time) bool { return now.After(until) })
 }
 
+// Reached returns addresses other than one to which connects have succeeded lately.
+func (t *Tracker) Reached(except string) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reachedExcept(except)
+}
+
+func (t *Tracker) reachedExcept(address string) []string {
+	return slices.DeleteFunc(slices.Clone(t.reached), func(a string) bool { return a == address })
+}
+
 // MayDetour reports whether a detour to an endpoint is worth a try after a connect has failed.
 func (t *Tracker) MayDetour(address string, now time.Time) bool {
 	t.mu.Lock()
--- a/internal/zpengine/sender.go
+++ b/internal/zpengine/sender.go
@@ -171,9 +171,10 @@
 // listens there. While a process ends, its listener may outlive its other connections for a
 // moment; a connection that was accepted then is reset. One that accepts no more
 // connections at its limit resets them, too, but does not refuse the next. watch is how
-// long an accepted connection is watched for that.
+// long an accepted connection is watched for that. A firewall may refuse the connections of this
+// daemon alone, so others are asked.
 func (s *Sender) IsRefusing(ctx context.Context, address string, watch time.Duration) bool {
-	return s.isRefusingDirectly(ctx, address, watch) && s.isRefusingOthers(ctx, address)
+	return s.isRefusingDirectly(ctx, address, watch) && (s.Detour == nil || s.Detour.IsRefusing(ctx, address))
 }
 
 func (s *Sender) isRefusingDirectly(ctx context.Context, address string, watch time.Duration) bool {
@@ -192,16 +193,6 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// isRefusingOthers reports whether an address refuses the connections of other daemons, too. A
-// firewall may refuse those of this one alone, so it does not if no other could tell.
-func (s *Sender) isRefusingOthers(ctx context.Context, address string) bool {
-	if s.Detour == nil {
-		return true
-	}
-	refusing, ok := s.Detour.IsRefusing(ctx, address)
-	return refusing && ok
-}
-
 // endsWithin reports whether the other side ends a connection within the time, and closes it.
 func endsWithin(conn net.Conn, d time.Duration) bool {
 	defer func() { _ = conn.Close() }()
