--- a/internal/zpapp/gateway_detours.go
+++ b/internal/zpapp/gateway_detours.go
@@ -26,7 +26,7 @@
 func (d *GatewayDaemon) buildDetours() {
 	tracker := &zpdetour.Tracker{}
 	d.detour = &zpdetour.Dialer{
-		Tracker: tracker, Domain: d.self.Domain, Region: d.self.Region, Peers: d.detourPeers, Log: d.Log, Clock: zpclock.Now, OnDetour: d.countDetour,
+		Tracker: tracker, Domain: d.self.Domain, Region: d.self.Region, Peers: d.detourPeers, Endpoints: d.registry.Addresses, Log: d.Log, Clock: zpclock.Now, OnDetour: d.countDetour,
 		Open: func(ctx context.Context, peer, endpoint string) (net.Conn, error) {
 			return zppeer.OpenEndpoint(ctx, d.dialer, peer, endpoint)
 		},
--- a/internal/zpdetour/dialer.go
+++ b/internal/zpdetour/dialer.go
@@ -27,8 +27,11 @@
 		Domain  string // failure domain of this daemon
 		Region  string
 		Peers   func() []Peer // daemons that may be asked, without this one
-		Log     *zplog.Logger
-		Clock   func() time.Time
+		// Endpoints returns the addresses of all endpoints; nil: only those that were reached
+		// lately are known.
+		Endpoints func() []string
+		Log       *zplog.Logger
+		Clock     func() time.Time
 		// OnDetour is called for each connection through another daemon, and each that failed;
 		// for metrics. It may be nil.
 		OnDetour func(peer string, took time.Duration, err error)
@@ -160,7 +163,13 @@
 func (d *Dialer) reachesOther(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reachTimeout)
 	defer cancel()
-	for _, other := range d.Tracker.Reached(address) {
+	others := d.Tracker.Reached(address)
+	if d.Endpoints != nil {
+		all := slices.DeleteFunc(d.Endpoints(), func(a string) bool { return a == address })
+		rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+		others = append(others, all[:min(len(all), maxReached)]...)
+	}
+	for _, other := range others {
 		if err := d.probe(ctx, other); err == nil {
 			return true
 		}
--- a/internal/zpdetour/dialer_test.go
+++ b/internal/zpdetour/dialer_test.go
@@ -245,6 +245,15 @@
 		Entry("it no longer does", errHang, false),
 	)
 
+	It("tries endpoints that it has not connected to yet for that", func() {
+		n := &testNetwork{open: map[string]error{"near": zpdetour.ErrPeerCut}}
+		d := newDialer(n, near)
+		Expect(d.IsRefusing(ctx, "a")).To(BeFalse())
+		d.Endpoints = func() []string { return []string{"a", "b"} }
+		Expect(d.IsRefusing(ctx, "a")).To(BeTrue())
+		Expect(n.dialed).To(Equal([]string{"b"}))
+	})
+
 	// Guards against crashes of sound endpoints that a daemon of the same cut reports.
 	It("does not take the word of one daemon where others exist", func() {
 		n := &testNetwork{open: map[string]error{"near": zpdetour.ErrPeerCut, "same": syscall.ECONNREFUSED}}
--- a/internal/zpregistry/registry.go
+++ b/internal/zpregistry/registry.go
@@ -237,6 +237,17 @@
 	return false
 }
 
+// Addresses returns the addresses of all endpoints.
+func (r *Registry) Addresses() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	out := make([]string, 0, len(r.entries))
+	for _, x := range r.entries {
+		out = append(out, x.endpoint.Address)
+	}
+	return out
+}
+
 // putLocked adds or updates an endpoint; r.mu must be held. It ignores an entry that
 // was written late by an earlier run of the endpoint.
 func (r *Registry) putLocked(e Endpoint) {
