--- a/internal/zpdetour/dialer.go
+++ b/internal/zpdetour/dialer.go
@@ -68,6 +68,7 @@
 	// detourConn counts as open until it is closed.
 	detourConn struct {
 		net.Conn
+		through string // name of the other daemon
 		release func()
 	}
 )
@@ -289,7 +290,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("through %s: %w", p.Name, err)
 	}
-	return &detourConn{Conn: conn, release: sync.OnceFunc(func() { d.release(p) })}, nil
+	return &detourConn{Conn: conn, through: p.Name, release: sync.OnceFunc(func() { d.release(p) })}, nil
 }
 
 // record updates what is known of a daemon from the result of asking it.
@@ -383,6 +384,9 @@
 // minCores stands for the cores of a daemon that has not told them.
 const minCores = 0.1
 
+// Through returns the name of the daemon through which the connection leads.
+func (c *detourConn) Through() string { return c.through }
+
 // Read reads bytes. The end of a connection to the endpoint that was reset is an error, also if
 // a write has got the kernel's report of the reset.
 func (c *detourConn) Read(b []byte) (int, error) {
--- a/internal/zpengine/detour_test.go
+++ b/internal/zpengine/detour_test.go
@@ -82,7 +82,9 @@
 			server := newServer()
 			s := newDetouringSender(server.Listener.Addr().String())
 			for n := range int32(3) {
-				Expect(s.send(ctx, pooled, newGate())).To(Equal("answer"))
+				gate := newGate()
+				Expect(s.send(ctx, pooled, gate)).To(Equal("answer"))
+				Expect(gate.Through()).To(Equal("peer"))
 				Expect(s.opened.Load()).To(Equal(n + 1))
 			}
 			Expect(requests.Load()).To(Equal(int32(3)))
--- a/internal/zpengine/gate.go
+++ b/internal/zpengine/gate.go
@@ -31,7 +31,8 @@
 		onOpened   func() // called once when the first byte may be sent; may be nil
 		state      atomic.Int32
 		refusedErr atomic.Pointer[error]
-		isReused   atomic.Bool // the connection was used for another request before
+		through    atomic.Pointer[string] // daemon to which the connection leads; nil: to the endpoint
+		isReused   atomic.Bool            // the connection was used for another request before
 	}
 
 	// gatedConn checks the turn of the current request before each write.
@@ -68,6 +69,15 @@
 // request was sent on before.
 func (g *Gate) IsConnectionReused() bool { return g.isReused.Load() }
 
+// Through returns the name of the daemon through which the request was sent, or "" if it was
+// sent to the endpoint itself.
+func (g *Gate) Through() string {
+	if name := g.through.Load(); name != nil {
+		return *name
+	}
+	return ""
+}
+
 // Err returns why the gate did not open, or nil if it did or was not used.
 // The error from the HTTP client may only say that the connection was closed.
 func (g *Gate) Err() error {
--- a/internal/zpengine/turn.go
+++ b/internal/zpengine/turn.go
@@ -88,6 +88,11 @@
 	gate := x.gate
 	if gate != nil {
 		gate.isReused.Store(isReused)
+		through := ""
+		if c, ok := conn.Conn.(interface{ Through() string }); ok {
+			through = c.Through()
+		}
+		gate.through.Store(&through)
 		if gate.Sent() {
 			gate = closedGate
 		}
--- a/internal/zpgateway/job.go
+++ b/internal/zpgateway/job.go
@@ -27,6 +27,7 @@
 	sentAt           time.Time // of the last send
 	events           int       // complete events received since the last send
 	firstEvent       string    // id of the first of them; empty: none
+	through          string    // daemon through which the last send went; empty: none
 	possibleRuns     int       // number of sends that may have run
 	tried            map[string]bool
 	triedNewVersion  bool   // it was sent to the version that its pool moves to
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -88,7 +88,7 @@
 		g.Metrics.Retries.WithLabelValues(s.outcome.String()).Inc()
 		g.Log.Emit(zplog.RequestRetried, g.logFields(j, zplog.Fields{
 			"endpoint": c.endpoint.ID, "after": s.outcome.String(), "error": fmt.Sprint(s.err), "last_event": j.lastEvent,
-			"first_event": j.firstEvent, "events": j.events,
+			"first_event": j.firstEvent, "events": j.events, "through": j.through,
 		}))
 	}
 }
@@ -177,6 +177,7 @@
 	g.Log.Emit(zplog.RequestPlaced, g.logFields(j, g.choiceFields(j, c)))
 	g.Speed.RecordSent(c.endpoint.ID)
 	answer, err := g.Runner.Run(ctx, c.newRun(j, left), gate)
+	j.through = gate.Through()
 	if err != nil {
 		return g.handleNoResponse(ctx, j, c, gate, err)
 	}
@@ -205,7 +206,7 @@
 		}
 		g.Log.Emit(zplog.RequestAnswered, g.logFields(j, g.eventFields(j, zplog.Fields{
 			"endpoint": c.endpoint.ID, "status": answer.Status, "first_ms": firstByteTime.Milliseconds(), "expected_ms": c.cost.Milliseconds(),
-			"weights": answer.WeightVersion,
+			"weights": answer.WeightVersion, "through": j.through,
 		})))
 	case outcomeFailed:
 		g.recordFailure(c.endpoint.ID, FailureServerError)
