--- a/internal/zpgateway/gateway.go
+++ b/internal/zpgateway/gateway.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpdetour"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpmetric"
@@ -62,6 +63,7 @@
 	AnnounceUnreachable func(endpoint string) // reports an unreachable endpoint to other daemons
 	Upgrades            *zpupgrade.Tracker    // of pools to new versions; nil allows all versions
 	Origins             *zporigin.Directory   // knows at which version streams began; nil: they may go on at any
+	Reach               *zpdetour.Tracker     // which endpoints this daemon reaches by itself; nil: all
 	Retries             *zpretry.Budgets
 	Runner              Runner
 	ResponseMemory      *zpengine.Memory // bounds the memory of buffered responses
--- a/internal/zpgateway/where.go
+++ b/internal/zpgateway/where.go
@@ -23,6 +23,7 @@
 		Fate           Fate
 		Endpoint       string         // to which it would be sent; empty: none
 		Error          *zperror.Error // why it would be refused; nil: it would not
+		IsCutOff       bool           // this daemon reaches endpoints only through others
 		Waiting        int            // requests that wait at this daemon
 		Wait           *WaitForecast  // nil if it would be sent at once, or refused before placing
 		Candidates     []CandidateExplanation
@@ -46,6 +47,7 @@
 		CachedTokens  int
 		FetchTokens   int
 		Source        string // holder from which parts would be fetched
+		IsBlocked     bool   // it would be reached through another daemon
 	}
 
 	// Fate is what would become of a request.
@@ -111,6 +113,7 @@
 	e := g.newEntry(&waiter{job: j, enqueuedAt: now})
 	x.Waiting = g.queue.waiters.Len()
 	x.Candidates = g.explainCandidates(j, now)
+	g.explainReach(x, now)
 	if first := x.Candidates; len(first) > 0 && first[0].Excluded == "" && g.queue.waiters.WouldBeFirst(e, now) {
 		x.Fate, x.Endpoint = FateSent, first[0].Endpoint
 		return
@@ -128,6 +131,19 @@
 	x.Fate = FateWaits
 }
 
+// explainReach tells which endpoints would be reached through other daemons.
+func (g *Gateway) explainReach(x *Explanation, now time.Time) {
+	if g.Reach == nil {
+		return
+	}
+	x.IsCutOff = g.Reach.IsCut(now)
+	for i, c := range x.Candidates {
+		if e, ok := g.Registry.Find(c.Endpoint); ok {
+			x.Candidates[i].IsBlocked = g.Reach.IsBlocked(e.Address, now)
+		}
+	}
+}
+
 // explainCandidates returns the endpoints of the request's pool, the one that would be chosen
 // first and those that must not be used last. The lock of the queue must be held.
 func (g *Gateway) explainCandidates(j *job, now time.Time) []CandidateExplanation {
--- a/internal/zpgateway/where_test.go
+++ b/internal/zpgateway/where_test.go
@@ -8,6 +8,7 @@
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
+	"github.com/zinniapaddle/zinniapaddle/internal/zpdetour"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpgateway"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpregistry"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpusage"
@@ -54,6 +55,23 @@
 		Expect(s.QueuedRequests()).To(BeZero())
 	})
 
+	It("tells which endpoints would be reached through other daemons", func() {
+		list := s.Registry.AllInPool("pool", s.Clock())
+		for i := range list {
+			list[i].Address = list[i].ID + ":80"
+		}
+		s.Registry.Replace(list, s.Clock())
+		s.Reach = &zpdetour.Tracker{}
+		s.Reach.RecordDetour("e2:80", s.Clock())
+		x := where("tag")
+		Expect(x.IsCutOff).To(BeFalse())
+		for _, c := range x.Candidates {
+			Expect(c.IsBlocked).To(Equal(c.Endpoint == "e2"), c.Endpoint)
+		}
+		s.Reach.RecordDetour("e3:80", s.Clock())
+		Expect(where("tag").IsCutOff).To(BeTrue())
+	})
+
 	It("tells why endpoints are excluded", func() {
 		list := s.Registry.AllInPool("pool", s.Clock())
 		list[0].State = zpregistry.StateDraining
--- a/internal/zpwhere/client.go
+++ b/internal/zpwhere/client.go
@@ -77,6 +77,9 @@
 	}
 	_, _ = fmt.Fprintf(t, "route %s, workspace %s, pool %s, configuration %d (confirmed %d ms ago), %d requests wait\n",
 		orNone(x.Route), orNone(x.Workspace), orNone(x.Pool), x.CatalogVersion, x.CatalogAgeMS, x.Waiting)
+	if x.IsCutOff {
+		_, _ = fmt.Fprintln(t, "this daemon reaches endpoints only through other daemons")
+	}
 	if v := x.Wait; v != nil {
 		_, _ = fmt.Fprintf(t, "reason %s: ahead %.0f at %.0f/s, in the fleet %.0f at %.0f/s at most; starts in %d ms, then %d ms, %d ms left\n",
 			v.Reason, v.Ahead, v.PaceS, v.FleetAhead, v.CapacityS, v.StartMS, v.ServiceMS, v.LeftMS)
@@ -102,6 +105,9 @@
 	if c.Source != "" {
 		terms = append(terms, "parts from "+c.Source)
 	}
+	if c.IsBlocked {
+		terms = append(terms, "through another daemon")
+	}
 	return strings.Join(terms, ", ")
 }
 
--- a/internal/zpwhere/where_test.go
+++ b/internal/zpwhere/where_test.go
@@ -33,9 +33,9 @@
 			Workspaces: []zpcatalog.Workspace{{Name: "w", Keys: []string{secretKey}}, {Name: "keyless"}},
 		}).BuildIndexes()
 		explanation = zpgateway.Explanation{
-			Route: "triage", Workspace: "w", Pool: "p", CatalogVersion: 7, Fate: zpgateway.FateSent, Endpoint: "e1",
+			Route: "triage", Workspace: "w", Pool: "p", CatalogVersion: 7, IsCutOff: true, Fate: zpgateway.FateSent, Endpoint: "e1",
 			Candidates: []zpgateway.CandidateExplanation{
-				{Endpoint: "e1", Cost: 12 * time.Millisecond, Terms: []zpplace.Term{{Name: "running", Cost: 2 * time.Millisecond}}, Source: "e2"},
+				{Endpoint: "e1", Cost: 12 * time.Millisecond, Terms: []zpplace.Term{{Name: "running", Cost: 2 * time.Millisecond}}, Source: "e2", IsBlocked: true},
 				{Endpoint: "e2", Excluded: "it has no room"},
 			},
 		}
@@ -72,7 +72,7 @@
 
 	It("prints the endpoint, each term of the costs and why others are excluded", func() {
 		text, document := ask(zpwhere.Query{Route: "triage", Workspace: "w", Model: "m", Tokens: 30, Parts: []zpgateway.Part{{ID: "a", Tokens: 20}}})
-		Expect(text).To(SatisfyAll(ContainSubstring("sent to e1"), ContainSubstring("running 2.0"), ContainSubstring("parts from e2"), ContainSubstring("excluded: it has no room")))
+		Expect(text).To(SatisfyAll(ContainSubstring("sent to e1"), ContainSubstring("running 2.0"), ContainSubstring("parts from e2"), ContainSubstring("through another daemon"), ContainSubstring("only through other daemons"), ContainSubstring("excluded: it has no room")))
 		Expect(document).To(SatisfyAll(ContainSubstring(`"endpoint":"e1"`), ContainSubstring(`"cost_ms":12`)))
 		Expect(asked.APIKey).To(Equal(secretKey))
 		Expect(asked.Host + asked.Path).To(Equal("shop/t/"))
--- a/internal/zpwhere/wire.go
+++ b/internal/zpwhere/wire.go
@@ -51,6 +51,7 @@
 		CatalogVersion int64           `json:"catalog_version"`
 		CatalogAgeMS   int64           `json:"catalog_age_ms"`
 		Waiting        int             `json:"waiting_requests"`
+		IsCutOff       bool            `json:"cut_off_from_endpoints,omitempty"`
 		Error          *wireError      `json:"error,omitempty"`
 		Wait           *wireWait       `json:"wait,omitempty"`
 		Candidates     []wireCandidate `json:"candidates"`
@@ -82,6 +83,7 @@
 		CachedTokens  int        `json:"cached_tokens"`
 		FetchTokens   int        `json:"fetch_tokens"`
 		Source        string     `json:"source,omitempty"`
+		IsBlocked     bool       `json:"through_others,omitempty"`
 	}
 	wireTerm struct {
 		Name   string  `json:"name"`
@@ -127,7 +129,7 @@
 func encodeAnswer(x zpgateway.Explanation) wireAnswer {
 	a := wireAnswer{
 		Fate: string(x.Fate), Endpoint: x.Endpoint, Route: x.Route, Workspace: x.Workspace, Pool: x.Pool,
-		CatalogVersion: x.CatalogVersion, CatalogAgeMS: x.CatalogAge.Milliseconds(), Waiting: x.Waiting, Candidates: []wireCandidate{},
+		CatalogVersion: x.CatalogVersion, CatalogAgeMS: x.CatalogAge.Milliseconds(), Waiting: x.Waiting, IsCutOff: x.IsCutOff, Candidates: []wireCandidate{},
 	}
 	if x.Error != nil {
 		a.Error = encodeError(x.Error)
@@ -141,7 +143,7 @@
 	for _, c := range x.Candidates {
 		k := wireCandidate{
 			Endpoint: c.Endpoint, FailureDomain: c.FailureDomain, Region: c.Region, Excluded: c.Excluded, CostMS: milliseconds(c.Cost),
-			Running: c.Running, CachedTokens: c.CachedTokens, FetchTokens: c.FetchTokens, Source: c.Source,
+			Running: c.Running, CachedTokens: c.CachedTokens, FetchTokens: c.FetchTokens, Source: c.Source, IsBlocked: c.IsBlocked,
 		}
 		for _, t := range c.Terms {
 			k.Terms = append(k.Terms, wireTerm{Name: t.Name, CostMS: milliseconds(t.Cost)})
