--- a/internal/zpdetour/dialer.go
+++ b/internal/zpdetour/dialer.go
@@ -27,8 +27,11 @@
 		Domain  string // failure domain of this daemon
 		Region  string
 		Peers   func() []Peer // daemons that may be asked, without this one
-		Log     *zplog.Logger
-		Clock   func() time.Time
+		// Endpoints returns the addresses of all endpoints; nil: only those that were reached
+		// lately are known.
+		Endpoints func() []string
+		Log       *zplog.Logger
+		Clock     func() time.Time
 		// OnDetour is called for each connection through another daemon, and each that failed;
 		// for metrics. It may be nil.
 		OnDetour func(peer string, took time.Duration, err error)
@@ -76,6 +79,7 @@
 	// detourConn counts as open until it is closed.
 	detourConn struct {
 		net.Conn
+		through string // name of the other daemon
 		release func()
 	}
 )
@@ -96,7 +100,9 @@
 	// one that fails.
 	cutPeerAvoidance = 2 * time.Second
 	failureAvoidance = 200 * time.Millisecond // doubles with each consecutive failure
-	busyAvoidance    = 100 * time.Millisecond
+	// reachTimeout bounds the connects to other endpoints that show whether a refusal counts.
+	reachTimeout  = 100 * time.Millisecond
+	busyAvoidance = 100 * time.Millisecond
 	// unsupportedAvoidance is the pause until a daemon that does not know the call is asked
 	// again; it may be replaced by a newer one.
 	unsupportedAvoidance = time.Minute
@@ -149,9 +155,18 @@
 }
 
 // IsRefusing reports whether an address that has refused a connection of this daemon refuses
-// those of others, too, or does so after one that it accepted has ended within the watch. ok is
-// false if none could tell.
-func (d *Dialer) IsRefusing(ctx context.Context, address string, watch time.Duration) (refusing, ok bool) {
+// those of others, too. If none could tell, the refusal counts while this daemon connects to
+// other endpoints.
+func (d *Dialer) IsRefusing(ctx context.Context, address string, watch time.Duration) bool {
+	if refusing, ok := d.AskRefusing(ctx, address, watch); ok {
+		return refusing
+	}
+	return len(d.Peers()) == 0 || d.reachesOther(ctx, address)
+}
+
+// AskRefusing asks other daemons whether an address refuses their connections, or does so after
+// one that it accepted has ended within the watch. ok is false if none could tell.
+func (d *Dialer) AskRefusing(ctx context.Context, address string, watch time.Duration) (refusing, ok bool) {
 	conn, err := d.detour(ctx, address)
 	if err == nil {
 		if !zpnet.EndsWithin(conn, watch) {
@@ -162,14 +177,28 @@
 			return false, true
 		}
 	}
-	if errors.Is(err, ErrNoPeer) {
-		isAlone := len(d.Peers()) == 0
-		return isAlone, isAlone
-	}
 	isRefused := errors.Is(err, syscall.ECONNREFUSED)
 	return isRefused, isRefused || errors.Is(err, ErrNoPath)
 }
 
+// reachesOther reports whether this daemon connects to any endpoint but the one at an address.
+func (d *Dialer) reachesOther(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reachTimeout)
+	defer cancel()
+	others := d.Tracker.Reached(address)
+	if d.Endpoints != nil {
+		all := slices.DeleteFunc(d.Endpoints(), func(a string) bool { return a == address })
+		rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+		others = append(others, all[:min(len(all), maxReached)]...)
+	}
+	for _, other := range others {
+		if err := d.probe(ctx, other); err == nil {
+			return true
+		}
+	}
+	return false
+}
+
 // RunProbes looks for the way back to blocked endpoints until ctx ends.
 func (d *Dialer) RunProbes(ctx context.Context) {
 	ticker := time.NewTicker(probeInterval)
@@ -181,18 +210,19 @@
 			return
 		}
 		if address, ok := d.Tracker.NextProbe(d.Clock()); ok {
-			d.probe(ctx, address)
+			_ = d.probe(ctx, address) // it stays blocked
 		}
 	}
 }
 
-func (d *Dialer) probe(ctx context.Context, address string) {
+func (d *Dialer) probe(ctx context.Context, address string) error {
 	conn, err := d.Direct(ctx, "tcp", address)
 	if err != nil {
-		return
+		return err
 	}
 	_ = conn.Close()
 	d.connected(address)
+	return nil
 }
 
 // connected records a connect of this daemon. What else is blocked is probed at once.
@@ -205,7 +235,7 @@
 		go func() {
 			ctx, cancel := context.WithTimeout(context.Background(), openTimeout)
 			defer cancel()
-			d.probe(ctx, other)
+			_ = d.probe(ctx, other) // it stays blocked
 		}()
 	}
 }
@@ -271,7 +301,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("through %s: %w", p.Name, err)
 	}
-	return &detourConn{Conn: conn, release: sync.OnceFunc(func() { d.release(p) })}, nil
+	return &detourConn{Conn: conn, through: p.Name, release: sync.OnceFunc(func() { d.release(p) })}, nil
 }
 
 // record updates what is known of a daemon from the result of asking it.
@@ -398,6 +428,9 @@
 // minCores stands for the cores of a daemon that has not told them.
 const minCores = 0.1
 
+// Through returns the name of the daemon through which the connection leads.
+func (c *detourConn) Through() string { return c.through }
+
 // Read reads bytes. The end of a connection to the endpoint that was reset is an error, also if
 // a write has got the kernel's report of the reset.
 func (c *detourConn) Read(b []byte) (int, error) {
--- a/internal/zpengine/sender.go
+++ b/internal/zpengine/sender.go
@@ -170,14 +170,15 @@
 // listens there. While a process ends, its listener may outlive its other connections for a
 // moment; a connection that was accepted then is reset. One that accepts no more
 // connections at its limit resets them, too, but does not refuse the next. watch is how
-// long an accepted connection is watched for that.
+// long an accepted connection is watched for that. A firewall may refuse the connections of this
+// daemon alone, so others are asked.
 func (s *Sender) IsRefusing(ctx context.Context, address string, watch time.Duration) bool {
 	if s.Detour != nil && s.Detour.Tracker.IsBlocked(address, s.Detour.Clock()) {
-		if refusing, ok := s.Detour.IsRefusing(ctx, address, watch); ok {
+		if refusing, ok := s.Detour.AskRefusing(ctx, address, watch); ok {
 			return refusing
 		}
 	}
-	return s.isRefusingDirectly(ctx, address, watch) && s.isRefusingOthers(ctx, address, watch)
+	return s.isRefusingDirectly(ctx, address, watch) && (s.Detour == nil || s.Detour.IsRefusing(ctx, address, watch))
 }
 
 func (s *Sender) isRefusingDirectly(ctx context.Context, address string, watch time.Duration) bool {
@@ -196,19 +197,6 @@
 	return errors.Is(err, syscall.ECONNREFUSED)
 }
 
-// isRefusingOthers reports whether an address refuses the connections of other daemons, too. A
-// firewall may refuse those of this one alone. If no other daemon can tell, this one believes
-// itself unless it may be cut off: a crash that is not found makes a part of a response look whole.
-func (s *Sender) isRefusingOthers(ctx context.Context, address string, watch time.Duration) bool {
-	if s.Detour == nil {
-		return true
-	}
-	if refusing, ok := s.Detour.IsRefusing(ctx, address, watch); ok {
-		return refusing
-	}
-	return !s.Detour.Tracker.MayBeCut()
-}
-
 // newGatedDial returns a dial function whose connections can be guarded by a Gate.
 func newGatedDial(dial dialFunc) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -113,7 +113,7 @@
 	j.tried[c.endpoint.ID] = true
 	g.Metrics.Retries.WithLabelValues(s.outcome.String()).Inc()
 	g.Log.Emit(zplog.RequestRetried, g.logFields(j, g.eventFields(j, zplog.Fields{
-		"endpoint": c.endpoint.ID, "after": s.outcome.String(), "error": fmt.Sprint(s.err),
+		"endpoint": c.endpoint.ID, "after": s.outcome.String(), "error": fmt.Sprint(s.err), "through": j.through,
 	})))
 }
 
@@ -213,6 +213,7 @@
 	g.Log.Emit(zplog.RequestPlaced, g.logFields(j, g.choiceFields(j, c)))
 	g.Speed.RecordSent(c.endpoint.ID)
 	answer, err := g.Runner.Run(ctx, c.newRun(j, left), gate)
+	j.through = gate.Through()
 	if err != nil {
 		return g.handleNoResponse(ctx, j, c, gate, err)
 	}
@@ -252,7 +253,7 @@
 	}
 	g.Log.Emit(zplog.RequestAnswered, g.logFields(j, g.eventFields(j, zplog.Fields{
 		"endpoint": c.endpoint.ID, "status": a.Status, "first_ms": firstByteTime.Milliseconds(), "expected_ms": c.cost.Milliseconds(),
-		"weights": a.WeightVersion,
+		"weights": a.WeightVersion, "through": j.through,
 	})))
 }
 
