--- a/internal/zppeer/connect.go
+++ b/internal/zppeer/connect.go
@@ -25,7 +25,8 @@
 		chunks  chan []byte   // received, not read yet; closed after readErr is set
 		closed  chan struct{} // closed by Close
 		close   func()
-		rest    []byte // of the chunk that was read last
+		writing sync.Mutex // held while data is sent
+		rest    []byte     // of the chunk that was read last
 		readErr error
 	}
 
@@ -219,6 +220,8 @@
 
 // Write implements net.Conn.
 func (c *endpointConn) Write(b []byte) (int, error) {
+	c.writing.Lock()
+	defer c.writing.Unlock()
 	written := 0
 	for len(b) > 0 {
 		n := min(len(b), connectChunk)
@@ -238,9 +241,15 @@
 
 func (c *endpointConn) end() {
 	close(c.closed)
+	if !c.writing.TryLock() {
+		// CloseSend would wait for the blocked write, and the end of the context for CloseSend.
+		c.cancel()
+		return
+	}
+	defer c.writing.Unlock()
+	time.AfterFunc(closeTimeout, c.cancel)
 	// An error means that the stream has ended.
 	_ = c.stream.CloseSend()
-	time.AfterFunc(closeTimeout, c.cancel)
 }
 
 // LocalAddr implements net.Conn.
--- a/internal/zppeer/connect_test.go
+++ b/internal/zppeer/connect_test.go
@@ -117,6 +117,30 @@
 		Expect(err).To(MatchError(syscall.ECONNRESET))
 	})
 
+	// Guards against requests that never end because their endpoint does not read the body.
+	It("is closed at once while a write is blocked", func() {
+		stop := make(chan struct{})
+		DeferCleanup(func() { close(stop) })
+		peer, _ := serveConnects(dialEndpoint)
+		conn := open(peer, listenEndpoint(func(conn *net.TCPConn) {
+			<-stop
+			_ = conn.Close()
+		}))
+		written := make(chan struct{})
+		go func() {
+			defer close(written)
+			_, _ = conn.Write(make([]byte, 64<<20))
+		}()
+		Consistently(written, "300ms").ShouldNot(BeClosed())
+		closed := make(chan struct{})
+		go func() {
+			defer close(closed)
+			_ = conn.Close()
+		}()
+		Eventually(closed, "1s").Should(BeClosed())
+		Eventually(written, "1s").Should(BeClosed())
+	})
+
 	// Guards against work for callers that have left.
 	It("closes the connection to the endpoint at once when it is closed", func() {
 		closed := make(chan time.Time, 1)
