--- a/internal/zpsoak/cluster.go
+++ b/internal/zpsoak/cluster.go
@@ -149,7 +149,7 @@
 		return err
 	}
 	peers := fmt.Sprintf(":%d", zpoutside.PeersPort)
-	toPeer := &Link{Listen: s.ip(3, 10+i) + peers, Target: s.daemonIP(i) + peers, Rewrite: func(data []byte) []byte { return []byte(view.Replace(string(data))) }}
+	toPeer := &Link{Listen: s.ip(3, 10+i) + peers, Target: s.daemonIP(i) + peers, Rewrite: s.rewriteAddresses(view)}
 	if err := toPeer.Open(); err != nil {
 		return err
 	}
--- a/internal/zpsoak/view.go
+++ b/internal/zpsoak/view.go
@@ -1,6 +1,7 @@
 package zpsoak
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -48,6 +49,18 @@
 	return strings.NewReplacer(pairs...)
 }
 
+// rewriteAddresses returns a function that replaces addresses in messages between daemons. An
+// address that arrives in two parts is not replaced; no daemon knows it then.
+func (s *cluster) rewriteAddresses(view *strings.Replacer) func([]byte) []byte {
+	prefix := fmt.Appendf(nil, "127.%d.", s.Number)
+	return func(data []byte) []byte {
+		if !bytes.Contains(data, prefix) {
+			return data
+		}
+		return []byte(view.Replace(string(data)))
+	}
+}
+
 // ServeHTTP implements http.Handler.
 func (v *storeView) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	recorded := httptest.NewRecorder()
