--- a/internal/zpdetour/dialer_test.go
+++ b/internal/zpdetour/dialer_test.go
@@ -266,7 +266,7 @@
 			_, err := d.DialContext(gone, "tcp", address)
 			Expect(err).To(HaveOccurred())
 		}
-		Expect(d.Tracker.MayBeCut()).To(BeFalse())
+		Expect(d.Tracker.MayBeCut(time.Now())).To(BeFalse())
 	})
 
 	DescribeTable("tells whether an endpoint refuses connections of others",
--- a/internal/zpdetour/server.go
+++ b/internal/zpdetour/server.go
@@ -54,7 +54,7 @@
 	if err != nil {
 		s.open.Add(-1)
 		switch {
-		case s.Tracker.MayBeCut():
+		case s.Tracker.MayBeCut(s.Clock()):
 			return nil, errors.Join(ErrPeerCut, err)
 		case errors.Is(err, syscall.ECONNREFUSED):
 			return nil, err
--- a/internal/zpdetour/tracker.go
+++ b/internal/zpdetour/tracker.go
@@ -16,7 +16,7 @@
 		deadUntil     map[string]time.Time
 		lastConnectAt time.Time // of the latest connect of this daemon that succeeded
 		cutSince      time.Time
-		failed        map[string]bool // addresses to which connects have failed since the latest that succeeded
+		failed        map[string]time.Time // by address, when a connect last failed since the latest that succeeded
 		probedAt      time.Time
 		reached       []string // latest addresses with a connect that succeeded, the latest last
 	}
@@ -37,6 +37,8 @@
 	// deadTime is how long no detour is tried to an endpoint that another daemon could not
 	// reach either.
 	deadTime = time.Second
+	// failureMemory is how long a connect that failed counts as a sign of a cut.
+	failureMemory = 2 * time.Second
 	// probeInterval is the interval between two probes of blocked addresses.
 	probeInterval = 250 * time.Millisecond
 	// maxReached is how many reached addresses are known.
@@ -72,23 +74,28 @@
 }
 
 // RecordFailure records a connect of this daemon that failed.
-func (t *Tracker) RecordFailure(address string, _ time.Time) {
+func (t *Tracker) RecordFailure(address string, now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.failed == nil {
-		t.failed = map[string]bool{}
-	}
-	if len(t.failed) < cutAddresses {
-		t.failed[address] = true
+		t.failed = map[string]time.Time{}
 	}
+	maps.DeleteFunc(t.failed, func(_ string, at time.Time) bool { return now.Sub(at) > failureMemory })
+	t.failed[address] = now
 }
 
 // MayBeCut reports whether this daemon may be cut off from all endpoints: what it finds at one
 // of them says nothing.
-func (t *Tracker) MayBeCut() bool {
+func (t *Tracker) MayBeCut(now time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.failed) >= cutAddresses || !t.cutSince.IsZero()
+	recent := 0
+	for _, at := range t.failed {
+		if now.Sub(at) <= failureMemory {
+			recent++
+		}
+	}
+	return recent >= cutAddresses || !t.cutSince.IsZero()
 }
 
 // RecordDetour records that another daemon has connected to an address to which this one could
--- a/internal/zpdetour/tracker_test.go
+++ b/internal/zpdetour/tracker_test.go
@@ -89,11 +89,19 @@
 	It("may be cut off once connects to two addresses have failed, until one succeeds", func() {
 		t.RecordFailure("a", at(0))
 		t.RecordFailure("a", at(1))
-		Expect(t.MayBeCut()).To(BeFalse())
+		Expect(t.MayBeCut(at(1))).To(BeFalse())
 		t.RecordFailure("b", at(2))
-		Expect(t.MayBeCut()).To(BeTrue())
+		Expect(t.MayBeCut(at(2))).To(BeTrue())
 		t.RecordConnect("c", at(3))
-		Expect(t.MayBeCut()).To(BeFalse())
+		Expect(t.MayBeCut(at(3))).To(BeFalse())
+	})
+
+	// Guards against a daemon without new connections that calls itself cut off after two endpoints have crashed.
+	It("is not taken for cut off by failures of seconds ago", func() {
+		t.RecordFailure("a", at(0))
+		t.RecordFailure("b", at(1_500))
+		Expect(t.MayBeCut(at(1_600))).To(BeTrue())
+		Expect(t.MayBeCut(at(2_100))).To(BeFalse())
 	})
 
 	It("probes nothing while nothing is blocked", func() {
