Soak: a notice in a response that nobody read is not held against daemons

Trace: the notices stand in responses of runs that the daemon had cancelled for silence before their heads came (401 after silent); the callers' 200 came from other endpoints. A notice now counts as read only if its request ran once.

--- a/internal/zpsoak/judge_notices.go
+++ b/internal/zpsoak/judge_notices.go
@@ -27,6 +27,10 @@
 	for _, q := range r.requestLog.requests {
 		requests[q.ID] = q
 	}
+	runCount := map[string]int{}
+	for _, x := range runs {
+		runCount[x.Request]++
+	}
 	leftAt, quiet := map[daemonAtEndpoint]time.Time{}, map[daemonAtEndpoint][]zpoutside.Notice{}
 	for _, n := range r.cluster.log.Notices() {
 		q, known := requests[n.Request]
@@ -34,8 +38,9 @@
 			continue
 		}
 		key := daemonAtEndpoint{q.Daemon, n.Endpoint}
-		// The endpoint or the link may have cut other responses before the daemon read them.
-		isPassedOn := q.Status == http.StatusOK
+		// The endpoint or the link may have cut other responses before the daemon read them. The
+		// response to a request that ran on several endpoints is that of any of them.
+		isPassedOn := q.Status == http.StatusOK && runCount[n.Request] == 1
 		if at, heard := leftAt[key]; n.Leaving && isPassedOn && (!heard || q.DoneAt.Before(at)) {
 			leftAt[key] = q.DoneAt
 		}
--- a/internal/zpsoak/judge_notices_test.go
+++ b/internal/zpsoak/judge_notices_test.go
@@ -33,6 +33,17 @@
 		Entry("later, but the response that told it was cut", 502, 5_000, faultWindow{Kind: PeerCut, Target: 1}, false),
 	)
 
+	It("takes no notice for passed on with a response that another endpoint may have given", func() {
+		r := newTestRun(1)
+		for id, ms := range map[string]int{"told": 1_000, "later": 5_000} {
+			r.requestLog.add(request{ID: id, Kind: "read", SentAt: at(ms), DoneAt: at(ms + 50), Status: http.StatusOK, Complete: true})
+			r.addRun(id, "i-1-1", "b", ms+10)
+		}
+		r.addRun("told", "i-0-1", "a", 1_030)
+		r.cluster.log.RecordNotice(zpoutside.Notice{Request: "told", Endpoint: "i-1-1", At: at(1_010), Leaving: true})
+		expectNoViolation(r)
+	})
+
 	DescribeTable("checks that endpoints that want no requests get few from daemons that they have told",
 		func(arrivals int, isViolation bool) {
 			r := newTestRun(1)
