--- a/internal/zpdetour/detour.go
+++ b/internal/zpdetour/detour.go
@@ -34,7 +34,9 @@
 // Errors of an OpenFunc, in place of a connection. syscall.ECONNREFUSED means that the
 // endpoint's VM is up and no process listens.
 var (
-	ErrNoPath      = errors.New("the other daemon cannot reach the endpoint")
+	ErrNoPath = errors.New("the other daemon cannot reach the endpoint")
+	// ErrUndecided says nothing about the endpoint, nor about what the other daemon reaches besides.
+	ErrUndecided   = errors.New("the other daemon cannot tell whether the endpoint is up")
 	ErrPeerCut     = errors.New("the other daemon is cut off from all endpoints")
 	ErrBusy        = errors.New("the other daemon takes no more connections for others")
 	ErrUnsupported = errors.New("the other daemon does not know the call")
--- a/internal/zpdetour/dialer_test.go
+++ b/internal/zpdetour/dialer_test.go
@@ -116,6 +116,17 @@
 		Entry("has no room", zpdetour.ErrBusy),
 	)
 
+	// Guards against the loss of the only way because of endpoints that daemon does not connect to either.
+	It("goes on asking a daemon that could not tell about an endpoint", func() {
+		n := &testNetwork{direct: map[string]error{"a": errHang, "b": errHang}, open: map[string]error{"near": zpdetour.ErrUndecided}}
+		d := newDialer(n, near)
+		_, err := d.DialContext(ctx, "tcp", "a")
+		Expect(err).To(HaveOccurred())
+		n.open = nil
+		expectConnect(ctx, d, "b")
+		Expect(n.asked).To(Equal([]string{"near", "near"}))
+	})
+
 	// Guards against loading other daemons for endpoints that are down.
 	DescribeTable("reports its own error for an endpoint that others cannot connect to either, and asks no more",
 		func(err error) {
--- a/internal/zpdetour/peers.go
+++ b/internal/zpdetour/peers.go
@@ -79,7 +79,7 @@
 		s.failures = 0
 		s.peer, s.usedAt = p, now
 		s.connect += time.Duration(connectWeight * float64(took-s.connect))
-	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, ErrNoPath), errors.Is(err, context.Canceled):
+	case errors.Is(err, syscall.ECONNREFUSED), errors.Is(err, ErrNoPath), errors.Is(err, ErrUndecided), errors.Is(err, context.Canceled):
 		s.failures = 0 // not its own
 	case errors.Is(err, ErrBusy):
 		s.avoidUntil = now.Add(busyAvoidance)
--- a/internal/zpdetour/server.go
+++ b/internal/zpdetour/server.go
@@ -39,10 +39,12 @@
 
 func (s *Server) connect(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
 	switch {
-	case s.isClosed.Load(), s.Tracker.IsBlocked(address, s.Clock()):
+	case s.isClosed.Load(), s.Tracker.IsCut(s.Clock()):
 		return nil, ErrPeerCut
+	case s.Tracker.IsBlocked(address, s.Clock()):
+		return nil, ErrUndecided
 	case !s.IsEndpoint(address):
-		return nil, errors.Join(ErrPeerCut, errNoEndpoint) // it may be known elsewhere
+		return nil, errors.Join(ErrUndecided, errNoEndpoint) // it may be known elsewhere
 	}
 	if s.open.Add(1) > int64(s.MaxOpen) {
 		s.open.Add(-1)
@@ -55,7 +57,7 @@
 		s.open.Add(-1)
 		switch {
 		case s.Tracker.MayBeCut(s.Clock()):
-			return nil, errors.Join(ErrPeerCut, err)
+			return nil, errors.Join(ErrUndecided, err)
 		case errors.Is(err, syscall.ECONNREFUSED):
 			return nil, err
 		default:
--- a/internal/zppeer/connect.go
+++ b/internal/zppeer/connect.go
@@ -55,6 +55,7 @@
 		zppeerpb.ConnectResult_CONNECT_RESULT_UNREACHABLE: zpdetour.ErrNoPath,
 		zppeerpb.ConnectResult_CONNECT_RESULT_CUT:         zpdetour.ErrPeerCut,
 		zppeerpb.ConnectResult_CONNECT_RESULT_BUSY:        zpdetour.ErrBusy,
+		zppeerpb.ConnectResult_CONNECT_RESULT_UNDECIDED:   zpdetour.ErrUndecided,
 	}
 
 	errPeerLost = errors.New("the connection through another daemon was lost")
@@ -145,6 +146,8 @@
 	switch {
 	case errors.Is(err, zpdetour.ErrPeerCut):
 		return zppeerpb.ConnectResult_CONNECT_RESULT_CUT
+	case errors.Is(err, zpdetour.ErrUndecided):
+		return zppeerpb.ConnectResult_CONNECT_RESULT_UNDECIDED
 	case errors.Is(err, zpdetour.ErrBusy):
 		return zppeerpb.ConnectResult_CONNECT_RESULT_BUSY
 	case errors.Is(err, syscall.ECONNREFUSED):
--- a/internal/zppeer/connect_test.go
+++ b/internal/zppeer/connect_test.go
@@ -181,6 +181,7 @@
 		Entry("the endpoint does not answer", errors.New("timeout"), zpdetour.ErrNoPath),
 		Entry("the other daemon is cut off, too", zpdetour.ErrPeerCut, zpdetour.ErrPeerCut),
 		Entry("the other daemon has no room", zpdetour.ErrBusy, zpdetour.ErrBusy),
+		Entry("the other daemon cannot tell", errors.Join(zpdetour.ErrUndecided, syscall.ECONNREFUSED), zpdetour.ErrUndecided),
 	)
 
 	It("is not opened through a daemon that is gone", func() {
