--- a/internal/zpapp/gateway_origins.go
+++ b/internal/zpapp/gateway_origins.go
@@ -11,6 +11,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zplookup"
 	"github.com/zinniapaddle/zinniapaddle/internal/zporigin"
 	"github.com/zinniapaddle/zinniapaddle/internal/zppeer"
+	zpplatform "github.com/zinniapaddle/zinniapaddle/platform"
 )
 
 const (
@@ -32,7 +33,8 @@
 		VersionsOf: func(pool string, now time.Time) []string {
 			return slices.Sorted(maps.Keys(countVersions(d, pool, now)))
 		},
-		Table: zporigin.NewTable(), Pools: zporigin.NewVersions(), Log: d.Log, Clock: zpclock.Now,
+		ListedAt: func() time.Time { return d.follower.PrefixReadAt(zpplatform.EndpointPrefix) },
+		Table:    zporigin.NewTable(), Pools: zporigin.NewVersions(), Log: d.Log, Clock: zpclock.Now,
 	}
 	d.gateway.Origins = d.origins
 }
--- a/internal/zplog/event.go
+++ b/internal/zplog/event.go
@@ -114,6 +114,8 @@
 	UpgradeRemoved       = Event{525, logrus.InfoLevel, "order of a roll-out was removed", "none"}
 	UpgradeStatus        = Event{526, logrus.InfoLevel, "status of a roll-out was written", "none"}
 	VersionsMixed        = Event{527, logrus.InfoLevel, "a pool has endpoints of several software versions; streams go on only at the version that began them", "none"}
+	OriginSought         = Event{528, logrus.InfoLevel, "origin of a stream that a caller takes up was sought", "see docs/incidents/stream_taken_up_out_of_step.md if many are unknown"}
+	OriginTold           = Event{529, logrus.InfoLevel, "origin of a stream was told to other daemons", "check the daemons that did not confirm it if it persists"}
 	EndpointSlow         = Event{530, logrus.InfoLevel, "endpoint says in a response that work takes longer there than usual", "check what else runs on its VM if it persists"}
 	BadLoad              = Event{531, logrus.WarnLevel, "endpoint describes its load in a way that is not understood; the words are ignored", "check the endpoint's software version"}
 	FingerprintBanned    = Event{600, logrus.ErrorLevel, "request is quarantined after crashes of two endpoints", "see docs/operators/crashing_request.md"}
@@ -141,7 +143,7 @@
 		RequestFailed, RequestRetried, RequestPlaced, CrashRecorded, RequestAnswered, RequestWaits, RequestSilent, RequestAbandoned, ChoiceRevoked, RequestsQuarantined, SuspicionCleared, BanNotStored, TrialBegun, RequestHopeless,
 		EndpointSuspect, EndpointWarm, OrderGiven, EndpointChanged, EndpointGone, WeightsNamed, WeightsLoaded,
 		OrderFailed, StoreState, EndpointAvoided, EndpointLeaving, EndpointQuiet, EndpointsUnreachable, EndpointsReachable, DetourFailed, DetourRefused, EndpointsBrittle,
-		UpgradeOrdered, UpgradeStopped, UpgradeCompleted, UpgradeRolledBack, UpgradeNotWritten, UpgradeRemoved, UpgradeStatus, VersionsMixed, EndpointSlow, BadLoad, FingerprintBanned, ClaimSettleFailed, PeerFailed, PeerLost, PeerRecovered, OwnerUnresponsive, WatcherAvoided, RelayAvoided,
+		UpgradeOrdered, UpgradeStopped, UpgradeCompleted, UpgradeRolledBack, UpgradeNotWritten, UpgradeRemoved, UpgradeStatus, VersionsMixed, OriginSought, OriginTold, EndpointSlow, BadLoad, FingerprintBanned, ClaimSettleFailed, PeerFailed, PeerLost, PeerRecovered, OwnerUnresponsive, WatcherAvoided, RelayAvoided,
 		ServerFailed, LinesDropped, DaemonStalled, MemoryRefused, ConnectionRefused, HolderEvicted,
 	}
 }
--- a/internal/zporigin/directory.go
+++ b/internal/zporigin/directory.go
@@ -21,10 +21,12 @@
 		Ask    func(ctx context.Context, address, request string) (Origin, bool, error)
 		// VersionsOf returns the software versions that a pool's endpoints have now.
 		VersionsOf func(pool string, now time.Time) []string
-		Table      *Table
-		Pools      *Versions
-		Log        *zplog.Logger
-		Clock      func() time.Time
+		// ListedAt returns when the list of endpoints was last read or confirmed.
+		ListedAt func() time.Time
+		Table    *Table
+		Pools    *Versions
+		Log      *zplog.Logger
+		Clock    func() time.Time
 	}
 
 	// Finding is what is known of the origin of a stream.
@@ -38,10 +40,19 @@
 
 	// reply is one keeper's reply to a question.
 	reply struct {
+		from   string // name
 		origin Origin
 		known  bool
 		err    error
 	}
+
+	// inquiry is what other daemons said of a stream.
+	inquiry struct {
+		origin   Origin
+		isKnown  bool
+		asked    []string // names
+		answered []string // names, up to the first that knows the stream
+	}
 )
 
 // Statuses of a finding.
@@ -112,9 +123,11 @@
 	}
 	// The keepers are told even if the caller leaves: it may come back.
 	ctx = context.WithoutCancel(ctx)
+	startedAt := d.Clock()
 	told := make(chan struct{}, keepersAtHome)
 	isAwaiting := false
-	for _, m := range d.keepers(o.Request) {
+	keepers := d.keepers(o.Request)
+	for _, m := range keepers {
 		isAtHome := m.Region == d.Self.Region
 		isAwaiting = isAwaiting || isAtHome
 		timeout := askTimeout
@@ -127,13 +140,26 @@
 			}
 		}()
 	}
-	if !isAwaiting {
-		return
+	isConfirmed := false
+	if isAwaiting {
+		select {
+		case <-told:
+			isConfirmed = true
+		case <-time.After(tellTimeout):
+		}
 	}
-	select {
-	case <-told:
-	case <-time.After(tellTimeout):
+	d.Log.Emit(zplog.OriginTold, zplog.Fields{
+		"request": o.Request, "pool": o.Pool, "software_version": o.Version, "keepers": namesOf(keepers), "confirmed": isConfirmed,
+		"took_ms": d.Clock().Sub(startedAt).Milliseconds(),
+	})
+}
+
+func namesOf(members []zpassign.Member) []string {
+	out := make([]string, 0, len(members))
+	for _, m := range members {
+		out = append(out, m.Name)
 	}
+	return out
 }
 
 func (d *Directory) tell(ctx context.Context, address string, list []Origin, timeout time.Duration) bool {
@@ -153,55 +179,90 @@
 		return Finding{Status: StatusAny}
 	}
 	request = keyOf(request)
-	d.Observe(ctx, pool, d.Clock()) // a daemon that has just started may not have looked yet
-	o, ok := d.Table.Find(request, d.Clock())
-	isMixed, haveAllAnswered := d.Pools.IsMixed(pool), true
-	if !ok && request != "" {
+	startedAt := d.Clock()
+	d.Observe(ctx, pool, startedAt) // a daemon that has just started may not have looked yet
+	q := inquiry{}
+	q.origin, q.isKnown = d.Table.Find(request, startedAt)
+	if !q.isKnown && request != "" {
 		// The others may have seen a new version before this daemon did.
-		o, ok, haveAllAnswered = d.ask(ctx, request, isMixed)
+		q = d.ask(ctx, request, d.Pools.IsMixed(pool))
 	}
+	f := d.conclude(q, pool)
+	d.logSought(request, pool, f, q, startedAt)
+	return f
+}
+
+// conclude returns what follows from what other daemons said of a stream.
+func (d *Directory) conclude(q inquiry, pool string) Finding {
+	now := d.Clock()
 	switch {
-	case !ok && !isMixed, ok && o.Pool != pool:
+	case !q.isKnown && !d.Pools.IsMixed(pool), q.isKnown && q.origin.Pool != pool:
 		return Finding{Status: StatusAny}
-	case ok:
-		d.Table.Record(o, d.Clock())
-		return Finding{Status: StatusKnown, Version: o.Version}
+	case q.isKnown:
+		d.Table.Record(q.origin, now)
+		return Finding{Status: StatusKnown, Version: q.origin.Version}
 	}
-	if version, isAssumed := d.Pools.Assume(pool, d.Clock()); isAssumed && haveAllAnswered {
+	if version, isAssumed := d.Pools.Assume(pool, now); isAssumed && len(q.answered) == len(q.asked) {
 		return Finding{Status: StatusAssumed, Version: version}
 	}
 	return Finding{Status: StatusUnknown}
 }
 
+func (d *Directory) logSought(request, pool string, f Finding, q inquiry, startedAt time.Time) {
+	now := d.Clock()
+	seen := map[string]int64{}
+	for version, age := range d.Pools.SeenFor(pool, now) {
+		seen[version] = age.Milliseconds()
+	}
+	fields := zplog.Fields{
+		"request": request, "pool": pool, "origin": f.Status.String(), "software_version": f.Version, "seen_ms": seen,
+		"asked": q.asked, "answered": q.answered, "took_ms": now.Sub(startedAt).Milliseconds(),
+	}
+	if d.ListedAt != nil {
+		fields["list_ms"] = now.Sub(d.ListedAt()).Milliseconds()
+	}
+	d.Log.Emit(zplog.OriginSought, fields)
+}
+
 // ask asks the keepers of a request at once, in all regions or in this daemon's, and returns
 // the first origin that one of them knows.
-func (d *Directory) ask(ctx context.Context, request string, inAllRegions bool) (o Origin, ok, haveAllAnswered bool) {
+func (d *Directory) ask(ctx context.Context, request string, inAllRegions bool) inquiry {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	var addresses []string
+	q := inquiry{}
+	replies := make(chan reply)
 	for _, region := range d.Ranked(request) {
 		for _, m := range region[:min(len(region), asked)] {
-			if m.Name != d.Self.Name && (inAllRegions || m.Region == d.Self.Region) {
-				addresses = append(addresses, m.PeerAddress)
+			if m.Name == d.Self.Name || !inAllRegions && m.Region != d.Self.Region {
+				continue
 			}
+			q.asked = append(q.asked, m.Name)
+			go func() {
+				o, known, err := d.Ask(ctx, m.PeerAddress, request)
+				select {
+				case replies <- reply{m.Name, o, known, err}:
+				case <-ctx.Done():
+				}
+			}()
 		}
 	}
-	replies := make(chan reply, len(addresses))
-	for _, address := range addresses {
-		go func() {
-			o, known, err := d.Ask(ctx, address, request)
-			replies <- reply{o, known, err}
-		}()
-	}
-	haveAllAnswered = true
-	for range addresses {
-		r := <-replies
-		if r.known && r.err == nil {
-			return r.origin, true, haveAllAnswered
+	for range q.asked {
+		var r reply
+		select {
+		case r = <-replies:
+		case <-ctx.Done():
+			return q
+		}
+		if r.err != nil {
+			continue
+		}
+		q.answered = append(q.answered, r.from)
+		if r.known {
+			q.origin, q.isKnown = r.origin, true
+			return q
 		}
-		haveAllAnswered = haveAllAnswered && r.err == nil
 	}
-	return Origin{}, false, haveAllAnswered
+	return q
 }
 
 // keepers returns the daemons that keep the origin of a request's stream, besides this one.
--- a/internal/zporigin/versions.go
+++ b/internal/zporigin/versions.go
@@ -15,6 +15,7 @@
 
 	// poolVersions are the versions of one pool.
 	poolVersions struct {
+		firstSeen  map[string]time.Time
 		lastSeen   map[string]time.Time
 		mixedSince time.Time // zero while the pool has one version
 		before     string    // the only version before mixedSince
@@ -38,16 +39,20 @@
 	defer v.mu.Unlock()
 	p, ok := v.pools[pool]
 	if !ok {
-		p = &poolVersions{lastSeen: map[string]time.Time{}}
+		p = &poolVersions{firstSeen: map[string]time.Time{}, lastSeen: map[string]time.Time{}}
 		v.pools[pool] = p
 	}
 	before, hasBefore := p.only()
 	for _, x := range versions {
+		if _, ok := p.lastSeen[x]; !ok {
+			p.firstSeen[x] = now
+		}
 		p.lastSeen[x] = now
 	}
 	for x, at := range p.lastSeen {
 		if now.Sub(at) >= Retention {
 			delete(p.lastSeen, x)
+			delete(p.firstSeen, x)
 		}
 	}
 	if len(p.lastSeen) <= 1 {
@@ -80,6 +85,19 @@
 	return ok && !p.mixedSince.IsZero()
 }
 
+// SeenFor returns for how long this daemon has seen each version of a pool.
+func (v *Versions) SeenFor(pool string, now time.Time) map[string]time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	out := map[string]time.Duration{}
+	if p, ok := v.pools[pool]; ok {
+		for x, at := range p.firstSeen {
+			out[x] = now.Sub(at)
+		}
+	}
+	return out
+}
+
 // Assume returns the version at which a stream that no daemon knows must have begun. It
 // returns false if that can't be told.
 func (v *Versions) Assume(pool string, now time.Time) (version string, ok bool) {
--- a/internal/zprelay/follower.go
+++ b/internal/zprelay/follower.go
@@ -30,7 +30,7 @@
 	mu              sync.Mutex
 	avoidedUntil    map[string]time.Time // by address; not followed before this time
 	newestRevisions map[string]int64     // by prefix
-	readAt          time.Time            // when the heartbeat prefix was last read or confirmed
+	readAt          map[string]time.Time // when a prefix was last read or confirmed
 }
 
 const (
@@ -211,7 +211,7 @@
 	defer f.mu.Unlock()
 	avoidDuration := avoidDuration
 	switch {
-	case f.readAt.IsZero():
+	case f.readAt[f.HeartbeatPrefix].IsZero():
 		avoidDuration = startAvoidDuration
 	case err == nil, errors.Is(err, ErrNotFollowed):
 		avoidDuration = staleAvoidDuration
@@ -239,18 +239,19 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.newestRevisions == nil {
-		f.newestRevisions = map[string]int64{}
+		f.newestRevisions, f.readAt = map[string]int64{}, map[string]time.Time{}
 	}
 	f.newestRevisions[prefix] = max(f.newestRevisions[prefix], revision)
-	if prefix == f.HeartbeatPrefix {
-		f.readAt = f.Clock()
-	}
+	f.readAt[prefix] = f.Clock()
 }
 
 // ReadAt returns when the heartbeat prefix was last read or confirmed, or the zero
 // time if it never was.
-func (f *Follower) ReadAt() time.Time {
+func (f *Follower) ReadAt() time.Time { return f.PrefixReadAt(f.HeartbeatPrefix) }
+
+// PrefixReadAt is ReadAt for any prefix.
+func (f *Follower) PrefixReadAt(prefix string) time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.readAt
+	return f.readAt[prefix]
 }
