--- a/internal/zporigin/origin_test.go
+++ b/internal/zporigin/origin_test.go
@@ -38,6 +38,8 @@
 	told int             // messages
 
 	versions map[string][]string // of the pool p, by the name of the daemon that sees them
+	silent   string              // name of a daemon that no call reaches or leaves
+	lonely   string              // name of a daemon that takes all others for lost
 }
 
 // newFleet returns n daemons in each of two regions.
@@ -58,7 +60,7 @@
 // restart gives a daemon an empty directory.
 func (f *fleet) restart(m zpassign.Member) {
 	d := &zporigin.Directory{
-		Self: m, Ranked: zplookup.NewOwners(f.members).Ranked, Table: zporigin.NewTable(), Pools: zporigin.NewVersions(), Log: zplog.Discard(), Clock: f.clock,
+		Self: m, Ranked: func(key string) [][]zpassign.Member { return f.ranked(m, key) }, Table: zporigin.NewTable(), Pools: zporigin.NewVersions(), Log: zplog.Discard(), Clock: f.clock,
 		VersionsOf: func(pool string, _ time.Time) []string {
 			if pool != "p" {
 				return nil
@@ -66,7 +68,7 @@
 			return f.versions[m.Name]
 		},
 		Tell: func(_ context.Context, address string, origins []zporigin.Origin) error {
-			peer, err := f.peer(address)
+			peer, err := f.peer(m.Name, address)
 			if err != nil {
 				return err
 			}
@@ -76,7 +78,7 @@
 			return nil
 		},
 		Ask: func(_ context.Context, address, request string) (zporigin.Origin, bool, error) {
-			peer, err := f.peer(address)
+			peer, err := f.peer(m.Name, address)
 			if err != nil {
 				return zporigin.Origin{}, false, err
 			}
@@ -101,11 +103,41 @@
 	f.now = now
 }
 
-func (f *fleet) peer(address string) (*zporigin.Directory, error) {
+// ranked returns the daemons that a daemon takes for alive.
+func (f *fleet) ranked(m zpassign.Member, key string) [][]zpassign.Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.lonely == m.Name {
+		return [][]zpassign.Member{{m}}
+	}
+	return zplookup.NewOwners(f.members).Ranked(key)
+}
+
+// takeForLost makes a daemon take all others for lost.
+func (f *fleet) takeForLost(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lonely = name
+}
+
+// silence cuts a daemon off from the others.
+func (f *fleet) silence(name string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.silent = name
+}
+
+// isolate cuts a daemon off for so long that it takes the others for lost.
+func (f *fleet) isolate(name string) {
+	f.silence(name)
+	f.takeForLost(name)
+}
+
+func (f *fleet) peer(from, address string) (*zporigin.Directory, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.told++
-	if f.down[address] {
+	if f.down[address] || f.silent == from || f.silent == address {
 		return nil, errDown
 	}
 	return f.directories[address], nil
@@ -118,6 +150,15 @@
 	}
 }
 
+// observeOthers lets all daemons but one see the versions of a pool.
+func (f *fleet) observeOthers(name string, versions ...string) {
+	for _, m := range f.members {
+		if m.Name != name {
+			f.observeAt(m.Name, versions...)
+		}
+	}
+}
+
 // observeAt lets one daemon see the versions of a pool.
 func (f *fleet) observeAt(name string, versions ...string) {
 	f.versions[name] = versions
@@ -141,7 +182,12 @@
 
 func (f *fleet) expectStatus(name string, status zporigin.Status) {
 	GinkgoHelper()
-	Expect(f.directories[name].Find(context.Background(), "r", "p").Status).To(Equal(status))
+	f.expectStatusOf(name, "r", status)
+}
+
+func (f *fleet) expectStatusOf(name, request string, status zporigin.Status) {
+	GinkgoHelper()
+	Expect(f.directories[name].Find(context.Background(), request, "p").Status).To(Equal(status))
 }
 
 var _ = Describe("Directory", func() {
--- /dev/null
+++ b/internal/zporigin/out_of_step_test.go
@@ -0,0 +1,77 @@
+package zporigin_test
+
+import (
+	"context"
+
+	. "github.com/onsi/ginkgo/v2"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
+	"github.com/zinniapaddle/zinniapaddle/internal/zporigin"
+)
+
+var _ = Describe("A daemon that is out of step", func() {
+	var f *fleet
+
+	beginAtNewVersion := func() { f.directories["n1"].Record(context.Background(), ofStream) }
+
+	BeforeEach(func() {
+		f = newFleet(4)
+		f.observe("v1")
+		f.setClock(at(60))
+		f.observe("v1")
+	})
+
+	// Guards against a stream of two versions after a daemon took its own silence for that of the others.
+	DescribeTable("cannot tell where a stream began that nobody was asked about",
+		func(cutOff func(name string), sees ...string) {
+			cutOff("n0")
+			f.observeOthers("n0", "v1", "v2")
+			beginAtNewVersion()
+			f.observeAt("n0", sees...)
+			f.expectStatus("n0", zporigin.StatusUnknown)
+		},
+		Entry("as it takes them for lost, and has just seen the second version", func(name string) { f.isolate(name) }, "v1", "v2"),
+		Entry("as it takes them for lost, and has not seen the second version", func(name string) { f.isolate(name) }, "v1"),
+		Entry("as they do not answer, and it has not seen the second version", func(name string) { f.silence(name) }, "v1"),
+		Entry("as they do not answer, and it has just seen the second version", func(name string) { f.silence(name) }, "v1", "v2"),
+	)
+
+	It("cannot tell where a stream began whose caller names no attempt", func() {
+		f.observe("v1", "v2")
+		f.expectStatusOf("n0", "", zporigin.StatusUnknown)
+	})
+
+	It("does not count the time since the second version from when it saw that late", func() {
+		f.observeOthers("n0", "v1", "v2")
+		f.setClock(at(66))
+		f.observeAt("n0", "v1", "v2")
+		f.expectStatus("n0", zporigin.StatusUnknown)
+	})
+
+	It("does not take the word of a keeper that has lost what it kept", func() {
+		f.observe("v1", "v2")
+		f.setDown(func(m zpassign.Member) bool { return m.Region == "s" })
+		beginAtNewVersion()
+		for _, m := range f.members {
+			if m.Region == "n" {
+				f.restart(m)
+				f.observeAt(m.Name, "v1", "v2")
+			}
+		}
+		f.setDown(func(zpassign.Member) bool { return false })
+		f.expectStatus("n2", zporigin.StatusUnknown)
+	})
+
+	It("learns from others that a pool has a second version", func() {
+		f.observeOthers("n0", "v1", "v2")
+		f.expectStatus("n0", zporigin.StatusUnknown)
+	})
+
+	It("tells registered daemons of its streams when it takes all others for lost", func() {
+		f.observe("v1", "v2")
+		f.takeForLost("n1")
+		beginAtNewVersion()
+		f.setDown(func(m zpassign.Member) bool { return m.Name == "n1" })
+		f.expectKnownTo("n3")
+	})
+})
