--- a/internal/zpapp/gateway_live_daemons.go
+++ b/internal/zpapp/gateway_live_daemons.go
@@ -18,6 +18,9 @@
 	members     []zpassign.Member
 	owners      *zplookup.Owners
 	refreshedAt time.Time
+
+	registered   *zplookup.Owners // of all registered daemons, whether they answer or not
+	registeredAt time.Time
 }
 
 // liveDaemonsMaxAge bounds the age of the cached list. The cache saves
@@ -41,6 +44,17 @@
 	return a.owners
 }
 
+// registeredOwners is partOwners with all registered daemons.
+func (a *liveDaemons) registeredOwners() *zplookup.Owners {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if now := zpclock.Now(); a.registered == nil || now.Sub(a.registeredAt) >= liveDaemonsMaxAge {
+		a.registered = zplookup.NewOwners(append([]zpassign.Member{a.daemon.self}, a.daemon.members.Others()...))
+		a.registeredAt = now
+	}
+	return a.registered
+}
+
 func (a *liveDaemons) refresh(now time.Time) {
 	if a.members != nil && now.Sub(a.refreshedAt) < liveDaemonsMaxAge {
 		return
--- a/internal/zpapp/gateway_origins.go
+++ b/internal/zpapp/gateway_origins.go
@@ -8,7 +8,6 @@
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpclock"
-	"github.com/zinniapaddle/zinniapaddle/internal/zplookup"
 	"github.com/zinniapaddle/zinniapaddle/internal/zporigin"
 	"github.com/zinniapaddle/zinniapaddle/internal/zppeer"
 	zpplatform "github.com/zinniapaddle/zinniapaddle/platform"
@@ -19,22 +18,34 @@
 	versionsInterval = 100 * time.Millisecond
 	// meetTimeout is the time after its start in which a daemon hears from the others.
 	meetTimeout = 3 * time.Second
+	// changesWait is the shortest wait of a watch, for the changes that the store has already.
+	changesWait = time.Millisecond
+	// changesPerDaemon spreads reads of changes, so that those of the whole fleet are a part of
+	// what the store takes.
+	changesPerDaemon = 2 * time.Millisecond
 )
 
 func (d *GatewayDaemon) buildOrigins() {
+	changes := &zporigin.Reader{Read: d.readVersionChanges, Pause: func() time.Duration { return time.Duration(len(d.members.Names())) * changesPerDaemon }}
 	d.origins = &zporigin.Directory{
-		Self: d.self, Ranked: d.rankKeepers,
+		Self: d.self, Alive: d.rankKeepers, Registered: func(request string) [][]zpassign.Member { return d.live.registeredOwners().Ranked(request) },
+		HearsAll: func() bool { return len(d.live.list()) == len(d.members.Names()) },
 		Tell: func(ctx context.Context, address string, origins []zporigin.Origin) error {
 			return zppeer.RecordOrigins(ctx, d.dialer, address, origins)
 		},
-		Ask: func(ctx context.Context, address, request string) (zporigin.Origin, bool, error) {
-			return zppeer.FindOrigin(ctx, d.dialer, address, request)
+		Ask: func(ctx context.Context, address, request, pool string) (zporigin.Reply, error) {
+			return zppeer.FindOrigin(ctx, d.dialer, address, request, pool)
 		},
 		VersionsOf: func(pool string, now time.Time) []string {
 			return slices.Sorted(maps.Keys(countVersions(d, pool, now)))
 		},
-		ListedAt: func() time.Time { return d.follower.PrefixReadAt(zpplatform.EndpointPrefix) },
-		Table:    zporigin.NewTable(), Pools: zporigin.NewVersions(), Log: d.Log, Clock: zpclock.Now,
+		ReadVersions: func(ctx context.Context, pool string) ([]string, error) {
+			versions, err := changes.Latest(ctx)
+			return versions[pool], err
+		},
+		ListedAt:   func() time.Time { return d.follower.PrefixReadAt(zpplatform.EndpointPrefix) },
+		KeepsSince: d.keepsSince,
+		Table:      zporigin.NewTable(), Pools: zporigin.NewVersions(), Log: d.Log, Clock: zpclock.Now,
 	}
 	d.gateway.Origins = d.origins
 }
@@ -43,11 +54,38 @@
 // of a stream. A daemon that has just started takes all that are registered for alive.
 func (d *GatewayDaemon) rankKeepers(request string) [][]zpassign.Member {
 	if zpclock.Now().Sub(d.startedAt) < meetTimeout {
-		return zplookup.NewOwners(append([]zpassign.Member{d.self}, d.members.Others()...)).Ranked(request)
+		return d.live.registeredOwners().Ranked(request)
 	}
 	return d.live.partOwners().Ranked(request)
 }
 
+// keepsSince returns when this daemon started or was last paused, or the zero time while it
+// does not know the endpoints.
+func (d *GatewayDaemon) keepsSince() time.Time {
+	d.catalogs.recordActive(zpclock.Now()) // this may be the first thing that it does after a pause
+	if !d.registry.HasSynced() {
+		return time.Time{}
+	}
+	if at := d.catalogs.guard.ResumedAt(); at.After(d.startedAt) {
+		return at
+	}
+	return d.startedAt
+}
+
+// readVersionChanges reads from the store itself which endpoints have changed since this
+// daemon last heard of them, and returns their software versions by pool.
+func (d *GatewayDaemon) readVersionChanges(ctx context.Context) (map[string][]string, error) {
+	l, err := d.reads.Watch(ctx, zpplatform.EndpointPrefix, d.follower.Revision(zpplatform.EndpointPrefix), changesWait)
+	out := map[string][]string{}
+	now := zpclock.Now()
+	for _, o := range l.Objects {
+		if e, decodeErr := zpplatform.DecodeEndpoint(o, d.Node.RegionOf, now); !o.Deleted && decodeErr == nil {
+			out[e.Pool] = append(out[e.Pool], e.SoftwareVersion)
+		}
+	}
+	return out, err
+}
+
 // watchVersions keeps track of the software versions of the pools until ctx ends.
 func (d *GatewayDaemon) watchVersions(ctx context.Context) {
 	repeatEvery(ctx, versionsInterval, func(ctx context.Context) {
@@ -68,6 +106,6 @@
 	}
 }
 
-func (d *GatewayDaemon) originOf(request string) (zporigin.Origin, bool) {
-	return d.origins.Table.Find(request, zpclock.Now())
+func (d *GatewayDaemon) originOf(request, pool string) zporigin.Reply {
+	return d.origins.Answer(request, pool, zpclock.Now())
 }
--- a/internal/zpcatalog/freshness_guard.go
+++ b/internal/zpcatalog/freshness_guard.go
@@ -56,6 +56,14 @@
 	return wasPaused
 }
 
+// ResumedAt returns when the process ran again after the last pause, or the zero time if it
+// was never paused.
+func (g *FreshnessGuard) ResumedAt() time.Time {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.resumedAt
+}
+
 // RecordConfirmed records that the catalog is the newest one by a call to the store that
 // began at startedAt.
 func (g *FreshnessGuard) RecordConfirmed(startedAt time.Time) { g.RecordRelayed(startedAt, 0) }
--- a/internal/zpgateway/origin_test.go
+++ b/internal/zpgateway/origin_test.go
@@ -28,13 +28,18 @@
 		})
 	}
 	s.Origins = &zporigin.Directory{
-		Ranked: func(string) [][]zpassign.Member { return nil }, Table: zporigin.NewTable(), Pools: zporigin.NewVersions(), Log: zplog.Discard(), Clock: time.Now,
-		VersionsOf: func(string, time.Time) []string { return []string{"v1", "v2"} },
+		Alive: nobody, Registered: nobody, HearsAll: func() bool { return true }, ListedAt: time.Now,
+		KeepsSince: func() time.Time { return time.Now().Add(-time.Hour) },
+		Table:      zporigin.NewTable(), Pools: zporigin.NewVersions(), Log: zplog.Discard(), Clock: time.Now,
+		VersionsOf:   func(string, time.Time) []string { return []string{"v1", "v2"} },
+		ReadVersions: func(context.Context, string) ([]string, error) { return nil, nil },
 	}
 	s.Origins.Observe(context.Background(), "pool", time.Now())
 	return s
 }
 
+func nobody(string) [][]zpassign.Member { return nil }
+
 func (s testGateway) versionsOfRuns() []string {
 	var out []string
 	for _, r := range s.runner.runs {
--- a/internal/zpmutant/name.go
+++ b/internal/zpmutant/name.go
@@ -23,5 +23,6 @@
 	Departure     Name = "departure"      // client disconnects are not detected
 	Leaving       Name = "leaving"        // that an endpoint says that it leaves is ignored
 	Quiet         Name = "quiet"          // that an endpoint says for how long it wants no requests is ignored
+	Silence       Name = "silence"        // daemons that do not answer count as ones that do not know a stream
 	Detour        Name = "detour"         // requests to endpoints that only other daemons reach take no detour
 )
--- a/internal/zporigin/origin_test.go
+++ b/internal/zporigin/origin_test.go
@@ -37,6 +37,11 @@
 	down map[string]bool // by address
 	told int             // messages
 
+	reads    int      // of the store
+	stored   []string // versions that the store tells
+	storeErr error
+	isOlder  bool // all daemons but the one that asks are of a release that answers with the origin alone
+
 	versions map[string][]string // of the pool p, by the name of the daemon that sees them
 	silent   string              // name of a daemon that no call reaches or leaves
 	lonely   string              // name of a daemon that takes all others for lost
@@ -59,8 +64,10 @@
 
 // restart gives a daemon an empty directory.
 func (f *fleet) restart(m zpassign.Member) {
+	startedAt := f.clock()
 	d := &zporigin.Directory{
-		Self: m, Ranked: func(key string) [][]zpassign.Member { return f.ranked(m, key) }, Table: zporigin.NewTable(), Pools: zporigin.NewVersions(), Log: zplog.Discard(), Clock: f.clock,
+		Self: m, Alive: func(key string) [][]zpassign.Member { return f.alive(m, key) }, Registered: zplookup.NewOwners(f.members).Ranked,
+		HearsAll: func() bool { return f.hearsAll(m) }, KeepsSince: func() time.Time { return startedAt }, ListedAt: f.clock, Table: zporigin.NewTable(), Pools: zporigin.NewVersions(), Log: zplog.Discard(), Clock: f.clock,
 		VersionsOf: func(pool string, _ time.Time) []string {
 			if pool != "p" {
 				return nil
@@ -77,13 +84,22 @@
 			}
 			return nil
 		},
-		Ask: func(_ context.Context, address, request string) (zporigin.Origin, bool, error) {
+		Ask: func(_ context.Context, address, request, pool string) (zporigin.Reply, error) {
 			peer, err := f.peer(m.Name, address)
 			if err != nil {
-				return zporigin.Origin{}, false, err
+				return zporigin.Reply{}, err
+			}
+			reply := peer.Answer(request, pool, f.clock())
+			if f.isOlder {
+				reply = zporigin.Reply{Origin: reply.Origin, IsKnown: reply.IsKnown}
 			}
-			o, ok := peer.Table.Find(request, f.clock())
-			return o, ok, nil
+			return reply, nil
+		},
+		ReadVersions: func(context.Context, string) ([]string, error) {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.reads++
+			return f.stored, f.storeErr
 		},
 	}
 	f.mu.Lock()
@@ -91,6 +107,14 @@
 	f.directories[m.PeerAddress] = d
 }
 
+// restartAll restarts all daemons, which see the versions of a pool.
+func (f *fleet) restartAll(versions ...string) {
+	for _, m := range f.members {
+		f.restart(m)
+	}
+	f.observe(versions...)
+}
+
 func (f *fleet) clock() time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -103,8 +127,15 @@
 	f.now = now
 }
 
-// ranked returns the daemons that a daemon takes for alive.
-func (f *fleet) ranked(m zpassign.Member, key string) [][]zpassign.Member {
+// hearsAll reports whether a daemon takes all others for alive.
+func (f *fleet) hearsAll(m zpassign.Member) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lonely != m.Name && len(f.down) == 0
+}
+
+// alive returns the daemons that a daemon takes for alive.
+func (f *fleet) alive(m zpassign.Member, key string) [][]zpassign.Member {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.lonely == m.Name {
@@ -169,8 +200,11 @@
 func (f *fleet) setDown(isDown func(m zpassign.Member) bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	clear(f.down)
 	for _, m := range f.members {
-		f.down[m.PeerAddress] = isDown(m)
+		if isDown(m) {
+			f.down[m.PeerAddress] = true
+		}
 	}
 }
 
@@ -209,7 +243,8 @@
 		f.observe("v1")
 		f.directories["n0"].Record(context.Background(), zporigin.Origin{Request: "r", Pool: "p", Version: "v1"})
 		Expect(f.told).To(BeZero())
-		f.expectStatus("s1", zporigin.StatusAny)
+		f.expectStatusOf("s1", "another", zporigin.StatusAny)
+		Expect(f.directories["s1"].Find(context.Background(), "r", "p")).To(Equal(zporigin.Finding{Status: zporigin.StatusKnown, Version: "v1"}))
 	})
 
 	It("knows in each daemon at which version a stream began", func() {
@@ -265,12 +300,15 @@
 
 	It("takes a stream that nobody knows for one of the only version before, for a short time", func() {
 		f.observe("v1")
+		f.setClock(at(20))
 		f.observe("v1", "v2")
 		Expect(f.directories["n1"].Find(context.Background(), "r", "p")).To(Equal(zporigin.Finding{Status: zporigin.StatusAssumed, Version: "v1"}))
-		f.setDown(func(m zpassign.Member) bool { return m.Name == "s0" })
-		f.expectStatus("n1", statusWithout(f, "s0"))
+		for _, m := range f.members {
+			f.setDown(func(x zpassign.Member) bool { return x == m && m.Name != "n1" })
+			f.expectStatus("n1", statusWithout(m))
+		}
 		f.setDown(func(zpassign.Member) bool { return false })
-		f.setClock(at(5))
+		f.setClock(at(25))
 		f.expectStatus("n1", zporigin.StatusUnknown)
 	})
 
@@ -303,20 +341,25 @@
 	})
 })
 
-// statusWithout is the status that an unknown stream has while one daemon does not answer: it
-// can't be told only if that is one of those that would be asked.
-func statusWithout(f *fleet, name string) zporigin.Status {
-	for _, region := range zplookup.NewOwners(f.members).Ranked("r") {
-		for _, m := range region[:min(len(region), 3)] {
-			if m.Name == name {
-				return zporigin.StatusUnknown
-			}
-		}
+// statusWithout is the status at n1 of an unknown stream while another daemon does not answer:
+// it may have begun the stream.
+func statusWithout(m zpassign.Member) zporigin.Status {
+	if m.Name == "n1" {
+		return zporigin.StatusAssumed
 	}
-	return zporigin.StatusAssumed
+	return zporigin.StatusUnknown
 }
 
 var _ = Describe("Versions", func() {
+	It("learns of a version only as long as it counts for the daemon that has seen it", func() {
+		v := zporigin.NewVersions()
+		v.Observe("p", []string{"v2"}, start)
+		Expect(v.Learn("p", map[string]time.Duration{"v1": zporigin.Retention - time.Second, "v2": 0}, start)).To(BeTrue())
+		Expect(v.LastSeen("p", start)).To(Equal(map[string]time.Duration{"v1": zporigin.Retention - time.Second, "v2": 0}))
+		v.Observe("p", []string{"v2"}, at(1))
+		Expect(v.IsMixed("p")).To(BeFalse())
+	})
+
 	It("counts a version until its streams have ended", func() {
 		v := zporigin.NewVersions()
 		v.Observe("p", []string{"v1"}, start)
--- a/internal/zporigin/out_of_step_test.go
+++ b/internal/zporigin/out_of_step_test.go
@@ -30,6 +30,9 @@
 			f.observeOthers("n0", "v1", "v2")
 			beginAtNewVersion()
 			f.observeAt("n0", sees...)
+			f.storeErr = errDown
+			f.expectStatus("n0", zporigin.StatusUnknown)
+			f.stored, f.storeErr = []string{"v2"}, nil
 			f.expectStatus("n0", zporigin.StatusUnknown)
 		},
 		Entry("as it takes them for lost, and has just seen the second version", func(name string) { f.isolate(name) }, "v1", "v2"),
@@ -38,6 +41,22 @@
 		Entry("as they do not answer, and it has just seen the second version", func(name string) { f.silence(name) }, "v1", "v2"),
 	)
 
+	DescribeTable("asks the store whether a pool has one version",
+		func(lose func()) {
+			f.expectStatus("n0", zporigin.StatusAny)
+			Expect(f.reads).To(BeZero())
+			lose()
+			f.expectStatus("n0", zporigin.StatusAny)
+			Expect(f.reads).To(Equal(1))
+			f.storeErr = errDown
+			f.expectStatus("n0", zporigin.StatusUnknown)
+		},
+		Entry("as a daemon does not answer", func() { f.setDown(func(m zpassign.Member) bool { return m.Name != "n0" }) }),
+		Entry("as daemons have just started", func() { f.restartAll("v1") }),
+		Entry("as daemons of an earlier release do not say what they have seen", func() { f.isOlder = true }),
+		Entry("as it was paused", func() { f.restart(f.members[0]); f.observeAt("n0", "v1") }),
+	)
+
 	It("cannot tell where a stream began whose caller names no attempt", func() {
 		f.observe("v1", "v2")
 		f.expectStatusOf("n0", "", zporigin.StatusUnknown)
@@ -66,8 +85,9 @@
 		}
 	})
 
-	It("learns from others that a pool has a second version", func() {
+	It("learns from others that a pool has had a second version for a while", func() {
 		f.observeOthers("n0", "v1", "v2")
+		f.setClock(at(66))
 		f.expectStatus("n0", zporigin.StatusUnknown)
 	})
 
--- a/internal/zporigin/versions.go
+++ b/internal/zporigin/versions.go
@@ -35,6 +35,16 @@
 // pool has become mixed by that. A version counts until Retention after it was last seen, as
 // its streams may still be taken up.
 func (v *Versions) Observe(pool string, versions []string, now time.Time) (becameMixed bool) {
+	ages := map[string]time.Duration{}
+	for _, x := range versions {
+		ages[x] = 0
+	}
+	return v.Learn(pool, ages, now)
+}
+
+// Learn is Observe with the versions that other daemons have seen, and the time since they
+// last saw each.
+func (v *Versions) Learn(pool string, ages map[string]time.Duration, now time.Time) (becameMixed bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	p, ok := v.pools[pool]
@@ -43,11 +53,13 @@
 		v.pools[pool] = p
 	}
 	before, hasBefore := p.only()
-	for _, x := range versions {
-		if _, ok := p.lastSeen[x]; !ok {
+	for x, age := range ages {
+		if at := now.Add(-age); at.After(p.lastSeen[x]) {
+			p.lastSeen[x] = at
+		}
+		if _, ok := p.firstSeen[x]; !ok {
 			p.firstSeen[x] = now
 		}
-		p.lastSeen[x] = now
 	}
 	for x, at := range p.lastSeen {
 		if now.Sub(at) >= Retention {
@@ -85,13 +97,33 @@
 	return ok && !p.mixedSince.IsZero()
 }
 
-// SeenFor returns for how long this daemon has seen each version of a pool.
+// LastSeen returns the versions of a pool that count now, and the time since each was last seen.
+func (v *Versions) LastSeen(pool string, now time.Time) map[string]time.Duration {
+	return v.agesOf(pool, now, func(p *poolVersions) map[string]time.Time { return p.lastSeen })
+}
+
+// MixedFor returns for how long this daemon has seen several versions in a pool; zero if it
+// sees one.
+func (v *Versions) MixedFor(pool string, now time.Time) time.Duration {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if p, ok := v.pools[pool]; ok && !p.mixedSince.IsZero() {
+		return now.Sub(p.mixedSince)
+	}
+	return 0
+}
+
+// SeenFor returns for how long this daemon has known of each version of a pool.
 func (v *Versions) SeenFor(pool string, now time.Time) map[string]time.Duration {
+	return v.agesOf(pool, now, func(p *poolVersions) map[string]time.Time { return p.firstSeen })
+}
+
+func (v *Versions) agesOf(pool string, now time.Time, times func(p *poolVersions) map[string]time.Time) map[string]time.Duration {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	out := map[string]time.Duration{}
 	if p, ok := v.pools[pool]; ok {
-		for x, at := range p.firstSeen {
+		for x, at := range times(p) {
 			out[x] = now.Sub(at)
 		}
 	}
--- a/internal/zppeer/origins.go
+++ b/internal/zppeer/origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zporigin"
 	"github.com/zinniapaddle/zinniapaddle/internal/zppeer/zppeerpb"
@@ -19,11 +20,15 @@
 
 // FindOrigin implements zppeerpb.DRPCSharingServer.
 func (h *SharingHandler) FindOrigin(_ context.Context, in *zppeerpb.FindOriginRequest) (*zppeerpb.FindOriginReply, error) {
-	o, ok := h.OriginOf(in.Request)
-	if !ok {
-		return &zppeerpb.FindOriginReply{}, nil
+	r := h.OriginOf(in.Request, in.Pool)
+	out := &zppeerpb.FindOriginReply{KeptForMs: r.KeptFor.Milliseconds(), MixedForMs: r.MixedFor.Milliseconds()}
+	for name, age := range r.Versions {
+		out.SoftwareVersions = append(out.SoftwareVersions, &zppeerpb.SoftwareVersion{Name: name, AgeMs: age.Milliseconds()})
 	}
-	return &zppeerpb.FindOriginReply{Origin: encodeOrigin(o)}, nil
+	if r.IsKnown {
+		out.Origin = encodeOrigin(r.Origin)
+	}
+	return out, nil
 }
 
 // RecordOrigins tells the daemon at address where streams began.
@@ -38,15 +43,25 @@
 	return err
 }
 
-// FindOrigin asks the daemon at address where the stream of a request began.
-func FindOrigin(ctx context.Context, d *Dialer, address, request string) (o zporigin.Origin, ok bool, err error) {
+// FindOrigin asks the daemon at address where the stream of a request began, and for what it
+// knows of the pool in which the stream is taken up.
+func FindOrigin(ctx context.Context, d *Dialer, address, request, pool string) (zporigin.Reply, error) {
 	out, err := doWithConn(ctx, d, address, "find_origin", 0, func(ctx context.Context, conn Conn) (*zppeerpb.FindOriginReply, error) {
-		return zppeerpb.NewDRPCSharingClient(conn).FindOrigin(ctx, &zppeerpb.FindOriginRequest{Request: request})
+		return zppeerpb.NewDRPCSharingClient(conn).FindOrigin(ctx, &zppeerpb.FindOriginRequest{Request: request, Pool: pool})
 	})
-	if err != nil || out.Origin == nil {
-		return zporigin.Origin{}, false, err
+	if err != nil {
+		return zporigin.Reply{}, err
+	}
+	r := zporigin.Reply{
+		KeptFor: time.Duration(out.KeptForMs) * time.Millisecond, MixedFor: time.Duration(out.MixedForMs) * time.Millisecond, Versions: map[string]time.Duration{},
+	}
+	for _, x := range out.SoftwareVersions {
+		r.Versions[x.GetName()] = time.Duration(x.GetAgeMs()) * time.Millisecond
+	}
+	if out.Origin != nil {
+		r.Origin, r.IsKnown = decodeOrigin(out.Origin), true
 	}
-	return decodeOrigin(out.Origin), true, nil
+	return r, nil
 }
 
 func encodeOrigin(o zporigin.Origin) *zppeerpb.StreamOrigin {
--- a/internal/zppeer/sharing.go
+++ b/internal/zppeer/sharing.go
@@ -43,7 +43,7 @@
 	Upgrades         func(reports []zpupgrade.Report) []zpupgrade.Decision // records reports and answers them; may be nil
 	GrantTrial       func(fingerprint string) bool                         // grants a trial of a banned fingerprint
 	KeepOrigins      func(origins []zporigin.Origin)                       // keeps where streams began
-	OriginOf         func(request string) (zporigin.Origin, bool)          // returns where a stream began
+	OriginOf         func(request, pool string) zporigin.Reply             // returns where a stream began, and what is known of its pool
 	// OpenEndpoint opens a connection to an endpoint for another daemon; see zpdetour.Server.
 	OpenEndpoint func(ctx context.Context, address string, timeout time.Duration) (net.Conn, error)
 	WatchObjects func(ctx context.Context, prefix string, since int64, wait time.Duration) (zprelay.Update, error)
--- a/internal/zprelay/follower.go
+++ b/internal/zprelay/follower.go
@@ -255,3 +255,10 @@
 	defer f.mu.Unlock()
 	return f.readAt[prefix]
 }
+
+// Revision returns the newest revision that was read under a prefix.
+func (f *Follower) Revision(prefix string) int64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.newestRevisions[prefix]
+}
