A spec of endpoints that want no requests counts from when they said so

The spec began to count after the endpoints had said that they want nothing for 100 ms. It counts from before that now; its bounds are as they were.

--- a/internal/zpgateway/notice_test.go
+++ b/internal/zpgateway/notice_test.go
@@ -102,10 +102,10 @@
 	DescribeTable("leaves a request to wait or to return, if all want no requests",
 		func(quietFor time.Duration, check func(reply *fakeReply, took time.Duration)) {
 			s := newTestGateway(responds(http.StatusOK, "done"))
-			for _, e := range s.Registry.AllInPool("pool", time.Now()) {
+			startedAt := time.Now()
+			for _, e := range s.Registry.AllInPool("pool", startedAt) {
 				s.RecordNotice(e.ID, "request", zpgateway.Notice{QuietFor: quietFor})
 			}
-			startedAt := time.Now()
 			check(s.serve(request("read")), time.Since(startedAt))
 		},
 		Entry("for less than the objective of the request", 100*time.Millisecond, func(reply *fakeReply, took time.Duration) {
