--- a/internal/zpapp/gateway_catalogs.go
+++ b/internal/zpapp/gateway_catalogs.go
@@ -101,6 +101,9 @@
 	return out
 }
 
+// heard returns the number of other daemons that have answered recently.
+func (c *catalogs) heard() int { return len(c.daemon.live.list()) - 1 }
+
 // domainOf returns the failure domain of the daemon with an address, or "" if it is unknown.
 func (c *catalogs) domainOf(address string) string {
 	for _, m := range c.daemon.members.Others() {
@@ -158,7 +161,7 @@
 		return
 	case reply.CatalogVersion == current:
 		c.outage.RecordUnconfirmed(c.domainOf(address), startedAt)
-		if c.outage.IsOutage(c.otherDomains(), startedAt) {
+		if c.outage.IsOutage(c.otherDomains(), c.heard(), startedAt) {
 			c.guard.RecordOutage(startedAt)
 		}
 		return
@@ -219,6 +222,9 @@
 // c.mu must not be held.
 func (c *catalogs) isConfirmed() bool {
 	d, now := c.daemon, zpclock.Now()
+	if !zpcatalog.IsMajority(c.heard(), len(d.members.Others())) {
+		c.guard.EndOutage()
+	}
 	isRecent := c.guard.IsRecent(d.follower.ReadAt(), now) || len(d.members.Others()) == 0
 	if isRecent && c.guard.IsConfirmed(now) && !c.guard.IsReplaced(d.catalogVersion(), now) {
 		return true
--- a/internal/zpcatalog/freshness_guard.go
+++ b/internal/zpcatalog/freshness_guard.go
@@ -89,6 +89,13 @@
 	g.outageAt = now
 }
 
+// EndOutage records that the store may be away for this daemon alone.
+func (g *FreshnessGuard) EndOutage() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.outageAt = time.Time{}
+}
+
 // RecordNewer records that another daemon uses a newer catalog.
 func (g *FreshnessGuard) RecordNewer(version int64, now time.Time) {
 	g.mu.Lock()
--- a/internal/zpcatalog/outage_votes.go
+++ b/internal/zpcatalog/outage_votes.go
@@ -6,8 +6,9 @@
 )
 
 // OutageVotes tells whether the store is away for all daemons, from what they say of it. It is
-// if more than half of the failure domains say so, that of this daemon included: daemons of
-// fewer domains may be cut off together. It is safe for concurrent use.
+// if more than half of the failure domains say so, that of this daemon included, and more than
+// half of all daemons are heard at all: fewer may be cut off together. It is safe for concurrent
+// use.
 type OutageVotes struct {
 	Domain string // failure domain of this daemon
 
@@ -43,12 +44,16 @@
 	delete(v.votes, domain)
 }
 
+// IsMajority reports whether the other daemons that are heard make up more than half of a fleet
+// together with this one. others is the number of all other daemons.
+func IsMajority(heard, others int) bool { return 2*(heard+1) > others+1 }
+
 // IsOutage reports whether the store is away for all. domains holds the failure domain of each
-// other daemon.
-func (v *OutageVotes) IsOutage(domains []string, now time.Time) bool {
+// other daemon, and heard is the number of those that have answered recently.
+func (v *OutageVotes) IsOutage(domains []string, heard int, now time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if now.Sub(v.latest) > voteMaxAge {
+	if now.Sub(v.latest) > voteMaxAge || !IsMajority(heard, len(domains)) {
 		return false
 	}
 	all := map[string]bool{v.Domain: true}
--- a/internal/zpcatalog/outage_votes_test.go
+++ b/internal/zpcatalog/outage_votes_test.go
@@ -19,7 +19,7 @@
 			for _, d := range votes {
 				v.RecordUnconfirmed(d, start)
 			}
-			Expect(v.IsOutage(domains, start.Add(time.Second))).To(Equal(expected))
+			Expect(v.IsOutage(domains, len(domains), start.Add(time.Second))).To(Equal(expected))
 		},
 		Entry("no word", []string{"a", "b"}, nil, false),
 		Entry("a daemon of the only domain", []string{"a", "a"}, []string{"a"}, true),
@@ -32,20 +32,35 @@
 		Entry("a domain without known daemons", []string{"a", "b"}, []string{"x"}, false),
 	)
 
+	// Guards against daemons of several failure domains that are cut off together from most of the fleet.
+	DescribeTable("takes no outage for granted while most daemons are silent",
+		func(heard int, expected bool) {
+			v := &zpcatalog.OutageVotes{Domain: "a"}
+			v.RecordUnconfirmed("b", start)
+			Expect(v.IsOutage([]string{"a", "a", "b", "b", "b", "c", "c", "c"}, heard, start)).To(Equal(expected))
+		},
+		Entry("hears nobody", 0, false),
+		Entry("cut off together with one", 1, false),
+		Entry("cut off together with three", 3, false),
+		Entry("a domain and one daemon lost", 4, true),
+		Entry("a domain lost", 5, true),
+		Entry("a daemon lost", 7, true),
+	)
+
 	It("forgets words that are old", func() {
 		v := &zpcatalog.OutageVotes{Domain: "a"}
 		v.RecordUnconfirmed("b", start)
-		Expect(v.IsOutage([]string{"b"}, start.Add(2*time.Second))).To(BeTrue())
-		Expect(v.IsOutage([]string{"b"}, start.Add(2001*time.Millisecond))).To(BeFalse())
+		Expect(v.IsOutage([]string{"b"}, 1, start.Add(2*time.Second))).To(BeTrue())
+		Expect(v.IsOutage([]string{"b"}, 1, start.Add(2001*time.Millisecond))).To(BeFalse())
 		v.RecordUnconfirmed("a", start.Add(3*time.Second))
-		Expect(v.IsOutage([]string{"b"}, start.Add(3*time.Second))).To(BeFalse())
+		Expect(v.IsOutage([]string{"b"}, 1, start.Add(3*time.Second))).To(BeFalse())
 	})
 
 	It("takes back the word of a domain that the store answers", func() {
 		v := &zpcatalog.OutageVotes{Domain: "a"}
 		v.RecordUnconfirmed("b", start)
 		v.RecordConfirmed("b")
-		Expect(v.IsOutage([]string{"b"}, start)).To(BeFalse())
+		Expect(v.IsOutage([]string{"b"}, 1, start)).To(BeFalse())
 	})
 
 	It("names the domains to be asked", func() {
