--- a/internal/zporigin/out_of_step_test.go
+++ b/internal/zporigin/out_of_step_test.go
@@ -91,6 +91,14 @@
 		f.expectStatus("n0", zporigin.StatusUnknown)
 	})
 
+	// Guards against a stream of the second version that is untold as it began before the next look at the versions.
+	It("tells others of the first stream of a version that it has not looked at", func() {
+		beginAtNewVersion()
+		f.setDown(func(m zpassign.Member) bool { return m.Name == "n1" })
+		f.observeOthers("n1", "v1", "v2")
+		f.expectKnownTo("n3")
+	})
+
 	It("tells registered daemons of its streams when it takes all others for lost", func() {
 		f.observe("v1", "v2")
 		f.takeForLost("n1")
--- a/internal/zporigin/record.go
+++ b/internal/zporigin/record.go
@@ -62,13 +62,15 @@
 		return
 	}
 	o.Request = keyOf(o.Request)
-	d.Table.Record(o, d.Clock())
+	now := d.Clock()
+	d.Table.Record(o, now)
+	// The endpoint's version may have appeared since the versions were last looked at.
+	d.tellIfMixed(ctx, o.Pool, d.Pools.Observe(o.Pool, []string{o.Version}, now), now)
 	if !d.Pools.IsMixed(o.Pool) {
 		return
 	}
 	// The keepers are told even if the caller leaves: it may come back.
 	ctx = context.WithoutCancel(ctx)
-	startedAt := d.Clock()
 	told := make(chan struct{}, keepersAtHome)
 	isAwaiting := false
 	keepers := d.keepers(o.Request)
@@ -95,7 +97,7 @@
 	}
 	d.Log.Emit(zplog.OriginTold, zplog.Fields{
 		"request": o.Request, "pool": o.Pool, "software_version": o.Version, "keepers": namesOf(keepers), "confirmed": isConfirmed,
-		"took_ms": d.Clock().Sub(startedAt).Milliseconds(),
+		"took_ms": d.Clock().Sub(now).Milliseconds(),
 	})
 }
 
