--- a/internal/zporigin/directory.go
+++ b/internal/zporigin/directory.go
@@ -81,7 +81,8 @@
 )
 
 // Find returns what is known of the origin of a stream that a caller takes up in a pool. It
-// asks other daemons if this one does not know it, and the store if not all of them answer.
+// asks other daemons if this one does not know it, and the store if their answers do not
+// prove that there is one version.
 // request is empty if the caller does not name the attempt that began the stream.
 func (d *Directory) Find(ctx context.Context, request, pool string) Finding {
 	if d == nil {
@@ -133,16 +134,17 @@
 	return Finding{Status: StatusUnknown}, isRead
 }
 
-// isAbsenceProven reports whether the daemons that would know the stream have answered. That
-// nobody was asked, or that nobody answered, proves nothing.
+// isAbsenceProven reports whether the daemons that would know the stream have answered, and no
+// other one may have begun it out of their reach. That nobody was asked, or that nobody
+// answered, proves nothing.
 func (d *Directory) isAbsenceProven(q inquiry, now time.Time) bool {
-	return q.isComplete() && d.keptFor(now) >= settleTime
+	return q.isComplete() && d.HearsAll() && d.keptFor(now) >= settleTime
 }
 
 // mayAssume reports whether a stream that nobody knows began before the pool had several
 // versions: no daemon could have begun one since without telling those that were asked.
 func (d *Directory) mayAssume(q inquiry, now time.Time) bool {
-	return d.isAbsenceProven(q, now) && q.mixedFor < assumeFor && d.HearsAll()
+	return d.isAbsenceProven(q, now) && q.mixedFor < assumeFor
 }
 
 // readVersions reads the endpoints' versions from the store and reports whether it answered.
--- a/internal/zporigin/origin_test.go
+++ b/internal/zporigin/origin_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -218,6 +219,13 @@
 	return out
 }
 
+// neverAsked returns a daemon that keeps no origin of a request and is not asked for it.
+func (f *fleet) neverAsked(request string) zpassign.Member {
+	owners := slices.Concat(zplookup.NewOwners(f.members).Ranked(request)...)
+	i := slices.IndexFunc(f.members, func(m zpassign.Member) bool { return !slices.Contains(owners, m) })
+	return f.members[i]
+}
+
 func (f *fleet) expectKnownTo(name string) {
 	GinkgoHelper()
 	Eventually(func() zporigin.Finding { return f.directories[name].Find(context.Background(), "r", "p") }, "1s").
--- a/internal/zporigin/out_of_step_test.go
+++ b/internal/zporigin/out_of_step_test.go
@@ -57,6 +57,19 @@
 		Entry("as it was paused", func() { f.restart(f.members[0]); f.observeAt("n0", "v1") }),
 	)
 
+	// Guards against a group of daemons that are cut off together and take each other's word for everyone's.
+	It("cannot tell where a stream began out of reach of all that are asked", func() {
+		m := f.neverAsked("r")
+		f.silence(m.Name)
+		f.observeAt(m.Name, "v1", "v2")
+		f.directories[m.Name].Record(context.Background(), ofStream)
+		f.setDown(func(x zpassign.Member) bool { return x == m })
+		f.storeErr = errDown
+		f.expectStatus("s0", zporigin.StatusUnknown)
+		f.stored, f.storeErr = []string{"v2"}, nil
+		f.expectStatus("s0", zporigin.StatusUnknown)
+	})
+
 	It("cannot tell where a stream began whose caller names no attempt", func() {
 		f.observe("v1", "v2")
 		f.expectStatusOf("n0", "", zporigin.StatusUnknown)
