--- a/internal/zpgateway/origin.go
+++ b/internal/zpgateway/origin.go
@@ -20,7 +20,7 @@
 	switch {
 	case f.Status == zporigin.StatusUnknown, f.Status == zporigin.StatusAny && !g.IsCatalogConfirmed():
 		return errOriginUnknown.WithRetryAfter(retryAfterUnavailable)
-	case f.Status == zporigin.StatusKnown, f.Status == zporigin.StatusAssumed:
+	case f.Status != zporigin.StatusAny, f.Version != "": // endpoints of others may join while the request waits
 		j.bindTo(f.Version)
 	}
 	return nil
@@ -29,7 +29,7 @@
 // recordOrigin binds a stream whose first event has arrived to the software version of its
 // endpoint, and lets other daemons know where the stream began before the caller does.
 func (g *Gateway) recordOrigin(ctx context.Context, j *job, e zpregistry.Endpoint) {
-	if !j.route.Resumable || j.isBound {
+	if !j.route.Resumable || j.isBound && j.origin != zporigin.StatusAny {
 		return
 	}
 	j.bindTo(e.SoftwareVersion)
--- a/internal/zpgateway/origin_test.go
+++ b/internal/zpgateway/origin_test.go
@@ -94,6 +94,29 @@
 		Expect(s.runner.runs).To(BeEmpty())
 	})
 
+	// Guards against the rest of a stream from an endpoint of another version that joins after the origin was sought.
+	It("goes on at the only version of its pool, although another one appears while it waits", func() {
+		s := newMixedGateway()
+		put := func(id, version string, startedAtMS int64) {
+			s.Registry.Put(zpregistry.Endpoint{
+				ID: id, Pool: "pool", Address: id + ":1", FailureDomain: "a", Region: "n", SoftwareVersion: version, Slots: 4, StartedAtMS: startedAtMS, Weights: map[string]int64{"m": 1},
+			})
+		}
+		ids := []string{"e1", "e2", "e3"}
+		for _, id := range ids {
+			put(id, "v1", 1)
+		}
+		s.Origins.Pools, s.Origins.VersionsOf = zporigin.NewVersions(), func(string, time.Time) []string { return []string{"v1"} }
+		s.runner.steps = []step{func(ctx context.Context, gate *zpengine.Gate) (*zpgateway.Response, error) {
+			for _, id := range ids {
+				put(id, "v2", 2)
+			}
+			return dialFails(ctx, gate)
+		}, responds(http.StatusOK, rest)}
+		expectRefused(s.serve(resumedRequest("1", "r1")), http.StatusServiceUnavailable, zperror.RunStateNotRun)
+		Expect(s.versionsOfRuns()).To(HaveEach("v1"))
+	})
+
 	// Guards against a daemon that is cut off before a second version appears.
 	It("is refused if nobody knows it and this daemon may not know of other versions", func() {
 		s := newMixedGateway(responds(http.StatusOK, rest))
--- a/internal/zporigin/directory.go
+++ b/internal/zporigin/directory.go
@@ -56,8 +56,10 @@
 
 	// Finding is what is known of the origin of a stream.
 	Finding struct {
-		Status  Status
-		Version string // if the status is StatusKnown or StatusAssumed
+		Status Status
+		// Version is the only one at which the stream may go on. It is empty if the status is
+		// StatusUnknown, or StatusAny and the pool has had no endpoints.
+		Version string
 	}
 
 	// Status says how a finding came about.
@@ -126,7 +128,7 @@
 		}
 	}
 	if !d.Pools.IsMixed(pool) {
-		return Finding{Status: StatusAny}, isRead
+		return Finding{Status: StatusAny, Version: d.Pools.Only(pool)}, isRead
 	}
 	if version, ok := d.Pools.Assume(pool, now); ok && request != "" && d.mayAssume(q, now) {
 		return Finding{Status: StatusAssumed, Version: version}, isRead
--- a/internal/zporigin/versions.go
+++ b/internal/zporigin/versions.go
@@ -89,6 +89,17 @@
 	return version, true
 }
 
+// Only returns the version of a pool that has just one, or "".
+func (v *Versions) Only(pool string) string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if p, ok := v.pools[pool]; ok {
+		version, _ := p.only()
+		return version
+	}
+	return ""
+}
+
 // IsMixed reports whether streams of several versions may be open in a pool.
 func (v *Versions) IsMixed(pool string) bool {
 	v.mu.Lock()
