--- a/internal/zpapp/gateway_origins.go
+++ b/internal/zpapp/gateway_origins.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
@@ -36,9 +34,7 @@
 		Ask: func(ctx context.Context, address, request, pool string) (zporigin.Reply, error) {
 			return zppeer.FindOrigin(ctx, d.dialer, address, request, pool)
 		},
-		VersionsOf: func(pool string, now time.Time) []string {
-			return slices.Sorted(maps.Keys(countVersions(d, pool, now)))
-		},
+		VersionsOf: d.registry.SoftwareVersions,
 		ReadVersions: func(ctx context.Context, pool string) ([]string, error) {
 			versions, err := changes.Latest(ctx)
 			return versions[pool], err
--- a/internal/zpregistry/registry.go
+++ b/internal/zpregistry/registry.go
@@ -47,6 +47,7 @@
 		endpointsListed bool
 		evacuatedKnown  bool                  // SetEvacuated was called
 		servingByPool   map[string][]Endpoint // cache of Serving; nil if outdated
+		versionsByPool  map[string][]string   // cache of SoftwareVersions, as old as servingByPool
 		removed         []Endpoint            // not yet passed to OnRemoved
 		leaving         map[string]int64      // StartedAtMS of endpoints that have said that they leave
 		withheld        withheld
@@ -196,8 +197,11 @@
 // servingLocked returns the endpoints of a pool that may receive new work; r.mu must be held.
 func (r *Registry) servingLocked(pool string) []Endpoint {
 	if r.servingByPool == nil {
-		r.servingByPool = map[string][]Endpoint{}
+		r.servingByPool, r.versionsByPool = map[string][]Endpoint{}, map[string][]string{}
 		for _, x := range r.entries {
+			if pool, version := x.endpoint.Pool, x.endpoint.SoftwareVersion; !slices.Contains(r.versionsByPool[pool], version) {
+				r.versionsByPool[pool] = append(r.versionsByPool[pool], version)
+			}
 			if r.mayServeLocked(x.endpoint) {
 				r.servingByPool[x.endpoint.Pool] = append(r.servingByPool[x.endpoint.Pool], x.endpoint)
 			}
@@ -209,6 +213,16 @@
 	return r.servingByPool[pool]
 }
 
+// SoftwareVersions returns the software versions of all endpoints of a pool, including draining
+// and evacuated ones, in no order. The result is shared between callers and must not be modified.
+func (r *Registry) SoftwareVersions(pool string, now time.Time) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.removeExpired(now)
+	r.servingLocked(pool)
+	return r.versionsByPool[pool]
+}
+
 // AllInPool returns all endpoints of a pool, including draining and evacuated ones, sorted
 // by id.
 func (r *Registry) AllInPool(pool string, now time.Time) []Endpoint {
