--- a/internal/zpapp/gateway_origins.go
+++ b/internal/zpapp/gateway_origins.go
@@ -27,7 +27,7 @@
 	changes := &zporigin.Reader{Read: d.readVersionChanges, Pause: func() time.Duration { return time.Duration(len(d.members.Names())) * changesPerDaemon }}
 	d.origins = &zporigin.Directory{
 		Self: d.self, Alive: d.rankKeepers, Registered: func(request string) [][]zpassign.Member { return d.live.registeredOwners().Ranked(request) },
-		HearsAll: func() bool { return len(d.live.list()) == len(d.members.Names()) },
+		Others: d.members.Others, HearsAll: func() bool { return len(d.live.list()) == len(d.members.Names()) },
 		Tell: func(ctx context.Context, address string, origins []zporigin.Origin) error {
 			return zppeer.RecordOrigins(ctx, d.dialer, address, origins)
 		},
--- a/internal/zpgateway/origin_test.go
+++ b/internal/zpgateway/origin_test.go
@@ -28,7 +28,7 @@
 		})
 	}
 	s.Origins = &zporigin.Directory{
-		Alive: nobody, Registered: nobody, HearsAll: func() bool { return true }, ListedAt: time.Now,
+		Alive: nobody, Registered: nobody, Others: func() []zpassign.Member { return nil }, HearsAll: func() bool { return true }, ListedAt: time.Now,
 		KeepsSince: func() time.Time { return time.Now().Add(-time.Hour) },
 		Table:      zporigin.NewTable(), Pools: zporigin.NewVersions(), Log: zplog.Discard(), Clock: time.Now,
 		VersionsOf:   func(string, time.Time) []string { return []string{"v1", "v2"} },
--- a/internal/zporigin/ask.go
+++ b/internal/zporigin/ask.go
@@ -33,6 +33,9 @@
 	// as the one that served the stream keeps nothing for others, and others come back
 	// after a restart without what they kept.
 	asked = 3
+	// maxAskedAll is the size of the fleet up to which all daemons are asked where silence of
+	// any counts.
+	maxAskedAll = 128
 	// askTimeout allows for the round trip between regions.
 	askTimeout = 150 * time.Millisecond
 )
@@ -50,7 +53,7 @@
 	defer cancel()
 	q := inquiry{versions: map[string]time.Duration{}}
 	replies := make(chan namedReply)
-	for _, m := range d.toAsk(request) {
+	for _, m := range d.toAsk(request, pool) {
 		q.asked = append(q.asked, m.Name)
 		go func() {
 			r, err := d.Ask(ctx, m.PeerAddress, request, pool)
@@ -94,8 +97,14 @@
 }
 
 // toAsk returns the daemons to ask, those that are registered and those that are alive, as
-// the daemon that began the stream may have told either.
-func (d *Directory) toAsk(request string) []zpassign.Member {
+// the daemon that began the stream may have told either. All are asked if a version may be
+// assumed.
+func (d *Directory) toAsk(request, pool string) []zpassign.Member {
+	if others := d.Others(); len(others) <= maxAskedAll {
+		if _, ok := d.Pools.Assume(pool, d.Clock()); ok {
+			return others
+		}
+	}
 	var out []zpassign.Member
 	for _, ranked := range [][][]zpassign.Member{d.Registered(request), d.Alive(request)} {
 		for _, region := range ranked {
--- a/internal/zporigin/directory.go
+++ b/internal/zporigin/directory.go
@@ -22,6 +22,7 @@
 		// Registered is Alive for all registered daemons. One that does not answer is among
 		// them, so that its silence is noticed.
 		Registered func(key string) [][]zpassign.Member
+		Others     func() []zpassign.Member // all other registered daemons
 		// HearsAll reports whether all registered daemons have answered recently.
 		HearsAll func() bool
 		Tell     func(ctx context.Context, address string, origins []Origin) error
@@ -144,9 +145,10 @@
 }
 
 // mayAssume reports whether a stream that nobody knows began before the pool had several
-// versions: no daemon could have begun one since without telling those that were asked.
+// versions. One that has been cut off since may have begun it without telling anyone, and it
+// counts as heard for a while, so all must have been asked.
 func (d *Directory) mayAssume(q inquiry, now time.Time) bool {
-	return d.isAbsenceProven(q, now) && q.mixedFor < assumeFor
+	return d.isAbsenceProven(q, now) && q.mixedFor < assumeFor && len(q.asked) >= len(d.Others())
 }
 
 // readVersions reads the endpoints' versions from the store and reports whether it answered.
--- a/internal/zporigin/origin_test.go
+++ b/internal/zporigin/origin_test.go
@@ -68,6 +68,7 @@
 	startedAt := f.clock()
 	d := &zporigin.Directory{
 		Self: m, Alive: func(key string) [][]zpassign.Member { return f.alive(m, key) }, Registered: zplookup.NewOwners(f.members).Ranked,
+		Others:   func() []zpassign.Member { return f.others(m) },
 		HearsAll: func() bool { return f.hearsAll(m) }, KeepsSince: func() time.Time { return startedAt }, ListedAt: f.clock, Table: zporigin.NewTable(), Pools: zporigin.NewVersions(), Log: zplog.Discard(), Clock: f.clock,
 		VersionsOf: func(pool string, _ time.Time) []string {
 			if pool != "p" {
@@ -128,6 +129,11 @@
 	f.now = now
 }
 
+// others returns all daemons but one.
+func (f *fleet) others(m zpassign.Member) []zpassign.Member {
+	return slices.DeleteFunc(slices.Clone(f.members), func(x zpassign.Member) bool { return x == m })
+}
+
 // hearsAll reports whether a daemon takes all others for alive.
 func (f *fleet) hearsAll(m zpassign.Member) bool {
 	f.mu.Lock()
--- a/internal/zporigin/out_of_step_test.go
+++ b/internal/zporigin/out_of_step_test.go
@@ -70,6 +70,25 @@
 		f.expectStatus("s0", zporigin.StatusUnknown)
 	})
 
+	// Guards against a daemon that has just been cut off, tells nobody of its stream and still counts as heard.
+	It("does not assume a version while a daemon that is usually not asked is silent", func() {
+		m := f.neverAsked("r")
+		f.observe("v1", "v2")
+		f.expectStatus("s0", zporigin.StatusAssumed)
+		f.silence(m.Name)
+		f.directories[m.Name].Record(context.Background(), ofStream)
+		f.expectStatus("s0", zporigin.StatusUnknown)
+	})
+
+	It("is told of a stream by the daemon that began it while a version may be assumed", func() {
+		m := f.neverAsked("r")
+		f.silence(m.Name)
+		f.observe("v1", "v2")
+		f.directories[m.Name].Record(context.Background(), ofStream)
+		f.silence("")
+		f.expectKnownTo("s0")
+	})
+
 	// Guards against a data race between streams that share a read of the store.
 	It("does not write into what the store told", func() {
 		stored := []string{"v1", "", ""}
