--- a/internal/zporigin/ask.go
+++ b/internal/zporigin/ask.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
-	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 )
 
 type (
@@ -43,7 +42,7 @@
 // isComplete reports whether all that were asked, and at least one, said that they do not
 // know the stream.
 func (q inquiry) isComplete() bool {
-	return zpmutant.Active(zpmutant.Silence) || len(q.asked) > 0 && len(q.answered) == len(q.asked)
+	return len(q.asked) > 0 && len(q.answered) == len(q.asked)
 }
 
 // ask asks the keepers of a request in all regions at once. It returns when one of them knows
--- a/internal/zporigin/directory.go
+++ b/internal/zporigin/directory.go
@@ -8,6 +8,7 @@
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 )
 
 type (
@@ -141,7 +142,7 @@
 // other one may have begun it out of their reach. That nobody was asked, or that nobody
 // answered, proves nothing.
 func (d *Directory) isAbsenceProven(q inquiry, now time.Time) bool {
-	return q.isComplete() && d.HearsAll() && d.keptFor(now) >= settleTime
+	return zpmutant.Active(zpmutant.Silence) || q.isComplete() && d.HearsAll() && d.keptFor(now) >= settleTime
 }
 
 // mayAssume reports whether a stream that nobody knows began before the pool had several
