--- a/internal/zpcatalog/catalog.go
+++ b/internal/zpcatalog/catalog.go
@@ -240,6 +240,17 @@
 	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Pool == name })
 }
 
+// IsSplit reports whether the route divides its requests between several pools.
+func (r *Route) IsSplit() bool {
+	n := 0
+	for _, s := range r.Shares {
+		if s.Weight > 0 {
+			n++
+		}
+	}
+	return n > 1
+}
+
 // Repeatable reports whether a request of the route may run more than once.
 func (r *Route) Repeatable() bool {
 	return r.Kind == KindIdempotent || (r.Kind == KindStream && r.Resumable)
--- a/internal/zpgateway/gateway.go
+++ b/internal/zpgateway/gateway.go
@@ -129,7 +129,9 @@
 	errSuspected = zperror.New(zperror.KindUnavailable, "request_suspected",
 		"requests like this one were running when endpoints crashed, and it is not known yet whether they caused it", "send the request again after the time in Retry-After")
 	errOriginUnknown = zperror.New(zperror.KindUnavailable, "stream_origin_unknown",
-		"endpoints of several software versions serve the route, and it is not known which of them began the stream", "send the request again after the time in Retry-After, or begin anew")
+		"endpoints of several software versions or pools serve the route, and it is not known which of them began the stream", "send the request again after the time in Retry-After, or begin anew")
+	errOriginGone = zperror.New(zperror.KindUnavailable, "stream_origin_gone",
+		"the stream began in a pool that does not serve the route any more", "begin anew")
 	errCallerGone = zperror.New(zperror.KindCancelled, "caller_gone",
 		"the caller closed the connection", "none")
 )
--- a/internal/zpgateway/origin.go
+++ b/internal/zpgateway/origin.go
@@ -9,8 +9,8 @@
 )
 
 // findOrigin binds a stream that a caller takes up to the software version at which it began.
-// It returns an error if that is not known and several versions serve the pool, or may do so
-// without this daemon's knowledge.
+// It returns an error if that is not known and several versions or pools serve the route, or
+// may do so without this daemon's knowledge.
 func (g *Gateway) findOrigin(ctx context.Context, j *job) error {
 	if j.route.Kind != zpcatalog.KindStream || j.request.LastEventID == "" {
 		return nil
@@ -18,14 +18,28 @@
 	f := g.Origins.Find(ctx, j.request.ResumedID, j.pool.Name)
 	j.origin = f.Status
 	switch {
-	case f.Status == zporigin.StatusUnknown, f.Status == zporigin.StatusAny && !g.IsCatalogConfirmed():
+	case f.Status == zporigin.StatusKnown:
+		return j.bindToOrigin(f)
+	case f.Status == zporigin.StatusUnknown, f.Status == zporigin.StatusAny && !g.IsCatalogConfirmed(), j.route.IsSplit():
 		return errOriginUnknown.WithRetryAfter(retryAfterUnavailable)
-	case f.Status != zporigin.StatusAny, f.Version != "": // endpoints of others may join while the request waits
+	case f.Status == zporigin.StatusAssumed, f.Version != "": // endpoints of others may join while the request waits
 		j.bindTo(f.Version)
 	}
 	return nil
 }
 
+// bindToOrigin binds a stream to the pool and the software version at which it began. It
+// returns an error if the pool does not serve the route any more.
+func (j *job) bindToOrigin(f zporigin.Finding) error {
+	pool, ok := j.catalog.PoolOf(f.Pool)
+	if !ok || !j.route.HasPool(f.Pool) {
+		return errOriginGone
+	}
+	j.pool = pool
+	j.bindTo(f.Version)
+	return nil
+}
+
 // recordOrigin binds a stream whose first event has arrived to the software version of its
 // endpoint, and lets other daemons know where the stream began before the caller does.
 func (g *Gateway) recordOrigin(ctx context.Context, j *job, e zpregistry.Endpoint) {
@@ -37,7 +51,7 @@
 	if j.request.LastEventID != "" {
 		attempt = j.request.ResumedID // its origin may be forgotten before the stream breaks off again
 	}
-	g.Origins.Record(ctx, zporigin.Origin{Request: attempt, Pool: j.pool.Name, Version: e.SoftwareVersion})
+	g.Origins.Record(ctx, zporigin.Origin{Request: attempt, Pool: j.pool.Name, Version: e.SoftwareVersion}, j.route.IsSplit())
 }
 
 func (j *job) bindTo(version string) { j.streamVersion, j.isBound = version, true }
--- a/internal/zpgateway/origin_test.go
+++ b/internal/zpgateway/origin_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpgateway"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
@@ -127,6 +128,47 @@
 		expectRefused(s.serve(resumedRequest("1", "r1")), http.StatusServiceUnavailable, zperror.RunStateNotRun)
 	})
 
+	Context("on a route that is split among pools", func() {
+		var s testGateway
+
+		BeforeEach(func() {
+			s = newMixedGateway(responds(http.StatusOK, rest))
+			c := newCatalog()
+			c.Pools = append(c.Pools, zpcatalog.Pool{Name: "second", Engine: c.Pools[0].Engine})
+			for i := range c.Routes {
+				c.Routes[i].Shares = append(c.Routes[i].Shares, zpcatalog.Share{Pool: "second", Weight: 1})
+			}
+			c.BuildIndexes()
+			s.Catalog = func() *zpcatalog.Catalog { return c }
+			s.Registry.Put(zpregistry.Endpoint{
+				ID: "e4", Pool: "second", Address: "e4:1", FailureDomain: "a", Region: "n", SoftwareVersion: "v1", Slots: 4, Weights: map[string]int64{"m": 1},
+			})
+			s.Origins.VersionsOf = func(string, time.Time) []string { return []string{"v1"} }
+			s.Origins.Pools = zporigin.NewVersions()
+		})
+
+		// Guards against the rest of a stream from an endpoint of another pool.
+		It("goes on in the pool in which it began", func() {
+			s.Origins.Table.Record(zporigin.Origin{Request: "r1", Pool: "second", Version: "v1"}, time.Now())
+			expectResponse(s.serve(resumedRequest("1", "r1")), http.StatusOK, rest)
+			Expect(s.runner.runs[0].Endpoint.ID).To(Equal("e4"))
+		})
+
+		DescribeTable("is refused as not run",
+			func(code string, origins ...zporigin.Origin) {
+				for _, o := range origins {
+					s.Origins.Table.Record(o, time.Now())
+				}
+				reply := s.serve(resumedRequest("1", "r1"))
+				expectRefused(reply, http.StatusServiceUnavailable, zperror.RunStateNotRun)
+				Expect(reply.refused.Code).To(Equal(code))
+				Expect(s.runner.runs).To(BeEmpty())
+			},
+			Entry("if nobody knows it", "stream_origin_unknown"),
+			Entry("if the pool in which it began serves the route no more", "stream_origin_gone", zporigin.Origin{Request: "r1", Pool: "kept", Version: "v1"}),
+		)
+	})
+
 	It("is known by the attempt that began it after it was taken up", func() {
 		s := newMixedGateway(responds(http.StatusOK, rest))
 		s.Origins.Pools, s.Origins.VersionsOf = zporigin.NewVersions(), func(string, time.Time) []string { return []string{"v1"} }
--- a/internal/zporigin/directory.go
+++ b/internal/zporigin/directory.go
@@ -59,6 +59,7 @@
 	// Finding is what is known of the origin of a stream.
 	Finding struct {
 		Status Status
+		Pool   string // in which the stream began, if the status is StatusKnown
 		// Version is the only one at which the stream may go on. It is empty if the status is
 		// StatusUnknown, or StatusAny and the pool has had no endpoints.
 		Version string
@@ -115,12 +116,9 @@
 // store was read for that.
 func (d *Directory) conclude(ctx context.Context, request, pool string, q inquiry) (f Finding, isRead bool) {
 	now := d.Clock()
-	if q.isKnown && q.origin.Pool != pool {
-		return Finding{Status: StatusAny}, false
-	}
 	if q.isKnown {
 		d.Table.Record(q.origin, now)
-		return Finding{Status: StatusKnown, Version: q.origin.Version}, false
+		return Finding{Status: StatusKnown, Pool: q.origin.Pool, Version: q.origin.Version}, false
 	}
 	d.tellIfMixed(ctx, pool, d.Pools.Learn(pool, q.versions, now), now)
 	if !d.Pools.IsMixed(pool) && !d.isAbsenceProven(q, now) {
@@ -180,7 +178,7 @@
 		seen[version] = age.Milliseconds()
 	}
 	d.Log.Emit(zplog.OriginSought, zplog.Fields{
-		"request": request, "pool": pool, "origin": f.Status.String(), "software_version": f.Version, "seen_ms": seen,
+		"request": request, "pool": pool, "origin": f.Status.String(), "software_version": f.Version, "began_in": f.Pool, "seen_ms": seen,
 		"asked": q.asked, "answered": q.answered, "unsettled": q.unsettled, "versions": slices.Sorted(maps.Keys(q.versions)), "mixed_ms": q.mixedFor.Milliseconds(),
 		"kept_ms": d.keptFor(now).Milliseconds(), "list_ms": now.Sub(d.ListedAt()).Milliseconds(), "store_read": isRead,
 		"hears_all": d.HearsAll(), "took_ms": now.Sub(startedAt).Milliseconds(),
--- a/internal/zporigin/origin_test.go
+++ b/internal/zporigin/origin_test.go
@@ -235,7 +235,7 @@
 func (f *fleet) expectKnownTo(name string) {
 	GinkgoHelper()
 	Eventually(func() zporigin.Finding { return f.directories[name].Find(context.Background(), "r", "p") }, "1s").
-		Should(Equal(zporigin.Finding{Status: zporigin.StatusKnown, Version: "v2"}))
+		Should(Equal(zporigin.Finding{Status: zporigin.StatusKnown, Pool: "p", Version: "v2"}))
 }
 
 func (f *fleet) expectStatus(name string, status zporigin.Status) {
@@ -255,15 +255,15 @@
 
 	It("sends nothing while a pool has one version, and lets its streams go on anywhere", func() {
 		f.observe("v1")
-		f.directories["n0"].Record(context.Background(), zporigin.Origin{Request: "r", Pool: "p", Version: "v1"})
+		f.directories["n0"].Record(context.Background(), zporigin.Origin{Request: "r", Pool: "p", Version: "v1"}, false)
 		Expect(f.told).To(BeZero())
 		f.expectStatusOf("s1", "another", zporigin.StatusAny)
-		Expect(f.directories["s1"].Find(context.Background(), "r", "p")).To(Equal(zporigin.Finding{Status: zporigin.StatusKnown, Version: "v1"}))
+		Expect(f.directories["s1"].Find(context.Background(), "r", "p")).To(Equal(zporigin.Finding{Status: zporigin.StatusKnown, Pool: "p", Version: "v1"}))
 	})
 
 	It("knows in each daemon at which version a stream began", func() {
 		f.observe("v1", "v2")
-		f.directories["n0"].Record(context.Background(), ofStream)
+		f.directories["n0"].Record(context.Background(), ofStream, false)
 		for _, m := range f.members {
 			f.expectKnownTo(m.Name)
 		}
@@ -272,7 +272,7 @@
 	// Guards against a caller that gets an event of a stream which dies with its daemon.
 	It("has told another daemon of the region when Record returns", func() {
 		f.observe("v1", "v2")
-		f.directories["n0"].Record(context.Background(), ofStream)
+		f.directories["n0"].Record(context.Background(), ofStream, false)
 		f.setDown(func(m zpassign.Member) bool { return m.Name == "n0" || m.Region == "s" })
 		f.expectKnownTo("n1")
 	})
@@ -285,7 +285,7 @@
 			}
 			g := newFleet(4)
 			g.observe("v1", "v2")
-			g.directories["n0"].Record(context.Background(), ofStream)
+			g.directories["n0"].Record(context.Background(), ofStream, false)
 			g.expectKnownTo("s3")
 			g.setDown(func(m zpassign.Member) bool { return m.Name == "n0" || m.Name == lost.Name })
 			g.restart(lost)
@@ -299,15 +299,15 @@
 
 	It("tells others of the streams that began before a second version appeared", func() {
 		f.observe("v1")
-		f.directories["n0"].Record(context.Background(), zporigin.Origin{Request: "r", Pool: "p", Version: "v1"})
+		f.directories["n0"].Record(context.Background(), zporigin.Origin{Request: "r", Pool: "p", Version: "v1"}, false)
 		f.observe("v1", "v2")
 		Eventually(func() zporigin.Finding { return f.directories["s2"].Find(context.Background(), "r", "p") }, "1s").
-			Should(Equal(zporigin.Finding{Status: zporigin.StatusKnown, Version: "v1"}))
+			Should(Equal(zporigin.Finding{Status: zporigin.StatusKnown, Pool: "p", Version: "v1"}))
 	})
 
 	It("learns of a stream at a version that this daemon has not seen yet", func() {
 		f.observeAt("n0", "v1", "v2")
-		f.directories["n0"].Record(context.Background(), ofStream)
+		f.directories["n0"].Record(context.Background(), ofStream, false)
 		f.observeAt("n1", "v1")
 		f.expectKnownTo("n1")
 	})
@@ -340,7 +340,7 @@
 	It("keeps little of ids that are long", func() {
 		f.observe("v1", "v2")
 		id := strings.Repeat("r", 8000)
-		f.directories["n0"].Record(context.Background(), zporigin.Origin{Request: id, Pool: "p", Version: "v2"})
+		f.directories["n0"].Record(context.Background(), zporigin.Origin{Request: id, Pool: "p", Version: "v2"}, false)
 		Expect(f.directories["n0"].Find(context.Background(), id, "p").Status).To(Equal(zporigin.StatusKnown))
 		Eventually(func() zporigin.Status { return f.directories["s1"].Find(context.Background(), id, "p").Status }, "1s").Should(Equal(zporigin.StatusKnown))
 		for _, o := range f.directories["n0"].Table.Recent("p", start) {
@@ -348,10 +348,21 @@
 		}
 	})
 
-	It("lets a stream of another pool go on at any version", func() {
-		f.observeAt("n0", "v1", "v2")
-		f.directories["n0"].Record(context.Background(), ofStream)
-		Expect(f.directories["n0"].Find(context.Background(), "r", "q").Status).To(Equal(zporigin.StatusAny))
+	// Guards against a stream of two pools among which a route is split.
+	It("tells in which pool a stream of another pool began", func() {
+		f.observe("v2")
+		f.directories["n0"].Record(context.Background(), ofStream, true)
+		for _, m := range f.members {
+			Eventually(func() zporigin.Finding { return f.directories[m.Name].Find(context.Background(), "r", "q") }, "1s").
+				Should(Equal(zporigin.Finding{Status: zporigin.StatusKnown, Pool: "p", Version: "v2"}))
+		}
+	})
+
+	It("tells others of the streams of a route that is split, although their pool has one version", func() {
+		f.observe("v2")
+		f.directories["n0"].Record(context.Background(), ofStream, true)
+		f.setDown(func(m zpassign.Member) bool { return m.Name == "n0" })
+		f.expectKnownTo("n1")
 	})
 })
 
--- a/internal/zporigin/out_of_step_test.go
+++ b/internal/zporigin/out_of_step_test.go
@@ -14,7 +14,7 @@
 var _ = Describe("A daemon that is out of step", func() {
 	var f *fleet
 
-	beginAtNewVersion := func() { f.directories["n1"].Record(context.Background(), ofStream) }
+	beginAtNewVersion := func() { f.directories["n1"].Record(context.Background(), ofStream, false) }
 
 	BeforeEach(func() {
 		f = newFleet(4)
@@ -62,7 +62,7 @@
 		m := f.neverAsked("r")
 		f.silence(m.Name)
 		f.observeAt(m.Name, "v1", "v2")
-		f.directories[m.Name].Record(context.Background(), ofStream)
+		f.directories[m.Name].Record(context.Background(), ofStream, false)
 		f.setDown(func(x zpassign.Member) bool { return x == m })
 		f.storeErr = errDown
 		f.expectStatus("s0", zporigin.StatusUnknown)
@@ -76,7 +76,7 @@
 		f.observe("v1", "v2")
 		f.expectStatus("s0", zporigin.StatusAssumed)
 		f.silence(m.Name)
-		f.directories[m.Name].Record(context.Background(), ofStream)
+		f.directories[m.Name].Record(context.Background(), ofStream, false)
 		f.expectStatus("s0", zporigin.StatusUnknown)
 	})
 
@@ -84,7 +84,7 @@
 		m := f.neverAsked("r")
 		f.silence(m.Name)
 		f.observe("v1", "v2")
-		f.directories[m.Name].Record(context.Background(), ofStream)
+		f.directories[m.Name].Record(context.Background(), ofStream, false)
 		f.silence("")
 		f.expectKnownTo("s0")
 	})
--- a/internal/zporigin/record.go
+++ b/internal/zporigin/record.go
@@ -54,10 +54,11 @@
 	}
 }
 
-// Record records that a stream begins. While its pool is mixed, Record returns once a keeper
-// in this region knows it, or after tellTimeout: the caller must not get an event before,
-// since it may take the stream up elsewhere as soon as it has one.
-func (d *Directory) Record(ctx context.Context, o Origin) {
+// Record records that a stream begins. While its pool is mixed, or if several pools serve its
+// route, Record returns once a keeper in this region knows it, or after tellTimeout: the
+// caller must not get an event before, since it may take the stream up elsewhere as soon as
+// it has one.
+func (d *Directory) Record(ctx context.Context, o Origin, isRouteSplit bool) {
 	if d == nil || o.Request == "" {
 		return
 	}
@@ -66,7 +67,7 @@
 	d.Table.Record(o, now)
 	// The endpoint's version may have appeared since the versions were last looked at.
 	d.tellIfMixed(ctx, o.Pool, d.Pools.Observe(o.Pool, []string{o.Version}, now), now)
-	if !d.Pools.IsMixed(o.Pool) {
+	if !isRouteSplit && !d.Pools.IsMixed(o.Pool) {
 		return
 	}
 	// The keepers are told even if the caller leaves: it may come back.
