--- a/internal/zporigin/ask.go
+++ b/internal/zporigin/ask.go
@@ -32,8 +32,8 @@
 	// as the one that served the stream keeps nothing for others, and others come back
 	// after a restart without what they kept.
 	asked = 3
-	// maxAskedAll is the size of the fleet up to which all daemons are asked where silence of
-	// any counts.
+	// maxAskedAll is the number of other daemons up to which all are asked of a stream that no
+	// keeper knows.
 	maxAskedAll = 128
 	// askTimeout allows for the round trip between regions.
 	askTimeout = 150 * time.Millisecond
@@ -45,14 +45,25 @@
 	return len(q.asked) > 0 && len(q.answered) == len(q.asked)
 }
 
-// ask asks the keepers of a request in all regions at once. It returns when one of them knows
-// the stream, or all have answered, or after askTimeout.
-func (d *Directory) ask(ctx context.Context, request, pool string) inquiry {
+// inquire asks the keepers of a request in all regions. If they know nothing, it asks all other
+// daemons, too: one that was cut off just now may have begun the stream and have told nobody,
+// while it still counts as heard.
+func (d *Directory) inquire(ctx context.Context, request, pool string) inquiry {
+	q := inquiry{versions: map[string]time.Duration{}}
+	d.ask(ctx, request, pool, d.keepersToAsk(request), &q)
+	if !q.isKnown && d.isAbsenceProven(q, d.Clock()) && len(d.Others()) <= maxAskedAll {
+		d.ask(ctx, request, pool, slices.DeleteFunc(slices.Clone(d.Others()), func(m zpassign.Member) bool { return slices.Contains(q.asked, m.Name) }), &q)
+	}
+	return q
+}
+
+// ask asks daemons at once. It returns when one of them knows the stream, or all have
+// answered, or after askTimeout.
+func (d *Directory) ask(ctx context.Context, request, pool string, members []zpassign.Member, q *inquiry) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	q := inquiry{versions: map[string]time.Duration{}}
 	replies := make(chan namedReply)
-	for _, m := range d.toAsk(request, pool) {
+	for _, m := range members {
 		q.asked = append(q.asked, m.Name)
 		go func() {
 			r, err := d.Ask(ctx, m.PeerAddress, request, pool)
@@ -62,7 +73,7 @@
 			}
 		}()
 	}
-	for range q.asked {
+	for range members {
 		select {
 		case r := <-replies:
 			q.add(r)
@@ -72,7 +83,6 @@
 			break
 		}
 	}
-	return q
 }
 
 func (q *inquiry) add(r namedReply) {
@@ -95,15 +105,9 @@
 	}
 }
 
-// toAsk returns the daemons to ask, those that are registered and those that are alive, as
-// the daemon that began the stream may have told either. All are asked if a version may be
-// assumed.
-func (d *Directory) toAsk(request, pool string) []zpassign.Member {
-	if others := d.Others(); len(others) <= maxAskedAll {
-		if _, ok := d.Pools.Assume(pool, d.Clock()); ok {
-			return others
-		}
-	}
+// keepersToAsk returns the first daemons of each region, of those that are registered and of
+// those that are alive, as the daemon that began the stream may have told either.
+func (d *Directory) keepersToAsk(request string) []zpassign.Member {
 	var out []zpassign.Member
 	for _, ranked := range [][][]zpassign.Member{d.Registered(request), d.Alive(request)} {
 		for _, region := range ranked {
--- a/internal/zporigin/directory.go
+++ b/internal/zporigin/directory.go
@@ -98,7 +98,7 @@
 	d.Observe(ctx, pool, startedAt) // a daemon that has just started may not have looked yet
 	q := inquiry{}
 	if q.origin, q.isKnown = d.Table.Find(request, startedAt); !q.isKnown {
-		q = d.ask(ctx, request, pool)
+		q = d.inquire(ctx, request, pool)
 	}
 	f, isRead := d.conclude(ctx, request, pool, q)
 	d.logSought(request, pool, f, q, isRead, startedAt)
@@ -144,8 +144,7 @@
 }
 
 // mayAssume reports whether a stream that nobody knows began before the pool had several
-// versions. One that has been cut off since may have begun it without telling anyone, and it
-// counts as heard for a while, so all must have been asked.
+// versions. All daemons must have been asked.
 func (d *Directory) mayAssume(q inquiry, now time.Time) bool {
 	return d.isAbsenceProven(q, now) && q.mixedFor < assumeFor && len(q.asked) >= len(d.Others())
 }
--- a/internal/zporigin/out_of_step_test.go
+++ b/internal/zporigin/out_of_step_test.go
@@ -80,6 +80,17 @@
 		f.expectStatus("s0", zporigin.StatusUnknown)
 	})
 
+	// Guards against the same in a pool of which nobody else has seen the second version.
+	It("asks the store while a daemon that is usually not asked is silent", func() {
+		m := f.neverAsked("r")
+		f.silence(m.Name)
+		f.observeAt(m.Name, "v1", "v2")
+		f.directories[m.Name].Record(context.Background(), ofStream, false)
+		f.stored = []string{"v2"}
+		f.expectStatus("s0", zporigin.StatusUnknown)
+		Expect(f.reads).To(Equal(1))
+	})
+
 	It("is told of a stream by the daemon that began it while a version may be assumed", func() {
 		m := f.neverAsked("r")
 		f.silence(m.Name)
