--- a/internal/zpapp/gateway_origins.go
+++ b/internal/zpapp/gateway_origins.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
@@ -23,6 +24,9 @@
 	changesPerDaemon = 2 * time.Millisecond
 )
 
+// errNotWatching is returned before the endpoints are watched.
+var errNotWatching = errors.New("the endpoints are not watched yet")
+
 func (d *GatewayDaemon) buildOrigins() {
 	changes := &zporigin.Reader{Read: d.readVersionChanges, Pause: func() time.Duration { return time.Duration(len(d.members.Names())) * changesPerDaemon }}
 	d.origins = &zporigin.Directory{
@@ -71,7 +75,11 @@
 // readVersionChanges reads from the store itself which endpoints have changed since this
 // daemon last heard of them, and returns their software versions by pool.
 func (d *GatewayDaemon) readVersionChanges(ctx context.Context) (map[string][]string, error) {
-	l, err := d.reads.Watch(ctx, zpplatform.EndpointPrefix, d.follower.Revision(zpplatform.EndpointPrefix), changesWait)
+	from := d.follower.AppliedRevision(zpplatform.EndpointPrefix)
+	if from == 0 {
+		return nil, errNotWatching
+	}
+	l, err := d.reads.Watch(ctx, zpplatform.EndpointPrefix, from, changesWait)
 	out := map[string][]string{}
 	now := zpclock.Now()
 	for _, o := range l.Objects {
--- a/internal/zprelay/follower.go
+++ b/internal/zprelay/follower.go
@@ -31,6 +31,7 @@
 	avoidedUntil    map[string]time.Time // by address; not followed before this time
 	newestRevisions map[string]int64     // by prefix
 	readAt          map[string]time.Time // when a prefix was last read or confirmed
+	watchedFrom     map[string]int64     // by prefix; see AppliedRevision
 }
 
 const (
@@ -90,6 +91,7 @@
 // Watch returns the changes under a prefix after a revision. If the watcher fails,
 // it continues with another one or with the store.
 func (f *Follower) Watch(ctx context.Context, prefix string, from int64, wait time.Duration) (zpobject.Listing, error) {
+	f.recordApplied(prefix, from)
 	deadline := f.Clock().Add(wait)
 	maxWatchWait := maxWatchWait
 	if prefix == f.HeartbeatPrefix {
@@ -256,9 +258,20 @@
 	return f.readAt[prefix]
 }
 
-// Revision returns the newest revision that was read under a prefix.
-func (f *Follower) Revision(prefix string) int64 {
+// AppliedRevision returns the revision up to which the caller of Watch had all changes under a
+// prefix when it last called, or zero before its first call. What was read since may not be
+// in use yet.
+func (f *Follower) AppliedRevision(prefix string) int64 {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.newestRevisions[prefix]
+	return f.watchedFrom[prefix]
+}
+
+func (f *Follower) recordApplied(prefix string, from int64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.watchedFrom == nil {
+		f.watchedFrom = map[string]int64{}
+	}
+	f.watchedFrom[prefix] = from
 }
--- a/internal/zprelay/follower_test.go
+++ b/internal/zprelay/follower_test.go
@@ -300,6 +300,20 @@
 		Expect(l.Revision).To(BeEquivalentTo(20))
 	})
 
+	// Guards against changes that are taken for known while they are still on their way to the caller.
+	It("does not count changes as applied that a watch has only read", func() {
+		daemons = domain(1)
+		f := follower(daemons[0])
+		store.content = zpobject.Listing{Revision: 5, Objects: []zpobject.Object{{Name: "config/main", Revision: 5}}}
+		Expect(f.AppliedRevision(prefix)).To(BeZero())
+		for _, applied := range []int64{3, 5} {
+			l, err := f.Watch(context.Background(), prefix, applied, time.Second)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(l.Revision).To(BeEquivalentTo(5))
+			Expect(f.AppliedRevision(prefix)).To(Equal(applied))
+		}
+	})
+
 	It("ends a watch that the watcher cannot continue from its revision", func() {
 		_, err := follower(daemons[4]).Watch(context.Background(), prefix, 9, 0)
 		Expect(err).To(HaveOccurred())
