--- a/internal/zpapp/gateway_origins.go
+++ b/internal/zpapp/gateway_origins.go
@@ -24,8 +24,12 @@
 	changesPerDaemon = 2 * time.Millisecond
 )
 
-// errNotWatching is returned before the endpoints are watched.
-var errNotWatching = errors.New("the endpoints are not watched yet")
+var (
+	// errNotWatching is returned before the endpoints are watched.
+	errNotWatching = errors.New("the endpoints are not watched yet")
+	// errLacksEntries is returned while endpoints may not have written their entries again.
+	errLacksEntries = errors.New("the store may lack entries of endpoints after an outage")
+)
 
 func (d *GatewayDaemon) buildOrigins() {
 	changes := &zporigin.Reader{Read: d.readVersionChanges, Pause: func() time.Duration { return time.Duration(len(d.members.Names())) * changesPerDaemon }}
@@ -82,6 +86,9 @@
 	l, err := d.reads.Watch(ctx, zpplatform.EndpointPrefix, from, changesWait)
 	out := map[string][]string{}
 	now := zpclock.Now()
+	if err == nil && (d.registry.MayLackEntries(now) || now.Sub(d.reads.AnswersSince()) < lapsedEntryGrace) {
+		err = errLacksEntries
+	}
 	for _, o := range l.Objects {
 		if e, decodeErr := zpplatform.DecodeEndpoint(o, d.Node.RegionOf, now); !o.Deleted && decodeErr == nil {
 			out[e.Pool] = append(out[e.Pool], e.SoftwareVersion)
--- a/internal/zpregistry/registry_test.go
+++ b/internal/zpregistry/registry_test.go
@@ -126,6 +126,16 @@
 			expectServing(r, at(2), "x", "y")
 		})
 
+		It("may lack entries until the endpoints have written them again", func() {
+			Expect(r.MayLackEntries(at(1))).To(BeFalse())
+			r.StoreReturned(at(1))
+			Expect(r.MayLackEntries(at(2))).To(BeTrue())
+			Expect(r.MayLackEntries(at(3))).To(BeFalse())
+			r.StoreRestored(at(4))
+			Expect(r.MayLackEntries(at(8))).To(BeTrue())
+			Expect(r.MayLackEntries(at(9))).To(BeFalse())
+		})
+
 		It("does not serve a failure domain that was evacuated", func() {
 			r.SetEvacuated([]string{"a"})
 			r.StoreRestored(at(1))
--- a/internal/zpregistry/restore.go
+++ b/internal/zpregistry/restore.go
@@ -68,6 +68,15 @@
 	r.gone[e.ID] = goneEndpoint{e.StartedAtMS, now}
 }
 
+// MayLackEntries reports whether the store came back so recently that endpoints which serve
+// may not have written their entries again.
+func (r *Registry) MayLackEntries(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	hasReturned := !r.storeReturnedAt.IsZero() && now.Sub(r.storeReturnedAt) < r.GracePeriod
+	return hasReturned || now.Before(r.withheld.until)
+}
+
 // endWithholding forgets what is withheld once its time is over; r.mu must be held.
 func (r *Registry) endWithholding(now time.Time) {
 	if !r.withheld.until.IsZero() && !now.Before(r.withheld.until) {
