--- a/internal/zpapp/gateway_origins.go
+++ b/internal/zpapp/gateway_origins.go
@@ -2,8 +2,7 @@
 
 import (
 	"context"
-	"maps"
-	"slices"
+	"errors"
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
@@ -25,20 +24,25 @@
 	changesPerDaemon = 2 * time.Millisecond
 )
 
+var (
+	// errNotWatching is returned before the endpoints are watched.
+	errNotWatching = errors.New("the endpoints are not watched yet")
+	// errLacksEntries is returned while endpoints may not have written their entries again.
+	errLacksEntries = errors.New("the store may lack entries of endpoints after an outage")
+)
+
 func (d *GatewayDaemon) buildOrigins() {
 	changes := &zporigin.Reader{Read: d.readVersionChanges, Pause: func() time.Duration { return time.Duration(len(d.members.Names())) * changesPerDaemon }}
 	d.origins = &zporigin.Directory{
 		Self: d.self, Alive: d.rankKeepers, Registered: func(request string) [][]zpassign.Member { return d.live.registeredOwners().Ranked(request) },
-		HearsAll: func() bool { return len(d.live.list()) == len(d.members.Names()) },
+		Others: d.members.Others, HearsAll: func() bool { return len(d.live.list()) == len(d.members.Names()) },
 		Tell: func(ctx context.Context, address string, origins []zporigin.Origin) error {
 			return zppeer.RecordOrigins(ctx, d.dialer, address, origins)
 		},
 		Ask: func(ctx context.Context, address, request, pool string) (zporigin.Reply, error) {
 			return zppeer.FindOrigin(ctx, d.dialer, address, request, pool)
 		},
-		VersionsOf: func(pool string, now time.Time) []string {
-			return slices.Sorted(maps.Keys(countVersions(d, pool, now)))
-		},
+		VersionsOf: d.registry.SoftwareVersions,
 		ReadVersions: func(ctx context.Context, pool string) ([]string, error) {
 			versions, err := changes.Latest(ctx)
 			return versions[pool], err
@@ -75,9 +79,16 @@
 // readVersionChanges reads from the store itself which endpoints have changed since this
 // daemon last heard of them, and returns their software versions by pool.
 func (d *GatewayDaemon) readVersionChanges(ctx context.Context) (map[string][]string, error) {
-	l, err := d.reads.Watch(ctx, zpplatform.EndpointPrefix, d.follower.Revision(zpplatform.EndpointPrefix), changesWait)
+	from := d.follower.AppliedRevision(zpplatform.EndpointPrefix)
+	if from == 0 {
+		return nil, errNotWatching
+	}
+	l, err := d.reads.Watch(ctx, zpplatform.EndpointPrefix, from, changesWait)
 	out := map[string][]string{}
 	now := zpclock.Now()
+	if err == nil && (d.registry.MayLackEntries(now) || now.Sub(d.reads.AnswersSince()) < lapsedEntryGrace) {
+		err = errLacksEntries
+	}
 	for _, o := range l.Objects {
 		if e, decodeErr := zpplatform.DecodeEndpoint(o, d.Node.RegionOf, now); !o.Deleted && decodeErr == nil {
 			out[e.Pool] = append(out[e.Pool], e.SoftwareVersion)
--- a/internal/zpgateway/origin_test.go
+++ b/internal/zpgateway/origin_test.go
@@ -10,6 +10,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpengine"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpgateway"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
@@ -28,7 +29,7 @@
 		})
 	}
 	s.Origins = &zporigin.Directory{
-		Alive: nobody, Registered: nobody, HearsAll: func() bool { return true }, ListedAt: time.Now,
+		Alive: nobody, Registered: nobody, Others: func() []zpassign.Member { return nil }, HearsAll: func() bool { return true }, ListedAt: time.Now,
 		KeepsSince: func() time.Time { return time.Now().Add(-time.Hour) },
 		Table:      zporigin.NewTable(), Pools: zporigin.NewVersions(), Log: zplog.Discard(), Clock: time.Now,
 		VersionsOf:   func(string, time.Time) []string { return []string{"v1", "v2"} },
@@ -94,6 +95,29 @@
 		Expect(s.runner.runs).To(BeEmpty())
 	})
 
+	// Guards against the rest of a stream from an endpoint of another version that joins after the origin was sought.
+	It("goes on at the only version of its pool, although another one appears while it waits", func() {
+		s := newMixedGateway()
+		put := func(id, version string, startedAtMS int64) {
+			s.Registry.Put(zpregistry.Endpoint{
+				ID: id, Pool: "pool", Address: id + ":1", FailureDomain: "a", Region: "n", SoftwareVersion: version, Slots: 4, StartedAtMS: startedAtMS, Weights: map[string]int64{"m": 1},
+			})
+		}
+		ids := []string{"e1", "e2", "e3"}
+		for _, id := range ids {
+			put(id, "v1", 1)
+		}
+		s.Origins.Pools, s.Origins.VersionsOf = zporigin.NewVersions(), func(string, time.Time) []string { return []string{"v1"} }
+		s.runner.steps = []step{func(ctx context.Context, gate *zpengine.Gate) (*zpgateway.Response, error) {
+			for _, id := range ids {
+				put(id, "v2", 2)
+			}
+			return dialFails(ctx, gate)
+		}, responds(http.StatusOK, rest)}
+		expectRefused(s.serve(resumedRequest("1", "r1")), http.StatusServiceUnavailable, zperror.RunStateNotRun)
+		Expect(s.versionsOfRuns()).To(HaveEach("v1"))
+	})
+
 	// Guards against a daemon that is cut off before a second version appears.
 	It("is refused if nobody knows it and this daemon may not know of other versions", func() {
 		s := newMixedGateway(responds(http.StatusOK, rest))
@@ -104,6 +128,47 @@
 		expectRefused(s.serve(resumedRequest("1", "r1")), http.StatusServiceUnavailable, zperror.RunStateNotRun)
 	})
 
+	Context("on a route that is split among pools", func() {
+		var s testGateway
+
+		BeforeEach(func() {
+			s = newMixedGateway(responds(http.StatusOK, rest))
+			c := newCatalog()
+			c.Pools = append(c.Pools, zpcatalog.Pool{Name: "second", Engine: c.Pools[0].Engine})
+			for i := range c.Routes {
+				c.Routes[i].Shares = append(c.Routes[i].Shares, zpcatalog.Share{Pool: "second", Weight: 1})
+			}
+			c.BuildIndexes()
+			s.Catalog = func() *zpcatalog.Catalog { return c }
+			s.Registry.Put(zpregistry.Endpoint{
+				ID: "e4", Pool: "second", Address: "e4:1", FailureDomain: "a", Region: "n", SoftwareVersion: "v1", Slots: 4, Weights: map[string]int64{"m": 1},
+			})
+			s.Origins.VersionsOf = func(string, time.Time) []string { return []string{"v1"} }
+			s.Origins.Pools = zporigin.NewVersions()
+		})
+
+		// Guards against the rest of a stream from an endpoint of another pool.
+		It("goes on in the pool in which it began", func() {
+			s.Origins.Table.Record(zporigin.Origin{Request: "r1", Pool: "second", Version: "v1"}, time.Now())
+			expectResponse(s.serve(resumedRequest("1", "r1")), http.StatusOK, rest)
+			Expect(s.runner.runs[0].Endpoint.ID).To(Equal("e4"))
+		})
+
+		DescribeTable("is refused as not run",
+			func(code string, origins ...zporigin.Origin) {
+				for _, o := range origins {
+					s.Origins.Table.Record(o, time.Now())
+				}
+				reply := s.serve(resumedRequest("1", "r1"))
+				expectRefused(reply, http.StatusServiceUnavailable, zperror.RunStateNotRun)
+				Expect(reply.refused.Code).To(Equal(code))
+				Expect(s.runner.runs).To(BeEmpty())
+			},
+			Entry("if nobody knows it", "stream_origin_unknown"),
+			Entry("if the pool in which it began serves the route no more", "stream_origin_gone", zporigin.Origin{Request: "r1", Pool: "kept", Version: "v1"}),
+		)
+	})
+
 	It("is known by the attempt that began it after it was taken up", func() {
 		s := newMixedGateway(responds(http.StatusOK, rest))
 		s.Origins.Pools, s.Origins.VersionsOf = zporigin.NewVersions(), func(string, time.Time) []string { return []string{"v1"} }
--- a/internal/zporigin/directory.go
+++ b/internal/zporigin/directory.go
@@ -8,6 +8,7 @@
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 )
 
 type (
@@ -22,6 +23,7 @@
 		// Registered is Alive for all registered daemons. One that does not answer is among
 		// them, so that its silence is noticed.
 		Registered func(key string) [][]zpassign.Member
+		Others     func() []zpassign.Member // all other registered daemons
 		// HearsAll reports whether all registered daemons have answered recently.
 		HearsAll func() bool
 		Tell     func(ctx context.Context, address string, origins []Origin) error
@@ -56,8 +58,11 @@
 
 	// Finding is what is known of the origin of a stream.
 	Finding struct {
-		Status  Status
-		Version string // if the status is StatusKnown or StatusAssumed
+		Status Status
+		Pool   string // in which the stream began, if the status is StatusKnown
+		// Version is the only one at which the stream may go on. It is empty if the status is
+		// StatusUnknown, or StatusAny and the pool has had no endpoints.
+		Version string
 	}
 
 	// Status says how a finding came about.
@@ -93,7 +98,7 @@
 	d.Observe(ctx, pool, startedAt) // a daemon that has just started may not have looked yet
 	q := inquiry{}
 	if q.origin, q.isKnown = d.Table.Find(request, startedAt); !q.isKnown {
-		q = d.ask(ctx, request, pool)
+		q = d.inquire(ctx, request, pool)
 	}
 	f, isRead := d.conclude(ctx, request, pool, q)
 	d.logSought(request, pool, f, q, isRead, startedAt)
@@ -111,12 +116,9 @@
 // store was read for that.
 func (d *Directory) conclude(ctx context.Context, request, pool string, q inquiry) (f Finding, isRead bool) {
 	now := d.Clock()
-	if q.isKnown && q.origin.Pool != pool {
-		return Finding{Status: StatusAny}, false
-	}
 	if q.isKnown {
 		d.Table.Record(q.origin, now)
-		return Finding{Status: StatusKnown, Version: q.origin.Version}, false
+		return Finding{Status: StatusKnown, Pool: q.origin.Pool, Version: q.origin.Version}, false
 	}
 	d.tellIfMixed(ctx, pool, d.Pools.Learn(pool, q.versions, now), now)
 	if !d.Pools.IsMixed(pool) && !d.isAbsenceProven(q, now) {
@@ -126,7 +128,7 @@
 		}
 	}
 	if !d.Pools.IsMixed(pool) {
-		return Finding{Status: StatusAny}, isRead
+		return Finding{Status: StatusAny, Version: d.Pools.Only(pool)}, isRead
 	}
 	if version, ok := d.Pools.Assume(pool, now); ok && request != "" && d.mayAssume(q, now) {
 		return Finding{Status: StatusAssumed, Version: version}, isRead
@@ -138,13 +140,13 @@
 // other one may have begun it out of their reach. That nobody was asked, or that nobody
 // answered, proves nothing.
 func (d *Directory) isAbsenceProven(q inquiry, now time.Time) bool {
-	return q.isComplete() && d.HearsAll() && d.keptFor(now) >= settleTime
+	return zpmutant.Active(zpmutant.Silence) || q.isComplete() && d.HearsAll() && d.keptFor(now) >= settleTime
 }
 
 // mayAssume reports whether a stream that nobody knows began before the pool had several
-// versions: no daemon could have begun one since without telling those that were asked.
+// versions. All daemons must have been asked.
 func (d *Directory) mayAssume(q inquiry, now time.Time) bool {
-	return d.isAbsenceProven(q, now) && q.mixedFor < assumeFor
+	return d.isAbsenceProven(q, now) && q.mixedFor < assumeFor && len(q.asked) >= len(d.Others())
 }
 
 // readVersions reads the endpoints' versions from the store and reports whether it answered.
@@ -154,7 +156,7 @@
 	versions, err := d.ReadVersions(ctx, pool)
 	now := d.Clock()
 	// The changes that the store told before are in the list of endpoints by now.
-	versions = append(versions, d.VersionsOf(pool, now)...)
+	versions = slices.Concat(versions, d.VersionsOf(pool, now)) // others have the same slice
 	d.tellIfMixed(ctx, pool, d.Pools.Observe(pool, versions, now), now)
 	return err == nil
 }
@@ -175,7 +177,7 @@
 		seen[version] = age.Milliseconds()
 	}
 	d.Log.Emit(zplog.OriginSought, zplog.Fields{
-		"request": request, "pool": pool, "origin": f.Status.String(), "software_version": f.Version, "seen_ms": seen,
+		"request": request, "pool": pool, "origin": f.Status.String(), "software_version": f.Version, "began_in": f.Pool, "seen_ms": seen,
 		"asked": q.asked, "answered": q.answered, "unsettled": q.unsettled, "versions": slices.Sorted(maps.Keys(q.versions)), "mixed_ms": q.mixedFor.Milliseconds(),
 		"kept_ms": d.keptFor(now).Milliseconds(), "list_ms": now.Sub(d.ListedAt()).Milliseconds(), "store_read": isRead,
 		"hears_all": d.HearsAll(), "took_ms": now.Sub(startedAt).Milliseconds(),
--- a/internal/zporigin/out_of_step_test.go
+++ b/internal/zporigin/out_of_step_test.go
@@ -14,7 +14,7 @@
 var _ = Describe("A daemon that is out of step", func() {
 	var f *fleet
 
-	beginAtNewVersion := func() { f.directories["n1"].Record(context.Background(), ofStream) }
+	beginAtNewVersion := func() { f.directories["n1"].Record(context.Background(), ofStream, false) }
 
 	BeforeEach(func() {
 		f = newFleet(4)
@@ -62,7 +62,7 @@
 		m := f.neverAsked("r")
 		f.silence(m.Name)
 		f.observeAt(m.Name, "v1", "v2")
-		f.directories[m.Name].Record(context.Background(), ofStream)
+		f.directories[m.Name].Record(context.Background(), ofStream, false)
 		f.setDown(func(x zpassign.Member) bool { return x == m })
 		f.storeErr = errDown
 		f.expectStatus("s0", zporigin.StatusUnknown)
@@ -70,6 +70,44 @@
 		f.expectStatus("s0", zporigin.StatusUnknown)
 	})
 
+	// Guards against a daemon that has just been cut off, tells nobody of its stream and still counts as heard.
+	It("does not assume a version while a daemon that is usually not asked is silent", func() {
+		m := f.neverAsked("r")
+		f.observe("v1", "v2")
+		f.expectStatus("s0", zporigin.StatusAssumed)
+		f.silence(m.Name)
+		f.directories[m.Name].Record(context.Background(), ofStream, false)
+		f.expectStatus("s0", zporigin.StatusUnknown)
+	})
+
+	// Guards against the same in a pool of which nobody else has seen the second version.
+	It("asks the store while a daemon that is usually not asked is silent", func() {
+		m := f.neverAsked("r")
+		f.silence(m.Name)
+		f.observeAt(m.Name, "v1", "v2")
+		f.directories[m.Name].Record(context.Background(), ofStream, false)
+		f.stored = []string{"v2"}
+		f.expectStatus("s0", zporigin.StatusUnknown)
+		Expect(f.reads).To(Equal(1))
+	})
+
+	It("is told of a stream by the daemon that began it while a version may be assumed", func() {
+		m := f.neverAsked("r")
+		f.silence(m.Name)
+		f.observe("v1", "v2")
+		f.directories[m.Name].Record(context.Background(), ofStream, false)
+		f.silence("")
+		f.expectKnownTo("s0")
+	})
+
+	// Guards against a data race between streams that share a read of the store.
+	It("does not write into what the store told", func() {
+		stored := []string{"v1", "", ""}
+		f.stored, f.isOlder = stored[:1], true
+		f.expectStatus("n0", zporigin.StatusAny)
+		Expect(stored).To(Equal([]string{"v1", "", ""}))
+	})
+
 	It("cannot tell where a stream began whose caller names no attempt", func() {
 		f.observe("v1", "v2")
 		f.expectStatusOf("n0", "", zporigin.StatusUnknown)
