--- a/internal/zporigin/ask.go
+++ b/internal/zporigin/ask.go
@@ -32,8 +32,8 @@
 	// as the one that served the stream keeps nothing for others, and others come back
 	// after a restart without what they kept.
 	asked = 3
-	// maxAskedAll is the number of other daemons up to which all are asked of a stream that no
-	// keeper knows.
+	// maxAskedAll is the number of other daemons up to which all are asked of a stream where the
+	// word of the keepers does not do.
 	maxAskedAll = 128
 	// askTimeout allows for the round trip between regions.
 	askTimeout = 150 * time.Millisecond
@@ -45,15 +45,10 @@
 	return len(q.asked) > 0 && len(q.answered) == len(q.asked)
 }
 
-// inquire asks the keepers of a request in all regions. If they know nothing, it asks all other
-// daemons, too: one that was cut off just now may have begun the stream and have told nobody,
-// while it still counts as heard.
-func (d *Directory) inquire(ctx context.Context, request, pool string) inquiry {
+// askKeepers asks the keepers of a request in all regions.
+func (d *Directory) askKeepers(ctx context.Context, request, pool string) inquiry {
 	q := inquiry{versions: map[string]time.Duration{}}
 	d.ask(ctx, request, pool, d.keepersToAsk(request), &q)
-	if !q.isKnown && d.isAbsenceProven(q, d.Clock()) && len(d.Others()) <= maxAskedAll {
-		d.ask(ctx, request, pool, slices.DeleteFunc(slices.Clone(d.Others()), func(m zpassign.Member) bool { return slices.Contains(q.asked, m.Name) }), &q)
-	}
 	return q
 }
 
--- a/internal/zporigin/directory.go
+++ b/internal/zporigin/directory.go
@@ -86,8 +86,8 @@
 )
 
 // Find returns what is known of the origin of a stream that a caller takes up in a pool. It
-// asks other daemons if this one does not know it, and the store if their answers do not
-// prove that there is one version.
+// asks other daemons if this one does not know it, and the store whether the pool has one
+// version.
 // request is empty if the caller does not name the attempt that began the stream.
 func (d *Directory) Find(ctx context.Context, request, pool string) Finding {
 	if d == nil {
@@ -98,9 +98,9 @@
 	d.Observe(ctx, pool, startedAt) // a daemon that has just started may not have looked yet
 	q := inquiry{}
 	if q.origin, q.isKnown = d.Table.Find(request, startedAt); !q.isKnown {
-		q = d.inquire(ctx, request, pool)
+		q = d.askKeepers(ctx, request, pool)
 	}
-	f, isRead := d.conclude(ctx, request, pool, q)
+	f, isRead := d.conclude(ctx, request, pool, &q)
 	d.logSought(request, pool, f, q, isRead, startedAt)
 	return f
 }
@@ -114,45 +114,62 @@
 
 // conclude returns what follows from what other daemons said of a stream, and whether the
 // store was read for that.
-func (d *Directory) conclude(ctx context.Context, request, pool string, q inquiry) (f Finding, isRead bool) {
-	now := d.Clock()
-	if q.isKnown {
-		d.Table.Record(q.origin, now)
-		return Finding{Status: StatusKnown, Pool: q.origin.Pool, Version: q.origin.Version}, false
-	}
-	d.tellIfMixed(ctx, pool, d.Pools.Learn(pool, q.versions, now), now)
-	if !d.Pools.IsMixed(pool) && !d.isAbsenceProven(q, now) {
+func (d *Directory) conclude(ctx context.Context, request, pool string, q *inquiry) (f Finding, isRead bool) {
+	d.learn(ctx, pool, q)
+	isProven := false
+	if !q.isKnown && !d.Pools.IsMixed(pool) {
 		isRead = true
-		if !d.readVersions(ctx, pool) {
-			return Finding{Status: StatusUnknown}, isRead
-		}
+		isProven = d.readVersions(ctx, pool) || d.proveAbsence(ctx, request, pool, q)
 	}
-	if !d.Pools.IsMixed(pool) {
-		return Finding{Status: StatusAny, Version: d.Pools.Only(pool)}, isRead
+	if _, ok := d.Pools.Assume(pool, d.Clock()); ok && !q.isKnown && request != "" {
+		isProven = d.proveAbsence(ctx, request, pool, q) && len(q.asked) >= len(d.Others())
 	}
-	if version, ok := d.Pools.Assume(pool, now); ok && request != "" && d.mayAssume(q, now) {
+	now := d.Clock()
+	version, mayAssume := d.Pools.Assume(pool, now)
+	switch {
+	case q.isKnown:
+		d.Table.Record(q.origin, now)
+		return Finding{Status: StatusKnown, Pool: q.origin.Pool, Version: q.origin.Version}, isRead
+	case isProven && !d.Pools.IsMixed(pool):
+		return Finding{Status: StatusAny, Version: d.Pools.Only(pool)}, isRead
+	case isProven && mayAssume && request != "" && q.mixedFor < assumeFor:
 		return Finding{Status: StatusAssumed, Version: version}, isRead
+	default:
+		return Finding{Status: StatusUnknown}, isRead
 	}
-	return Finding{Status: StatusUnknown}, isRead
 }
 
-// isAbsenceProven reports whether the daemons that would know the stream have answered, and no
-// other one may have begun it out of their reach. That nobody was asked, or that nobody
-// answered, proves nothing.
-func (d *Directory) isAbsenceProven(q inquiry, now time.Time) bool {
-	return zpmutant.Active(zpmutant.Silence) || q.isComplete() && d.HearsAll() && d.keptFor(now) >= settleTime
+// learn takes over the software versions that other daemons have seen in a pool.
+func (d *Directory) learn(ctx context.Context, pool string, q *inquiry) {
+	now := d.Clock()
+	d.tellIfMixed(ctx, pool, d.Pools.Learn(pool, q.versions, now), now)
 }
 
-// mayAssume reports whether a stream that nobody knows began before the pool had several
-// versions. All daemons must have been asked.
-func (d *Directory) mayAssume(q inquiry, now time.Time) bool {
-	return d.isAbsenceProven(q, now) && q.mixedFor < assumeFor && len(q.asked) >= len(d.Others())
+// proveAbsence asks all daemons that were not asked yet, in a fleet of up to maxAskedAll, and
+// reports whether none of them can have begun the stream: one that was cut off just now may
+// have begun it and have told nobody, while it still counts as heard.
+func (d *Directory) proveAbsence(ctx context.Context, request, pool string, q *inquiry) bool {
+	if others := d.Others(); d.isAbsenceProven(*q, d.Clock()) && len(others) <= maxAskedAll {
+		rest := slices.DeleteFunc(slices.Clone(others), func(m zpassign.Member) bool { return slices.Contains(q.asked, m.Name) })
+		d.ask(ctx, request, pool, rest, q)
+		d.learn(ctx, pool, q)
+	}
+	return !q.isKnown && d.isAbsenceProven(*q, d.Clock())
+}
+
+// isAbsenceProven reports whether all that were asked have answered, and no daemon may be out
+// of their reach. That nobody was asked, or that nobody answered, proves nothing.
+func (d *Directory) isAbsenceProven(q inquiry, now time.Time) bool {
+	return zpmutant.Active(zpmutant.Silence) || q.isComplete() && d.HearsAll() && d.keptFor(now) >= settleTime
 }
 
 // readVersions reads the endpoints' versions from the store and reports whether it answered.
 func (d *Directory) readVersions(ctx context.Context, pool string) bool {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	if zpmutant.Active(zpmutant.Silence) {
+		return true
+	}
 	versions, err := d.ReadVersions(ctx, pool)
 	now := d.Clock()
 	// The changes that the store told before are in the list of endpoints by now.
