--- a/internal/zporigin/out_of_step_test.go
+++ b/internal/zporigin/out_of_step_test.go
@@ -60,8 +60,9 @@
 
 	It("asks few daemons while the store answers", func() {
 		f = newFleet(12)
-		f.restartAll("v1")
-		f.told = 0
+		f.observe("v1")
+		f.setClock(at(60))
+		f.observe("v1")
 		f.expectStatus("n0", zporigin.StatusAny)
 		Expect(f.told).To(BeNumerically("<=", 6))
 		Expect(f.reads).To(Equal(1))
