--- a/internal/zpapp/gateway_catalogs.go
+++ b/internal/zpapp/gateway_catalogs.go
@@ -222,7 +222,7 @@
 // c.mu must not be held.
 func (c *catalogs) isConfirmed() bool {
 	d, now := c.daemon, zpclock.Now()
-	if !zpcatalog.IsMajority(c.heard(), len(d.members.Others())) {
+	if !d.live.isMajority() {
 		c.guard.EndOutage()
 	}
 	isRecent := c.guard.IsRecent(d.follower.ReadAt(), now) || len(d.members.Others()) == 0
--- a/internal/zpapp/gateway_live_daemons.go
+++ b/internal/zpapp/gateway_live_daemons.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpclock"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplookup"
 )
@@ -36,6 +37,12 @@
 	return a.members
 }
 
+// isMajority reports whether more than half of the registered daemons answered recently, this
+// one included.
+func (a *liveDaemons) isMajority() bool {
+	return zpcatalog.IsMajority(len(a.list())-1, len(a.daemon.members.Others()))
+}
+
 // partOwners returns the assignment of prompt parts to the daemons that own them.
 func (a *liveDaemons) partOwners() *zplookup.Owners {
 	a.mu.Lock()
--- a/internal/zpapp/gateway_sharing.go
+++ b/internal/zpapp/gateway_sharing.go
@@ -238,8 +238,13 @@
 	d.bans.lift(fingerprints)
 }
 
-// requestTrial asks the daemon that grants the trials of a fingerprint for one.
+// requestTrial asks the daemon that grants the trials of a fingerprint for one. A daemon that
+// does not hear most of the others gets none: those that are cut off from each other would each
+// have a granter of their own.
 func (d *GatewayDaemon) requestTrial(ctx context.Context, fingerprint string) bool {
+	if !d.live.isMajority() {
+		return false
+	}
 	granter, ok := d.live.partOwners().First(fingerprint)
 	if !ok || granter.Name == d.self.Name {
 		return d.grantTrial(fingerprint)
--- /dev/null
+++ b/internal/zpapp/silence_test.go
@@ -0,0 +1,143 @@
+package zpapp
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
+	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpshare"
+	zpplatform "github.com/zinniapaddle/zinniapaddle/platform"
+)
+
+const silenceNodeFile = `
+node-name = "d0"
+ip = "127.0.0.1"
+zone = "a"
+region = "n"
+internal-ports = [1,1]
+[zones]
+a = "n"
+[listen]
+front = "127.0.0.1:1"
+ready = "127.0.0.1:1"
+[limits]
+memory-mb = 100
+[contract-bounds]
+grace-s = 8
+lease-ms = 3000
+budget-ratio = 0.2
+version-ms = 10000
+[platform]
+address = "127.0.0.1:1"
+`
+
+// listeningDaemon is a daemon of five that serves nothing and hears from some of the others.
+type listeningDaemon struct {
+	*GatewayDaemon
+	answering atomic.Pointer[[]string] // addresses
+	pausedFor atomic.Int64
+}
+
+func newListeningDaemon() *listeningDaemon {
+	GinkgoHelper()
+	node, err := zpplatform.DecodeNode([]byte(silenceNodeFile))
+	Expect(err).NotTo(HaveOccurred())
+	w := &listeningDaemon{GatewayDaemon: NewGatewayDaemon(node, zplog.Discard())}
+	w.hear()
+	var list []zpassign.Member
+	for _, name := range []string{"d0", "d1", "d2", "d3", "d4"} {
+		list = append(list, zpassign.Member{Name: name, Instance: name + ".x", PeerAddress: "127.0.0.1:1/" + name, Region: "n", Domain: "a", State: zpassign.MemberServing, Cores: 1})
+	}
+	w.members.replace(list, time.Now())
+	w.sharer.Clock = func() time.Time { return time.Now().Add(time.Duration(w.pausedFor.Load())) }
+	w.sharer.Snapshot = func(zpassign.Member) zpshare.Message { return zpshare.Message{} }
+	w.sharer.Send = func(_ context.Context, address string, _ zpshare.Message) (string, error) {
+		if slices.Contains(*w.answering.Load(), address) {
+			return address, nil
+		}
+		return "", errors.New("silent")
+	}
+	return w
+}
+
+func (w *listeningDaemon) hear(names ...string) {
+	for i, name := range names {
+		names[i] = "127.0.0.1:1/" + name
+	}
+	w.answering.Store(&names)
+}
+
+// run shares loads until the given number of daemons count as alive, this one included.
+func (w *listeningDaemon) run(alive int) {
+	GinkgoHelper()
+	ctx, cancel := context.WithCancel(context.Background())
+	DeferCleanup(cancel)
+	go w.sharer.Run(ctx)
+	Eventually(func() int { return len(w.live.list()) }, "5s").Should(Equal(alive))
+}
+
+// thaw lets this daemon go on after a pause, in which the others have fallen silent.
+func (w *listeningDaemon) thaw() {
+	GinkgoHelper()
+	w.hear()
+	w.pausedFor.Store(int64(5 * time.Second))
+	Eventually(func() int { return len(w.live.list()) }, "1s", "10ms").Should(Equal(1))
+}
+
+// ownTrials returns how many trials of several fingerprints a daemon is granted while no other
+// one can be asked.
+func (w *listeningDaemon) ownTrials() int {
+	granted := 0
+	for _, f := range []string{"a", "b", "c", "d", "e", "f", "g", "h", "i", "j"} {
+		if w.requestTrial(context.Background(), f) {
+			granted++
+		}
+	}
+	return granted
+}
+
+// Guards against daemons that each grant trials of their own, as they don't hear the one that grants them for all.
+var _ = Describe("Trials of banned fingerprints", func() {
+	var w *listeningDaemon
+	BeforeEach(func() { w = newListeningDaemon() })
+
+	It("are not granted by a daemon that has just started", func() {
+		Expect(w.ownTrials()).To(BeZero())
+	})
+
+	It("are not granted by a daemon that hears nobody", func() {
+		w.run(1)
+		Expect(w.ownTrials()).To(BeZero())
+	})
+
+	It("are not granted by daemons that are cut off together", func() {
+		w.hear("d1")
+		w.run(2)
+		Expect(w.ownTrials()).To(BeZero())
+	})
+
+	It("are not granted by a daemon that was paused and has heard nobody since", func() {
+		w.hear("d1", "d2", "d3", "d4")
+		w.run(5)
+		w.thaw()
+		Expect(w.ownTrials()).To(BeZero())
+	})
+
+	It("are granted by one that hears most of the others, if it is first among these", func() {
+		w.hear("d1", "d2")
+		w.run(3)
+		Expect(w.ownTrials()).To(BeNumerically(">", 0))
+	})
+
+	It("are granted by a daemon without others", func() {
+		w.members.replace([]zpassign.Member{w.self}, time.Now())
+		Expect(w.ownTrials()).To(Equal(10))
+	})
+})
