--- a/internal/zpapp/gateway_detours.go
+++ b/internal/zpapp/gateway_detours.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpclock"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpdetour"
@@ -29,7 +30,7 @@
 func (d *GatewayDaemon) buildDetours() {
 	tracker := &zpdetour.Tracker{}
 	d.detour = &zpdetour.Dialer{
-		Tracker: tracker, Domain: d.self.Domain, Region: d.self.Region, Peers: d.detourPeers, Endpoints: d.registry.Addresses, Log: d.Log, Clock: zpclock.Now, OnDetour: d.countDetour,
+		Tracker: tracker, Domain: d.self.Domain, Region: d.self.Region, Peers: d.detourPeers, Registered: d.registeredPeers, Endpoints: d.registry.Addresses, Log: d.Log, Clock: zpclock.Now, OnDetour: d.countDetour,
 		Open: func(ctx context.Context, peer, endpoint string) (net.Conn, error) {
 			return zppeer.OpenEndpoint(ctx, d.dialer, peer, endpoint)
 		},
@@ -49,8 +50,15 @@
 
 // detourPeers returns the other daemons that answered recently.
 func (d *GatewayDaemon) detourPeers() []zpdetour.Peer {
+	return d.peersOf(d.live.list())
+}
+
+// registeredPeers returns the other daemons, whether they answer or not.
+func (d *GatewayDaemon) registeredPeers() []zpdetour.Peer { return d.peersOf(d.members.Others()) }
+
+func (d *GatewayDaemon) peersOf(members []zpassign.Member) []zpdetour.Peer {
 	var out []zpdetour.Peer
-	for _, m := range d.live.list() {
+	for _, m := range members {
 		if m.Name != d.self.Name {
 			out = append(out, zpdetour.Peer{Name: m.Name, Address: m.PeerAddress, Domain: m.Domain, Region: m.Region, Cores: m.Cores})
 		}
--- a/internal/zpdetour/dialer.go
+++ b/internal/zpdetour/dialer.go
@@ -26,6 +26,8 @@
 		Domain  string // failure domain of this daemon
 		Region  string
 		Peers   func() []Peer // daemons that may be asked, without this one
+		// Registered returns all other daemons, whether they answer or not; nil: those of Peers.
+		Registered func() []Peer
 		// Endpoints returns the addresses of all endpoints; nil: only those that were reached
 		// lately are known.
 		Endpoints func() []string
@@ -117,7 +119,7 @@
 	if refusing, ok := d.AskRefusing(ctx, address, watch); ok {
 		return refusing
 	}
-	return len(d.Peers()) == 0 || d.reachesOther(ctx, address)
+	return len(d.registered()) == 0 || d.reachesOther(ctx, address)
 }
 
 // AskRefusing asks other daemons whether an address refuses their connections, or does so after
@@ -137,6 +139,13 @@
 	return isRefused, isRefused || errors.Is(err, ErrNoPath)
 }
 
+func (d *Dialer) registered() []Peer {
+	if d.Registered == nil {
+		return d.Peers()
+	}
+	return d.Registered()
+}
+
 // reachesOther reports whether this daemon connects to any endpoint but the one at an address.
 func (d *Dialer) reachesOther(ctx context.Context, address string) bool {
 	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), reachTimeout)
@@ -199,9 +208,8 @@
 // detour connects to an endpoint through another daemon. The error is syscall.ECONNREFUSED or
 // ErrNoPath if the endpoint seems to be down, and ErrNoPeer if too few daemons could tell.
 func (d *Dialer) detour(ctx context.Context, address string) (net.Conn, error) {
-	allowed := d.peersFor(ctx)
-	v := verdicts{needed: min(deadVerdicts, len(allowed)), needsOther: slices.ContainsFunc(allowed, func(p Peer) bool { return p.Domain != d.Domain })}
-	for _, p := range d.rank(allowed) {
+	v := d.newVerdicts(ctx)
+	for _, p := range d.rank(d.peersFor(ctx)) {
 		conn, err := d.open(ctx, p, address)
 		now := d.Clock()
 		if err == nil {
@@ -221,6 +229,13 @@
 	return nil, ErrNoPeer
 }
 
+// newVerdicts returns verdicts without any. Daemons that are silent count among those that exist:
+// the ones that answer may be cut off together with this one.
+func (d *Dialer) newVerdicts(ctx context.Context) verdicts {
+	allowed := slices.DeleteFunc(slices.Clone(d.registered()), func(p Peer) bool { return !AllowsRegion(ctx, p.Region) })
+	return verdicts{needed: min(deadVerdicts, len(allowed)), needsOther: slices.ContainsFunc(allowed, func(p Peer) bool { return p.Domain != d.Domain })}
+}
+
 // add counts the failure of another daemon to connect to an endpoint, and reports whether the
 // endpoint seems to be down.
 func (v *verdicts) add(isOther bool, err error) bool {
--- a/internal/zpdetour/dialer_test.go
+++ b/internal/zpdetour/dialer_test.go
@@ -331,4 +331,37 @@
 	It("believes its own connect where no other daemon exists", func() {
 		Expect(newDialer(&testNetwork{}).IsRefusing(ctx, "a", 0)).To(BeTrue())
 	})
+
+	// Guards against crashes of sound endpoints that a daemon concludes from the silence of the others.
+	DescribeTable("believes its own connect only while it connects to another endpoint, if it does not hear the daemons that exist",
+		func(err error, refusing bool) {
+			n := &testNetwork{}
+			d := newDialer(n)
+			d.Registered = func() []zpdetour.Peer { return []zpdetour.Peer{near, same} }
+			expectConnect(ctx, d, "b")
+			n.direct = map[string]error{"a": syscall.ECONNREFUSED, "b": err}
+			Expect(d.IsRefusing(ctx, "a", 0)).To(Equal(refusing))
+		},
+		Entry("it does", nil, true),
+		Entry("it does not", errHang, false),
+	)
+
+	It("believes no refusal if it has just started and hears nobody", func() {
+		d := newDialer(&testNetwork{})
+		d.Registered = func() []zpdetour.Peer { return []zpdetour.Peer{near} }
+		Expect(d.IsRefusing(ctx, "a", 0)).To(BeFalse())
+	})
+
+	// Guards against daemons that are cut off together and take each other's word for that of the fleet.
+	DescribeTable("does not take an endpoint for down by the word of those that are cut off with it",
+		func(heard, silent zpdetour.Peer) {
+			n := &testNetwork{direct: map[string]error{"a": errHang}, open: map[string]error{heard.Name: syscall.ECONNREFUSED}}
+			d := newDialer(n, heard)
+			d.Registered = func() []zpdetour.Peer { return []zpdetour.Peer{heard, silent} }
+			Expect(d.IsRefusing(ctx, "a", 0)).To(BeFalse())
+			Expect(d.Tracker.MayDetour("a", time.Now())).To(BeTrue())
+		},
+		Entry("one of its own failure domain", same, near),
+		Entry("one of another", near, far),
+	)
 })
