--- a/internal/zpapp/gateway_catalogs.go
+++ b/internal/zpapp/gateway_catalogs.go
@@ -280,6 +280,12 @@
 	return nil
 }
 
+// wasPaused reports whether the process was paused since a time.
+func (c *catalogs) wasPaused(since time.Time) bool {
+	c.recordActive(zpclock.Now())
+	return c.guard.ResumedAt().After(since)
+}
+
 // isRecent reports whether the store has confirmed the catalog recently, and since the last
 // pause.
 func (c *catalogs) isRecent() bool {
--- a/internal/zpapp/gateway_sharing.go
+++ b/internal/zpapp/gateway_sharing.go
@@ -39,7 +39,8 @@
 func (d *GatewayDaemon) buildReads() {
 	d.reads = &zprelay.GuardedStore{
 		API: d.store, Stale: d.store.GetStale, Breaker: &zprelay.Breaker{Random: rand.Float64}, Log: d.Log, Clock: zpclock.Now,
-		Probe: func(ctx context.Context) error { return d.store.Probe(ctx, zpplatform.ConfigName) },
+		Probe:     func(ctx context.Context) error { return d.store.Probe(ctx, zpplatform.ConfigName) },
+		WasPaused: d.catalogs.wasPaused,
 	}
 }
 
--- a/internal/zprelay/breaker_test.go
+++ b/internal/zprelay/breaker_test.go
@@ -153,6 +153,20 @@
 		Eventually(list, "3s").Should(Succeed())
 	})
 
+	// Guards against a daemon that takes calls which timed out while it was paused for an outage of the store.
+	It("makes the next call although one has failed across a pause of the process", func() {
+		resumedAt := time.Now().Add(time.Hour)
+		guarded.WasPaused = func(since time.Time) bool { return resumedAt.After(since) }
+		store.down = true
+		Expect(list()).NotTo(Succeed())
+		Expect(guarded.IsAnswering()).To(BeTrue())
+		store.down = false
+		Expect(list()).To(Succeed())
+		resumedAt, store.down = time.Time{}, true
+		Expect(list()).NotTo(Succeed())
+		Expect(guarded.IsAnswering()).To(BeFalse())
+	})
+
 	It("counts an object that does not exist as an answer of the store", func() {
 		store.down = true
 		Expect(list()).NotTo(Succeed())
--- a/internal/zprelay/guarded_store.go
+++ b/internal/zprelay/guarded_store.go
@@ -18,8 +18,11 @@
 	Breaker *Breaker
 	Probe   func(ctx context.Context) error                                 // a cheap call that tells whether the store answers
 	Stale   func(ctx context.Context, name string) (zpobject.Object, error) // reads an object as it was some time ago
-	Log     *zplog.Logger
-	Clock   func() time.Time
+	// WasPaused reports whether the process was paused since a time. A call that was under way
+	// then has timed out on its own. nil: it never is.
+	WasPaused func(since time.Time) bool
+	Log       *zplog.Logger
+	Clock     func() time.Time
 }
 
 // errProbing is returned while the store is probed only.
@@ -79,6 +82,7 @@
 	switch {
 	case err == nil || zpobject.IsNotFound(err):
 		s.logReset(s.Breaker.RecordSuccess(startedAt, s.Clock()))
+	case s.WasPaused != nil && s.WasPaused(startedAt):
 	case ctx.Err() == nil && s.Breaker.RecordFailure(startedAt, s.Clock()):
 		s.Log.Emit(zplog.StoreProbed, zplog.Fields{"error": err.Error()})
 		go s.probe()
