--- a/internal/zpapp/gateway_catalogs.go
+++ b/internal/zpapp/gateway_catalogs.go
@@ -29,6 +29,7 @@
 	object       zpobject.Object // of the configuration in use
 	isFetching   bool            // a newer configuration is being fetched from another daemon
 	isConfirming bool            // confirm runs
+	caughtUpAt   time.Time       // end of the last pause after which changes were read
 }
 
 // peerCatalogDelay is the time in which the store should report a configuration that
@@ -269,7 +270,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	startedAt := zpclock.Now()
+	var catchingUp sync.WaitGroup
+	catchingUp.Go(func() { c.catchUp(ctx) })
 	l, err := c.daemon.reads.List(ctx, zpplatform.ConfigPrefix)
+	catchingUp.Wait()
 	if err != nil {
 		return err
 	}
@@ -280,6 +284,20 @@
 	return nil
 }
 
+// catchUp reads what else has changed during the last pause, unless that was done.
+func (c *catalogs) catchUp(ctx context.Context) {
+	resumedAt := c.guard.ResumedAt()
+	c.mu.Lock()
+	isDone := !resumedAt.After(c.caughtUpAt)
+	c.mu.Unlock()
+	if isDone || c.daemon.watches.catchUp(ctx) != nil {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.caughtUpAt = resumedAt
+}
+
 // wasPaused reports whether the process was paused since a time.
 func (c *catalogs) wasPaused(since time.Time) bool {
 	c.recordActive(zpclock.Now())
--- a/internal/zpapp/gateway_watches.go
+++ b/internal/zpapp/gateway_watches.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpclock"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
@@ -28,7 +30,9 @@
 	config    *zpmirror.Mirror
 	others    []*zpmirror.Mirror
 	storeDown atomic.Bool
-	evacuated map[string]bool // accessed by the evacuation mirror only, so it needs no lock
+
+	mu        sync.Mutex
+	evacuated map[string]bool // failure domains that are or were evacuated
 }
 
 const (
@@ -143,6 +147,25 @@
 	}
 }
 
+// catchUp reads from the store itself which endpoints and evacuations have changed since this
+// daemon last heard of them. After a pause, the watches tell of that only once they have ended, or
+// through a watcher that was paused, too.
+func (w *watches) catchUp(ctx context.Context) error {
+	var reads errgroup.Group
+	for prefix, change := range map[string]func(o zpobject.Object){
+		zpplatform.EndpointPrefix: w.endpointChanged, zpplatform.EvacuationPrefix: w.evacuationChanged,
+	} {
+		reads.Go(func() error {
+			l, err := w.daemon.reads.Watch(ctx, prefix, w.daemon.follower.Revision(prefix), changesWait)
+			if err == nil {
+				forEach(change)(l.Objects)
+			}
+			return err
+		})
+	}
+	return reads.Wait()
+}
+
 func (w *watches) configChanged(o zpobject.Object) { w.daemon.catalogs.apply(o, "") }
 
 func (w *watches) endpointsListed(objects []zpobject.Object) {
@@ -188,6 +211,8 @@
 }
 
 func (w *watches) evacuationsListed(objects []zpobject.Object) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.evacuated = map[string]bool{}
 	for _, o := range objects {
 		w.evacuated[zpplatform.NameOf(o)] = true
@@ -196,10 +221,13 @@
 }
 
 func (w *watches) evacuationChanged(o zpobject.Object) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	w.evacuated[zpplatform.NameOf(o)] = !o.Deleted
 	w.applyEvacuations()
 }
 
+// applyEvacuations passes the evacuated domains to the registry; w.mu must be held.
 func (w *watches) applyEvacuations() {
 	var domains []string
 	for domain, isEvacuated := range w.evacuated {
