--- a/internal/zpapp/gateway_catalogs.go
+++ b/internal/zpapp/gateway_catalogs.go
@@ -284,8 +284,12 @@
 	return nil
 }
 
-// catchUp reads what else has changed during the last pause, unless that was done.
+// catchUp reads what else has changed during the last pause, unless that was done. In a large
+// fleet, most of which may be paused together, these reads would be too many for the store.
 func (c *catalogs) catchUp(ctx context.Context) {
+	if c.daemon.exchange.IsActive() {
+		return
+	}
 	resumedAt := c.guard.ResumedAt()
 	c.mu.Lock()
 	isDone := !resumedAt.After(c.caughtUpAt)
--- a/internal/zpapp/silence_test.go
+++ b/internal/zpapp/silence_test.go
@@ -141,3 +141,51 @@
 		Expect(w.ownTrials()).To(Equal(10))
 	})
 })
+
+var _ = Describe("The daemons among which limits of the fleet are shared", func() {
+	var w *listeningDaemon
+	BeforeEach(func() { w = newListeningDaemon() })
+
+	expectAll := func() {
+		GinkgoHelper()
+		Expect(w.gateway.Daemons()).To(Equal([]string{"d0", "d1", "d2", "d3", "d4"}))
+	}
+
+	It("are all registered ones for a daemon that has just started", func() { expectAll() })
+
+	It("are all registered ones for a daemon that hears nobody", func() {
+		w.run(1)
+		expectAll()
+	})
+
+	It("are all registered ones for daemons that are cut off together", func() {
+		w.hear("d1")
+		w.run(2)
+		expectAll()
+	})
+
+	It("are all registered ones for a daemon that was paused and has heard nobody since", func() {
+		w.hear("d1", "d2", "d3", "d4")
+		w.run(5)
+		w.thaw()
+		expectAll()
+	})
+
+	It("are not known before the records were read, and no request is sent until then", func() {
+		w.members = newMembers("d0")
+		Expect(w.hasSynced()).To(BeFalse())
+	})
+})
+
+var _ = Describe("The daemons that own prompt parts", func() {
+	var w *listeningDaemon
+	BeforeEach(func() { w = newListeningDaemon() })
+
+	It("are those that answer, so that one which hears nobody asks nobody and misses what others hold", func() {
+		w.run(1)
+		owner, ok := w.live.partOwners().First("p")
+		Expect(ok).To(BeTrue())
+		Expect(owner.Name).To(Equal("d0"))
+		Expect(w.lookUpParts(nil).Held).To(BeEmpty())
+	})
+})
--- a/internal/zpbrittle/tracker_test.go
+++ b/internal/zpbrittle/tracker_test.go
@@ -111,4 +111,21 @@
 		}
 		Expect(turns).To(HaveLen(daemons))
 	})
+
+	// Guards against daemons that each take the slots of an endpoint for their own while they hear nobody.
+	It("keeps daemons that hear nobody within the slots and the refusals that an endpoint survives", func() {
+		const daemons, maxRefusals = 5, 10
+		allowed := 0
+		for _, name := range names(daemons) {
+			t := zpbrittle.New(name)
+			t.Record("p", maxRefusals, start)
+			own := 0
+			for t.Allow(send(own, own, daemons), start) {
+				own++
+			}
+			allowed += own
+		}
+		Expect(allowed).To(BeNumerically(">", 0))
+		Expect(allowed).To(BeNumerically("<=", 4+maxRefusals))
+	})
 })
--- a/internal/zpduty/lease_test.go
+++ b/internal/zpduty/lease_test.go
@@ -49,6 +49,20 @@
 		Expect(due).To(BeFalse())
 	})
 
+	It("is neither held nor acquired by a daemon that has read nothing yet", func() {
+		l := newLease("a")
+		expectHeld(l, start, false)
+		expectDue(l, at(100_000), false)
+	})
+
+	It("is not held by a daemon that was paused, until it has written again", func() {
+		l := newLease("a")
+		acquire(l, 7, start)
+		expectHeld(l, at(5000), false)
+		l.Observe(zpduty.Record{Holder: "b", Renewal: 9}, 20, at(5001))
+		expectDue(l, at(5002), false)
+	})
+
 	It("is valid for Validity from the start of the write", func() {
 		l := newLease("a")
 		acquire(l, 7, start)
