--- a/internal/zpapp/gateway_sharing.go
+++ b/internal/zpapp/gateway_sharing.go
@@ -39,7 +39,8 @@
 func (d *GatewayDaemon) buildReads() {
 	d.reads = &zprelay.GuardedStore{
 		API: d.store, Stale: d.store.GetStale, Breaker: &zprelay.Breaker{Random: rand.Float64}, Log: d.Log, Clock: zpclock.Now,
-		Probe: func(ctx context.Context) error { return d.store.Probe(ctx, zpplatform.ConfigName) },
+		Probe:     func(ctx context.Context) error { return d.store.Probe(ctx, zpplatform.ConfigName) },
+		WasPaused: d.catalogs.wasPaused,
 	}
 }
 
@@ -238,8 +239,13 @@
 	d.bans.lift(fingerprints)
 }
 
-// requestTrial asks the daemon that grants the trials of a fingerprint for one.
+// requestTrial asks the daemon that grants the trials of a fingerprint for one. A daemon that
+// does not hear most of the others gets none: those that are cut off from each other would each
+// have a granter of their own.
 func (d *GatewayDaemon) requestTrial(ctx context.Context, fingerprint string) bool {
+	if !d.live.isMajority() {
+		return false
+	}
 	granter, ok := d.live.partOwners().First(fingerprint)
 	if !ok || granter.Name == d.self.Name {
 		return d.grantTrial(fingerprint)
