--- a/internal/zpsoak/cluster.go
+++ b/internal/zpsoak/cluster.go
@@ -2,13 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
-	"strings"
+	"slices"
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
@@ -39,7 +38,7 @@
 		servers    []*http.Server
 		daemons    []*zpsite.Process
 		toStore    []*Link // by daemon
-		toPeer     []*Link // to each daemon from the others
+		toPeer     []links // by daemon, from the others
 		toEndpoint []links // by endpoint
 		version    int
 	}
@@ -65,7 +64,6 @@
 func newCluster(c Config) (*cluster, error) {
 	s := &cluster{Config: c, store: zpoutside.NewStore(), log: &zpoutside.Log{}, version: 1}
 	s.store.SetEra(1)
-	s.store.RewriteSpec = s.rewritePeerAddresses
 	s.store.Put("config", "main", s.config())
 	if err := s.serve(s.ip(0, 1)+":7000", s.store); err != nil {
 		return s, err
@@ -89,9 +87,9 @@
 }
 
 // ip returns an address of the cluster. Group 0 is the store, 1 the daemons, 2 the
-// links to the store, 3 those between daemons, 4 the endpoints in their entries, 5 the
+// links to the store, 4 the endpoints in their entries, 5 the
 // endpoints, 6 the store as each daemon sees it. Those from firstEndpointGroup are the
-// links of each daemon to the endpoints.
+// links of each daemon to the endpoints, those from firstPeerGroup its links to the daemons.
 func (s *cluster) ip(group, i int) string { return fmt.Sprintf("127.%d.%d.%d", s.Number, group, i) }
 
 func (s *cluster) config() string {
@@ -148,12 +146,10 @@
 	if err != nil {
 		return err
 	}
-	peers := fmt.Sprintf(":%d", zpoutside.PeersPort)
-	toPeer := &Link{Listen: s.ip(3, 10+i) + peers, Target: s.daemonIP(i) + peers, Rewrite: s.rewriteAddresses(view)}
-	if err := toPeer.Open(); err != nil {
+	s.toStore = append(s.toStore, toStore)
+	if err := s.linkPeers(i, s.rewriteAddresses(view)); err != nil {
 		return err
 	}
-	s.toStore, s.toPeer = append(s.toStore, toStore), append(s.toPeer, toPeer)
 	node := zpoutside.Node{
 		Name: fmt.Sprintf("front-%d", i), IP: s.daemonIP(i), Domain: domains[i%len(domains)], Region: "n",
 		Regions: map[string]string{"a": "n", "b": "n", "c": "n"}, Store: toStore.Listen, MemoryMB: memoryMB,
@@ -176,20 +172,6 @@
 
 func (s *cluster) daemonIP(i int) string { return s.ip(1, 10+i) }
 
-// rewritePeerAddresses replaces the address in each daemon record that the store
-// returns with that of the link to the daemon, so that daemons reach each other
-// through links.
-func (s *cluster) rewritePeerAddresses(kind, _ string, spec json.RawMessage) json.RawMessage {
-	if kind != "members" {
-		return spec
-	}
-	text := string(spec)
-	for i := range s.Daemons {
-		text = strings.ReplaceAll(text, s.daemonIP(i)+fmt.Sprintf(":%d", zpoutside.PeersPort), s.toPeer[i].Listen)
-	}
-	return json.RawMessage(text)
-}
-
 // awaitReady waits until each daemon reports that it is ready.
 func (s *cluster) awaitReady(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyLimit)
@@ -223,7 +205,7 @@
 	for _, d := range s.daemons {
 		d.Kill()
 	}
-	for _, list := range append(s.toEndpoint, s.toStore, s.toPeer) {
+	for _, list := range slices.Concat(s.toEndpoint, s.toPeer, []links{s.toStore}) {
 		for _, l := range list {
 			l.Close()
 		}
--- a/internal/zpsoak/view.go
+++ b/internal/zpsoak/view.go
@@ -12,29 +12,64 @@
 	"strings"
 	"sync"
 	"time"
+
+	"github.com/zinniapaddle/zinniapaddle/platform/zpoutside"
 )
 
 type (
-	// storeView is the store as one daemon sees it. The addresses of endpoints are those of the
-	// daemon's links to them.
+	// storeView is the store as one daemon sees it. The addresses of endpoints and of daemons are
+	// those of the daemon's links to them.
 	storeView struct {
 		store    http.Handler
 		replacer *strings.Replacer
 	}
 
-	// links are those of all daemons to one endpoint, by daemon.
+	// links are those of all daemons to one endpoint or daemon, by daemon.
 	links []*Link
 )
 
-// firstEndpointGroup is the group of addresses of the first daemon's links to endpoints. All
-// groups from there on have as many digits.
-const firstEndpointGroup = 20
+// firstEndpointGroup is the group of addresses of the first daemon's links to endpoints, and
+// firstPeerGroup that of its links to daemons. All groups from either on have as many digits.
+const (
+	firstEndpointGroup = 20
+	firstPeerGroup     = 100
+)
 
 func (s *cluster) endpointAddress(daemon, endpoint int) string {
 	return s.ip(firstEndpointGroup+daemon, 10+endpoint) + ":9000"
 }
 
-// viewOf returns a replacer of the addresses of endpoints by those that a daemon uses. Other
+func (s *cluster) peerAddress(daemon, peer int) string {
+	return fmt.Sprintf("%s:%d", s.ip(firstPeerGroup+daemon, 10+peer), zpoutside.PeersPort)
+}
+
+// linkPeers opens the links from all daemons to one. rewrite is applied to what they send.
+func (s *cluster) linkPeers(peer int, rewrite func([]byte) []byte) error {
+	var list links
+	for d := range s.Daemons {
+		l := &Link{Listen: s.peerAddress(d, peer), Target: fmt.Sprintf("%s:%d", s.daemonIP(peer), zpoutside.PeersPort), Rewrite: rewrite}
+		if err := l.Open(); err != nil {
+			return err
+		}
+		list = append(list, l)
+	}
+	s.toPeer = append(s.toPeer, list)
+	return nil
+}
+
+// peerLinks returns the links between a daemon and the others, in both directions.
+func (s *cluster) peerLinks(daemon int) (out links) {
+	for peer, list := range s.toPeer {
+		if peer == daemon {
+			out = append(out, list...)
+		} else {
+			out = append(out, list[daemon])
+		}
+	}
+	return out
+}
+
+// viewOf returns a replacer of the addresses of endpoints and daemons by those that a daemon uses. Other
 // daemons' addresses have the same length, so that they can be replaced in messages.
 func (s *cluster) viewOf(daemon int) *strings.Replacer {
 	var pairs []string
@@ -46,6 +81,14 @@
 			}
 		}
 	}
+	for peer := range s.Daemons {
+		pairs = append(pairs, fmt.Sprintf("%s:%d", s.daemonIP(peer), zpoutside.PeersPort), s.peerAddress(daemon, peer))
+		for other := range s.Daemons {
+			if other != daemon {
+				pairs = append(pairs, s.peerAddress(other, peer), s.peerAddress(daemon, peer))
+			}
+		}
+	}
 	return strings.NewReplacer(pairs...)
 }
 
