--- a/internal/zpbench/fault_soak.go
+++ b/internal/zpbench/fault_soak.go
@@ -73,8 +73,8 @@
 	} else if err := os.RemoveAll(dir); err != nil {
 		return false, err
 	}
-	_, _ = fmt.Fprintf(out.out, "%-5s seed %d: %d faults, %d requests, %d served, %d runs, %s served while stranded and %s elsewhere%s\n",
-		verdict, seed, report.Faults, report.Requests, report.Served, report.Runs, report.Stranded, report.Others, logs)
+	_, _ = fmt.Fprintf(out.out, "%-5s seed %d: %d faults, %d requests, %d served, %d runs, %s served while stranded and %s elsewhere, %s%s\n",
+		verdict, seed, report.Faults, report.Requests, report.Served, report.Runs, report.Stranded, report.Others, report.TakenUp, logs)
 	for _, v := range report.Violations {
 		_, _ = fmt.Fprintf(out.out, "      %s\n", v)
 	}
--- a/internal/zpsoak/cluster.go
+++ b/internal/zpsoak/cluster.go
@@ -116,7 +116,7 @@
 	target := s.ip(5, 10+i) + ":9000"
 	e := &zpoutside.Endpoint{
 		Pool: pool, Domain: domains[i%len(domains)], Address: s.ip(4, 10+i) + ":9000", Slots: slotsPerEndpoint, Work: serviceTime, Events: eventsPerStream, Log: s.log,
-		Version: versions[i/len(domains)%len(versions)],
+		Version: s.firstVersion(i),
 	}
 	var list links
 	for d := range s.Daemons {
--- a/internal/zpsoak/faults.go
+++ b/internal/zpsoak/faults.go
@@ -17,6 +17,7 @@
 		cluster     *cluster
 		sendPrompts func(ctx context.Context, d time.Duration) // sound ones and ones with the deadly part
 		sendSteady  func(ctx context.Context, d time.Duration) // to all daemons, whatever they answer
+		sendMoving  func(ctx context.Context, f Fault)         // streams that are taken up at the daemons of f
 
 		mu           sync.Mutex
 		faultWindows []faultWindow
@@ -35,6 +36,7 @@
 		Kind     Kind
 		Target   int
 		Stranded Stranded
+		Daemons  []int
 		From, To time.Time // To is zero while the fault is active
 	}
 
@@ -98,11 +100,13 @@
 		return fmt.Sprintf("peer link %d", f.Target)
 	case EndpointCut, EndpointMute, EndpointReset, EndpointSlow, EndpointSilent:
 		return fmt.Sprintf("endpoint link %d", f.Target)
+	case PeersCut:
+		return fmt.Sprintf("peer links %d", f.Target)
 	case StrandedHang, StrandedReset, StrandedRefuse:
 		return "stranded"
 	case ResumeWrong:
 		return "resumption"
-	case EndpointCrash, EndpointDrain, EndpointLeave, EndpointQuiet:
+	case EndpointCrash, EndpointDrain, EndpointLeave, EndpointQuiet, EndpointUpdate:
 		return fmt.Sprintf("endpoint %d", f.Target)
 	default:
 		return string(f.Kind)
@@ -118,7 +122,7 @@
 		return false
 	}
 	i.activeScopes[f.scope()] = true
-	i.faultWindows = append(i.faultWindows, faultWindow{Kind: f.Kind, Target: f.Target, Stranded: f.Stranded, From: time.Now()})
+	i.faultWindows = append(i.faultWindows, faultWindow{Kind: f.Kind, Target: f.Target, Stranded: f.Stranded, Daemons: f.Daemons, From: time.Now()})
 	return true
 }
 
@@ -167,6 +171,8 @@
 		s.toEndpoint[f.Target].resetFor(ctx, f.Duration)
 	case StrandedHang, StrandedReset, StrandedRefuse:
 		return i.strand(ctx, f)
+	case PeersCut, OutOfStep, EndpointUpdate:
+		i.applyOutOfStep(ctx, f)
 	case EndpointCrash:
 		i.crash(ctx, f)
 	case EndpointDrain:
--- a/internal/zpsoak/plan.go
+++ b/internal/zpsoak/plan.go
@@ -20,6 +20,7 @@
 		At       time.Duration
 		Duration time.Duration
 		Stranded Stranded // only of kinds that cut daemons off from endpoints
+		Daemons  []int    // only of OutOfStep
 	}
 
 	// Kind is the kind of a fault.
@@ -62,6 +63,10 @@
 	StrandedHang   Kind = "daemon_stranded_hang"   // data is held, and new connections hang
 	StrandedReset  Kind = "daemon_stranded_reset"  // connections are reset, and new ones refused
 	StrandedRefuse Kind = "daemon_stranded_refuse" // connections go on, and new ones are refused
+	// A daemon is out of step while endpoints of a new software version join, see planOutOfStep.
+	PeersCut       Kind = "peers_cut"          // data between one daemon and all others is held in both directions
+	OutOfStep      Kind = "daemon_out_of_step" // streams break off, and are taken up at the daemons that are out of step
+	EndpointUpdate Kind = "endpoint_update"    // restarts under a new ID with the newer software version
 )
 
 // faultSpec defines how often a kind of fault occurs and how long it lasts.
@@ -139,6 +144,9 @@
 	{StrandedHang, 0, 0, 0},
 	{StrandedReset, 0, 0, 0},
 	{StrandedRefuse, 0, 0, 0},
+	{PeersCut, 0, 0, 0},
+	{OutOfStep, 0, 0, 0},
+	{EndpointUpdate, 0, 0, 0},
 }
 
 // Plan returns the faults of a run, drawn at random. Equal arguments give equal
@@ -192,6 +200,7 @@
 	out = append(out, planSilences(random, length, endpoints)...)
 	stranded, calm := planStranded(random, length, daemons, endpoints, domains)
 	out = append(slices.DeleteFunc(out, func(f Fault) bool { return isOwnFault(f.Kind) && f.overlaps(calm) }), stranded...)
+	out = planOutOfStep(out, seed, length, daemons, endpoints, domains)
 	slices.SortStableFunc(out, func(a, b Fault) int { return int(a.At - b.At) })
 	return out
 }
@@ -208,9 +217,9 @@
 // targetCount returns the number of possible targets of a kind of fault.
 func targetCount(k Kind, daemons, endpoints, domains int) int {
 	switch k {
-	case DaemonStop, DaemonKill, DaemonPause, StoreCut, StoreOneWay, StoreSilent, StoreReset, PeerCut, PeerSlow:
+	case DaemonStop, DaemonKill, DaemonPause, StoreCut, StoreOneWay, StoreSilent, StoreReset, PeerCut, PeerSlow, PeersCut:
 		return daemons
-	case EndpointCut, EndpointMute, EndpointReset, EndpointSlow, EndpointCrash, EndpointDrain, EndpointLeave, EndpointQuiet, EndpointSilent, ResumeWrong:
+	case EndpointCut, EndpointMute, EndpointReset, EndpointSlow, EndpointCrash, EndpointDrain, EndpointLeave, EndpointQuiet, EndpointSilent, EndpointUpdate, ResumeWrong:
 		return endpoints
 	case Evacuate:
 		return domains
--- a/internal/zpsoak/requests.go
+++ b/internal/zpsoak/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -27,6 +28,7 @@
 		DoneAt      time.Time
 		CanceledAt  time.Time // when the client closed the connection early; zero if it did not
 		Status      int       // zero if there was no response
+		Code        string    // of the error, if a daemon refused the request
 		Complete    bool      // the body is the complete response to this request
 		Interrupted bool      // the connection or body ended early, also by cancellation or timeout
 		Body        string    // only of a 200 response that is neither complete nor interrupted
@@ -91,7 +93,7 @@
 		case random.IntN(cancelOneIn) == 0:
 			r.sendAndCancel(ctx, client, &q, time.Duration(random.Int64N(int64(maxCancelDelay))))
 		case q.Kind == "stream":
-			r.sendStream(ctx, client, q)
+			r.sendStream(ctx, client, q, (daemon+1)%r.cluster.Daemons)
 		default:
 			r.send(ctx, client, &q, "/"+q.Kind+"/1")
 		}
@@ -99,8 +101,9 @@
 	}
 }
 
-// sendStream sends a stream. Its client resumes it at the next daemon when it breaks off.
-func (r *run) sendStream(ctx context.Context, client *http.Client, q request) {
+// sendStream sends a stream. When it breaks off, its client resumes it at the next daemon, the
+// first time at the one that is given.
+func (r *run) sendStream(ctx context.Context, client *http.Client, q request, next int) {
 	first := q
 	for attempt := 1; ; attempt++ {
 		r.send(ctx, client, &q, "/stream/1")
@@ -116,8 +119,9 @@
 			resumes = q.ID
 		}
 		q = request{
-			ID: fmt.Sprintf("%s-%d", first.ID, attempt), Kind: first.Kind, Daemon: (q.Daemon + 1) % r.cluster.Daemons, IsRetry: true, Resumes: resumes, ResumeAfter: last,
+			ID: fmt.Sprintf("%s-%d", first.ID, attempt), Kind: first.Kind, Daemon: next, IsRetry: true, Resumes: resumes, ResumeAfter: last,
 		}
+		next = (next + 1) % r.cluster.Daemons
 	}
 }
 
@@ -219,12 +223,22 @@
 		q.Complete = q.hasAllEvents() && (len(body) == 0 || strings.HasSuffix(string(body), eventEnd))
 	} else {
 		q.Complete = string(body) == zpoutside.Answer(q.ID)
+		q.Code = errorCode(body)
 	}
 	if !q.Complete && !q.Interrupted && q.Status == http.StatusOK {
 		q.Body = string(body)
 	}
 }
 
+// errorCode returns the code in the body of an error response; empty for other bodies.
+func errorCode(body []byte) string {
+	var e struct{ Code string }
+	if json.Unmarshal(body, &e) != nil {
+		return ""
+	}
+	return e.Code
+}
+
 // newHTTPRequest returns the HTTP request for q. net/http sends a read again when a
 // kept connection fails, but not a booking.
 func newHTTPRequest(ctx context.Context, q *request, url string) (*http.Request, error) {
--- a/internal/zpsoak/run.go
+++ b/internal/zpsoak/run.go
@@ -26,6 +26,7 @@
 		Runs       int   // executions of requests on endpoints
 		Stranded   tally // first attempts at daemons that were cut off from all endpoints, as far as judged
 		Others     tally // meanwhile, at the other daemons
+		TakenUp    TakenUp
 		Violations []string
 	}
 )
@@ -46,7 +47,7 @@
 	r.faults = &injector{
 		cluster: s, activeScopes: map[string]bool{}, incarnations: make([]int, c.Daemons), versions: []change{{Version: s.version, From: r.startedAt}},
 	}
-	r.faults.sendPrompts, r.faults.sendSteady = r.sendPrompts, r.sendSteady
+	r.faults.sendPrompts, r.faults.sendSteady, r.faults.sendMoving = r.sendPrompts, r.sendSteady, r.sendMoving
 	r.execute(ctx)
 	outcome := r.evaluate()
 	return outcome, errors.Join(r.faults.errors...)
