--- a/internal/zpgateway/gateway_test.go
+++ b/internal/zpgateway/gateway_test.go
@@ -64,6 +64,29 @@
 		expectRefused(s.serve(request("read")), http.StatusBadGateway, zperror.RunStateUnknown)
 	})
 
+	// Guards against callers who send a request again that runs already.
+	DescribeTable("is not reported as not run if no endpoint is left after one that may have run it",
+		func(first step, routeName string) {
+			s := newTestGateway(first)
+			s.runner.steps = []step{func(ctx context.Context, gate *zpengine.Gate) (*zpgateway.Response, error) {
+				response, err := first(ctx, gate)
+				for _, id := range []string{"e1", "e2", "e3"} {
+					s.Registry.Remove(id, time.Now())
+				}
+				return response, err
+			}}
+			r := s.serve(request(routeName))
+			Expect(s.runner.runs).To(HaveLen(1))
+			expectRefused(r, http.StatusBadGateway, zperror.RunStateUnknown)
+		},
+		Entry("a reset before the response", resets, "read"),
+		Entry("a reset within the response", resetsAfter("o"), "read"),
+		Entry("a response that is damaged", responds(200, "x", func(a *zpgateway.Response) { a.Sealed = false }), "read"),
+		Entry("a status that implies not run", responds(503, ""), "read"),
+		Entry("a stream that is reset before its first event", resets, "tag"),
+		Entry("a stream that ends inside its first event", responds(200, "id: 1"), "tag"),
+	)
+
 	It("does not cancel a run without a first byte if no other endpoint can serve the request", func() {
 		s := newTestGateway(neverResponds, responds(http.StatusOK, "ok"))
 		s.Registry.Remove("e2", time.Now())
