--- a/internal/zpdetour/server.go
+++ b/internal/zpdetour/server.go
@@ -24,9 +24,13 @@
 
 	open     atomic.Int64
 	isClosed atomic.Bool
+	trials   sync.Map // blocked addresses to which a connect is on its way
 }
 
-var errNoEndpoint = errors.New("no endpoint has the address")
+var (
+	errNoEndpoint = errors.New("no endpoint has the address")
+	errBeingTried = errors.New("the address is blocked, and a connect is on its way")
+)
 
 // Open connects to an endpoint within a time. Its errors are those of an OpenFunc.
 func (s *Server) Open(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
@@ -41,8 +45,6 @@
 	switch {
 	case s.isClosed.Load(), s.Tracker.IsCut(s.Clock()):
 		return nil, ErrPeerCut
-	case s.Tracker.IsBlocked(address, s.Clock()):
-		return nil, ErrUndecided
 	case !s.IsEndpoint(address):
 		return nil, errors.Join(ErrUndecided, errNoEndpoint) // it may be known elsewhere
 	}
@@ -52,11 +54,16 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	conn, err := s.Dial(ctx, "tcp", address)
+	dial := s.Dial
+	isBlocked := s.Tracker.IsBlocked(address, s.Clock())
+	if isBlocked {
+		dial = s.tryBlocked
+	}
+	conn, err := dial(ctx, "tcp", address)
 	if err != nil {
 		s.open.Add(-1)
 		switch {
-		case s.Tracker.MayBeCut(s.Clock()):
+		case isBlocked, s.Tracker.MayBeCut(s.Clock()):
 			return nil, errors.Join(ErrUndecided, err)
 		case errors.Is(err, syscall.ECONNREFUSED):
 			return nil, err
@@ -67,6 +74,16 @@
 	return &detourConn{Conn: conn, release: sync.OnceFunc(func() { s.open.Add(-1) })}, nil
 }
 
+// tryBlocked connects to an address that was blocked: this daemon may reach it again, and need not
+// wait for its own probe. The connect may take all the time, so that there is one at a time.
+func (s *Server) tryBlocked(ctx context.Context, network, address string) (net.Conn, error) {
+	if _, isTried := s.trials.LoadOrStore(address, true); isTried {
+		return nil, errBeingTried
+	}
+	defer s.trials.Delete(address)
+	return s.Dial(ctx, network, address)
+}
+
 // OpenConnections returns the number of connections that are open for other daemons.
 func (s *Server) OpenConnections() int { return int(s.open.Load()) }
 
