--- a/internal/zpgateway/choice.go
+++ b/internal/zpgateway/choice.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"slices"
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
@@ -116,7 +117,7 @@
 	c := choice{endpoint: e, demand: t.demand, regions: t.regions}
 	c.candidate = zpplace.Candidate{
 		ID: e.ID, Domain: e.FailureDomain, Region: e.Region, Use: g.Usage.Believed(e.ID, now), Slots: e.Slots,
-		Cold: now.Before(e.ColdUntil), Suspect: g.Health.IsAvoided(e.ID, now),
+		Cold: now.Before(e.ColdUntil), Suspect: g.Health.IsAvoided(e.ID, now) || slices.Contains(j.noPath, e.ID),
 	}
 	t.addBelief(&c.candidate, e)
 	if p := j.request.Prompt; p != nil && j.pool.Engine != nil {
--- a/internal/zpgateway/job.go
+++ b/internal/zpgateway/job.go
@@ -30,9 +30,10 @@
 	through          string    // daemon through which the last send went; empty: none
 	possibleRuns     int       // number of sends that may have run
 	tried            map[string]bool
-	triedNewVersion  bool   // it was sent to the version that its pool moves to
-	streamVersion    string // software version at which the stream began; see isBound
-	isBound          bool   // the stream may go on at streamVersion only
+	noPath           []string // ids of endpoints to which there was no way; others go first
+	triedNewVersion  bool     // it was sent to the version that its pool moves to
+	streamVersion    string   // software version at which the stream began; see isBound
+	isBound          bool     // the stream may go on at streamVersion only
 	origin           zporigin.Status
 	runState         zperror.RunState
 	failure          *bufferedResponse // last 5xx response of an endpoint
--- a/internal/zpgateway/no_path_test.go
+++ b/internal/zpgateway/no_path_test.go
@@ -28,6 +28,14 @@
 		Expect(s.Health.IsAvoided("e1", time.Now())).To(BeFalse())
 	})
 
+	// Guards against an endpoint that only this daemon still lists, and that is chosen until the objective has passed.
+	It("is sent to another endpoint if there is no way to the one that was chosen", func() {
+		s := newTestGateway(hasNoPath, responds(http.StatusOK, "done"))
+		expectResponse(s.serve(request("book")), http.StatusOK, "done")
+		Expect(s.runner.runs).To(HaveLen(2))
+		Expect(s.runner.runs[1].Endpoint.ID).NotTo(Equal(s.runner.runs[0].Endpoint.ID))
+	})
+
 	It("is refused as not run once its objective has passed", func() {
 		s := newTestGateway(hasNoPath)
 		started := time.Now()
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -81,7 +81,9 @@
 		if end, ok := g.mayGoOn(ctx, j, s, &away, budget); !ok {
 			return g.giveUp(j, reply, end)
 		}
-		if s.outcome != outcomeNoPath {
+		if s.outcome == outcomeNoPath {
+			j.noPath = append(j.noPath, c.endpoint.ID)
+		} else {
 			g.excludeTried(j, c, s)
 		}
 	}
