--- a/internal/zpdetour/dialer_test.go
+++ b/internal/zpdetour/dialer_test.go
@@ -218,6 +218,18 @@
 		Expect(err).To(MatchError(zpdetour.ErrNoPeer))
 	})
 
+	// Guards against a daemon that stops late because others use it who have another way.
+	It("asks a daemon that stops after all others", func() {
+		n := &testNetwork{direct: map[string]error{"a": errHang}}
+		d := newDialer(n)
+		peers := []zpdetour.Peer{near}
+		d.Peers = func() []zpdetour.Peer { return peers }
+		expectConnect(ctx, d, "a")
+		peers = []zpdetour.Peer{far}
+		expectConnect(ctx, d, "a")
+		Expect(n.asked).To(Equal([]string{"near", "far"}))
+	})
+
 	It("spreads open connections over daemons", func() {
 		n := &testNetwork{direct: map[string]error{"a": errHang}}
 		d := newDialer(n, near, near2)
--- a/internal/zpdetour/peers.go
+++ b/internal/zpdetour/peers.go
@@ -18,6 +18,8 @@
 		Domain  string
 		Region  string
 		Cores   float64 // zero: unknown
+
+		isDeparted bool // it has left the list, and may be stopping
 	}
 
 	peerState struct {
@@ -111,8 +113,8 @@
 }
 
 // rank returns the daemons to ask: those of the own region first, of these those of other
-// failure domains, and of these the one with the least expected wait. One that has failed is
-// asked again first, by one request alone.
+// failure domains, and of these the one with the least expected wait. Those that may be stopping
+// come last. One that has failed is asked again first, by one request alone.
 func (d *Dialer) rank(peers []Peer) []Peer {
 	now := d.Clock()
 	d.mu.Lock()
@@ -165,7 +167,9 @@
 	for address, s := range d.peers {
 		switch {
 		case !isListed[address] && now.Sub(s.usedAt) < departedPeerUse:
-			list = append(list, s.peer)
+			p := s.peer
+			p.isDeparted = true
+			list = append(list, p)
 		case !isListed[address] && s.open == 0:
 			delete(d.peers, address)
 		}
@@ -179,6 +183,8 @@
 
 func (d *Dialer) distanceTo(p Peer) int {
 	switch {
+	case p.isDeparted:
+		return 3
 	case p.Region != d.Region:
 		return 2
 	case p.Domain == d.Domain:
--- a/internal/zpdetour/server.go
+++ b/internal/zpdetour/server.go
@@ -52,6 +52,10 @@
 		s.open.Add(-1)
 		return nil, ErrBusy
 	}
+	if s.isClosed.Load() { // Shutdown may not have seen that it is open
+		s.open.Add(-1)
+		return nil, ErrPeerCut
+	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	dial := s.Dial
@@ -87,12 +91,19 @@
 // OpenConnections returns the number of connections that are open for other daemons.
 func (s *Server) OpenConnections() int { return int(s.open.Load()) }
 
-// Shutdown takes no more connections and waits until none is open, or ctx ends.
+// Shutdown waits until no connection is open, or ctx ends. It takes further connections for as long
+// as others are open, as the daemons that ask may have no other way, but none shortly before ctx ends.
 func (s *Server) Shutdown(ctx context.Context) {
-	s.isClosed.Store(true)
 	ticker := time.NewTicker(waitInterval)
 	defer ticker.Stop()
-	for s.open.Load() > 0 {
+	for {
+		if deadline, ok := ctx.Deadline(); ok && time.Until(deadline) < lastConnectMargin || s.open.Load() == 0 {
+			s.isClosed.Store(true)
+		}
+		// A connection that was asked for just before is waited for.
+		if s.isClosed.Load() && s.open.Load() == 0 {
+			return
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
@@ -101,5 +112,10 @@
 	}
 }
 
-// waitInterval is the interval at which Shutdown looks at the open connections.
-const waitInterval = 20 * time.Millisecond
+const (
+	// waitInterval is the interval at which Shutdown looks at the open connections.
+	waitInterval = 20 * time.Millisecond
+	// lastConnectMargin is the time before the end of a shutdown from which no connection is taken:
+	// the request on it may not end in time.
+	lastConnectMargin = 2 * time.Second
+)
--- a/internal/zpdetour/server_test.go
+++ b/internal/zpdetour/server_test.go
@@ -92,4 +92,48 @@
 		Expect(err).To(MatchError(zpdetour.ErrPeerCut))
 		Expect(n.dialed).To(BeEmpty())
 	})
+
+	Describe("while its daemon stops", func() {
+		var s *zpdetour.Server
+		var hasEnded chan struct{}
+		var first net.Conn
+
+		shutDown := func(within time.Duration) {
+			GinkgoHelper()
+			var err error
+			s, _ = newServer(&testNetwork{})
+			first, err = s.Open(ctx, "a", time.Second)
+			Expect(err).NotTo(HaveOccurred())
+			ending, cancel := context.WithTimeout(ctx, within)
+			DeferCleanup(cancel)
+			hasEnded = make(chan struct{})
+			go func() {
+				s.Shutdown(ending)
+				close(hasEnded)
+			}()
+			Consistently(hasEnded, 50*time.Millisecond).ShouldNot(BeClosed())
+		}
+
+		// Guards against seconds without any way while all daemons that connect to endpoints are being stopped.
+		It("connects for as long as another connection is open", func() {
+			shutDown(10 * time.Second)
+			second, err := s.Open(ctx, "a", time.Second)
+			Expect(err).NotTo(HaveOccurred())
+			Expect(first.Close()).To(Succeed())
+			Consistently(hasEnded, 50*time.Millisecond).ShouldNot(BeClosed())
+			Expect(second.Close()).To(Succeed())
+			Eventually(hasEnded, time.Second).Should(BeClosed())
+			_, err = s.Open(ctx, "a", time.Second)
+			Expect(err).To(MatchError(zpdetour.ErrPeerCut))
+		})
+
+		// Guards against requests that break off because the daemon ends before they do.
+		It("does not connect shortly before it must end", func() {
+			shutDown(time.Second)
+			_, err := s.Open(ctx, "a", time.Second)
+			Expect(err).To(MatchError(zpdetour.ErrPeerCut))
+			Expect(first.Close()).To(Succeed())
+			Eventually(hasEnded, 500*time.Millisecond).Should(BeClosed())
+		})
+	})
 })
