--- a/internal/zpapp/gateway_watches.go
+++ b/internal/zpapp/gateway_watches.go
@@ -156,7 +156,7 @@
 		zpplatform.EndpointPrefix: w.endpointChanged, zpplatform.EvacuationPrefix: w.evacuationChanged,
 	} {
 		reads.Go(func() error {
-			l, err := w.daemon.reads.Watch(ctx, prefix, w.daemon.follower.Revision(prefix), changesWait)
+			l, err := w.daemon.reads.Watch(ctx, prefix, w.daemon.follower.AppliedRevision(prefix), changesWait)
 			if err == nil {
 				forEach(change)(l.Objects)
 			}
