--- a/Makefile
+++ b/Makefile
@@ -46,11 +46,12 @@
 
 # Injects seeded faults into daemons on the users' platform and prints one line
 # per seed. SEED is the first seed and SOAK_SEEDS the number of seeds; with
-# MINUTES, further seeds run until the time is used up.
+# MINUTES, further seeds run until the time is used up. With FROM_BIN, daemons begin with the
+# build in that directory and are upgraded one after the other.
 SEED ?= 1
 MINUTES ?= 0
 fault-soak: build
-	$(BIN)/zpstandin fault-soak --bin $(BIN) --seed $(SEED) --seeds $(or $(SOAK_SEEDS),1) --minutes $(MINUTES)
+	$(BIN)/zpstandin fault-soak --bin $(BIN) --seed $(SEED) --seeds $(or $(SOAK_SEEDS),1) --minutes $(MINUTES) $(if $(FROM_BIN),--from-bin $(FROM_BIN))
 
 # Checks that the fault soak detects mutants: each mechanism is turned off in turn,
 # and one of 6 seeds must break a promise.
--- a/internal/zpbench/fault_soak.go
+++ b/internal/zpbench/fault_soak.go
@@ -12,6 +12,9 @@
 
 type faultSoakCommand struct {
 	Bin       string        `default:"bin" help:"Directory of the binaries."`
+	FromBin   string        `help:"Directory of the build that daemons begin with. They are upgraded to that in --bin one after the other."`
+	Calm      bool          `help:"Leave out all faults but the upgrade."`
+	Versions  int           `default:"2" help:"Number of software versions of the endpoints, 1 or 2."`
 	Seed      uint64        `default:"1" help:"First seed."`
 	Seeds     int           `default:"1" help:"Number of seeds to run sequentially."`
 	Minutes   float64       `default:"0" help:"Run further seeds until this many minutes have passed."`
@@ -60,6 +63,7 @@
 	report, err := zpsoak.Run(context.Background(), zpsoak.Config{
 		Seed: seed, Length: c.Length, BinDir: c.Bin, Dir: dir, Number: c.Number,
 		Daemons: c.Daemons, Endpoints: c.Endpoints, Callers: c.Callers, Mutant: zpmutant.Name(c.Mutant),
+		FromBinDir: c.FromBin, Calm: c.Calm, SoftwareVersions: c.Versions,
 	})
 	if err != nil {
 		return false, fmt.Errorf("seed %d: %w (logs in %s)", seed, err, dir)
@@ -75,6 +79,9 @@
 	}
 	_, _ = fmt.Fprintf(out.out, "%-5s seed %d: %d faults, %d requests, %d served, %d runs, %s served while stranded and %s elsewhere%s\n",
 		verdict, seed, report.Faults, report.Requests, report.Served, report.Runs, report.Stranded, report.Others, logs)
+	if c.FromBin != "" {
+		_, _ = fmt.Fprintf(out.out, "      seed %d: %s\n", seed, report.TakenUp)
+	}
 	for _, v := range report.Violations {
 		_, _ = fmt.Fprintf(out.out, "      %s\n", v)
 	}
--- a/internal/zpsoak/cluster.go
+++ b/internal/zpsoak/cluster.go
@@ -1,6 +1,7 @@
 package zpsoak
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -19,15 +20,22 @@
 type (
 	// Config configures a run.
 	Config struct {
-		Seed      uint64
-		Length    time.Duration
-		BinDir    string
+		Seed   uint64
+		Length time.Duration
+		BinDir string
+		// FromBinDir is the directory of the build that daemons begin with. They are upgraded to
+		// the one in BinDir one after the other. Empty: no upgrade.
+		FromBinDir string
+		// Calm leaves out all faults but the upgrade.
+		Calm      bool
 		Dir       string // for settings files and logs
 		Number    int    // second byte of all addresses, 127.Number.x.y
 		Daemons   int
 		Endpoints int
 		Callers   int           // clients per daemon
 		Mutant    zpmutant.Name // empty for none
+		// SoftwareVersions is the number of versions of the endpoints; zero: all of versions.
+		SoftwareVersions int
 	}
 
 	// cluster holds the daemons of a run, the simulated platform and the links.
@@ -118,7 +126,7 @@
 	target := s.ip(5, 10+i) + ":9000"
 	e := &zpoutside.Endpoint{
 		Pool: pool, Domain: domains[i%len(domains)], Address: s.ip(4, 10+i) + ":9000", Slots: slotsPerEndpoint, Work: serviceTime, Events: eventsPerStream, Log: s.log,
-		Version: versions[i/len(domains)%len(versions)],
+		Version: versions[i/len(domains)%cmp.Or(s.SoftwareVersions, len(versions))],
 	}
 	var list links
 	for d := range s.Daemons {
@@ -163,11 +171,10 @@
 		return fmt.Errorf("write settings: %w", err)
 	}
 	p := &zpsite.Process{
-		Name: node.Name, Path: filepath.Join(s.BinDir, "zinniapaddle"), Args: []string{"serve"}, Dir: s.Dir,
+		Name: node.Name, Path: s.binary(cmp.Or(s.FromBinDir, s.BinDir)), Args: []string{"serve"}, Dir: s.Dir,
 		Env: []string{"ZINNIAPADDLE_NODE_FILE=" + file},
 	}
 	if s.Mutant != "" {
-		p.Path = filepath.Join(s.BinDir, "mutant", "zinniapaddle")
 		p.Env = append(p.Env, "ZP_MUTANT="+string(s.Mutant))
 	}
 	s.daemons = append(s.daemons, p)
--- a/internal/zpsoak/faults.go
+++ b/internal/zpsoak/faults.go
@@ -24,6 +24,7 @@
 		evacuated    []change        // of failure domains
 		drained      []change        // of endpoints
 		incarnations []int           // number of restarts by daemon
+		upgradedAt   map[int]int     // first incarnation of each upgraded daemon that runs the other build
 		partCrashes  []time.Time     // by the deadly part, oldest first
 		resumeFaults int             // number of times that an endpoint has resumed streams wrongly
 		activeScopes map[string]bool // by Fault.scope
@@ -75,15 +76,19 @@
 		wg.Go(func() {
 			defer i.end(f)
 			if err := i.apply(ctx, f); err != nil {
-				i.mu.Lock()
-				defer i.mu.Unlock()
-				i.errors = append(i.errors, fmt.Errorf("fault %s on target %d: %w", f.Kind, f.Target, err))
+				i.fail(f, err)
 			}
 		})
 	}
 	wg.Wait()
 }
 
+func (i *injector) fail(f Fault, err error) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.errors = append(i.errors, fmt.Errorf("fault %s on target %d: %w", f.Kind, f.Target, err))
+}
+
 // scope returns the resource that a fault locks. Signals to one daemon exclude
 // each other, as do the modes of one link.
 func (f Fault) scope() string {
--- a/internal/zpsoak/judge.go
+++ b/internal/zpsoak/judge.go
@@ -72,6 +72,7 @@
 	r.checkStranded(&outcome, violation)
 	r.checkConfiguration(violation)
 	r.checkRecovery(violation)
+	outcome.TakenUp = r.countTakenUp()
 	return outcome
 }
 
--- a/internal/zpsoak/requests.go
+++ b/internal/zpsoak/requests.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -30,6 +31,7 @@
 		Complete    bool      // the body is the complete response to this request
 		Interrupted bool      // the connection or body ended early, also by cancellation or timeout
 		Body        string    // only of a 200 response that is neither complete nor interrupted
+		Refusal     string    // code of the error of a response that is not 200
 		IsRetry     bool      // the client has sent the same before
 		Resumes     string    // attempt that brought the first event of a stream; empty: the stream begins
 		ResumeAfter int       // event after which the client resumes a stream; zero: it begins
@@ -107,18 +109,21 @@
 		if !q.Interrupted || attempt == maxStreamAttempts || ctx.Err() != nil {
 			return
 		}
-		last := q.ResumeAfter
-		if n := len(q.Events); n > 0 {
-			last = q.Events[n-1].Number
-		}
-		resumes := q.Resumes
-		if resumes == "" && last > 0 {
-			resumes = q.ID
-		}
-		q = request{
-			ID: fmt.Sprintf("%s-%d", first.ID, attempt), Kind: first.Kind, Daemon: (q.Daemon + 1) % r.cluster.Daemons, IsRetry: true, Resumes: resumes, ResumeAfter: last,
-		}
+		q = q.nextAttempt(fmt.Sprintf("%s-%d", first.ID, attempt), (q.Daemon+1)%r.cluster.Daemons)
+	}
+}
+
+// nextAttempt returns the request that takes a stream up after the last event that arrived.
+func (q request) nextAttempt(id string, daemon int) request {
+	last := q.ResumeAfter
+	if n := len(q.Events); n > 0 {
+		last = q.Events[n-1].Number
+	}
+	resumes := q.Resumes
+	if resumes == "" && last > 0 {
+		resumes = q.ID
 	}
+	return request{ID: id, Kind: q.Kind, Daemon: daemon, IsRetry: true, Resumes: resumes, ResumeAfter: last}
 }
 
 // pollConfig repeatedly checks whether the newest configuration version is in
@@ -185,9 +190,14 @@
 // request has its own path: with a shared path, the requests would be equal, would
 // never be served, and would be in flight at crashes.
 func (r *run) sendAndCancel(ctx context.Context, client *http.Client, q *request, after time.Duration) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), after)
+	r.sendFor(ctx, client, q, "/"+q.Kind+zpoutside.LongStreamPath+q.ID, after)
+}
+
+// sendFor sends a request and closes its connection if the response takes longer.
+func (r *run) sendFor(ctx context.Context, client *http.Client, q *request, path string, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
 	defer cancel()
-	r.roundTrip(ctx, client, q, "/"+q.Kind+zpoutside.LongStreamPath+q.ID)
+	r.roundTrip(ctx, client, q, path)
 	if q.Interrupted {
 		q.CanceledAt = q.DoneAt
 	}
@@ -223,6 +233,9 @@
 	if !q.Complete && !q.Interrupted && q.Status == http.StatusOK {
 		q.Body = string(body)
 	}
+	if q.Status != http.StatusOK {
+		q.Refusal = parseErrorCode(body)
+	}
 }
 
 // newHTTPRequest returns the HTTP request for q. net/http sends a read again when a
@@ -249,6 +262,17 @@
 	return req, nil
 }
 
+// parseErrorCode returns the code of the error in a response, or nothing if it has none.
+func parseErrorCode(body []byte) string {
+	var out struct {
+		Error struct{ Code string }
+	}
+	if err := json.Unmarshal(body, &out); err != nil {
+		return ""
+	}
+	return out.Error.Code
+}
+
 // parseEvents returns the complete events of a stream.
 func parseEvents(q *request, body string) []event {
 	var out []event
--- a/internal/zpsoak/run.go
+++ b/internal/zpsoak/run.go
@@ -26,6 +26,7 @@
 		Runs       int   // executions of requests on endpoints
 		Stranded   tally // first attempts at daemons that were cut off from all endpoints, as far as judged
 		Others     tally // meanwhile, at the other daemons
+		TakenUp    seams // only of runs with an upgrade
 		Violations []string
 	}
 )
@@ -44,7 +45,7 @@
 	}
 	r := &run{cluster: s, requestLog: &requestLog{}, startedAt: time.Now()}
 	r.faults = &injector{
-		cluster: s, activeScopes: map[string]bool{}, incarnations: make([]int, c.Daemons), versions: []change{{Version: s.version, From: r.startedAt}},
+		cluster: s, activeScopes: map[string]bool{}, incarnations: make([]int, c.Daemons), upgradedAt: map[int]int{}, versions: []change{{Version: s.version, From: r.startedAt}},
 	}
 	r.faults.sendPrompts, r.faults.sendSteady = r.sendPrompts, r.sendSteady
 	r.execute(ctx)
@@ -64,7 +65,15 @@
 		}
 		wg.Go(func() { r.pollConfig(ctx, d) })
 	}
-	r.faults.inject(ctx, Plan(c.Seed, c.Length, c.Daemons, c.Endpoints, len(domains)))
+	if c.FromBinDir != "" {
+		wg.Go(func() { r.faults.upgrade(ctx, planUpgrade(c.Seed, c.Length, c.Daemons)) })
+		for n := range c.Daemons * hopCallers {
+			wg.Go(func() { r.sendHoppingStreams(ctx, n/hopCallers, n%hopCallers) })
+		}
+	}
+	if !c.Calm {
+		r.faults.inject(ctx, Plan(c.Seed, c.Length, c.Daemons, c.Endpoints, len(domains)))
+	}
 	wg.Wait()
 	r.sending.Wait()
 	r.endedAt = time.Now()
