The upgrade soak reads the code of an error where the daemon writes it

Streams refused for an unknown origin were counted as failed: the code was sought inside "error", as in answers of the other front end, and the spec had that shape, too. The spec now has the body that platform/reply.go writes.

--- a/internal/zpsoak/release_test.go
+++ b/internal/zpsoak/release_test.go
@@ -75,7 +75,7 @@
 
 var _ = Describe("parseErrorCode", func() {
 	It("returns the code of an error of a daemon, and nothing for another body", func() {
-		Expect(parseErrorCode([]byte(`{"error":{"code":"stream_origin_unknown","message":"m"}}`))).To(Equal(originUnknown))
+		Expect(parseErrorCode([]byte(`{"code":"stream_origin_unknown","message":"m","remedy":"r","run_state":"not_run"}`))).To(Equal(originUnknown))
 		Expect(parseErrorCode([]byte("no such page"))).To(BeEmpty())
 	})
 })
--- a/internal/zpsoak/requests.go
+++ b/internal/zpsoak/requests.go
@@ -264,13 +264,11 @@
 
 // parseErrorCode returns the code of the error in a response, or nothing if it has none.
 func parseErrorCode(body []byte) string {
-	var out struct {
-		Error struct{ Code string }
-	}
+	var out struct{ Code string }
 	if err := json.Unmarshal(body, &out); err != nil {
 		return ""
 	}
-	return out.Error.Code
+	return out.Code
 }
 
 // parseEvents returns the complete events of a stream.
