An upgrade in the soak ends before the recovery

The product did nothing wrong.

A daemon whose other fault lasts too long keeps its build; the line tells how many were upgraded.

--- a/internal/zpbench/fault_soak.go
+++ b/internal/zpbench/fault_soak.go
@@ -80,7 +80,7 @@
 	_, _ = fmt.Fprintf(out.out, "%-5s seed %d: %d faults, %d requests, %d served, %d runs, %s served while stranded and %s elsewhere%s\n",
 		verdict, seed, report.Faults, report.Requests, report.Served, report.Runs, report.Stranded, report.Others, logs)
 	if c.FromBin != "" {
-		_, _ = fmt.Fprintf(out.out, "      seed %d: %s\n", seed, report.TakenUp)
+		_, _ = fmt.Fprintf(out.out, "      seed %d: %d of %d daemons upgraded; %s\n", seed, report.Upgraded, c.Daemons, report.TakenUp)
 	}
 	for _, v := range report.Violations {
 		_, _ = fmt.Fprintf(out.out, "      %s\n", v)
--- a/internal/zpsoak/judge.go
+++ b/internal/zpsoak/judge.go
@@ -72,7 +72,7 @@
 	r.checkStranded(&outcome, violation)
 	r.checkConfiguration(violation)
 	r.checkRecovery(violation)
-	outcome.TakenUp = r.countTakenUp()
+	outcome.Upgraded, outcome.TakenUp = len(r.faults.upgradedAt), r.countTakenUp()
 	return outcome
 }
 
--- a/internal/zpsoak/plan_release.go
+++ b/internal/zpsoak/plan_release.go
@@ -15,6 +15,8 @@
 	// upgradeShare is the share of the time with faults in which upgrades begin. The rest allows
 	// for daemons that take long to stop.
 	upgradeShare = 0.8
+	// maxUpgradeTime is the time that a daemon takes to stop and start again.
+	maxUpgradeTime = 5 * time.Second
 	// Callers close the connections of streams between minHopDelay and maxHopDelay after they
 	// sent the request, and take the streams up at other daemons.
 	minHopDelay = 60 * time.Millisecond
@@ -41,16 +43,15 @@
 }
 
 // upgrade stops daemons as planned and starts them with the build in BinDir. It waits for
-// other signals to a daemon to end.
+// other signals to a daemon to end. Daemons that would not be back at the end of the faults
+// keep their build.
 func (i *injector) upgrade(ctx context.Context, plan []Fault) {
 	startedAt := time.Now()
+	latest := startedAt.Add(i.cluster.Length - recoveryTime - maxUpgradeTime)
 	for _, f := range plan {
 		sleep(ctx, f.At-time.Since(startedAt))
-		for !i.begin(f) {
-			if sleep(ctx, 20*time.Millisecond); ctx.Err() != nil {
-				i.fail(f, fmt.Errorf("no upgrade: %w", ctx.Err()))
-				return
-			}
+		if !i.beginUntil(ctx, f, latest) {
+			continue
 		}
 		i.mu.Lock()
 		i.upgradedAt[f.Target] = i.incarnations[f.Target] + 1
@@ -63,6 +64,18 @@
 	}
 }
 
+// beginUntil is begin for a fault that waits for its scope. It returns false if the scope is
+// in use until latest.
+func (i *injector) beginUntil(ctx context.Context, f Fault, latest time.Time) bool {
+	for time.Now().Before(latest) && ctx.Err() == nil {
+		if i.begin(f) {
+			return true
+		}
+		sleep(ctx, 20*time.Millisecond)
+	}
+	return false
+}
+
 // isUpgraded reports whether a daemon ran the build in BinDir.
 func (i *injector) isUpgraded(daemon, incarnation int) bool {
 	i.mu.Lock()
--- a/internal/zpsoak/release_test.go
+++ b/internal/zpsoak/release_test.go
@@ -29,6 +29,22 @@
 	})
 })
 
+var _ = Describe("beginUntil", func() {
+	f := Fault{Kind: DaemonStop, Target: 1}
+
+	It("waits until another fault of the daemon has ended", func(ctx SpecContext) {
+		i := &injector{activeScopes: map[string]bool{f.scope(): true}}
+		time.AfterFunc(50*time.Millisecond, func() { i.end(f) })
+		Expect(i.beginUntil(ctx, f, time.Now().Add(time.Minute))).To(BeTrue())
+	})
+
+	It("gives up if that lasts too long", func(ctx SpecContext) {
+		i := &injector{activeScopes: map[string]bool{f.scope(): true}}
+		Expect(i.beginUntil(ctx, f, time.Now().Add(50*time.Millisecond))).To(BeFalse())
+		Expect(i.activeScopes).To(HaveKey(f.scope()))
+	})
+})
+
 var _ = Describe("countTakenUp", func() {
 	// Daemon 0 is upgraded at its second start, daemon 1 is not.
 	newUpgradedRun := func(first request) *run {
--- a/internal/zpsoak/run.go
+++ b/internal/zpsoak/run.go
@@ -26,6 +26,7 @@
 		Runs       int   // executions of requests on endpoints
 		Stranded   tally // first attempts at daemons that were cut off from all endpoints, as far as judged
 		Others     tally // meanwhile, at the other daemons
+		Upgraded   int   // daemons
 		TakenUp    seams // only of runs with an upgrade
 		Violations []string
 	}
