--- a/internal/zpsoak/judge.go
+++ b/internal/zpsoak/judge.go
@@ -73,6 +73,7 @@
 	outcome.TakenUp = r.countTakenUp()
 	r.checkConfiguration(violation)
 	r.checkRecovery(violation)
+	outcome.Upgraded, outcome.Seams = len(r.faults.upgradedAt), r.countSeams()
 	return outcome
 }
 
--- a/internal/zpsoak/judge_out_of_step_test.go
+++ b/internal/zpsoak/judge_out_of_step_test.go
@@ -25,7 +25,7 @@
 		return r
 	}
 	ofUnknownOrigin := func(r *run) *run {
-		r.requestLog.requests[1].Code = errorCode([]byte(`{"code":"stream_origin_unknown","run_state":"not_run"}`))
+		r.requestLog.requests[1].Code = parseErrorCode([]byte(`{"code":"stream_origin_unknown","run_state":"not_run"}`))
 		return r
 	}
 
--- a/internal/zpsoak/plan_out_of_step.go
+++ b/internal/zpsoak/plan_out_of_step.go
@@ -1,6 +1,7 @@
 package zpsoak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -41,7 +42,7 @@
 	if isOutOfStepRun(s.Seed) {
 		return versions[0]
 	}
-	return versions[endpoint/len(domains)%len(versions)]
+	return versions[endpoint/len(domains)%cmp.Or(s.SoftwareVersions, len(versions))]
 }
 
 // planOutOfStep adds the faults of daemons that are out of step to the plans of some seeds, and
--- a/internal/zpsoak/requests.go
+++ b/internal/zpsoak/requests.go
@@ -110,21 +110,24 @@
 		if !q.Interrupted || attempt == maxStreamAttempts || ctx.Err() != nil {
 			return
 		}
-		last := q.ResumeAfter
-		if n := len(q.Events); n > 0 {
-			last = q.Events[n-1].Number
-		}
-		resumes := q.Resumes
-		if resumes == "" && last > 0 {
-			resumes = q.ID
-		}
-		q = request{
-			ID: fmt.Sprintf("%s-%d", first.ID, attempt), Kind: first.Kind, Daemon: next, IsRetry: true, Resumes: resumes, ResumeAfter: last,
-		}
+		q = q.nextAttempt(fmt.Sprintf("%s-%d", first.ID, attempt), next)
 		next = (next + 1) % r.cluster.Daemons
 	}
 }
 
+// nextAttempt returns the request that takes a stream up after the last event that arrived.
+func (q request) nextAttempt(id string, daemon int) request {
+	last := q.ResumeAfter
+	if n := len(q.Events); n > 0 {
+		last = q.Events[n-1].Number
+	}
+	resumes := q.Resumes
+	if resumes == "" && last > 0 {
+		resumes = q.ID
+	}
+	return request{ID: id, Kind: q.Kind, Daemon: daemon, IsRetry: true, Resumes: resumes, ResumeAfter: last}
+}
+
 // pollConfig repeatedly checks whether the newest configuration version is in
 // effect on one daemon.
 func (r *run) pollConfig(ctx context.Context, daemon int) {
@@ -189,9 +192,14 @@
 // request has its own path: with a shared path, the requests would be equal, would
 // never be served, and would be in flight at crashes.
 func (r *run) sendAndCancel(ctx context.Context, client *http.Client, q *request, after time.Duration) {
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), after)
+	r.sendFor(ctx, client, q, "/"+q.Kind+zpoutside.LongStreamPath+q.ID, after)
+}
+
+// sendFor sends a request and closes its connection if the response takes longer.
+func (r *run) sendFor(ctx context.Context, client *http.Client, q *request, path string, limit time.Duration) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), limit)
 	defer cancel()
-	r.roundTrip(ctx, client, q, "/"+q.Kind+zpoutside.LongStreamPath+q.ID)
+	r.roundTrip(ctx, client, q, path)
 	if q.Interrupted {
 		q.CanceledAt = q.DoneAt
 	}
@@ -223,22 +231,13 @@
 		q.Complete = q.hasAllEvents() && (len(body) == 0 || strings.HasSuffix(string(body), eventEnd))
 	} else {
 		q.Complete = string(body) == zpoutside.Answer(q.ID)
-		q.Code = errorCode(body)
+		q.Code = parseErrorCode(body)
 	}
 	if !q.Complete && !q.Interrupted && q.Status == http.StatusOK {
 		q.Body = string(body)
 	}
 }
 
-// errorCode returns the code in the body of an error response; empty for other bodies.
-func errorCode(body []byte) string {
-	var e struct{ Code string }
-	if json.Unmarshal(body, &e) != nil {
-		return ""
-	}
-	return e.Code
-}
-
 // newHTTPRequest returns the HTTP request for q. net/http sends a read again when a
 // kept connection fails, but not a booking.
 func newHTTPRequest(ctx context.Context, q *request, url string) (*http.Request, error) {
@@ -263,6 +262,15 @@
 	return req, nil
 }
 
+// parseErrorCode returns the code of the error in a response, or nothing if it has none.
+func parseErrorCode(body []byte) string {
+	var out struct{ Code string }
+	if err := json.Unmarshal(body, &out); err != nil {
+		return ""
+	}
+	return out.Code
+}
+
 // parseEvents returns the complete events of a stream.
 func parseEvents(q *request, body string) []event {
 	var out []event
