--- a/internal/zpapp/gateway_origins.go
+++ b/internal/zpapp/gateway_origins.go
@@ -20,8 +20,9 @@
 	// changesWait is the shortest wait of a watch, for the changes that the store has already.
 	changesWait = time.Millisecond
 	// changesPerDaemon spreads reads of changes, so that those of the whole fleet are a part of
-	// what the store takes.
+	// what the store takes. maxChangesPause is well below the time for which requests wait.
 	changesPerDaemon = 2 * time.Millisecond
+	maxChangesPause  = 200 * time.Millisecond
 )
 
 var (
@@ -32,7 +33,9 @@
 )
 
 func (d *GatewayDaemon) buildOrigins() {
-	changes := &zporigin.Reader{Read: d.readVersionChanges, Pause: func() time.Duration { return time.Duration(len(d.members.Names())) * changesPerDaemon }}
+	changes := &zporigin.Reader{Read: d.readVersionChanges, Pause: func() time.Duration {
+		return min(time.Duration(len(d.members.Names()))*changesPerDaemon, maxChangesPause)
+	}}
 	d.origins = &zporigin.Directory{
 		Self: d.self, Alive: d.rankKeepers, Registered: func(request string) [][]zpassign.Member { return d.live.registeredOwners().Ranked(request) },
 		Others: d.members.Others, HearsAll: func() bool { return len(d.live.list()) == len(d.members.Names()) },
--- a/internal/zporigin/table.go
+++ b/internal/zporigin/table.go
@@ -37,7 +37,7 @@
 	// its caller may take it up.
 	Retention = time.Minute
 	// maxOrigins and maxIDBytes bound a table to a few MB. Callers choose the ids.
-	maxOrigins = 1 << 14
+	maxOrigins = 1 << 15
 	maxIDBytes = 64
 )
 
