--- a/internal/zpsoak/cluster.go
+++ b/internal/zpsoak/cluster.go
@@ -37,9 +37,10 @@
 		endpoints  []*zpoutside.Endpoint
 		servers    []*http.Server
 		daemons    []*zpsite.Process
-		toStore    []*Link // by daemon
-		toPeer     []links // by daemon, from the others
-		toEndpoint []links // by endpoint
+		toStore    []*Link               // by daemon
+		toPeer     []links               // by daemon, from the others
+		rewrites   []func([]byte) []byte // by daemon, replaces addresses by those that it uses
+		toEndpoint []links               // by endpoint
 		version    int
 	}
 )
@@ -73,6 +74,9 @@
 			return s, err
 		}
 	}
+	for i := range c.Daemons {
+		s.rewrites = append(s.rewrites, s.rewriteAddresses(s.viewOf(i)))
+	}
 	for i := range c.Daemons {
 		if err := s.addDaemon(i); err != nil {
 			return s, err
@@ -138,8 +142,7 @@
 }
 
 func (s *cluster) addDaemon(i int) error {
-	view := s.viewOf(i)
-	if err := s.serve(s.ip(6, 10+i)+":7000", &storeView{store: s.store, replacer: view}); err != nil {
+	if err := s.serve(s.ip(6, 10+i)+":7000", &storeView{store: s.store, replacer: s.viewOf(i)}); err != nil {
 		return err
 	}
 	toStore, err := s.link(s.ip(2, 10+i)+":7000", s.ip(6, 10+i)+":7000")
@@ -147,7 +150,7 @@
 		return err
 	}
 	s.toStore = append(s.toStore, toStore)
-	if err := s.linkPeers(i, s.rewriteAddresses(view)); err != nil {
+	if err := s.linkPeers(i); err != nil {
 		return err
 	}
 	node := zpoutside.Node{
--- a/internal/zpsoak/link.go
+++ b/internal/zpsoak/link.go
@@ -13,8 +13,9 @@
 	Link struct {
 		Listen string // IP:PORT
 		Target string // IP:PORT
-		// Rewrite replaces data on its way to the target with data of the same length. It may be nil.
-		Rewrite func([]byte) []byte
+		// Rewrite replaces data on its way to the target with data of the same length, and
+		// RewriteBack data on its way back. They may be nil.
+		Rewrite, RewriteBack func([]byte) []byte
 
 		mu        sync.Mutex
 		lis       net.Listener
@@ -121,7 +122,7 @@
 		l.copy(out, in, l.Rewrite, func(m LinkMode) bool { return m.HoldToTarget }, func(LinkMode) bool { return false })
 	})
 	wg.Go(func() {
-		l.copy(in, out, nil, func(m LinkMode) bool { return m.HoldFromTarget }, func(m LinkMode) bool { return m.LoseFromTarget })
+		l.copy(in, out, l.RewriteBack, func(m LinkMode) bool { return m.HoldFromTarget }, func(m LinkMode) bool { return m.LoseFromTarget })
 	})
 	wg.Wait()
 	l.mu.Lock()
--- a/internal/zpsoak/link_test.go
+++ b/internal/zpsoak/link_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"net"
 	"syscall"
 	"time"
@@ -72,6 +73,19 @@
 		Expect(time.Since(startedAt)).To(BeNumerically(">=", 100*time.Millisecond))
 	})
 
+	It("replaces data on its way to the target and on its way back", func() {
+		replace := func(from, to byte) func([]byte) []byte {
+			return func(data []byte) []byte { return bytes.ReplaceAll(data, []byte{from}, []byte{to}) }
+		}
+		link.Close()
+		link = &Link{Listen: link.Listen, Target: link.Target, Rewrite: replace('a', 'b'), RewriteBack: replace('b', 'c')}
+		Expect(link.Open()).To(Succeed())
+		Expect(connect()).To(Succeed())
+		_, err := conn.Write([]byte("a\n"))
+		Expect(err).NotTo(HaveOccurred())
+		Expect(bufio.NewReader(conn).ReadString('\n')).To(Equal("c\n"))
+	})
+
 	DescribeTable("holds data while it is cut and forwards it afterwards",
 		func(m LinkMode) {
 			link.SetMode(m)
--- a/internal/zpsoak/view.go
+++ b/internal/zpsoak/view.go
@@ -43,11 +43,11 @@
 	return fmt.Sprintf("%s:%d", s.ip(firstPeerGroup+daemon, 10+peer), zpoutside.PeersPort)
 }
 
-// linkPeers opens the links from all daemons to one. rewrite is applied to what they send.
-func (s *cluster) linkPeers(peer int, rewrite func([]byte) []byte) error {
+// linkPeers opens the links from all daemons to one. Each side receives the addresses that it uses.
+func (s *cluster) linkPeers(peer int) error {
 	var list links
 	for d := range s.Daemons {
-		l := &Link{Listen: s.peerAddress(d, peer), Target: fmt.Sprintf("%s:%d", s.daemonIP(peer), zpoutside.PeersPort), Rewrite: rewrite}
+		l := &Link{Listen: s.peerAddress(d, peer), Target: fmt.Sprintf("%s:%d", s.daemonIP(peer), zpoutside.PeersPort), Rewrite: s.rewrites[peer], RewriteBack: s.rewrites[d]}
 		if err := l.Open(); err != nil {
 			return err
 		}
