--- a/internal/zpsoak/judge_release.go
+++ b/internal/zpsoak/judge_release.go
@@ -6,8 +6,8 @@
 )
 
 type (
-	// takenUp counts the streams that callers took up at a daemon after they had broken off.
-	takenUp struct {
+	// seamCount counts the streams that callers took up at a daemon after they had broken off.
+	seamCount struct {
 		Sent    int
 		WentOn  int
 		Joined  int // went on with events of another software version
@@ -17,11 +17,9 @@
 
 	// seams are counts by the build at which streams began and the one at which they were
 	// taken up: 0 is the build that daemons begin with, 1 the one that they are upgraded to.
-	seams [2][2]takenUp
+	seams [2][2]seamCount
 )
 
-const originUnknown = "stream_origin_unknown"
-
 // countSeams counts the streams that were taken up. Those that the caller left before an
 // event arrived are left out.
 func (r *run) countSeams() (out seams) {
@@ -52,10 +50,10 @@
 	return 0
 }
 
-func (t *takenUp) add(q request, version string) {
+func (t *seamCount) add(q request, version string) {
 	t.Sent++
 	switch {
-	case q.Code == originUnknown:
+	case q.Code == codeOriginUnknown:
 		t.Refused++
 	case len(q.Events) > 0 && q.Events[0].Version != version:
 		t.Joined++
--- a/internal/zpsoak/release_test.go
+++ b/internal/zpsoak/release_test.go
@@ -66,7 +66,7 @@
 		func(began, taken request, from, to int) {
 			taken.Status, taken.Events = http.StatusOK, next("v1")
 			var expected seams
-			expected[from][to] = takenUp{Sent: 1, WentOn: 1}
+			expected[from][to] = seamCount{Sent: 1, WentOn: 1}
 			Expect(takeUp(newUpgradedRun(began), taken)).To(Equal(expected))
 		},
 		Entry("both at the first", request{}, request{Daemon: 1}, 0, 0),
@@ -76,22 +76,22 @@
 	)
 
 	DescribeTable("tells apart what became of them",
-		func(taken request, expected takenUp) {
+		func(taken request, expected seamCount) {
 			Expect(takeUp(newUpgradedRun(request{}), taken)[0][0]).To(Equal(expected))
 		},
-		Entry("it went on and broke off again", request{Status: http.StatusOK, Events: next("v1"), Interrupted: true}, takenUp{Sent: 1, WentOn: 1}),
-		Entry("it had ended", request{Status: http.StatusOK, Complete: true}, takenUp{Sent: 1, WentOn: 1}),
-		Entry("it went on at another version", request{Status: http.StatusOK, Events: next("v2")}, takenUp{Sent: 1, Joined: 1}),
-		Entry("it was refused", request{Status: http.StatusServiceUnavailable, Code: originUnknown}, takenUp{Sent: 1, Refused: 1}),
-		Entry("it was refused for another reason", request{Status: http.StatusServiceUnavailable, Code: "overloaded"}, takenUp{Sent: 1, Failed: 1}),
-		Entry("the connection was lost", request{Interrupted: true}, takenUp{Sent: 1, Failed: 1}),
-		Entry("the caller left", request{Interrupted: true, CanceledAt: at(100)}, takenUp{}),
+		Entry("it went on and broke off again", request{Status: http.StatusOK, Events: next("v1"), Interrupted: true}, seamCount{Sent: 1, WentOn: 1}),
+		Entry("it had ended", request{Status: http.StatusOK, Complete: true}, seamCount{Sent: 1, WentOn: 1}),
+		Entry("it went on at another version", request{Status: http.StatusOK, Events: next("v2")}, seamCount{Sent: 1, Joined: 1}),
+		Entry("it was refused", request{Status: http.StatusServiceUnavailable, Code: codeOriginUnknown}, seamCount{Sent: 1, Refused: 1}),
+		Entry("it was refused for another reason", request{Status: http.StatusServiceUnavailable, Code: "overloaded"}, seamCount{Sent: 1, Failed: 1}),
+		Entry("the connection was lost", request{Interrupted: true}, seamCount{Sent: 1, Failed: 1}),
+		Entry("the caller left", request{Interrupted: true, CanceledAt: at(100)}, seamCount{}),
 	)
 })
 
 var _ = Describe("parseErrorCode", func() {
 	It("returns the code of an error of a daemon, and nothing for another body", func() {
-		Expect(parseErrorCode([]byte(`{"code":"stream_origin_unknown","message":"m","remedy":"r","run_state":"not_run"}`))).To(Equal(originUnknown))
+		Expect(parseErrorCode([]byte(`{"code":"stream_origin_unknown","message":"m","remedy":"r","run_state":"not_run"}`))).To(Equal(codeOriginUnknown))
 		Expect(parseErrorCode([]byte("no such page"))).To(BeEmpty())
 	})
 })
