Proof of the configuration: send prompts until the domain has received one

Reproduced: the proof alone, three sites side by side, was red in 2 of 72 plays with 'domain b received no request at all, so the proof shows nothing' (three more reds of that minute: the shell that had started the plays ended and its daemons with it). Cause: the proof sent 20 prompts and took for given that they reach the engines of all failure domains. Routing draws engines by a hash of the request's random id and prefers warm ones by two seconds, so the one engine of domain b gets its share by chance: 1 to 12 of 20 in 33 plays that counted. No fault of a daemon: its owner was known, and it was in service. Ruled out: daemons that had not heard of the owner or of the configuration yet (both log it before the first prompt). Change: the proof sends at least the 20 prompts, and goes on, up to 400, until domain b has received one; else it fails as before. What is proved, the bounds and the check at the end are the same.

--- a/internal/zpproof/configuration.go
+++ b/internal/zpproof/configuration.go
@@ -200,11 +200,8 @@
 		return err
 	}
 	frozen := e.Site.Daemons[index]
-	for i := range promptsBeforeFreeze {
-		// Each daemon prefers engines of its own failure domain.
-		if a := e.prompt(ctx, i%len(e.Site.Daemons), "shop-a", fmt.Sprintf("before the freeze %d", i), 4); a.status != 200 {
-			return fmt.Errorf("before the freeze: %d %s", a.status, a.text)
-		}
+	if err := e.promptDomain(ctx, "b"); err != nil {
+		return err
 	}
 	if err := e.fault(frozen.Pause()); err != nil {
 		return err
@@ -244,6 +241,42 @@
 	return e.checkNoLateArrival(confirmed)
 }
 
+// promptDomain sends prompts until an engine of the domain has received one. Routing draws
+// the engines and prefers warm ones, so no fixed number of prompts reaches each of them.
+func (e *Env) promptDomain(ctx context.Context, domain string) error {
+	for i := range maxPromptsBeforeFreeze {
+		if a := e.prompt(ctx, i%len(e.Site.Daemons), "shop-a", fmt.Sprintf("before the freeze %d", i), 4); a.status != 200 {
+			return fmt.Errorf("before the freeze: %d %s", a.status, a.text)
+		}
+		if i+1 < minPromptsBeforeFreeze {
+			continue
+		}
+		arrivals, err := e.domainArrivals(domain)
+		if err != nil {
+			return err
+		}
+		if len(arrivals) > 0 {
+			return nil
+		}
+	}
+	return fmt.Errorf("none of %d prompts before the freeze reached domain %s", maxPromptsBeforeFreeze, domain)
+}
+
+// domainArrivals returns the requests that the engines of a domain received, by engine.
+func (e *Env) domainArrivals(domain string) (map[string][]zpstandin.Arrival, error) {
+	stats, err := e.runnerStats()
+	if err != nil {
+		return nil, err
+	}
+	arrivals := map[string][]zpstandin.Arrival{}
+	for name, s := range stats {
+		if endpoint, _ := e.Site.Manifest.EndpointByName(name); endpoint.Domain == domain && len(s.Arrivals) > 0 {
+			arrivals[name] = s.Arrivals
+		}
+	}
+	return arrivals, nil
+}
+
 // endpointOwner returns the index and instance of a daemon that owns an endpoint. It
 // retries, because the store names the owners before the daemons learn of it.
 func (e *Env) endpointOwner(ctx context.Context) (index int, instance string, err error) {
@@ -265,9 +298,9 @@
 const (
 	// minAcceptedChanges is the number of concurrent changes that must be accepted for the
 	// race to show anything.
-	minAcceptedChanges = 2
-	// promptsBeforeFreeze reach the engines of all failure domains.
-	promptsBeforeFreeze = 20
+	minAcceptedChanges     = 2
+	minPromptsBeforeFreeze = 20
+	maxPromptsBeforeFreeze = 400
 
 	ownerTimeout      = 5 * time.Second
 	ownerPollInterval = 100 * time.Millisecond
@@ -321,25 +354,20 @@
 // checkNoLateArrival checks that domain b received no request after it was taken out, and
 // that it received some before.
 func (e *Env) checkNoLateArrival(after time.Time) error {
-	stats, err := e.runnerStats()
+	arrivals, err := e.domainArrivals("b")
 	if err != nil {
 		return err
 	}
-	arrivals := 0
-	for name, s := range stats {
-		if endpoint, _ := e.Site.Manifest.EndpointByName(name); endpoint.Domain != "b" {
-			continue
-		}
-		for _, a := range s.Arrivals {
-			arrivals++
+	if len(arrivals) == 0 {
+		return errors.New("domain b received no request at all, so the proof shows nothing")
+	}
+	for name, list := range arrivals {
+		for _, a := range list {
 			if time.UnixMilli(a.AtUnixMS).After(after.Add(startDeadline)) {
 				return fmt.Errorf("%s received a request after its domain was taken out", name)
 			}
 		}
 	}
-	if arrivals == 0 {
-		return errors.New("domain b received no request at all, so the proof shows nothing")
-	}
 	return nil
 }
 
