--- a/internal/zpapp/gateway_catalogs.go
+++ b/internal/zpapp/gateway_catalogs.go
@@ -133,6 +133,7 @@
 		return
 	}
 	c.object = o
+	catalog.RecordMoves(d.catalog.Load(), zpclock.Now())
 	d.catalog.Store(catalog)
 	d.Metrics.ConfigVersion.Set(float64(catalog.Version))
 	d.Log.Emit(zplog.ConfigApplied, zplog.Fields{
--- a/internal/zpcatalog/catalog.go
+++ b/internal/zpcatalog/catalog.go
@@ -49,6 +49,9 @@
 		Anonymous     bool     // requests need no key
 		Resumable     bool     // a stream that broke off may be resumed
 		Regions       []string // regions that may serve and cache the requests; empty for all
+
+		// MovedAt is when this daemon learned that other pools serve the route; see RecordMoves.
+		MovedAt time.Time
 	}
 
 	// Share is the fraction of a route's requests that is sent to a pool: its
@@ -117,6 +120,37 @@
 // their route.
 const NoPriority = -1
 
+// RecordMoves sets when each route was last moved to other pools. before is the catalog that is
+// in use so far, nil if there is none. It must be called before the catalog is used.
+func (c *Catalog) RecordMoves(before *Catalog, now time.Time) {
+	if before == nil {
+		return
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		j := slices.IndexFunc(before.Routes, func(x Route) bool { return x.Name == r.Name })
+		switch {
+		case j < 0:
+		case slices.Equal(r.pools(), before.Routes[j].pools()):
+			r.MovedAt = before.Routes[j].MovedAt
+		default:
+			r.MovedAt = now
+		}
+	}
+}
+
+// pools returns the sorted names of the pools that serve the route.
+func (r *Route) pools() []string {
+	var out []string
+	for _, s := range r.Shares {
+		if s.Weight > 0 {
+			out = append(out, s.Pool)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // BuildIndexes builds the indexes that the lookup methods use, and returns the catalog.
 func (c *Catalog) BuildIndexes() *Catalog {
 	c.byHost, c.byPool = map[string][]*Route{}, map[string]*Pool{}
@@ -241,15 +275,7 @@
 }
 
 // IsSplit reports whether the route divides its requests between several pools.
-func (r *Route) IsSplit() bool {
-	n := 0
-	for _, s := range r.Shares {
-		if s.Weight > 0 {
-			n++
-		}
-	}
-	return n > 1
-}
+func (r *Route) IsSplit() bool { return len(r.pools()) > 1 }
 
 // Repeatable reports whether a request of the route may run more than once.
 func (r *Route) Repeatable() bool {
--- a/internal/zpcatalog/catalog_test.go
+++ b/internal/zpcatalog/catalog_test.go
@@ -1,6 +1,8 @@
 package zpcatalog_test
 
 import (
+	"time"
+
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
@@ -52,3 +54,31 @@
 		Expect(scope(zpcatalog.Workspace{Name: "ab", Isolated: true})).NotTo(Equal(scope(a, b)))
 	})
 })
+
+var _ = Describe("Catalog.RecordMoves", func() {
+	first, second := time.Unix(1000, 0), time.Unix(1001, 0)
+
+	catalogWith := func(shares ...zpcatalog.Share) *zpcatalog.Catalog {
+		return (&zpcatalog.Catalog{Routes: []zpcatalog.Route{{Name: "r", Shares: shares}}}).BuildIndexes()
+	}
+	a, b := zpcatalog.Share{Pool: "a", Weight: 1}, zpcatalog.Share{Pool: "b", Weight: 2}
+
+	DescribeTable("tells when a route was moved",
+		func(next *zpcatalog.Catalog, movedAt time.Time) {
+			before := catalogWith(a)
+			before.Routes[0].MovedAt = first
+			next.RecordMoves(before, second)
+			Expect(next.Routes[0].MovedAt).To(Equal(movedAt))
+		},
+		Entry("to another pool", catalogWith(b), second),
+		Entry("to one more pool", catalogWith(b, a), second),
+		Entry("not at all", catalogWith(a, zpcatalog.Share{Pool: "b"}), first),
+	)
+
+	It("knows of no move in the first catalog, nor of a new route", func() {
+		c := catalogWith(a)
+		c.RecordMoves(nil, second)
+		c.RecordMoves(&zpcatalog.Catalog{}, second)
+		Expect(c.Routes[0].MovedAt).To(BeZero())
+	})
+})
--- a/internal/zpgateway/origin.go
+++ b/internal/zpgateway/origin.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpcatalog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zporigin"
@@ -20,7 +21,7 @@
 	switch {
 	case f.Status == zporigin.StatusKnown:
 		return j.bindToOrigin(f)
-	case f.Status == zporigin.StatusUnknown, f.Status == zporigin.StatusAny && !g.IsCatalogConfirmed(), j.route.IsSplit():
+	case f.Status == zporigin.StatusUnknown, f.Status == zporigin.StatusAny && !g.IsCatalogConfirmed(), hasStreamsOfSeveralPools(j.route, g.Clock()):
 		return errOriginUnknown.WithRetryAfter(retryAfterUnavailable)
 	case f.Status == zporigin.StatusAssumed, f.Version != "": // endpoints of others may join while the request waits
 		j.bindTo(f.Version)
@@ -51,7 +52,12 @@
 	if j.request.LastEventID != "" {
 		attempt = j.request.ResumedID // its origin may be forgotten before the stream breaks off again
 	}
-	g.Origins.Record(ctx, zporigin.Origin{Request: attempt, Pool: j.pool.Name, Version: e.SoftwareVersion}, j.route.IsSplit())
+	g.Origins.Record(ctx, zporigin.Origin{Request: attempt, Pool: j.pool.Name, Version: e.SoftwareVersion}, hasStreamsOfSeveralPools(j.route, g.Clock()))
+}
+
+// hasStreamsOfSeveralPools reports whether streams of several pools may be open on a route.
+func hasStreamsOfSeveralPools(r *zpcatalog.Route, now time.Time) bool {
+	return r.IsSplit() || now.Sub(r.MovedAt) < zporigin.Retention
 }
 
 func (j *job) bindTo(version string) { j.streamVersion, j.isBound = version, true }
--- a/internal/zpgateway/origin_test.go
+++ b/internal/zpgateway/origin_test.go
@@ -169,6 +169,25 @@
 		)
 	})
 
+	// Guards against the rest of a stream from an endpoint of the pool to which its route was moved meanwhile.
+	It("is refused as not run if its route was moved lately and nobody knows where it began", func() {
+		s := newMixedGateway(responds(http.StatusOK, rest))
+		s.Origins.Pools, s.Origins.VersionsOf = zporigin.NewVersions(), func(string, time.Time) []string { return []string{"v1"} }
+		now := time.Now()
+		c := newCatalog()
+		for i := range c.Routes {
+			c.Routes[i].MovedAt = now.Add(-50 * time.Second)
+		}
+		s.Catalog = func() *zpcatalog.Catalog { return c }
+		reply := s.serve(resumedRequest("1", "r1"))
+		expectRefused(reply, http.StatusServiceUnavailable, zperror.RunStateNotRun)
+		Expect(reply.refused.Code).To(Equal("stream_origin_unknown"))
+		for i := range c.Routes {
+			c.Routes[i].MovedAt = now.Add(-time.Hour)
+		}
+		expectResponse(s.serve(resumedRequest("1", "r1")), http.StatusOK, rest)
+	})
+
 	It("is known by the attempt that began it after it was taken up", func() {
 		s := newMixedGateway(responds(http.StatusOK, rest))
 		s.Origins.Pools, s.Origins.VersionsOf = zporigin.NewVersions(), func(string, time.Time) []string { return []string{"v1"} }
--- a/internal/zporigin/record.go
+++ b/internal/zporigin/record.go
@@ -54,11 +54,11 @@
 	}
 }
 
-// Record records that a stream begins. While its pool is mixed, or if several pools serve its
-// route, Record returns once a keeper in this region knows it, or after tellTimeout: the
-// caller must not get an event before, since it may take the stream up elsewhere as soon as
-// it has one.
-func (d *Directory) Record(ctx context.Context, o Origin, isRouteSplit bool) {
+// Record records that a stream begins. While its pool is mixed, or if streams of several pools
+// may be open on its route, Record returns once a keeper in this region knows it, or after
+// tellTimeout: the caller must not get an event before, since it may take the stream up
+// elsewhere as soon as it has one.
+func (d *Directory) Record(ctx context.Context, o Origin, hasSeveralPools bool) {
 	if d == nil || o.Request == "" {
 		return
 	}
@@ -67,7 +67,7 @@
 	d.Table.Record(o, now)
 	// The endpoint's version may have appeared since the versions were last looked at.
 	d.tellIfMixed(ctx, o.Pool, d.Pools.Observe(o.Pool, []string{o.Version}, now), now)
-	if !isRouteSplit && !d.Pools.IsMixed(o.Pool) {
+	if !hasSeveralPools && !d.Pools.IsMixed(o.Pool) {
 		return
 	}
 	// The keepers are told even if the caller leaves: it may come back.
