--- a/internal/zpapp/gateway_origins.go
+++ b/internal/zpapp/gateway_origins.go
@@ -51,8 +51,8 @@
 			return versions[pool], err
 		},
 		ListedAt:   func() time.Time { return d.follower.PrefixReadAt(zpplatform.EndpointPrefix) },
-		KeepsSince: d.keepsSince,
-		Table:      zporigin.NewTable(), Pools: zporigin.NewVersions(), Log: d.Log, Clock: zpclock.Now,
+		KeepsSince: d.keepsSince, SeesSince: d.seesSince,
+		Table: zporigin.NewTable(), Pools: zporigin.NewVersions(), Log: d.Log, Clock: zpclock.Now,
 	}
 	d.gateway.Origins = d.origins
 }
@@ -69,10 +69,26 @@
 // keepsSince returns when this daemon started or was last paused, or the zero time while it
 // does not know the endpoints.
 func (d *GatewayDaemon) keepsSince() time.Time {
-	d.catalogs.recordActive(zpclock.Now()) // this may be the first thing that it does after a pause
+	since := d.runsSince()
 	if !d.registry.HasSynced() {
 		return time.Time{}
 	}
+	return since
+}
+
+// seesSince returns when this daemon started or was last paused, or the zero time if it runs
+// since the fleet first started.
+func (d *GatewayDaemon) seesSince() time.Time {
+	since := d.runsSince()
+	if d.Node.FirstStart && since.Equal(d.startedAt) {
+		return time.Time{}
+	}
+	return since
+}
+
+// runsSince returns when this daemon started or was last paused.
+func (d *GatewayDaemon) runsSince() time.Time {
+	d.catalogs.recordActive(zpclock.Now()) // this may be the first thing that it does after a pause
 	if at := d.catalogs.guard.ResumedAt(); at.After(d.startedAt) {
 		return at
 	}
--- a/internal/zpgateway/origin_test.go
+++ b/internal/zpgateway/origin_test.go
@@ -30,8 +30,8 @@
 	}
 	s.Origins = &zporigin.Directory{
 		Alive: nobody, Registered: nobody, Others: func() []zpassign.Member { return nil }, HearsAll: func() bool { return true }, ListedAt: time.Now,
-		KeepsSince: func() time.Time { return time.Now().Add(-time.Hour) },
-		Table:      zporigin.NewTable(), Pools: zporigin.NewVersions(), Log: zplog.Discard(), Clock: time.Now,
+		KeepsSince: func() time.Time { return time.Now().Add(-time.Hour) }, SeesSince: func() time.Time { return time.Time{} },
+		Table: zporigin.NewTable(), Pools: zporigin.NewVersions(), Log: zplog.Discard(), Clock: time.Now,
 		VersionsOf:   func(string, time.Time) []string { return []string{"v1", "v2"} },
 		ReadVersions: func(context.Context, string) ([]string, error) { return nil, nil },
 	}
--- a/internal/zporigin/directory.go
+++ b/internal/zporigin/directory.go
@@ -39,10 +39,13 @@
 		// KeepsSince returns when this daemon started or was last paused, or the zero time while
 		// it has not read the endpoints.
 		KeepsSince func() time.Time
-		Table      *Table
-		Pools      *Versions
-		Log        *zplog.Logger
-		Clock      func() time.Time
+		// SeesSince returns since when this daemon has seen each version of a pool, or the zero
+		// time if it has since the fleet first started.
+		SeesSince func() time.Time
+		Table     *Table
+		Pools     *Versions
+		Log       *zplog.Logger
+		Clock     func() time.Time
 	}
 
 	// Reply is what a daemon knows of a stream and of the pool in which it is taken up.
@@ -119,7 +122,7 @@
 	isProven := false
 	if !q.isKnown && !d.Pools.IsMixed(pool) {
 		isRead = true
-		isProven = d.readVersions(ctx, pool) || d.proveAbsence(ctx, request, pool, q)
+		isProven = d.readVersions(ctx, pool) && d.isPastSeen(*q) || d.proveAbsence(ctx, request, pool, q)
 	}
 	if _, ok := d.Pools.Assume(pool, d.Clock()); ok && !q.isKnown && request != "" {
 		isProven = d.proveAbsence(ctx, request, pool, q) && len(q.asked) >= len(d.Others())
@@ -178,6 +181,12 @@
 	return err == nil
 }
 
+// isPastSeen reports whether this daemon or one that answered has seen the versions of the last
+// minute. The store does not tell of endpoints that have left.
+func (d *Directory) isPastSeen(q inquiry) bool {
+	return len(q.answered)+len(q.unsettled) > 0 || len(d.Others()) == 0 || d.Clock().Sub(d.SeesSince()) >= Retention || zpmutant.Active(zpmutant.Silence)
+}
+
 // keptFor returns for how long this daemon has kept origins; zero if it cannot tell.
 func (d *Directory) keptFor(now time.Time) time.Duration {
 	since := d.KeepsSince()
--- a/internal/zporigin/origin_test.go
+++ b/internal/zporigin/origin_test.go
@@ -69,7 +69,7 @@
 	d := &zporigin.Directory{
 		Self: m, Alive: func(key string) [][]zpassign.Member { return f.alive(m, key) }, Registered: zplookup.NewOwners(f.members).Ranked,
 		Others:   func() []zpassign.Member { return f.others(m) },
-		HearsAll: func() bool { return f.hearsAll(m) }, KeepsSince: func() time.Time { return startedAt }, ListedAt: f.clock, Table: zporigin.NewTable(), Pools: zporigin.NewVersions(), Log: zplog.Discard(), Clock: f.clock,
+		HearsAll: func() bool { return f.hearsAll(m) }, KeepsSince: func() time.Time { return startedAt }, SeesSince: func() time.Time { return startedAt }, ListedAt: f.clock, Table: zporigin.NewTable(), Pools: zporigin.NewVersions(), Log: zplog.Discard(), Clock: f.clock,
 		VersionsOf: func(pool string, _ time.Time) []string {
 			if pool != "p" {
 				return nil
--- a/internal/zporigin/out_of_step_test.go
+++ b/internal/zporigin/out_of_step_test.go
@@ -161,6 +161,18 @@
 		f.expectKnownTo("n3")
 	})
 
+	// Guards against a stream of a version whose last endpoint left before this daemon started.
+	It("cannot tell from the store alone which versions there were before it started", func() {
+		f.observe("v1", "v2")
+		f.setClock(at(80))
+		f.restart(f.members[0])
+		f.silence("n0")
+		f.observeAt("n0", "v2")
+		f.expectStatus("n0", zporigin.StatusUnknown)
+		f.setClock(at(80 + zporigin.Retention.Seconds()))
+		f.expectStatus("n0", zporigin.StatusAny)
+	})
+
 	It("tells registered daemons of its streams when it takes all others for lost", func() {
 		f.observe("v1", "v2")
 		f.takeForLost("n1")
