--- a/internal/zpgateway/origin.go
+++ b/internal/zpgateway/origin.go
@@ -21,6 +21,8 @@
 	switch {
 	case f.Status == zporigin.StatusKnown:
 		return j.bindToOrigin(f)
+	case hasLeft(ctx, j): // which ends the search, too
+		return errCallerGone.WithState(j.runState)
 	case f.Status == zporigin.StatusUnknown, f.Status == zporigin.StatusAny && !g.IsCatalogConfirmed(), hasStreamsOfSeveralPools(j.route, g.Clock()):
 		return errOriginUnknown.WithRetryAfter(retryAfterUnavailable)
 	case f.Status == zporigin.StatusAssumed, f.Version != "": // endpoints of others may join while the request waits
--- a/internal/zpgateway/origin_test.go
+++ b/internal/zpgateway/origin_test.go
@@ -216,6 +216,22 @@
 		Expect(versions).To(Or(HaveKey("v1 v2"), HaveKey("v2 v1")))
 	})
 
+	// Guards against callers that left being counted as streams of unknown origin.
+	It("ends as one of a caller that left, if it did so while the origin was sought", func() {
+		s := newMixedGateway(responds(http.StatusOK, rest))
+		s.Origins.Pools, s.Origins.VersionsOf = zporigin.NewVersions(), func(string, time.Time) []string { return []string{"v1"} }
+		ctx, leave := context.WithCancel(context.Background())
+		s.Origins.ReadVersions = func(ctx context.Context, _ string) ([]string, error) {
+			leave()
+			return nil, ctx.Err()
+		}
+		reply := &fakeReply{}
+		s.Serve(ctx, resumedRequest("1", "r1"), reply)
+		Expect(reply.aborted).To(BeTrue())
+		Expect(reply.refused).To(BeNil())
+		Expect(s.runner.runs).To(BeEmpty())
+	})
+
 	// Guards against an endpoint that starts again under its id with another version while a request is sent to it.
 	It("is not sent to an endpoint that has another version since it was chosen", func() {
 		s := newMixedGateway()
