--- a/internal/zporigin/ask.go
+++ b/internal/zporigin/ask.go
@@ -28,10 +28,10 @@
 )
 
 const (
-	// asked is how many daemons of a region are asked. It is higher than the number of keepers,
+	// askedPerRegion is how many daemons of a region are asked at first. It is higher than the number of keepers,
 	// as the one that served the stream keeps nothing for others, and others come back
 	// after a restart without what they kept.
-	asked = 3
+	askedPerRegion = 3
 	// maxAskedAll is the number of other daemons up to which all are asked of a stream where the
 	// word of the keepers does not do.
 	maxAskedAll = 128
@@ -106,7 +106,7 @@
 	var out []zpassign.Member
 	for _, ranked := range [][][]zpassign.Member{d.Registered(request), d.Alive(request)} {
 		for _, region := range ranked {
-			for _, m := range region[:min(len(region), asked)] {
+			for _, m := range region[:min(len(region), askedPerRegion)] {
 				if m.Name != d.Self.Name && !isNamed(out, m.Name) {
 					out = append(out, m)
 				}
--- a/internal/zporigin/directory.go
+++ b/internal/zporigin/directory.go
@@ -119,14 +119,7 @@
 // store was read for that.
 func (d *Directory) conclude(ctx context.Context, request, pool string, q *inquiry) (f Finding, isRead bool) {
 	d.learn(ctx, pool, q)
-	isProven := false
-	if !q.isKnown && !d.Pools.IsMixed(pool) {
-		isRead = true
-		isProven = d.readVersions(ctx, pool) && d.isPastSeen(*q) || d.proveAbsence(ctx, request, pool, q)
-	}
-	if _, ok := d.Pools.Assume(pool, d.Clock()); ok && !q.isKnown && request != "" {
-		isProven = d.proveAbsence(ctx, request, pool, q) && len(q.asked) >= len(d.Others())
-	}
+	isProven, isRead := d.prove(ctx, request, pool, q)
 	now := d.Clock()
 	version, mayAssume := d.Pools.Assume(pool, now)
 	switch {
@@ -142,6 +135,21 @@
 	}
 }
 
+// prove reports whether a stream that nobody knows can only have begun at the version that its
+// pool has, or had before it became mixed, and whether the store was read for that. q holds
+// what all that were asked said, also those that prove asks.
+func (d *Directory) prove(ctx context.Context, request, pool string, q *inquiry) (isProven, isRead bool) {
+	if !q.isKnown && !d.Pools.IsMixed(pool) {
+		isRead = true
+		isProven = d.readVersions(ctx, pool) && d.isPastSeen(*q) || d.proveAbsence(ctx, request, pool, q)
+	}
+	// The store or the others may have told of a second version meanwhile.
+	if _, ok := d.Pools.Assume(pool, d.Clock()); ok && !q.isKnown && request != "" {
+		isProven = d.proveAbsence(ctx, request, pool, q) && len(q.asked) >= len(d.Others())
+	}
+	return isProven, isRead
+}
+
 // learn takes over the software versions that other daemons have seen in a pool.
 func (d *Directory) learn(ctx context.Context, pool string, q *inquiry) {
 	now := d.Clock()
