--- a/internal/zpapp/gateway_catalogs.go
+++ b/internal/zpapp/gateway_catalogs.go
@@ -220,7 +220,8 @@
 }
 
 // isConfirmed reports whether the catalog is known to be the newest one. If not, it is
-// read again. A daemon without others cannot tell an outage of the store from its own.
+// read again. A daemon without others cannot tell an outage of the store from its own, and one
+// that does not hear most of the others forgets what it was told of an outage.
 // c.mu must not be held.
 func (c *catalogs) isConfirmed() bool {
 	d, now := c.daemon, zpclock.Now()
--- a/internal/zpcatalog/catalog.go
+++ b/internal/zpcatalog/catalog.go
@@ -139,18 +139,6 @@
 	}
 }
 
-// pools returns the sorted names of the pools that serve the route.
-func (r *Route) pools() []string {
-	var out []string
-	for _, s := range r.Shares {
-		if s.Weight > 0 {
-			out = append(out, s.Pool)
-		}
-	}
-	slices.Sort(out)
-	return out
-}
-
 // BuildIndexes builds the indexes that the lookup methods use, and returns the catalog.
 func (c *Catalog) BuildIndexes() *Catalog {
 	c.byHost, c.byPool = map[string][]*Route{}, map[string]*Pool{}
@@ -277,6 +265,18 @@
 // IsSplit reports whether the route divides its requests between several pools.
 func (r *Route) IsSplit() bool { return len(r.pools()) > 1 }
 
+// pools returns the sorted names of the pools that serve the route.
+func (r *Route) pools() []string {
+	var out []string
+	for _, s := range r.Shares {
+		if s.Weight > 0 {
+			out = append(out, s.Pool)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // Repeatable reports whether a request of the route may run more than once.
 func (r *Route) Repeatable() bool {
 	return r.Kind == KindIdempotent || (r.Kind == KindStream && r.Resumable)
--- a/internal/zpsoak/plan_release.go
+++ b/internal/zpsoak/plan_release.go
@@ -22,6 +22,8 @@
 	minHopDelay = 60 * time.Millisecond
 	maxHopDelay = 330 * time.Millisecond
 	hopCallers  = 2 // per daemon
+	// scopeInterval is the interval at which a fault that waits for its scope looks at it.
+	scopeInterval = 20 * time.Millisecond
 )
 
 // planUpgrade plans an upgrade of all daemons, one after the other in random order.
@@ -71,7 +73,7 @@
 		if i.begin(f) {
 			return true
 		}
-		sleep(ctx, 20*time.Millisecond)
+		sleep(ctx, scopeInterval)
 	}
 	return false
 }
--- a/internal/zpsoak/view.go
+++ b/internal/zpsoak/view.go
@@ -69,8 +69,8 @@
 	return out
 }
 
-// viewOf returns a replacer of the addresses of endpoints and daemons by those that a daemon uses. Other
-// daemons' addresses have the same length, so that they can be replaced in messages.
+// viewOf returns a replacer of the addresses of endpoints and daemons by those that a daemon
+// uses. Other daemons' addresses have the same length, so that they can be replaced in messages.
 func (s *cluster) viewOf(daemon int) *strings.Replacer {
 	var pairs []string
 	for e := range s.Endpoints {
