--- a/Makefile
+++ b/Makefile
@@ -26,9 +26,10 @@
 unit:
 	go test -timeout 360s ./pkg/... ./internal/... ./cmd/... ./platform/...
 
-# Simulated loads that must fail when a mutant turns off a mechanism.
+# Specs that show what is violated when a mutant turns off a mechanism.
 mutant-unit:
 	go test -tags zpmutant -timeout 120s ./internal/zpqueue
+	go test -tags zpmutant -timeout 120s ./internal/zpduty ./platform -ginkgo.label-filter=mutant
 
 # Unit tests under the race detector.
 race:
--- a/internal/zpapp/gateway_members.go
+++ b/internal/zpapp/gateway_members.go
@@ -9,6 +9,7 @@
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zpobject"
 )
 
@@ -131,6 +132,9 @@
 	mayExist := !d.Node.FirstStart
 	for {
 		restored := d.eras.Changed()
+		if zpmutant.Active(zpmutant.EraRecord) {
+			restored = nil
+		}
 		for !d.register(ctx, body, mayExist) {
 			mayExist = true
 			if !pause(ctx, joinRetry) {
--- a/internal/zpduty/lease.go
+++ b/internal/zpduty/lease.go
@@ -7,6 +7,9 @@
 	"encoding/json"
 	"fmt"
 	"time"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
+	"github.com/zinniapaddle/zinniapaddle/pkg/zpobject"
 )
 
 type (
@@ -77,7 +80,7 @@
 	if era == l.era && since.Equal(l.eraSince) {
 		return
 	}
-	if era != l.era {
+	if era != l.era && !zpmutant.Active(zpmutant.EraLease) {
 		l.Relinquish()
 	}
 	l.era, l.eraSince = era, since
@@ -142,6 +145,9 @@
 	}
 	if !held {
 		l.fence = revision
+		if zpmutant.Active(zpmutant.EraOrder) {
+			l.fence = zpobject.PlainRevision(revision)
+		}
 	}
 	l.heldUntil, l.renewedAt = startedAt.Add(l.Timing.Validity), startedAt
 }
--- a/internal/zpmutant/name.go
+++ b/internal/zpmutant/name.go
@@ -25,4 +25,8 @@
 	Quiet         Name = "quiet"          // that an endpoint says for how long it wants no requests is ignored
 	Silence       Name = "silence"        // daemons that do not answer count as ones that do not know a stream
 	Detour        Name = "detour"         // requests to endpoints that only other daemons reach take no detour
+	EraOrder      Name = "era_order"      // fencing tokens do not contain the era of the store
+	EraWatch      Name = "era_watch"      // watches go on although the store came back from an older copy
+	EraLease      Name = "era_lease"      // leases of an earlier era of the store are held until they expire
+	EraRecord     Name = "era_record"     // records that an older copy of the store lacks are not written again
 )
