--- a/spec/check.sh
+++ b/spec/check.sh
@@ -52,4 +52,8 @@
 check duty one_at_a_time violated FROM_ANSWER
 check duty one_at_a_time violated KEEP_RELEASED
 check duty one_at_a_time violated NO_CONDITION
+check duty one_at_a_time holds '' RESTORE
+check duty one_at_a_time violated NO_FENCE_ERA RESTORE
+check duty one_at_a_time violated NO_ERA_WAIT RESTORE
+check duty one_at_a_time violated NO_RECORD_ERA RESTORE
 exit $failed
