--- a/internal/zpsoak/cluster.go
+++ b/internal/zpsoak/cluster.go
@@ -49,6 +49,7 @@
 		toPeer     []links               // by daemon, from the others
 		rewrites   []func([]byte) []byte // by daemon, replaces addresses by those that it uses
 		toEndpoint []links               // by endpoint
+		ends       connectionEnds        // from daemons to endpoints
 		version    int
 	}
 )
@@ -132,8 +133,8 @@
 	}
 	var list links
 	for d := range s.Daemons {
-		l, err := s.link(s.endpointAddress(d, i), target)
-		if err != nil {
+		l := &Link{Listen: s.endpointAddress(d, i), Target: target, OnClientEnd: func(source string) { s.ends.record(source, connectionEnd{d, time.Now()}) }}
+		if err := l.Open(); err != nil {
 			return err
 		}
 		list = append(list, l)
--- a/internal/zpsoak/judge.go
+++ b/internal/zpsoak/judge.go
@@ -21,9 +21,7 @@
 	timingTolerance = 300 * time.Millisecond
 	// coldRateFactor and coldRateAllowance give the documented limit on the
 	// requests that reach a cold endpoint within a second.
-	coldRateFactor = 1.5
-	// cancelLimit is the documented limit on work for a client that has disconnected.
-	cancelLimit       = 500 * time.Millisecond
+	coldRateFactor    = 1.5
 	coldRateAllowance = 5
 	// retryWindow and retryAllowance give the documented limit on retries.
 	retryWindow    = 10 * time.Second
@@ -193,31 +191,6 @@
 	})
 }
 
-// checkCanceled checks that no work starts or continues for clients that have
-// disconnected. Bookings that have started are completed.
-func (r *run) checkCanceled(runs map[string][]zpoutside.Run, violation reportFunc) {
-	for _, q := range r.requestLog.requests {
-		if q.CanceledAt.IsZero() {
-			continue
-		}
-		bound := q.CanceledAt.Add(cancelLimit + timingTolerance)
-		for _, x := range runs[q.ID] {
-			if x.At.After(bound) && !r.mayBeDelayed(x, x.At) && !r.mayBeHeld(q, x, x.At) {
-				violation("departed", "%s of daemon %d started on %s %s after its client disconnected", q.ID, q.Daemon, x.Endpoint, x.At.Sub(q.CanceledAt))
-			}
-			// Work without a recorded end is only known to continue until the end of the run.
-			if isRunning := x.Ended.IsZero() && r.endedAt.After(bound) || x.Ended.After(bound); isRunning && q.Kind != "book" && !r.mayBeDelayed(x, bound) && !r.mayBeHeld(q, x, bound) && !r.mayBePaused(q.Daemon, q.CanceledAt, bound) {
-				violation("departed", "%s of daemon %d still ran on %s half a second after its client disconnected", q.ID, q.Daemon, x.Endpoint)
-			}
-		}
-	}
-}
-
-// mayBePaused reports whether a daemon may have been paused during the period.
-func (r *run) mayBePaused(daemon int, from, to time.Time) bool {
-	return r.hasFault(from, to, func(t faultWindow) bool { return t.Kind == DaemonPause && t.Target == daemon })
-}
-
 // checkTakenOut checks that failure domains and endpoints that were taken out
 // receive no new work after the time limit.
 func (r *run) checkTakenOut(runs []zpoutside.Run, violation reportFunc) {
--- /dev/null
+++ b/internal/zpsoak/judge_departed_test.go
@@ -0,0 +1,58 @@
+package zpsoak
+
+import (
+	"time"
+
+	. "github.com/onsi/ginkgo/v2"
+	. "github.com/onsi/gomega"
+
+	"github.com/zinniapaddle/zinniapaddle/platform/zpoutside"
+)
+
+var _ = Describe("A run that goes on for a client that has disconnected", func() {
+	const source = "127.0.0.1:40000"
+
+	// violations returns those of a client that disconnected at 10,100 ms.
+	violations := func(endedMS int, arrange func(*run)) []string {
+		r := newTestRun(1)
+		r.requestLog.add(request{ID: "x", Kind: "stream", SentAt: at(10_000), DoneAt: at(10_100), CanceledAt: at(10_100), Interrupted: true})
+		x := zpoutside.Run{Request: "x", Endpoint: "i-0-1", Domain: "a", At: at(10_050), Source: source}
+		if endedMS > 0 {
+			x.Ended = at(endedMS)
+		}
+		r.cluster.log.RecordStart(x)
+		arrange(r)
+		return r.withRecovery().evaluate().Violations
+	}
+
+	It("is described by where it ended", func() {
+		Expect(violations(11_400, func(r *run) {
+			r.cluster.ends.record(source, connectionEnd{1, at(9_000)})
+			r.cluster.ends.record(source, connectionEnd{2, at(10_130)})
+			r.cluster.ends.record("127.0.0.1:40001", connectionEnd{3, at(10_110)})
+			r.stalls.observe(at(10_200))
+			r.stalls.observe(at(11_210))
+		})).To(ContainElement(HaveSuffix("disconnected at Jan  1 00:16:50.100, ended at the link of daemon 2 after 30ms and at the endpoint after 1.3s, the soak stood still for 1s meanwhile")))
+	})
+
+	It("is described as one that did not end", func() {
+		Expect(violations(0, func(*run) {})).To(ContainElement(HaveSuffix("ended at no link and not at the endpoint, the soak stood still for 0s meanwhile")))
+	})
+})
+
+var _ = Describe("stallWatch", func() {
+	// stalled returns for how long the process stood still from 1,000 to 2,000 ms.
+	stalled := func(ticksMS ...int) time.Duration {
+		w := &stallWatch{}
+		for _, t := range ticksMS {
+			w.observe(at(t))
+		}
+		return w.between(at(1_000), at(2_000))
+	}
+
+	It("finds none where ticks come in time", func() { Expect(stalled(1_000, 1_010, 1_025, 1_080)).To(BeZero()) })
+	It("counts a tick's delay", func() { Expect(stalled(1_000, 1_400)).To(Equal(390 * time.Millisecond)) })
+	It("adds up delays", func() { Expect(stalled(1_000, 1_110, 1_120, 1_330)).To(Equal(300 * time.Millisecond)) })
+	It("counts the part of a delay within the period", func() { Expect(stalled(790, 1_200, 1_900, 2_500)).To(Equal(980 * time.Millisecond)) })
+	It("counts no delay outside the period", func() { Expect(stalled(100, 900, 990)).To(BeZero()) })
+})
--- a/internal/zpsoak/link.go
+++ b/internal/zpsoak/link.go
@@ -1,6 +1,7 @@
 package zpsoak
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"sync"
@@ -16,6 +17,9 @@
 		// Rewrite replaces data on its way to the target with data of the same length, and
 		// RewriteBack data on its way back. They may be nil.
 		Rewrite, RewriteBack func([]byte) []byte
+		// OnClientEnd is called when the client has ended a connection, with the address from which
+		// the link is connected to the target. It may be nil.
+		OnClientEnd func(source string)
 
 		mu        sync.Mutex
 		lis       net.Listener
@@ -29,6 +33,13 @@
 	// linkSide says on whose side of a link a failure is. Those of both sides add up.
 	linkSide int
 
+	// linkDirection defines what a link does with data in one direction.
+	linkDirection struct {
+		rewrite        func([]byte) []byte // may be nil
+		isCut, isLossy func(LinkMode) bool
+		onEnd          func() // called when the sender has ended the connection; may be nil
+	}
+
 	// LinkMode defines how a link fails.
 	LinkMode struct {
 		Delay          time.Duration // added before data is forwarded
@@ -117,13 +128,14 @@
 	l.mu.Lock()
 	l.conns[in], l.conns[out] = true, true
 	l.mu.Unlock()
+	toTarget := linkDirection{rewrite: l.Rewrite, isCut: func(m LinkMode) bool { return m.HoldToTarget }, isLossy: func(LinkMode) bool { return false }}
+	if l.OnClientEnd != nil {
+		toTarget.onEnd = func() { l.OnClientEnd(out.LocalAddr().String()) }
+	}
+	fromTarget := linkDirection{rewrite: l.RewriteBack, isCut: func(m LinkMode) bool { return m.HoldFromTarget }, isLossy: func(m LinkMode) bool { return m.LoseFromTarget }}
 	var wg sync.WaitGroup
-	wg.Go(func() {
-		l.copy(out, in, l.Rewrite, func(m LinkMode) bool { return m.HoldToTarget }, func(LinkMode) bool { return false })
-	})
-	wg.Go(func() {
-		l.copy(in, out, l.RewriteBack, func(m LinkMode) bool { return m.HoldFromTarget }, func(m LinkMode) bool { return m.LoseFromTarget })
-	})
+	wg.Go(func() { l.copy(out, in, toTarget) })
+	wg.Go(func() { l.copy(in, out, fromTarget) })
 	wg.Wait()
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -134,20 +146,23 @@
 // copy forwards data until either side closes. Data and the end of the connection
 // that arrive while the link is cut in this direction are held until the cut ends,
 // as TCP would do. Nothing is forwarded any more once data was lost.
-func (l *Link) copy(to, from net.Conn, rewrite func([]byte) []byte, isCut, isLossy func(LinkMode) bool) {
+func (l *Link) copy(to, from net.Conn, d linkDirection) {
 	buffer := make([]byte, copyBuffer)
 	lost := false
 	for {
 		n, err := from.Read(buffer)
+		if err != nil && !errors.Is(err, net.ErrClosed) && d.onEnd != nil {
+			d.onEnd()
+		}
 		time.Sleep(l.currentMode().Delay)
-		for isCut(l.currentMode()) {
+		for d.isCut(l.currentMode()) {
 			time.Sleep(cutPollInterval)
 		}
-		lost = lost || n > 0 && isLossy(l.currentMode())
+		lost = lost || n > 0 && d.isLossy(l.currentMode())
 		if n > 0 && !lost {
 			data := buffer[:n]
-			if rewrite != nil {
-				data = rewrite(data)
+			if d.rewrite != nil {
+				data = d.rewrite(data)
 			}
 			if _, writeErr := to.Write(data); writeErr != nil {
 				abort(from)
--- a/internal/zpsoak/link_test.go
+++ b/internal/zpsoak/link_test.go
@@ -86,6 +86,31 @@
 		Expect(bufio.NewReader(conn).ReadString('\n')).To(Equal("c\n"))
 	})
 
+	DescribeTable("tells when a client has ended its connection",
+		func(mode LinkMode) {
+			ends := make(chan string, 1)
+			link.Close()
+			link = &Link{Listen: link.Listen, Target: link.Target, OnClientEnd: func(source string) { ends <- source }}
+			Expect(link.Open()).To(Succeed())
+			Expect(connect()).To(Succeed())
+			link.SetMode(mode)
+			Expect(conn.Close()).To(Succeed())
+			Eventually(ends).Should(Receive(HavePrefix("127.0.0.1:")))
+		},
+		Entry("and the link forwards it", LinkMode{}),
+		Entry("and the link holds the end", LinkMode{HoldToTarget: true}),
+	)
+
+	It("does not take a reset by the link for the end of a client's connection", func() {
+		ends := make(chan string, 1)
+		link.Close()
+		link = &Link{Listen: link.Listen, Target: link.Target, OnClientEnd: func(source string) { ends <- source }}
+		Expect(link.Open()).To(Succeed())
+		Expect(connect()).To(Succeed())
+		link.Reset()
+		Consistently(ends, 100*time.Millisecond).ShouldNot(Receive())
+	})
+
 	DescribeTable("holds data while it is cut and forwards it afterwards",
 		func(m LinkMode) {
 			link.SetMode(m)
--- a/internal/zpsoak/run.go
+++ b/internal/zpsoak/run.go
@@ -16,6 +16,7 @@
 		startedAt  time.Time
 		endedAt    time.Time
 		sending    sync.WaitGroup // requests of sendSteady
+		stalls     stallWatch
 	}
 
 	// Outcome is the result of a run.
@@ -58,6 +59,9 @@
 // execute sends client requests while the plan is injected.
 func (r *run) execute(ctx context.Context) {
 	c := r.cluster.Config
+	watching, stopWatching := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopWatching()
+	go r.stalls.run(watching)
 	ctx, cancel := context.WithTimeout(ctx, c.Length)
 	defer cancel()
 	var wg sync.WaitGroup
