--- a/internal/zpsoak/judge_departed.go
+++ b/internal/zpsoak/judge_departed.go
@@ -60,13 +60,23 @@
 				violation("departed", "%s of daemon %d started on %s %s after its client disconnected; %s", q.ID, q.Daemon, x.Endpoint, x.At.Sub(q.CanceledAt), r.describeEnd(q, x))
 			}
 			// Work without a recorded end is only known to continue until the end of the run.
-			if isRunning := x.Ended.IsZero() && r.endedAt.After(bound) || x.Ended.After(bound); isRunning && q.Kind != "book" && !r.mayBeDelayed(x, bound) && !r.mayBeHeld(q, x, bound) && !r.mayBePaused(q.Daemon, q.CanceledAt, bound) {
+			if isRunning := x.Ended.IsZero() && r.endedAt.After(bound) || x.Ended.Add(-r.stalledAfterEnd(q, x)).After(bound); isRunning && q.Kind != "book" && !r.mayBeDelayed(x, bound) && !r.mayBeHeld(q, x, bound) && !r.mayBePaused(q.Daemon, q.CanceledAt, bound) {
 				violation("departed", "%s of daemon %d still ran on %s half a second after its client disconnected; %s", q.ID, q.Daemon, x.Endpoint, r.describeEnd(q, x))
 			}
 		}
 	}
 }
 
+// stalledAfterEnd returns for how long the soak stood still between a daemon's end of the connection
+// at the link and the end of the run. The daemon has no part in that time.
+func (r *run) stalledAfterEnd(q request, x zpoutside.Run) time.Duration {
+	end, ok := r.cluster.ends.after(x.Source, q.SentAt)
+	if !ok {
+		return 0
+	}
+	return r.stalls.between(end.At, x.Ended)
+}
+
 // describeEnd returns what tells a daemon that ended a request late from a soak that forwarded the
 // end late: how long after the client disconnected the daemon's end of the connection reached its
 // link, and the endpoint ended the run, and for how long the soak stood still meanwhile.
--- a/internal/zpsoak/judge_departed_test.go
+++ b/internal/zpsoak/judge_departed_test.go
@@ -31,10 +31,35 @@
 			r.cluster.ends.record(source, connectionEnd{2, at(10_130)})
 			r.cluster.ends.record("127.0.0.1:40001", connectionEnd{3, at(10_110)})
 			r.stalls.observe(at(10_200))
-			r.stalls.observe(at(11_210))
-		})).To(ContainElement(HaveSuffix("disconnected at Jan  1 00:16:50.100, ended at the link of daemon 2 after 30ms and at the endpoint after 1.3s, the soak stood still for 1s meanwhile")))
+			r.stalls.observe(at(10_610))
+		})).To(ContainElement(HaveSuffix("disconnected at Jan  1 00:16:50.100, ended at the link of daemon 2 after 30ms and at the endpoint after 1.3s, the soak stood still for 400ms meanwhile")))
 	})
 
+	DescribeTable("is judged without the time that the soak stood still after the daemon had ended it",
+		func(linkMS, endedMS int, isViolation bool, ticksMS ...int) {
+			list := violations(endedMS, func(r *run) {
+				if linkMS > 0 {
+					r.cluster.ends.record(source, connectionEnd{0, at(linkMS)})
+				}
+				for _, t := range ticksMS {
+					r.stalls.observe(at(t))
+				}
+			})
+			if isViolation {
+				Expect(list).To(ContainElement(HavePrefix("departed:")))
+			} else {
+				Expect(list).To(BeEmpty())
+			}
+		},
+		Entry("allows a stall of that length", 10_130, 11_400, false, 10_200, 11_000),
+		Entry("reports the same time without a stall", 10_130, 11_400, true),
+		Entry("reports the same time with a shorter stall", 10_130, 11_400, true, 10_200, 10_600),
+		Entry("reports it with a stall before the daemon's end", 11_350, 11_400, true, 10_200, 11_300),
+		Entry("reports it with a stall after the run", 10_130, 11_400, true, 11_400, 13_000),
+		Entry("reports it where the daemon did not end it", 0, 11_400, true, 10_200, 11_000),
+		Entry("reports a run that goes on", 10_130, 0, true, 10_200, 59_000),
+	)
+
 	It("is described as one that did not end", func() {
 		Expect(violations(0, func(*run) {})).To(ContainElement(HaveSuffix("ended at no link and not at the endpoint, the soak stood still for 0s meanwhile")))
 	})
