--- a/internal/zpsoak/link.go
+++ b/internal/zpsoak/link.go
@@ -151,9 +151,7 @@
 	lost := false
 	for {
 		n, err := from.Read(buffer)
-		if err != nil && !errors.Is(err, net.ErrClosed) && d.onEnd != nil {
-			d.onEnd()
-		}
+		d.recordEnd(err)
 		time.Sleep(l.currentMode().Delay)
 		for d.isCut(l.currentMode()) {
 			time.Sleep(cutPollInterval)
@@ -177,6 +175,14 @@
 	}
 }
 
+// recordEnd tells the end of the sender's connection, given the error with which it is read. One that
+// the link itself has closed is none.
+func (d linkDirection) recordEnd(err error) {
+	if err != nil && !errors.Is(err, net.ErrClosed) && d.onEnd != nil {
+		d.onEnd()
+	}
+}
+
 // cutPollInterval is the interval between checks whether a cut has ended.
 const cutPollInterval = 20 * time.Millisecond
 
