--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -54,37 +54,38 @@
 	Log     *zplog.Logger
 	Metrics *zpmetric.Metrics
 
-	self      zpassign.Member
-	startedAt time.Time // when the daemon was built
-	store     *zpplatform.Store
-	eras      *zpobject.EraTracker
-	sender    *zpengine.Sender
-	detour    *zpdetour.Dialer // connects to endpoints through others
-	connector *zpdetour.Server // connects to endpoints for others
-	catalog   atomic.Pointer[zpcatalog.Catalog]
-	registry  *zpregistry.Registry
-	weights   *zprollout.WeightVersions
-	members   *members
-	watches   *watches
-	gateway   *zpgateway.Gateway
-	rollout   *zprollout.Rollout
-	dialer    *zppeer.Dialer
-	sharer    *zpshare.Sharer
-	hub       *zpdigest.Hub
-	exchange  *zpdigest.Exchange
-	lookup    *zplookup.Client
-	reads     *zprelay.GuardedStore
-	recorder  *zprelay.CachingStore
-	follower  *zprelay.Follower
-	live      *liveDaemons
-	catalogs  *catalogs
-	bans      *bans
-	trials    *zpquarantine.Trials
-	origins   *zporigin.Directory
-	upgrades  *upgrades
-	caches    *cacheFollowers
-	leaving   atomic.Bool
-	memory    memoryGuards
+	self        zpassign.Member
+	startedAt   time.Time // when the daemon was built
+	store       *zpplatform.Store
+	eras        *zpobject.EraTracker
+	sender      *zpengine.Sender
+	detour      *zpdetour.Dialer // connects to endpoints through others
+	connector   *zpdetour.Server // connects to endpoints for others
+	catalog     atomic.Pointer[zpcatalog.Catalog]
+	registry    *zpregistry.Registry
+	weights     *zprollout.WeightVersions
+	members     *members
+	watches     *watches
+	gateway     *zpgateway.Gateway
+	rollout     *zprollout.Rollout
+	dialer      *zppeer.Dialer
+	sharer      *zpshare.Sharer
+	hub         *zpdigest.Hub
+	exchange    *zpdigest.Exchange
+	lookup      *zplookup.Client
+	reads       *zprelay.GuardedStore
+	recorder    *zprelay.CachingStore
+	follower    *zprelay.Follower
+	live        *liveDaemons
+	catalogs    *catalogs
+	bans        *bans
+	trials      *zpquarantine.Trials
+	origins     *zporigin.Directory
+	endpointGap endpointGap
+	upgrades    *upgrades
+	caches      *cacheFollowers
+	leaving     atomic.Bool
+	memory      memoryGuards
 	// recordRevision is the revision of this daemon's record in the store; zero until it is written.
 	recordRevision atomic.Int64
 	callers        *http.Server
--- a/internal/zpapp/gateway_origins.go
+++ b/internal/zpapp/gateway_origins.go
@@ -9,6 +9,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpclock"
 	"github.com/zinniapaddle/zinniapaddle/internal/zporigin"
 	"github.com/zinniapaddle/zinniapaddle/internal/zppeer"
+	"github.com/zinniapaddle/zinniapaddle/pkg/zpobject"
 	zpplatform "github.com/zinniapaddle/zinniapaddle/platform"
 )
 
@@ -76,12 +77,16 @@
 	return since
 }
 
-// seesSince returns when this daemon started or was last paused, or the zero time if it runs
-// since the fleet first started.
+// seesSince returns since when this daemon has read all changes of the endpoints: since it
+// started, was last paused, or missed some. It returns the zero time if it has read them since
+// the fleet first started.
 func (d *GatewayDaemon) seesSince() time.Time {
 	since := d.runsSince()
 	if d.Node.FirstStart && since.Equal(d.startedAt) {
-		return time.Time{}
+		since = time.Time{}
+	}
+	if _, until := d.endpointGap.last(); until.After(since) {
+		since = until
 	}
 	return since
 }
@@ -96,9 +101,24 @@
 }
 
 // readVersionChanges reads from the store itself which endpoints have changed since this
-// daemon last heard of them, and returns their software versions by pool.
+// daemon last heard of them, and returns their software versions by pool. It includes the
+// changes that the daemon has missed, if the store still has them.
 func (d *GatewayDaemon) readVersionChanges(ctx context.Context) (map[string][]string, error) {
-	from := d.follower.AppliedRevision(zpplatform.EndpointPrefix)
+	if from, until := d.endpointGap.last(); from != 0 {
+		out, err := d.readVersionsSince(ctx, from)
+		if err == nil {
+			d.endpointGap.close(until)
+		}
+		if !zpobject.IsNotFound(err) { // the history is there
+			return out, err
+		}
+	}
+	return d.readVersionsSince(ctx, d.follower.AppliedRevision(zpplatform.EndpointPrefix))
+}
+
+// readVersionsSince returns the software versions of the endpoints that have changed since a
+// revision, by pool.
+func (d *GatewayDaemon) readVersionsSince(ctx context.Context, from int64) (map[string][]string, error) {
 	if from == 0 {
 		return nil, errNotWatching
 	}
@@ -113,6 +133,9 @@
 			out[e.Pool] = append(out[e.Pool], e.SoftwareVersion)
 		}
 	}
+	for pool, versions := range out {
+		d.origins.Saw(ctx, pool, versions, now)
+	}
 	return out, err
 }
 
--- a/internal/zpapp/gateway_watches.go
+++ b/internal/zpapp/gateway_watches.go
@@ -176,7 +176,11 @@
 			list = append(list, e)
 		}
 	}
+	w.daemon.endpointGap.listed(w.daemon.follower.AppliedRevision(zpplatform.EndpointPrefix), now)
 	w.daemon.registry.Replace(list, now)
+	for _, e := range list {
+		w.daemon.origins.Saw(context.Background(), e.Pool, []string{e.SoftwareVersion}, now)
+	}
 }
 
 func (w *watches) endpointChanged(o zpobject.Object) {
@@ -192,6 +196,7 @@
 		return
 	}
 	w.daemon.registry.Put(e)
+	w.daemon.origins.Saw(context.Background(), e.Pool, []string{e.SoftwareVersion}, now) // it may leave before the next look
 	w.daemon.weights.Loaded(e.ID, e.Weights)
 	w.daemon.Log.Emit(zplog.EndpointChanged, zplog.Fields{
 		"endpoint": e.ID, "pool": e.Pool, "address": e.Address, "region": e.Region, "draining": e.State == zpregistry.StateDraining,
--- a/internal/zporigin/record.go
+++ b/internal/zporigin/record.go
@@ -22,7 +22,12 @@
 // Observe looks at the software versions that a pool's endpoints have. When the pool becomes
 // mixed, it tells the keepers of the streams that began before.
 func (d *Directory) Observe(ctx context.Context, pool string, now time.Time) {
-	d.tellIfMixed(ctx, pool, d.Pools.Observe(pool, d.VersionsOf(pool, now), now), now)
+	d.Saw(ctx, pool, d.VersionsOf(pool, now), now)
+}
+
+// Saw is Observe for versions of endpoints that may have left since.
+func (d *Directory) Saw(ctx context.Context, pool string, versions []string, now time.Time) {
+	d.tellIfMixed(ctx, pool, d.Pools.Observe(pool, versions, now), now)
 }
 
 // tellIfMixed tells the keepers of the recent streams in a pool if it has become mixed.
@@ -66,7 +71,7 @@
 	now := d.Clock()
 	d.Table.Record(o, now)
 	// The endpoint's version may have appeared since the versions were last looked at.
-	d.tellIfMixed(ctx, o.Pool, d.Pools.Observe(o.Pool, []string{o.Version}, now), now)
+	d.Saw(ctx, o.Pool, []string{o.Version}, now)
 	if !hasSeveralPools && !d.Pools.IsMixed(o.Pool) {
 		return
 	}
