--- a/internal/zporigin/ask.go
+++ b/internal/zporigin/ask.go
@@ -18,6 +18,8 @@
 		unsettled []string                 // names of those that answered and cannot tell
 		versions  map[string]time.Duration // software versions that they have seen, and the time since each was last seen
 		mixedFor  time.Duration
+		// isPastSeen tells that one of those that answered has seen the versions of the last minute.
+		isPastSeen bool
 	}
 
 	namedReply struct {
@@ -93,6 +95,7 @@
 		q.answered = append(q.answered, r.from)
 	}
 	q.mixedFor = max(q.mixedFor, r.MixedFor)
+	q.isPastSeen = q.isPastSeen || r.SeenFor >= Retention || r.SeenFor == UnknownTime
 	for x, age := range r.Versions {
 		if known, ok := q.versions[x]; !ok || age < known {
 			q.versions[x] = age
--- a/internal/zporigin/directory.go
+++ b/internal/zporigin/directory.go
@@ -54,7 +54,10 @@
 		IsKnown bool
 		// KeptFor is the time since the daemon started or was last paused. Zero means that it
 		// cannot tell whether the stream exists, and says nothing of the versions.
-		KeptFor  time.Duration
+		KeptFor time.Duration
+		// SeenFor is the time for which the daemon has read all changes of the endpoints, so that
+		// no version came and went unseen. UnknownTime: it is of a release that does not say.
+		SeenFor  time.Duration
 		Versions map[string]time.Duration // software versions of which streams may be open, and the time since each was last seen
 		MixedFor time.Duration            // since the daemon knew of several versions; zero: it knows one
 	}
@@ -80,6 +83,9 @@
 	StatusUnknown               // it can't be told, so the stream must not go on
 )
 
+// UnknownTime is a time that a daemon of an earlier release does not tell.
+const UnknownTime time.Duration = -1
+
 const (
 	// settleTime is how long a daemon must have run for its word that it does not know a stream:
 	// it has the endpoints that joined meanwhile, and the streams of the versions that may be assumed.
@@ -110,7 +116,7 @@
 
 // Answer returns what this daemon knows of a stream that is taken up in a pool elsewhere.
 func (d *Directory) Answer(request, pool string, now time.Time) Reply {
-	r := Reply{KeptFor: d.keptFor(now), Versions: d.Pools.LastSeen(pool, now), MixedFor: d.Pools.MixedFor(pool, now)}
+	r := Reply{KeptFor: d.keptFor(now), SeenFor: now.Sub(d.SeesSince()), Versions: d.Pools.LastSeen(pool, now), MixedFor: d.Pools.MixedFor(pool, now)}
 	r.Origin, r.IsKnown = d.Table.Find(request, now)
 	return r
 }
@@ -169,9 +175,10 @@
 }
 
 // isAbsenceProven reports whether all that were asked have answered, and no daemon may be out
-// of their reach. That nobody was asked, or that nobody answered, proves nothing.
+// of their reach. That nobody was asked, or that nobody answered, proves nothing, unless this
+// daemon is the only one.
 func (d *Directory) isAbsenceProven(q inquiry, now time.Time) bool {
-	return zpmutant.Active(zpmutant.Silence) || q.isComplete() && d.HearsAll() && d.keptFor(now) >= settleTime
+	return zpmutant.Active(zpmutant.Silence) || (q.isComplete() || len(d.Others()) == 0) && d.HearsAll() && d.keptFor(now) >= settleTime
 }
 
 // readVersions reads the endpoints' versions from the store and reports whether it answered.
@@ -192,9 +199,13 @@
 // isPastSeen reports whether this daemon or one that answered has seen the versions of the last
 // minute. The store does not tell of endpoints that have left.
 func (d *Directory) isPastSeen(q inquiry) bool {
-	return len(q.answered)+len(q.unsettled) > 0 || len(d.Others()) == 0 || d.Clock().Sub(d.SeesSince()) >= Retention || zpmutant.Active(zpmutant.Silence)
+	return q.isPastSeen || d.hasSeenPast(d.Clock()) || zpmutant.Active(zpmutant.Silence)
 }
 
+// hasSeenPast reports whether no version can have come and gone within the last minute without
+// this daemon's knowledge.
+func (d *Directory) hasSeenPast(now time.Time) bool { return now.Sub(d.SeesSince()) >= Retention }
+
 // keptFor returns for how long this daemon has kept origins; zero if it cannot tell.
 func (d *Directory) keptFor(now time.Time) time.Duration {
 	since := d.KeepsSince()
--- a/internal/zporigin/record.go
+++ b/internal/zporigin/record.go
@@ -59,8 +59,9 @@
 	}
 }
 
-// Record records that a stream begins. While its pool is mixed, or if streams of several pools
-// may be open on its route, Record returns once a keeper in this region knows it, or after
+// Record records that a stream begins. While its pool is mixed, or may have been within the last
+// minute for all that this daemon has seen, or if streams of several pools may be open on its
+// route, Record returns once a keeper in this region knows it, or after
 // tellTimeout: the caller must not get an event before, since it may take the stream up
 // elsewhere as soon as it has one.
 func (d *Directory) Record(ctx context.Context, o Origin, hasSeveralPools bool) {
@@ -72,7 +73,7 @@
 	d.Table.Record(o, now)
 	// The endpoint's version may have appeared since the versions were last looked at.
 	d.Saw(ctx, o.Pool, []string{o.Version}, now)
-	if !hasSeveralPools && !d.Pools.IsMixed(o.Pool) {
+	if !hasSeveralPools && !d.Pools.IsMixed(o.Pool) && d.hasSeenPast(now) {
 		return
 	}
 	// The keepers are told even if the caller leaves: it may come back.
--- a/internal/zppeer/origins.go
+++ b/internal/zppeer/origins.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/zinniapaddle/zinniapaddle/internal/zporigin"
 	"github.com/zinniapaddle/zinniapaddle/internal/zppeer/zppeerpb"
 )
@@ -21,7 +23,7 @@
 // FindOrigin implements zppeerpb.DRPCSharingServer.
 func (h *SharingHandler) FindOrigin(_ context.Context, in *zppeerpb.FindOriginRequest) (*zppeerpb.FindOriginReply, error) {
 	r := h.OriginOf(in.Request, in.Pool)
-	out := &zppeerpb.FindOriginReply{KeptForMs: r.KeptFor.Milliseconds(), MixedForMs: r.MixedFor.Milliseconds()}
+	out := &zppeerpb.FindOriginReply{KeptForMs: r.KeptFor.Milliseconds(), MixedForMs: r.MixedFor.Milliseconds(), SeenForMs: proto.Int64(r.SeenFor.Milliseconds())}
 	for name, age := range r.Versions {
 		out.SoftwareVersions = append(out.SoftwareVersions, &zppeerpb.SoftwareVersion{Name: name, AgeMs: age.Milliseconds()})
 	}
@@ -53,7 +55,10 @@
 		return zporigin.Reply{}, err
 	}
 	r := zporigin.Reply{
-		KeptFor: time.Duration(out.KeptForMs) * time.Millisecond, MixedFor: time.Duration(out.MixedForMs) * time.Millisecond, Versions: map[string]time.Duration{},
+		KeptFor: time.Duration(out.KeptForMs) * time.Millisecond, MixedFor: time.Duration(out.MixedForMs) * time.Millisecond, SeenFor: zporigin.UnknownTime, Versions: map[string]time.Duration{},
+	}
+	if out.SeenForMs != nil {
+		r.SeenFor = time.Duration(*out.SeenForMs) * time.Millisecond
 	}
 	for _, x := range out.SoftwareVersions {
 		r.Versions[x.GetName()] = time.Duration(x.GetAgeMs()) * time.Millisecond
