--- a/internal/zporigin/out_of_step_test.go
+++ b/internal/zporigin/out_of_step_test.go
@@ -183,9 +183,15 @@
 	})
 
 	// Guards against a stream of a version whose last endpoint left before the whole fleet started again.
-	It("cannot tell for a minute after the whole fleet has started again", func() {
+	It("cannot tell after the whole fleet has started again, for a minute while a daemon is silent", func() {
 		f.restartAll("v1")
 		f.expectStatus("n0", zporigin.StatusUnknown)
+		f.setClock(at(69))
+		f.expectStatus("n0", zporigin.StatusUnknown)
+		f.setClock(at(70))
+		f.expectStatus("n0", zporigin.StatusAny) // all have kept origins for long enough
+		f.setDown(func(m zpassign.Member) bool { return m.Name == "n1" })
+		f.expectStatus("n0", zporigin.StatusUnknown)
 		f.setClock(at(60 + zporigin.Retention.Seconds()))
 		f.expectStatus("n0", zporigin.StatusAny)
 	})
