--- a/internal/zporigin/directory.go
+++ b/internal/zporigin/directory.go
@@ -126,6 +126,9 @@
 func (d *Directory) conclude(ctx context.Context, request, pool string, q *inquiry) (f Finding, isRead bool) {
 	d.learn(ctx, pool, q)
 	isProven, isRead := d.prove(ctx, request, pool, q)
+	if !isProven && !q.isKnown && request != "" {
+		d.askRest(ctx, request, pool, q) // one that is no keeper may have begun the stream
+	}
 	now := d.Clock()
 	version, mayAssume := d.Pools.Assume(pool, now)
 	switch {
@@ -166,14 +169,23 @@
 // reports whether none of them can have begun the stream: one that was cut off just now may
 // have begun it and have told nobody, while it still counts as heard.
 func (d *Directory) proveAbsence(ctx context.Context, request, pool string, q *inquiry) bool {
-	if others := d.Others(); d.isAbsenceProven(*q, d.Clock()) && len(others) <= maxAskedAll {
-		rest := slices.DeleteFunc(slices.Clone(others), func(m zpassign.Member) bool { return slices.Contains(q.asked, m.Name) })
-		d.ask(ctx, request, pool, rest, q)
-		d.learn(ctx, pool, q)
+	if d.isAbsenceProven(*q, d.Clock()) {
+		d.askRest(ctx, request, pool, q)
 	}
 	return !q.isKnown && d.isAbsenceProven(*q, d.Clock())
 }
 
+// askRest asks all daemons that were not asked yet, in a fleet of up to maxAskedAll.
+func (d *Directory) askRest(ctx context.Context, request, pool string, q *inquiry) {
+	others := d.Others()
+	if len(others) > maxAskedAll {
+		return
+	}
+	rest := slices.DeleteFunc(slices.Clone(others), func(m zpassign.Member) bool { return slices.Contains(q.asked, m.Name) })
+	d.ask(ctx, request, pool, rest, q)
+	d.learn(ctx, pool, q)
+}
+
 // isAbsenceProven reports whether all that were asked have answered, and no daemon may be out
 // of their reach. That nobody was asked, or that nobody answered, proves nothing, unless this
 // daemon is the only one.
--- a/internal/zporigin/out_of_step_test.go
+++ b/internal/zporigin/out_of_step_test.go
@@ -92,6 +92,17 @@
 	})
 
 	// Guards against the same in a pool of which nobody else has seen the second version.
+	// Guards against a stream that is refused although a daemon in reach serves or has served it.
+	It("asks all daemons that it reaches before it refuses a stream whose keepers are silent", func() {
+		f.observe("v1", "v2")
+		f.setClock(at(70)) // no version is assumed any more
+		m := f.neverAsked("r")
+		f.directories[m.Name].Record(context.Background(), ofStream, false)
+		asker := f.members[slices.IndexFunc(f.members, func(x zpassign.Member) bool { return x != m })]
+		f.setDown(func(x zpassign.Member) bool { return x != m && x != asker })
+		f.expectKnownTo(asker.Name)
+	})
+
 	It("asks the store while a daemon that is usually not asked is silent", func() {
 		m := f.neverAsked("r")
 		f.silence(m.Name)
