--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -207,6 +207,7 @@
 	workers.Go(func() { d.bans.run(work) })
 	workers.Go(func() { d.upgrades.run(work) })
 	workers.Go(func() { d.watchVersions(work) })
+	workers.Go(func() { d.inheritPasts(work) })
 	workers.Go(func() { d.detour.RunProbes(work) })
 	stalls := &zpstall.Detector{Log: d.Log, Clock: zpclock.Now, Observe: func(late time.Duration) {
 		d.Metrics.StallSeconds.Observe(late.Seconds())
--- a/internal/zpapp/gateway_origins.go
+++ b/internal/zpapp/gateway_origins.go
@@ -152,6 +152,19 @@
 	})
 }
 
+// inheritPasts learns from others which versions the pools have had, until ctx ends.
+func (d *GatewayDaemon) inheritPasts(ctx context.Context) {
+	repeatEvery(ctx, versionsInterval, func(ctx context.Context) {
+		c := d.catalog.Load()
+		if c == nil {
+			return
+		}
+		for _, p := range c.Pools {
+			d.origins.InheritPast(ctx, p.Name, zpclock.Now())
+		}
+	})
+}
+
 func (d *GatewayDaemon) keepOrigins(origins []zporigin.Origin) {
 	now := zpclock.Now()
 	for _, o := range origins {
--- a/internal/zporigin/ask.go
+++ b/internal/zporigin/ask.go
@@ -18,13 +18,13 @@
 		unsettled []string                 // names of those that answered and cannot tell
 		versions  map[string]time.Duration // software versions that they have seen, and the time since each was last seen
 		mixedFor  time.Duration
-		// isPastSeen tells that one of those that answered has seen the versions of the last minute.
-		isPastSeen bool
+		pasts     []inheritance // what those that answered have seen
 	}
 
 	namedReply struct {
 		Reply
 		from string
+		past inheritance
 		err  error
 	}
 )
@@ -60,12 +60,13 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	replies := make(chan namedReply)
+	startedAt := d.Clock()
 	for _, m := range members {
 		q.asked = append(q.asked, m.Name)
 		go func() {
 			r, err := d.Ask(ctx, m.PeerAddress, request, pool)
 			select {
-			case replies <- namedReply{r, m.Name, err}:
+			case replies <- namedReply{r, m.Name, pastOf(r, startedAt, d.Clock()), err}:
 			case <-ctx.Done():
 			}
 		}()
@@ -95,7 +96,7 @@
 		q.answered = append(q.answered, r.from)
 	}
 	q.mixedFor = max(q.mixedFor, r.MixedFor)
-	q.isPastSeen = q.isPastSeen || r.SeenFor >= Retention || r.SeenFor == UnknownTime
+	q.pasts = append(q.pasts, r.past)
 	for x, age := range r.Versions {
 		if known, ok := q.versions[x]; !ok || age < known {
 			q.versions[x] = age
--- a/internal/zporigin/directory.go
+++ b/internal/zporigin/directory.go
@@ -46,6 +46,8 @@
 		Pools     *Versions
 		Log       *zplog.Logger
 		Clock     func() time.Time
+
+		past past
 	}
 
 	// Reply is what a daemon knows of a stream and of the pool in which it is taken up.
@@ -58,6 +60,7 @@
 		// SeenFor is the time for which the daemon has read all changes of the endpoints, so that
 		// no version came and went unseen. UnknownTime: it is of a release that does not say.
 		SeenFor  time.Duration
+		SeenAge  time.Duration            // since it last heard of the endpoints
 		Versions map[string]time.Duration // software versions of which streams may be open, and the time since each was last seen
 		MixedFor time.Duration            // since the daemon knew of several versions; zero: it knows one
 	}
@@ -116,7 +119,7 @@
 
 // Answer returns what this daemon knows of a stream that is taken up in a pool elsewhere.
 func (d *Directory) Answer(request, pool string, now time.Time) Reply {
-	r := Reply{KeptFor: d.keptFor(now), SeenFor: now.Sub(d.SeesSince()), Versions: d.Pools.LastSeen(pool, now), MixedFor: d.Pools.MixedFor(pool, now)}
+	r := Reply{KeptFor: d.keptFor(now), SeenFor: now.Sub(d.seesSince(pool)), SeenAge: now.Sub(d.ListedAt()), Versions: d.Pools.LastSeen(pool, now), MixedFor: d.Pools.MixedFor(pool, now)}
 	r.Origin, r.IsKnown = d.Table.Find(request, now)
 	return r
 }
@@ -150,7 +153,7 @@
 func (d *Directory) prove(ctx context.Context, request, pool string, q *inquiry) (isProven, isRead bool) {
 	if !q.isKnown && !d.Pools.IsMixed(pool) {
 		isRead = true
-		isProven = d.readVersions(ctx, pool) && d.isPastSeen(*q) || d.proveAbsence(ctx, request, pool, q)
+		isProven = d.readVersions(ctx, pool) && d.isPastSeen(pool, *q) || d.proveAbsence(ctx, request, pool, q)
 	}
 	// The store or the others may have told of a second version meanwhile.
 	if _, ok := d.Pools.Assume(pool, d.Clock()); ok && !q.isKnown && request != "" {
@@ -208,16 +211,6 @@
 	return err == nil
 }
 
-// isPastSeen reports whether this daemon or one that answered has seen the versions of the last
-// minute. The store does not tell of endpoints that have left.
-func (d *Directory) isPastSeen(q inquiry) bool {
-	return q.isPastSeen || d.hasSeenPast(d.Clock()) || zpmutant.Active(zpmutant.Silence)
-}
-
-// hasSeenPast reports whether no version can have come and gone within the last minute without
-// this daemon's knowledge.
-func (d *Directory) hasSeenPast(now time.Time) bool { return now.Sub(d.SeesSince()) >= Retention }
-
 // keptFor returns for how long this daemon has kept origins; zero if it cannot tell.
 func (d *Directory) keptFor(now time.Time) time.Duration {
 	since := d.KeepsSince()
--- a/internal/zporigin/origin_test.go
+++ b/internal/zporigin/origin_test.go
@@ -46,6 +46,7 @@
 	versions map[string][]string // of the pool p, by the name of the daemon that sees them
 	silent   string              // name of a daemon that no call reaches or leaves
 	lonely   string              // name of a daemon that takes all others for lost
+	listedAt time.Time           // when all daemons last heard of the endpoints; zero: just now
 	missed   map[string]bool     // names of daemons that have just read the list anew and lack the changes before
 }
 
@@ -70,7 +71,7 @@
 	d := &zporigin.Directory{
 		Self: m, Alive: func(key string) [][]zpassign.Member { return f.alive(m, key) }, Registered: zplookup.NewOwners(f.members).Ranked,
 		Others:   func() []zpassign.Member { return f.others(m) },
-		HearsAll: func() bool { return f.hearsAll(m) }, KeepsSince: func() time.Time { return startedAt }, SeesSince: func() time.Time { return f.seesSince(m.Name, startedAt) }, ListedAt: f.clock, Table: zporigin.NewTable(), Pools: zporigin.NewVersions(), Log: zplog.Discard(), Clock: f.clock,
+		HearsAll: func() bool { return f.hearsAll(m) }, KeepsSince: func() time.Time { return startedAt }, SeesSince: func() time.Time { return f.seesSince(m.Name, startedAt) }, ListedAt: f.listed, Table: zporigin.NewTable(), Pools: zporigin.NewVersions(), Log: zplog.Discard(), Clock: f.clock,
 		VersionsOf: func(pool string, _ time.Time) []string {
 			if pool != "p" {
 				return nil
@@ -169,6 +170,16 @@
 	return startedAt
 }
 
+// listed returns when daemons last heard of the endpoints.
+func (f *fleet) listed() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.listedAt.IsZero() {
+		return f.now
+	}
+	return f.listedAt
+}
+
 // silence cuts a daemon off from the others.
 func (f *fleet) silence(name string) {
 	f.mu.Lock()
--- a/internal/zporigin/out_of_step_test.go
+++ b/internal/zporigin/out_of_step_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
@@ -207,6 +208,28 @@
 		f.expectStatus("n0", zporigin.StatusAny)
 	})
 
+	// Guards against streams that nobody can tell of any more once all daemons have been replaced one after the other.
+	It("knows the past from others that have seen it, so that it outlasts a restart of each", func() {
+		for _, m := range f.members {
+			f.restart(m)
+			f.observeAt(m.Name, "v1")
+			f.setClock(f.clock().Add(time.Second))
+			f.directories[m.Name].InheritPast(context.Background(), "p", f.clock())
+		}
+		f.expectStatus("n0", zporigin.StatusAny)
+	})
+
+	It("does not take over the past from one that has not heard of the endpoints since it began to read them", func() {
+		f.restart(f.members[0])
+		f.observeAt("n0", "v1")
+		f.listedAt = at(59)
+		f.setClock(at(61))
+		f.directories["n0"].InheritPast(context.Background(), "p", f.clock())
+		f.expectStatus("n0", zporigin.StatusUnknown)
+		f.listedAt = at(60)
+		f.expectStatus("n0", zporigin.StatusAny)
+	})
+
 	It("knows the streams that began since the whole fleet has started again", func() {
 		f.restartAll("v1")
 		f.directories["n1"].Record(context.Background(), zporigin.Origin{Request: "r", Pool: "p", Version: "v1"}, false)
--- a/internal/zporigin/record.go
+++ b/internal/zporigin/record.go
@@ -73,7 +73,7 @@
 	d.Table.Record(o, now)
 	// The endpoint's version may have appeared since the versions were last looked at.
 	d.Saw(ctx, o.Pool, []string{o.Version}, now)
-	if !hasSeveralPools && !d.Pools.IsMixed(o.Pool) && d.hasSeenPast(now) {
+	if !hasSeveralPools && !d.Pools.IsMixed(o.Pool) && d.hasSeenPast(o.Pool, now) {
 		return
 	}
 	// The keepers are told even if the caller leaves: it may come back.
--- a/internal/zppeer/origins.go
+++ b/internal/zppeer/origins.go
@@ -23,7 +23,7 @@
 // FindOrigin implements zppeerpb.DRPCSharingServer.
 func (h *SharingHandler) FindOrigin(_ context.Context, in *zppeerpb.FindOriginRequest) (*zppeerpb.FindOriginReply, error) {
 	r := h.OriginOf(in.Request, in.Pool)
-	out := &zppeerpb.FindOriginReply{KeptForMs: r.KeptFor.Milliseconds(), MixedForMs: r.MixedFor.Milliseconds(), SeenForMs: proto.Int64(r.SeenFor.Milliseconds())}
+	out := &zppeerpb.FindOriginReply{KeptForMs: r.KeptFor.Milliseconds(), MixedForMs: r.MixedFor.Milliseconds(), SeenForMs: proto.Int64(r.SeenFor.Milliseconds()), SeenAgeMs: r.SeenAge.Milliseconds()}
 	for name, age := range r.Versions {
 		out.SoftwareVersions = append(out.SoftwareVersions, &zppeerpb.SoftwareVersion{Name: name, AgeMs: age.Milliseconds()})
 	}
@@ -58,7 +58,7 @@
 		KeptFor: time.Duration(out.KeptForMs) * time.Millisecond, MixedFor: time.Duration(out.MixedForMs) * time.Millisecond, SeenFor: zporigin.UnknownTime, Versions: map[string]time.Duration{},
 	}
 	if out.SeenForMs != nil {
-		r.SeenFor = time.Duration(*out.SeenForMs) * time.Millisecond
+		r.SeenFor, r.SeenAge = time.Duration(*out.SeenForMs)*time.Millisecond, time.Duration(out.SeenAgeMs)*time.Millisecond
 	}
 	for _, x := range out.SoftwareVersions {
 		r.Versions[x.GetName()] = time.Duration(x.GetAgeMs()) * time.Millisecond
--- a/internal/zppeer/release_test.go
+++ b/internal/zppeer/release_test.go
@@ -111,7 +111,7 @@
 			table := zporigin.NewTable()
 			now := time.Unix(1000, 0)
 			table.Record(origin, now)
-			d := &zporigin.Directory{Table: table, Pools: zporigin.NewVersions(), KeepsSince: func() time.Time { return now.Add(-time.Minute) }, SeesSince: func() time.Time { return now.Add(-time.Minute) }}
+			d := &zporigin.Directory{Table: table, Pools: zporigin.NewVersions(), KeepsSince: func() time.Time { return now.Add(-time.Minute) }, SeesSince: func() time.Time { return now.Add(-time.Minute) }, ListedAt: func() time.Time { return now }}
 			d.Pools.Observe("p", []string{"v1", "v2"}, now.Add(-time.Second))
 			h := &zppeer.SharingHandler{OriginOf: func(request, pool string) zporigin.Reply { return d.Answer(request, pool, now) }}
 			reply, err := h.FindOrigin(context.Background(), &zppeerpb.FindOriginRequest{Request: request})
