--- a/internal/zporigin/directory.go
+++ b/internal/zporigin/directory.go
@@ -153,11 +153,11 @@
 func (d *Directory) prove(ctx context.Context, request, pool string, q *inquiry) (isProven, isRead bool) {
 	if !q.isKnown && !d.Pools.IsMixed(pool) {
 		isRead = true
-		isProven = d.readVersions(ctx, pool) && d.isPastSeen(pool, *q) || d.proveAbsence(ctx, request, pool, q)
+		isProven = d.readVersions(ctx, pool) && d.isPastSeen(pool, *q) || d.proveAbsence(ctx, request, pool, q) && d.isPastSeen(pool, *q)
 	}
 	// The store or the others may have told of a second version meanwhile.
 	if _, ok := d.Pools.Assume(pool, d.Clock()); ok && !q.isKnown && request != "" {
-		isProven = d.proveAbsence(ctx, request, pool, q) && len(q.asked) >= len(d.Others())
+		isProven = d.proveAbsence(ctx, request, pool, q) && len(q.asked) >= len(d.Others()) && d.isPastSeen(pool, *q)
 	}
 	return isProven, isRead
 }
--- a/internal/zporigin/origin_test.go
+++ b/internal/zporigin/origin_test.go
@@ -347,7 +347,9 @@
 
 	It("takes a stream that nobody knows for one of the only version before, for a short time", func() {
 		f.observe("v1")
-		f.setClock(at(20))
+		f.setClock(at(60))
+		f.observe("v1")
+		f.setClock(at(80))
 		f.observe("v1", "v2")
 		Expect(f.directories["n1"].Find(context.Background(), "r", "p")).To(Equal(zporigin.Finding{Status: zporigin.StatusAssumed, Version: "v1"}))
 		for _, m := range f.members {
@@ -355,7 +357,7 @@
 			f.expectStatus("n1", statusWithout(m))
 		}
 		f.setDown(func(zpassign.Member) bool { return false })
-		f.setClock(at(25))
+		f.setClock(at(85))
 		f.expectStatus("n1", zporigin.StatusUnknown)
 	})
 
--- a/internal/zporigin/out_of_step_test.go
+++ b/internal/zporigin/out_of_step_test.go
@@ -195,17 +195,23 @@
 	})
 
 	// Guards against a stream of a version whose last endpoint left before the whole fleet started again.
-	It("cannot tell after the whole fleet has started again, for a minute while a daemon is silent", func() {
+	It("cannot tell after the whole fleet has started again, for a minute", func() {
 		f.restartAll("v1")
 		f.expectStatus("n0", zporigin.StatusUnknown)
-		f.setClock(at(69))
-		f.expectStatus("n0", zporigin.StatusUnknown)
-		f.setClock(at(70))
-		f.expectStatus("n0", zporigin.StatusAny) // all have kept origins for long enough
-		f.setDown(func(m zpassign.Member) bool { return m.Name == "n1" })
-		f.expectStatus("n0", zporigin.StatusUnknown)
+		f.setClock(at(59 + zporigin.Retention.Seconds()))
+		f.expectStatus("n0", zporigin.StatusUnknown) // although all have kept origins for long
 		f.setClock(at(60 + zporigin.Retention.Seconds()))
 		f.expectStatus("n0", zporigin.StatusAny)
+		f.setDown(func(m zpassign.Member) bool { return m.Name == "n1" })
+		f.expectStatus("n0", zporigin.StatusAny)
+	})
+
+	// Guards against a stream of a version that left before the fleet started again, taken for one of the version that was there since.
+	It("assumes no version within a minute after the whole fleet has started again", func() {
+		f.restartAll("v1")
+		f.setClock(at(75))
+		f.observe("v1", "v3")
+		f.expectStatus("n0", zporigin.StatusUnknown)
 	})
 
 	// Guards against streams that nobody can tell of any more once all daemons have been replaced one after the other.
