--- a/internal/zporigin/directory.go
+++ b/internal/zporigin/directory.go
@@ -54,8 +54,9 @@
 	Reply struct {
 		Origin  Origin
 		IsKnown bool
-		// KeptFor is the time since the daemon started or was last paused. Zero means that it
-		// cannot tell whether the stream exists, and says nothing of the versions.
+		// KeptFor is the time since the daemon started, was last paused, or had no room for an
+		// origin that began then. Zero means that it cannot tell whether the stream exists, and says
+		// nothing of the versions.
 		KeptFor time.Duration
 		// SeenFor is the time for which the daemon has read all changes of the endpoints, so that
 		// no version came and went unseen. UnknownTime: it is of a release that does not say.
@@ -211,12 +212,15 @@
 	return err == nil
 }
 
-// keptFor returns for how long this daemon has kept origins; zero if it cannot tell.
+// keptFor returns for how long this daemon has kept all origins; zero if it cannot tell.
 func (d *Directory) keptFor(now time.Time) time.Duration {
 	since := d.KeepsSince()
 	if since.IsZero() {
 		return 0
 	}
+	if at := d.Table.KeepsSince(); at.After(since) {
+		since = at
+	}
 	return now.Sub(since)
 }
 
--- a/internal/zporigin/out_of_step_test.go
+++ b/internal/zporigin/out_of_step_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
@@ -12,6 +13,8 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zporigin"
 )
 
+const maxOrigins = 1 << 15 // of a table
+
 var _ = Describe("A daemon that is out of step", func() {
 	var f *fleet
 
@@ -159,6 +162,25 @@
 		}
 	})
 
+	// Guards against a stream at another version after keepers have dropped its origin for those of many others.
+	It("does not take the word of keepers whose table was too small", func() {
+		f.observe("v1", "v2")
+		f.expectStatusOf("n0", "x", zporigin.StatusAssumed)
+		beginAtNewVersion()
+		Eventually(f.holders, "1s").Should(HaveLen(4))
+		holders := f.holders()
+		for _, m := range holders {
+			for i := range maxOrigins {
+				f.directories[m.Name].Table.Record(zporigin.Origin{Request: strconv.Itoa(i), Pool: "p", Version: "v2"}, at(61))
+			}
+		}
+		Expect(f.holders()).To(BeEmpty())
+		f.setClock(at(62))
+		for _, m := range f.members {
+			f.expectStatus(m.Name, zporigin.StatusUnknown)
+		}
+	})
+
 	It("learns from others that a pool has had a second version for a while", func() {
 		f.observeOthers("n0", "v1", "v2")
 		f.setClock(at(66))
--- a/internal/zporigin/table.go
+++ b/internal/zporigin/table.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"time"
 
 	lru "github.com/hashicorp/golang-lru/v2"
@@ -24,6 +25,9 @@
 	// concurrent use.
 	Table struct {
 		entries *lru.Cache[string, entry]
+
+		mu     sync.Mutex
+		lostAt time.Time // when the newest origin that had no room any more was recorded
 	}
 
 	entry struct {
@@ -43,11 +47,28 @@
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	entries, err := lru.New[string, entry](maxOrigins)
-	if err != nil {
+	t := &Table{}
+	var err error
+	if t.entries, err = lru.NewWithEvict(maxOrigins, func(_ string, e entry) { t.recordLost(e.at) }); err != nil {
 		panic(fmt.Errorf("create table of origins: %w", err)) // the size is a valid constant
 	}
-	return &Table{entries: entries}
+	return t
+}
+
+// KeepsSince returns the time since which the table has kept all origins that were recorded, or
+// the zero time if none has been lost.
+func (t *Table) KeepsSince() time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lostAt
+}
+
+func (t *Table) recordLost(at time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if at.After(t.lostAt) {
+		t.lostAt = at
+	}
 }
 
 // keyOf returns the id under which a request is known here and to other daemons.
