--- a/internal/zpapp/gateway_origins.go
+++ b/internal/zpapp/gateway_origins.go
@@ -78,12 +78,17 @@
 }
 
 // seesSince returns since when this daemon has read all changes of the endpoints: since it
-// started, was last paused, or missed some. It returns the zero time if it has read them since
-// the fleet first started.
+// first listed them, was last paused, or missed some. It returns the zero time if it has read them
+// since the fleet first started.
 func (d *GatewayDaemon) seesSince() time.Time {
-	since := d.runsSince()
-	if d.Node.FirstStart && since.Equal(d.startedAt) {
+	since, listedAt := d.runsSince(), d.endpointGap.firstListedAt()
+	switch {
+	case listedAt.IsZero():
+		return zpclock.Now()
+	case d.Node.FirstStart && since.Equal(d.startedAt) && listedAt.Sub(d.startedAt) < meetTimeout:
 		since = time.Time{}
+	case listedAt.After(since):
+		since = listedAt
 	}
 	if _, until := d.endpointGap.last(); until.After(since) {
 		since = until
