--- a/internal/zpgateway/origin.go
+++ b/internal/zpgateway/origin.go
@@ -25,7 +25,7 @@
 		return errCallerGone.WithState(j.runState)
 	case f.Status == zporigin.StatusUnknown, f.Status == zporigin.StatusAny && !g.IsCatalogConfirmed(), hasStreamsOfSeveralPools(j.route, g.Clock()):
 		return errOriginUnknown.WithRetryAfter(retryAfterUnavailable)
-	case f.Status == zporigin.StatusAssumed, f.Version != "": // endpoints of others may join while the request waits
+	case g.Origins != nil: // endpoints of other versions may join while the request waits
 		j.bindTo(f.Version)
 	}
 	return nil
--- a/internal/zpgateway/origin_test.go
+++ b/internal/zpgateway/origin_test.go
@@ -96,7 +96,7 @@
 	})
 
 	// Guards against the rest of a stream from an endpoint of another version that joins after the origin was sought.
-	It("goes on at the only version of its pool, although another one appears while it waits", func() {
+	DescribeTable("goes on at the only version of its pool, although another one appears while it waits", func(version string) {
 		s := newMixedGateway()
 		put := func(id, version string, startedAtMS int64) {
 			s.Registry.Put(zpregistry.Endpoint{
@@ -105,9 +105,9 @@
 		}
 		ids := []string{"e1", "e2", "e3"}
 		for _, id := range ids {
-			put(id, "v1", 1)
+			put(id, version, 1)
 		}
-		s.Origins.Pools, s.Origins.VersionsOf = zporigin.NewVersions(), func(string, time.Time) []string { return []string{"v1"} }
+		s.Origins.Pools, s.Origins.VersionsOf = zporigin.NewVersions(), func(string, time.Time) []string { return []string{version} }
 		s.runner.steps = []step{func(ctx context.Context, gate *zpengine.Gate) (*zpgateway.Response, error) {
 			for _, id := range ids {
 				put(id, "v2", 2)
@@ -115,8 +115,11 @@
 			return dialFails(ctx, gate)
 		}, responds(http.StatusOK, rest)}
 		expectRefused(s.serve(resumedRequest("1", "r1")), http.StatusServiceUnavailable, zperror.RunStateNotRun)
-		Expect(s.versionsOfRuns()).To(HaveEach("v1"))
-	})
+		Expect(s.versionsOfRuns()).To(HaveEach(version))
+	},
+		Entry("with a name", "v1"),
+		Entry("of entries that name none", ""),
+	)
 
 	// Guards against a daemon that is cut off before a second version appears.
 	It("is refused if nobody knows it and this daemon may not know of other versions", func() {
--- a/internal/zporigin/directory.go
+++ b/internal/zporigin/directory.go
@@ -70,8 +70,8 @@
 	Finding struct {
 		Status Status
 		Pool   string // in which the stream began, if the status is StatusKnown
-		// Version is the only one at which the stream may go on. It is empty if the status is
-		// StatusUnknown, or StatusAny and the pool has had no endpoints.
+		// Version is the only one at which the stream may go on, unless the status is
+		// StatusUnknown. It is empty where endpoints name none.
 		Version string
 	}
 
@@ -134,15 +134,16 @@
 		d.askRest(ctx, request, pool, q) // one that is no keeper may have begun the stream
 	}
 	now := d.Clock()
-	version, mayAssume := d.Pools.Assume(pool, now)
+	only, hasOne := d.Pools.Only(pool)
+	before, mayAssume := d.Pools.Assume(pool, now)
 	switch {
 	case q.isKnown:
 		d.Table.Record(q.origin, now)
 		return Finding{Status: StatusKnown, Pool: q.origin.Pool, Version: q.origin.Version}, isRead
-	case isProven && !d.Pools.IsMixed(pool):
-		return Finding{Status: StatusAny, Version: d.Pools.Only(pool)}, isRead
+	case isProven && hasOne:
+		return Finding{Status: StatusAny, Version: only}, isRead
 	case isProven && mayAssume && request != "" && q.mixedFor < assumeFor:
-		return Finding{Status: StatusAssumed, Version: version}, isRead
+		return Finding{Status: StatusAssumed, Version: before}, isRead
 	default:
 		return Finding{Status: StatusUnknown}, isRead
 	}
--- a/internal/zporigin/out_of_step_test.go
+++ b/internal/zporigin/out_of_step_test.go
@@ -181,6 +181,13 @@
 		}
 	})
 
+	// Guards against a stream at any version that joins a pool of which this daemon has seen no endpoint.
+	It("cannot tell where a stream began in a pool that has had no endpoints", func() {
+		f.restartAll()
+		f.setClock(at(60 + zporigin.Retention.Seconds()))
+		f.expectStatus("n0", zporigin.StatusUnknown)
+	})
+
 	It("learns from others that a pool has had a second version for a while", func() {
 		f.observeOthers("n0", "v1", "v2")
 		f.setClock(at(66))
--- a/internal/zporigin/versions.go
+++ b/internal/zporigin/versions.go
@@ -89,15 +89,15 @@
 	return version, true
 }
 
-// Only returns the version of a pool that has just one, or "".
-func (v *Versions) Only(pool string) string {
+// Only returns the version of a pool that has just one.
+func (v *Versions) Only(pool string) (version string, ok bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
-	if p, ok := v.pools[pool]; ok {
-		version, _ := p.only()
-		return version
+	p, ok := v.pools[pool]
+	if !ok {
+		return "", false
 	}
-	return ""
+	return p.only()
 }
 
 // IsMixed reports whether streams of several versions may be open in a pool.
