--- a/internal/zpapp/gateway_members.go
+++ b/internal/zpapp/gateway_members.go
@@ -10,6 +10,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
+	"github.com/zinniapaddle/zinniapaddle/internal/zporigin"
 	"github.com/zinniapaddle/zinniapaddle/pkg/zpobject"
 )
 
@@ -22,6 +23,7 @@
 	listed       bool      // the records were read at least once
 	keptUntil    time.Time // members without a record are kept until then
 	byName       map[string]zpassign.Member
+	leftAt       map[string]time.Time // when members left that have not come back, by name
 	sortedNames  []string
 	otherMembers []zpassign.Member
 }
@@ -40,7 +42,7 @@
 )
 
 func newMembers(self string) *members {
-	m := &members{self: self, byName: map[string]zpassign.Member{}}
+	m := &members{self: self, byName: map[string]zpassign.Member{}, leftAt: map[string]time.Time{}}
 	m.rebuild()
 	return m
 }
@@ -81,11 +83,21 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.listed = true
-	if !now.Before(m.keptUntil) {
-		m.byName = map[string]zpassign.Member{}
-	}
+	before := m.byName
+	m.byName = map[string]zpassign.Member{}
 	for _, x := range list {
 		m.byName[x.Name] = x
+		delete(m.leftAt, x.Name)
+	}
+	for name, x := range before {
+		if _, ok := m.byName[name]; ok {
+			continue
+		}
+		if now.Before(m.keptUntil) {
+			m.byName[name] = x
+		} else {
+			m.recordLeft(name, now)
+		}
 	}
 	m.rebuild()
 }
@@ -94,16 +106,43 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.byName[x.Name] = x
+	delete(m.leftAt, x.Name)
 	m.rebuild()
 }
 
-func (m *members) remove(name string) {
+func (m *members) remove(name string, now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	delete(m.byName, name)
+	if _, ok := m.byName[name]; ok {
+		delete(m.byName, name)
+		m.recordLeft(name, now)
+	}
 	m.rebuild()
 }
 
+// recordLeft records that a member has left; m.mu must be held.
+func (m *members) recordLeft(name string, now time.Time) {
+	for x, at := range m.leftAt {
+		if now.Sub(at) >= zporigin.Retention {
+			delete(m.leftAt, x)
+		}
+	}
+	m.leftAt[name] = now
+}
+
+// haveLeft reports whether another daemon has left so lately that a caller may take up a stream
+// that it began, and has not come back.
+func (m *members) haveLeft(now time.Time) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for name, at := range m.leftAt {
+		if name != m.self && now.Sub(at) < zporigin.Retention {
+			return true
+		}
+	}
+	return false
+}
+
 func (m *members) rebuild() {
 	m.sortedNames = []string{m.self}
 	for name := range m.byName {
--- a/internal/zpapp/gateway_origins.go
+++ b/internal/zpapp/gateway_origins.go
@@ -39,7 +39,7 @@
 	}}
 	d.origins = &zporigin.Directory{
 		Self: d.self, Alive: d.rankKeepers, Registered: func(request string) [][]zpassign.Member { return d.live.registeredOwners().Ranked(request) },
-		Others: d.members.Others, HearsAll: func() bool { return len(d.live.list()) == len(d.members.Names()) },
+		Others: d.members.Others, HearsAll: d.hearsAll,
 		Tell: func(ctx context.Context, address string, origins []zporigin.Origin) error {
 			return zppeer.RecordOrigins(ctx, d.dialer, address, origins)
 		},
@@ -58,6 +58,12 @@
 	d.gateway.Origins = d.origins
 }
 
+// hearsAll reports whether all daemons that may have begun a stream have answered recently. One
+// that has left can't be asked any more.
+func (d *GatewayDaemon) hearsAll() bool {
+	return len(d.live.list()) == len(d.members.Names()) && !d.members.haveLeft(zpclock.Now())
+}
+
 // rankKeepers returns the daemons of each region in the order in which they keep what is known
 // of a stream. A daemon that has just started takes all that are registered for alive.
 func (d *GatewayDaemon) rankKeepers(request string) [][]zpassign.Member {
--- a/internal/zpapp/gateway_watches.go
+++ b/internal/zpapp/gateway_watches.go
@@ -285,7 +285,7 @@
 
 func (w *watches) memberChanged(o zpobject.Object) {
 	if o.Deleted {
-		w.daemon.members.remove(zpplatform.NameOf(o))
+		w.daemon.members.remove(zpplatform.NameOf(o), zpclock.Now())
 		return
 	}
 	if m, ok := w.decodeMember(o); ok {
--- a/internal/zpapp/silence_test.go
+++ b/internal/zpapp/silence_test.go
@@ -11,6 +11,7 @@
 	. "github.com/onsi/gomega"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpclock"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpshare"
 	zpplatform "github.com/zinniapaddle/zinniapaddle/platform"
@@ -189,3 +190,18 @@
 		Expect(w.lookUpParts(nil).Held).To(BeEmpty())
 	})
 })
+
+// Guards against a version assumed for a stream of a daemon that was stopped for good before another one knew of it.
+var _ = Describe("The daemons that must be heard before a version is assumed", func() {
+	It("include those that have left within the last minute", func() {
+		w := newListeningDaemon()
+		w.hear("d1", "d2", "d3")
+		w.run(4)
+		Expect(w.origins.HearsAll()).To(BeFalse())
+		w.members.remove("d4", zpclock.Now())
+		Consistently(w.origins.HearsAll, "500ms").Should(BeFalse())
+		w.members.put(zpassign.Member{Name: "d4"})
+		w.members.remove("d4", zpclock.Now().Add(-time.Minute))
+		Eventually(w.origins.HearsAll, "1s").Should(BeTrue())
+	})
+})
--- a/internal/zporigin/directory.go
+++ b/internal/zporigin/directory.go
@@ -24,7 +24,8 @@
 		// them, so that its silence is noticed.
 		Registered func(key string) [][]zpassign.Member
 		Others     func() []zpassign.Member // all other registered daemons
-		// HearsAll reports whether all registered daemons have answered recently.
+		// HearsAll reports whether all registered daemons have answered recently, and none has
+		// left within Retention.
 		HearsAll func() bool
 		Tell     func(ctx context.Context, address string, origins []Origin) error
 		Ask      func(ctx context.Context, address, request, pool string) (Reply, error)
