--- a/internal/zporigin/directory.go
+++ b/internal/zporigin/directory.go
@@ -24,7 +24,8 @@
 		// them, so that its silence is noticed.
 		Registered func(key string) [][]zpassign.Member
 		Others     func() []zpassign.Member // all other registered daemons
-		// HearsAll reports whether all registered daemons have answered recently.
+		// HearsAll reports whether all registered daemons have answered recently, and none has
+		// left within Retention.
 		HearsAll func() bool
 		Tell     func(ctx context.Context, address string, origins []Origin) error
 		Ask      func(ctx context.Context, address, request, pool string) (Reply, error)
@@ -54,8 +55,9 @@
 	Reply struct {
 		Origin  Origin
 		IsKnown bool
-		// KeptFor is the time since the daemon started or was last paused. Zero means that it
-		// cannot tell whether the stream exists, and says nothing of the versions.
+		// KeptFor is the time since the daemon started, was last paused, or had no room for an
+		// origin that began then. Zero means that it cannot tell whether the stream exists, and says
+		// nothing of the versions.
 		KeptFor time.Duration
 		// SeenFor is the time for which the daemon has read all changes of the endpoints, so that
 		// no version came and went unseen. UnknownTime: it is of a release that does not say.
@@ -153,11 +155,11 @@
 func (d *Directory) prove(ctx context.Context, request, pool string, q *inquiry) (isProven, isRead bool) {
 	if !q.isKnown && !d.Pools.IsMixed(pool) {
 		isRead = true
-		isProven = d.readVersions(ctx, pool) && d.isPastSeen(pool, *q) || d.proveAbsence(ctx, request, pool, q)
+		isProven = d.readVersions(ctx, pool) && d.isPastSeen(pool, *q) || d.proveAbsence(ctx, request, pool, q) && d.isPastSeen(pool, *q)
 	}
 	// The store or the others may have told of a second version meanwhile.
 	if _, ok := d.Pools.Assume(pool, d.Clock()); ok && !q.isKnown && request != "" {
-		isProven = d.proveAbsence(ctx, request, pool, q) && len(q.asked) >= len(d.Others())
+		isProven = d.proveAbsence(ctx, request, pool, q) && len(q.asked) >= len(d.Others()) && d.isPastSeen(pool, *q)
 	}
 	return isProven, isRead
 }
@@ -211,12 +213,15 @@
 	return err == nil
 }
 
-// keptFor returns for how long this daemon has kept origins; zero if it cannot tell.
+// keptFor returns for how long this daemon has kept all origins; zero if it cannot tell.
 func (d *Directory) keptFor(now time.Time) time.Duration {
 	since := d.KeepsSince()
 	if since.IsZero() {
 		return 0
 	}
+	if at := d.Table.KeepsSince(); at.After(since) {
+		since = at
+	}
 	return now.Sub(since)
 }
 
