--- a/internal/zporigin/out_of_step_test.go
+++ b/internal/zporigin/out_of_step_test.go
@@ -247,6 +247,17 @@
 		f.expectStatus("n0", zporigin.StatusAny)
 	})
 
+	// Guards against an upgrade after which streams are refused for a minute.
+	It("takes over the past from a daemon of an earlier release", func() {
+		f.restartAll("v1")
+		f.isOlder = true
+		f.directories["n0"].InheritPast(context.Background(), "p", f.clock().Add(time.Second))
+		f.setClock(at(61))
+		f.directories["n0"].InheritPast(context.Background(), "p", f.clock())
+		f.isOlder = false
+		f.expectStatus("n0", zporigin.StatusAny)
+	})
+
 	It("does not take over the past from one that has not heard of the endpoints since it began to read them", func() {
 		f.restart(f.members[0])
 		f.observeAt("n0", "v1")
--- a/internal/zporigin/past.go
+++ b/internal/zporigin/past.go
@@ -23,7 +23,7 @@
 		since   time.Time // since when it has seen all versions
 		until   time.Time // when it last heard of the endpoints
 		askedAt time.Time
-		isOlder bool // it is of a release that does not tell since when it has seen them
+		isOlder bool // it is of a release that does not tell since when it has seen them, and counts as one that has
 	}
 )
 
@@ -82,7 +82,7 @@
 // pastOf returns what a daemon has seen that was asked at startedAt and has answered by now.
 func pastOf(r Reply, startedAt, now time.Time) inheritance {
 	if r.SeenFor == UnknownTime {
-		return inheritance{since: now.Add(-r.KeptFor), until: startedAt, isOlder: true}
+		return inheritance{until: startedAt, isOlder: true}
 	}
 	return inheritance{since: now.Add(-r.SeenFor), until: startedAt.Add(-r.SeenAge)}
 }
