--- a/internal/zporigin/directory.go
+++ b/internal/zporigin/directory.go
@@ -48,7 +48,8 @@
 		Log       *zplog.Logger
 		Clock     func() time.Time
 
-		past past
+		past   past
+		untold untold
 	}
 
 	// Reply is what a daemon knows of a stream and of the pool in which it is taken up.
