--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -142,7 +142,7 @@
 	d.sender = d.newSender()
 	d.gateway = &zpgateway.Gateway{
 		Domain: s.Domain, Region: s.Region, RegionOf: n.RegionOf, Catalog: d.catalog.Load, CatalogConfirmedAt: func() time.Time { return d.follower.ReadAt() },
-		AwaitCatalog: func(ctx context.Context) { d.catalogs.await(ctx) }, IsCatalogConfirmed: func() bool { return d.catalogs.isConfirmed() }, Registry: d.registry, HasSynced: d.hasSynced,
+		AwaitCatalog: func(ctx context.Context) { d.catalogs.await(ctx) }, IsCatalogConfirmed: func() bool { return d.catalogs.isConfirmed() }, Registry: d.registry, IsListCurrent: d.isEndpointListCurrent, HasSynced: d.hasSynced,
 		Weights: d.weights, Usage: zpusage.NewTracker(usageMaxAge), Parts: zpparts.NewDirectory(maxPartsPerHolder),
 		Stores: zpparts.NewStores(cacheStoreStateMaxAge, cacheStoreSettleDelay), AnnounceParts: d.announceParts, RefreshParts: d.query,
 		Health: zpgateway.NewHealthTracker(), Speed: zpspeed.NewTracker(), Cold: &zpplace.ColdLimiter{Self: s.Name}, Brittle: zpbrittle.New(s.Name), Daemons: d.members.Names,
@@ -323,11 +323,13 @@
 	timing := zpduty.Timing{Validity: dutyValidity, RenewInterval: dutyRenew, HandoverDelay: d.Node.Bounds.MinOrderInterval + dutyMargin}
 	keeper := zpduty.NewKeeper(weightDuty, holder, timing, d.reads, d.Log, zpclock.Now)
 	keeper.Peek, keeper.Eras = d.reads.GetStale, d.eras
+	orderer := &zpplatform.Orderer{Sender: d.sender, Clock: zpclock.Now, Notice: d.gateway.RecordNotice}
+	d.gateway.ReadStart = orderer.StartedAtMS
 	d.rollout = &zprollout.Rollout{
 		Self: holder, Keeper: keeper,
 		WeightVersions: d.weights, Engines: d.engines, Models: d.models,
 		Load:       func(endpoint string, now time.Time) int { return d.gateway.Usage.Total(endpoint, now).Requests },
-		SetWeights: d.registry.SetWeights, Announce: d.announceWeightChange, Orderer: &zpplatform.Orderer{Sender: d.sender, Clock: zpclock.Now, Notice: d.gateway.RecordNotice},
+		SetWeights: d.registry.SetWeights, Announce: d.announceWeightChange, Orderer: orderer,
 		Reaches: func(address string, now time.Time) bool { return !d.detour.Tracker.IsBlocked(address, now) },
 		Rank:    func() int { return zpplace.RendezvousRank(d.self.Name, weightDuty, d.members.Names()) },
 		Timing:  zprollout.Timing{PollInterval: weightPollInterval, RepeatDelay: orderRetryInterval}, Log: d.Log, Clock: zpclock.Now,
--- a/internal/zpapp/gateway_origins.go
+++ b/internal/zpapp/gateway_origins.go
@@ -24,6 +24,9 @@
 	// what the store takes. maxChangesPause is well below the time for which requests wait.
 	changesPerDaemon = 2 * time.Millisecond
 	maxChangesPause  = 200 * time.Millisecond
+	// maxListAge is the age up to which the list of endpoints is current: its watch ends without
+	// changes after its wait.
+	maxListAge = shortWatchWait + 500*time.Millisecond
 )
 
 var (
@@ -100,6 +103,13 @@
 	return d.startedAt
 }
 
+// isEndpointListCurrent reports whether the list of endpoints is as new as its watch keeps it
+// while the store answers.
+func (d *GatewayDaemon) isEndpointListCurrent() bool {
+	now := zpclock.Now()
+	return !d.watches.storeDown.Load() && !d.registry.MayLackEntries(now) && now.Sub(d.follower.PrefixReadAt(zpplatform.EndpointPrefix)) < maxListAge
+}
+
 // readVersionChanges reads from the store itself which endpoints have changed since this
 // daemon last heard of them, and returns their software versions by pool. It includes the
 // changes that the daemon has missed, if the store still has them.
--- a/internal/zpgateway/choice.go
+++ b/internal/zpgateway/choice.go
@@ -114,6 +114,9 @@
 	if j.tried[e.ID] || !j.mayUse(e.SoftwareVersion) || !t.versions.Allows(e.SoftwareVersion) || !t.regions.Allows(e.Region) || g.Weights.Changing(e.ID, now) {
 		return choice{}, false
 	}
+	if j.route.Resumable && g.hasStartedAgain(e) {
+		return choice{}, false
+	}
 	c := choice{endpoint: e, demand: t.demand, regions: t.regions}
 	c.candidate = zpplace.Candidate{
 		ID: e.ID, Domain: e.FailureDomain, Region: e.Region, Use: g.Usage.Believed(e.ID, now), Slots: e.Slots,
--- a/internal/zpgateway/gateway.go
+++ b/internal/zpgateway/gateway.go
@@ -68,7 +68,9 @@
 	Reach               *zpdetour.Tracker     // which endpoints this daemon reaches by itself; nil: all
 	Retries             *zpretry.Budgets
 	Runner              Runner
-	ResponseMemory      *zpengine.Memory // bounds the memory of buffered responses
+	IsListCurrent       func() bool                                                     // reports whether the list of endpoints is as new as while all is well
+	ReadStart           func(ctx context.Context, e zpregistry.Endpoint) (int64, error) // asks an engine when it started, in Unix ms; zero: it does not tell
+	ResponseMemory      *zpengine.Memory                                                // bounds the memory of buffered responses
 	Rates               zpplace.Rates
 	Log                 *zplog.Logger
 	Metrics             *zpmetric.Metrics
@@ -81,6 +83,7 @@
 	stopping        stopping
 	unusedSalts     unusedSalts
 	numberings      numberings
+	starts          startTracker
 }
 
 const (
--- a/internal/zpgateway/helpers_test.go
+++ b/internal/zpgateway/helpers_test.go
@@ -189,8 +189,9 @@
 	return testGateway{runner: runner, Gateway: &zpgateway.Gateway{
 		Domain: "a", Region: "n", RegionOf: func(string) string { return "n" },
 		Catalog: func() *zpcatalog.Catalog { return catalog }, CatalogConfirmedAt: time.Now, AwaitCatalog: func(context.Context) {}, IsCatalogConfirmed: func() bool { return true }, Registry: registry,
-		HasSynced: func() bool { return true },
-		Weights:   zprollout.NewWeightVersions(8 * time.Second), Usage: zpusage.NewTracker(time.Second), Parts: zpparts.NewDirectory(100),
+		IsListCurrent: func() bool { return true },
+		HasSynced:     func() bool { return true },
+		Weights:       zprollout.NewWeightVersions(8 * time.Second), Usage: zpusage.NewTracker(time.Second), Parts: zpparts.NewDirectory(100),
 		Stores: zpparts.NewStores(time.Hour, 0), AnnounceParts: func(zpgateway.PartChanges) {}, RefreshParts: func(context.Context, [][]zpparts.Key) {}, Health: zpgateway.NewHealthTracker(), Speed: zpspeed.NewTracker(),
 		Cold: &zpplace.ColdLimiter{Self: "d"}, Brittle: zpbrittle.New("d"), Daemons: func() []string { return []string{"d"} },
 		Quarantine: zpquarantine.NewTracker(time.Hour), AnnounceCrash: func(zpquarantine.Report) {}, AnnounceHarmless: func([]string) {}, RequestTrial: func(context.Context, string) bool { return true }, AnnounceUnreachable: func(string) {},
--- a/internal/zpgateway/quarantine.go
+++ b/internal/zpgateway/quarantine.go
@@ -223,6 +223,7 @@
 	g.Health.Forget(e.ID)
 	g.Speed.Forget(e.ID)
 	g.Parts.Forget(e.ID)
+	g.starts.forget(e.ID)
 }
 
 // crashOf returns the id of the crash that ends a run of an endpoint.
--- a/internal/zpgateway/run.go
+++ b/internal/zpgateway/run.go
@@ -196,7 +196,7 @@
 	if left < minRunTime {
 		return sendResult{outcomeStopped, g.withRunState(j, errDeadlinePassed)}
 	}
-	gate := &zpengine.Gate{Deadline: j.deadline, Clock: g.Clock, HasCallerLeft: j.caller.HasCallerLeft, MaySend: func() error { return g.checkSend(j, c) }}
+	gate := &zpengine.Gate{Deadline: j.deadline, Clock: g.Clock, HasCallerLeft: j.caller.HasCallerLeft, MaySend: func() error { return g.checkSend(ctx, j, c) }}
 	if j.route.Kind == zpcatalog.KindNonIdempotent {
 		var end func()
 		ctx, end = detachAfterSend(ctx, gate)
@@ -278,6 +278,9 @@
 			j.attempts--
 			return sendResult{outcomeUnsent, gate.Err()}
 		}
+		if errors.Is(gate.Err(), errStartUnconfirmed) {
+			return sendResult{outcomeUnreached, fmt.Errorf("send to endpoint %s: %w", c.endpoint.ID, gate.Err())}
+		}
 		if errors.Is(err, zpdetour.ErrNoPeer) {
 			j.attempts--
 			return sendResult{outcomeNoPath, err}
@@ -370,7 +373,10 @@
 
 // checkSend returns an error if the request must not be sent to the chosen endpoint after
 // all, because of what this daemon has learned since it was chosen.
-func (g *Gateway) checkSend(j *job, c choice) error {
+func (g *Gateway) checkSend(ctx context.Context, j *job, c choice) error {
+	if err := g.checkStart(ctx, j, c.endpoint); err != nil {
+		return err
+	}
 	if err := g.checkQuarantine(j); err != nil {
 		return err
 	}
