--- a/internal/zpgateway/origin.go
+++ b/internal/zpgateway/origin.go
@@ -46,15 +46,18 @@
 // recordOrigin binds a stream whose first event has arrived to the software version of its
 // endpoint, and lets other daemons know where the stream began before the caller does.
 func (g *Gateway) recordOrigin(ctx context.Context, j *job, e zpregistry.Endpoint) {
-	if !j.route.Resumable || j.isBound && j.origin != zporigin.StatusAny {
+	if !j.route.Resumable {
 		return
 	}
 	j.bindTo(e.SoftwareVersion)
-	attempt := j.request.ID
-	if j.request.LastEventID != "" {
-		attempt = j.request.ResumedID // its origin may be forgotten before the stream breaks off again
+	record := func(attempt string) {
+		g.Origins.Record(ctx, zporigin.Origin{Request: attempt, Pool: j.pool.Name, Version: e.SoftwareVersion}, hasStreamsOfSeveralPools(j.route, g.Clock()))
+	}
+	record(j.request.ID)
+	// A caller that takes the stream up again may name the attempt that began it, or this one.
+	if j.request.LastEventID != "" && j.origin != zporigin.StatusKnown {
+		record(j.request.ResumedID)
 	}
-	g.Origins.Record(ctx, zporigin.Origin{Request: attempt, Pool: j.pool.Name, Version: e.SoftwareVersion}, hasStreamsOfSeveralPools(j.route, g.Clock()))
 }
 
 // hasStreamsOfSeveralPools reports whether streams of several pools may be open on a route.
