--- a/internal/zpapp/gateway_origins.go
+++ b/internal/zpapp/gateway_origins.go
@@ -24,6 +24,9 @@
 	// what the store takes. maxChangesPause is well below the time for which requests wait.
 	changesPerDaemon = 2 * time.Millisecond
 	maxChangesPause  = 200 * time.Millisecond
+	// maxListAge is the age up to which the list of endpoints is current: its watch ends without
+	// changes after its wait.
+	maxListAge = shortWatchWait + 500*time.Millisecond
 )
 
 var (
@@ -39,7 +42,7 @@
 	}}
 	d.origins = &zporigin.Directory{
 		Self: d.self, Alive: d.rankKeepers, Registered: func(request string) [][]zpassign.Member { return d.live.registeredOwners().Ranked(request) },
-		Others: d.members.Others, HearsAll: func() bool { return len(d.live.list()) == len(d.members.Names()) },
+		Others: d.members.Others, HearsAll: d.hearsAll,
 		Tell: func(ctx context.Context, address string, origins []zporigin.Origin) error {
 			return zppeer.RecordOrigins(ctx, d.dialer, address, origins)
 		},
@@ -58,6 +61,12 @@
 	d.gateway.Origins = d.origins
 }
 
+// hearsAll reports whether all daemons that may have begun a stream have answered recently. One
+// that has left can't be asked any more.
+func (d *GatewayDaemon) hearsAll() bool {
+	return len(d.live.list()) == len(d.members.Names()) && !d.members.haveLeft(zpclock.Now())
+}
+
 // rankKeepers returns the daemons of each region in the order in which they keep what is known
 // of a stream. A daemon that has just started takes all that are registered for alive.
 func (d *GatewayDaemon) rankKeepers(request string) [][]zpassign.Member {
@@ -105,6 +114,13 @@
 	return d.startedAt
 }
 
+// isEndpointListCurrent reports whether the list of endpoints is as new as its watch keeps it
+// while the store answers.
+func (d *GatewayDaemon) isEndpointListCurrent() bool {
+	now := zpclock.Now()
+	return !d.watches.storeDown.Load() && !d.registry.MayLackEntries(now) && now.Sub(d.follower.PrefixReadAt(zpplatform.EndpointPrefix)) < maxListAge
+}
+
 // readVersionChanges reads from the store itself which endpoints have changed since this
 // daemon last heard of them, and returns their software versions by pool. It includes the
 // changes that the daemon has missed, if the store still has them.
--- a/internal/zporigin/table.go
+++ b/internal/zporigin/table.go
@@ -48,13 +48,19 @@
 // NewTable returns an empty table.
 func NewTable() *Table {
 	t := &Table{}
-	var err error
-	if t.entries, err = lru.NewWithEvict(maxOrigins, func(_ string, e entry) { t.recordLost(e.at) }); err != nil {
-		panic(fmt.Errorf("create table of origins: %w", err)) // the size is a valid constant
-	}
+	t.entries = newCache(func(_ string, e entry) { t.recordLost(e.at) })
 	return t
 }
 
+// newCache returns an empty cache of maxOrigins entries by request. onEvicted may be nil.
+func newCache[V any](onEvicted func(request string, x V)) *lru.Cache[string, V] {
+	entries, err := lru.NewWithEvict(maxOrigins, onEvicted)
+	if err != nil {
+		panic(fmt.Errorf("create cache of origins: %w", err)) // the size is a valid constant
+	}
+	return entries
+}
+
 // KeepsSince returns the time since which the table has kept all origins that were recorded, or
 // the zero time if none has been lost.
 func (t *Table) KeepsSince() time.Time {
