--- a/internal/zpapp/gateway_origins.go
+++ b/internal/zpapp/gateway_origins.go
@@ -77,12 +77,15 @@
 }
 
 // keepsSince returns when this daemon started or was last paused, or the zero time while it
-// does not know the endpoints.
+// does not know the endpoints. Before the fleet first started there was nothing to keep.
 func (d *GatewayDaemon) keepsSince() time.Time {
 	since := d.runsSince()
 	if !d.registry.HasSynced() {
 		return time.Time{}
 	}
+	if d.Node.FirstStart && since.Equal(d.startedAt) {
+		return since.Add(-zporigin.Retention)
+	}
 	return since
 }
 
--- a/internal/zporigin/ask.go
+++ b/internal/zporigin/ask.go
@@ -18,7 +18,8 @@
 		unsettled []string                 // names of those that answered and cannot tell
 		versions  map[string]time.Duration // software versions that they have seen, and the time since each was last seen
 		mixedFor  time.Duration
-		pasts     []inheritance // what those that answered have seen
+		pasts     []inheritance   // what those that answered have seen
+		kept      []time.Duration // for how long those that answered have kept origins
 	}
 
 	namedReply struct {
@@ -47,6 +48,14 @@
 	return len(q.asked) > 0 && len(q.answered) == len(q.asked)
 }
 
+// leastKept returns for how long all that answered have kept origins.
+func (q inquiry) leastKept() time.Duration {
+	if len(q.kept) == 0 {
+		return Retention // there is nobody else
+	}
+	return slices.Min(q.kept)
+}
+
 // askKeepers asks the keepers of a request in all regions.
 func (d *Directory) askKeepers(ctx context.Context, request, pool string) inquiry {
 	q := inquiry{versions: map[string]time.Duration{}}
@@ -97,6 +106,7 @@
 	}
 	q.mixedFor = max(q.mixedFor, r.MixedFor)
 	q.pasts = append(q.pasts, r.past)
+	q.kept = append(q.kept, r.KeptFor)
 	for x, age := range r.Versions {
 		if known, ok := q.versions[x]; !ok || age < known {
 			q.versions[x] = age
--- a/internal/zporigin/directory.go
+++ b/internal/zporigin/directory.go
@@ -157,11 +157,11 @@
 func (d *Directory) prove(ctx context.Context, request, pool string, q *inquiry) (isProven, isRead bool) {
 	if !q.isKnown && !d.Pools.IsMixed(pool) {
 		isRead = true
-		isProven = d.readVersions(ctx, pool) && d.isPastSeen(pool, *q) || d.proveAbsence(ctx, request, pool, q) && d.isPastSeen(pool, *q)
+		isProven = d.readVersions(ctx, pool) && d.isPastSeen(pool, *q) || d.proveAbsence(ctx, request, pool, q)
 	}
 	// The store or the others may have told of a second version meanwhile.
 	if _, ok := d.Pools.Assume(pool, d.Clock()); ok && !q.isKnown && request != "" {
-		isProven = d.proveAbsence(ctx, request, pool, q) && len(q.asked) >= len(d.Others()) && d.isPastSeen(pool, *q)
+		isProven = d.proveAbsence(ctx, request, pool, q) && len(q.asked) >= len(d.Others())
 	}
 	return isProven, isRead
 }
@@ -179,7 +179,13 @@
 	if d.isAbsenceProven(*q, d.Clock()) {
 		d.askRest(ctx, request, pool, q)
 	}
-	return !q.isKnown && d.isAbsenceProven(*q, d.Clock())
+	return !q.isKnown && d.isAbsenceProven(*q, d.Clock()) && (d.isPastSeen(pool, *q) || d.haveKeptAll(*q, d.Clock()))
+}
+
+// haveKeptAll reports whether the streams of the last minute are known to those that were asked
+// or to this daemon, as none of them has started, or was paused, since they began.
+func (d *Directory) haveKeptAll(q inquiry, now time.Time) bool {
+	return d.keptFor(now) >= Retention && q.leastKept() >= Retention
 }
 
 // askRest asks all daemons that were not asked yet, in a fleet of up to maxAskedAll.
