--- a/internal/zpbench/fault_soak.go
+++ b/internal/zpbench/fault_soak.go
@@ -79,6 +79,9 @@
 	}
 	_, _ = fmt.Fprintf(out.out, "%-5s seed %d: %d faults, %d requests, %d served, %d runs, %s served while stranded and %s elsewhere, %s%s\n",
 		verdict, seed, report.Faults, report.Requests, report.Served, report.Runs, report.Stranded, report.Others, report.TakenUp, logs)
+	if len(report.Moments) > 0 {
+		_, _ = fmt.Fprintf(out.out, "      seed %d: taken up out of step, sent/refused/of unknown origin/gone on/joined: %s\n", seed, report.Moments)
+	}
 	if c.FromBin != "" {
 		_, _ = fmt.Fprintf(out.out, "      seed %d: %d of %d daemons upgraded; %s\n", seed, report.Upgraded, c.Daemons, report.Seams)
 	}
--- a/internal/zpsoak/faults.go
+++ b/internal/zpsoak/faults.go
@@ -38,6 +38,7 @@
 		Target   int
 		Stranded Stranded
 		Daemons  []int
+		Shape    []string
 		From, To time.Time // To is zero while the fault is active
 	}
 
@@ -105,7 +106,7 @@
 		return fmt.Sprintf("peer link %d", f.Target)
 	case EndpointCut, EndpointMute, EndpointReset, EndpointSlow, EndpointSilent:
 		return fmt.Sprintf("endpoint link %d", f.Target)
-	case PeersCut:
+	case PeersCut, PeersMute, PeersDeaf:
 		return fmt.Sprintf("peer links %d", f.Target)
 	case StrandedHang, StrandedReset, StrandedRefuse:
 		return "stranded"
@@ -127,7 +128,7 @@
 		return false
 	}
 	i.activeScopes[f.scope()] = true
-	i.faultWindows = append(i.faultWindows, faultWindow{Kind: f.Kind, Target: f.Target, Stranded: f.Stranded, Daemons: f.Daemons, From: time.Now()})
+	i.faultWindows = append(i.faultWindows, faultWindow{Kind: f.Kind, Target: f.Target, Stranded: f.Stranded, Daemons: f.Daemons, Shape: f.Shape, From: time.Now()})
 	return true
 }
 
@@ -176,7 +177,7 @@
 		s.toEndpoint[f.Target].resetFor(ctx, f.Duration)
 	case StrandedHang, StrandedReset, StrandedRefuse:
 		return i.strand(ctx, f)
-	case PeersCut, OutOfStep, EndpointUpdate:
+	case PeersCut, PeersMute, PeersDeaf, OutOfStep, EndpointUpdate:
 		i.applyOutOfStep(ctx, f)
 	case EndpointCrash:
 		i.crash(ctx, f)
@@ -282,7 +283,7 @@
 	e.Crash()
 	i.cluster.toEndpoint[f.Target].resetFor(ctx, f.Duration)
 	i.cluster.store.Remove("servers", name)
-	e.Start(fmt.Sprintf("i-%d", f.Target), coldDuration)
+	e.StartVersion(fmt.Sprintf("i-%d", f.Target), f.Version, coldDuration)
 	i.cluster.register(e)
 }
 
@@ -318,7 +319,7 @@
 	sleep(ctx, f.Duration)
 	name, _ := e.Entry()
 	i.cluster.store.Remove("servers", name)
-	e.Start(fmt.Sprintf("i-%d", f.Target), coldDuration)
+	e.StartVersion(fmt.Sprintf("i-%d", f.Target), f.Version, coldDuration)
 	i.cluster.register(e)
 }
 
--- a/internal/zpsoak/judge.go
+++ b/internal/zpsoak/judge.go
@@ -68,7 +68,7 @@
 	r.checkDeadlyPart(byRequest, violation)
 	r.checkNotices(runs, violation)
 	r.checkStranded(&outcome, violation)
-	outcome.TakenUp = r.countTakenUp()
+	outcome.TakenUp, outcome.Moments = r.countTakenUp()
 	r.checkConfiguration(violation)
 	r.checkRecovery(violation)
 	outcome.Upgraded, outcome.Seams = len(r.faults.upgradedAt), r.countSeams()
@@ -304,7 +304,7 @@
 // news from other daemons during the whole period.
 func (r *run) receivesNews(daemon int, from, to time.Time) bool {
 	return r.receivesChanges(daemon, from.Add(faultSettleTime), to) && !r.hasFault(from, to, func(t faultWindow) bool {
-		return t.Target == daemon && (t.Kind == PeerCut || t.Kind == PeerSlow || t.Kind == PeersCut)
+		return t.Target == daemon && (t.Kind == PeerCut || t.Kind == PeerSlow || isPeersCut(t.Kind))
 	})
 }
 
--- a/internal/zpsoak/judge_out_of_step_test.go
+++ b/internal/zpsoak/judge_out_of_step_test.go
@@ -30,7 +30,8 @@
 	}
 
 	DescribeTable("counts the streams that are taken up there", func(r *run, expected TakenUp) {
-		Expect(r.countTakenUp()).To(Equal(expected))
+		counted, _ := r.countTakenUp()
+		Expect(counted).To(Equal(expected))
 	},
 		Entry("refused", takeUp(1, 5_000, http.StatusServiceUnavailable), TakenUp{Sent: 1, Newer: 1, Refused: 1}),
 		Entry("refused, of unknown origin", ofUnknownOrigin(takeUp(1, 5_000, http.StatusServiceUnavailable)), TakenUp{Sent: 1, Newer: 1, Refused: 1, Unknown: 1}),
@@ -42,6 +43,34 @@
 		Entry("not those after", takeUp(1, 8_100, http.StatusServiceUnavailable), TakenUp{}),
 	)
 
+	DescribeTable("counts the streams of a drawn shape by what met", func(met faultWindow, way string, expected ...string) {
+		r := takeUp(1, 5_000, http.StatusServiceUnavailable)
+		r.faults.faultWindows[0].Shape = []string{"release_third"}
+		r.faults.faultWindows = append(r.faults.faultWindows, met)
+		r.requestLog.requests[1].Way = way
+		_, moments := r.countTakenUp()
+		var names []string
+		for name, t := range moments {
+			Expect(t).To(Equal(TakenUp{Sent: 1, Newer: 1, Refused: 1}))
+			names = append(names, name)
+		}
+		Expect(names).To(ConsistOf(append(expected, "release_third")))
+	},
+		Entry("before the daemon is out of step", faultWindow{Kind: PeersCut, Target: 1, From: at(6_000)}, "", "not_yet"),
+		Entry("while it is", faultWindow{Kind: PeersMute, Target: 1, From: at(4_800), To: at(5_200)}, "", "during"),
+		Entry("after that", faultWindow{Kind: DaemonPause, Target: 1, From: at(4_100), To: at(4_400)}, wayTwice, "back_in_step", "caller_twice"),
+		Entry("after the daemon at which it began was killed", faultWindow{Kind: DaemonKill, From: at(4_600), To: at(4_700)}, "", "not_yet", "beginner_killed", "beginner_struck"),
+		Entry("after that one was killed before", faultWindow{Kind: DaemonKill, From: at(4_100), To: at(4_400)}, "", "not_yet"),
+		Entry("after another was cut off", faultWindow{Kind: PeersCut, Target: 2, From: at(4_100), To: at(4_600)}, "", "not_yet", "other_struck"),
+		Entry("beside an outage of the store", faultWindow{Kind: StoreDown, From: at(4_900)}, "", "not_yet", "beside_store"),
+		Entry("beside a configuration", faultWindow{Kind: Reconfigure, From: at(4_700), To: at(4_700)}, wayUnnamed, "not_yet", "beside_configuration", "caller_unnamed"),
+	)
+
+	It("counts no moments in the plain shape", func() {
+		_, moments := takeUp(1, 5_000, http.StatusServiceUnavailable).countTakenUp()
+		Expect(moments).To(BeEmpty())
+	})
+
 	It("reports a stream that was joined there", func() {
 		expectViolation(takeUp(1, 5_000, http.StatusOK, event{Number: 2, Version: "v1"}), "event-order")
 	})
--- a/internal/zpsoak/judge_stranded.go
+++ b/internal/zpsoak/judge_stranded.go
@@ -102,7 +102,7 @@
 
 func isOwnFault(k Kind) bool {
 	switch k {
-	case DaemonStop, DaemonKill, DaemonPause, StoreCut, StoreOneWay, StoreSilent, StoreReset, PeerCut, PeerSlow, PeersCut:
+	case DaemonStop, DaemonKill, DaemonPause, StoreCut, StoreOneWay, StoreSilent, StoreReset, PeerCut, PeerSlow, PeersCut, PeersMute, PeersDeaf:
 		return true
 	default:
 		return false
--- a/internal/zpsoak/plan.go
+++ b/internal/zpsoak/plan.go
@@ -20,7 +20,9 @@
 		At       time.Duration
 		Duration time.Duration
 		Stranded Stranded // only of kinds that cut daemons off from endpoints
-		Daemons  []int    // only of OutOfStep
+		Daemons  []int    // of OutOfStep; of cuts between daemons: those that still hear the target
+		Version  string   // software version with which an endpoint starts again; empty: the same
+		Shape    []string // only of OutOfStep: what was drawn; empty: the plain shape
 	}
 
 	// Kind is the kind of a fault.
@@ -65,8 +67,10 @@
 	StrandedRefuse Kind = "daemon_stranded_refuse" // connections go on, and new ones are refused
 	// A daemon is out of step while endpoints of a new software version join, see planOutOfStep.
 	PeersCut       Kind = "peers_cut"          // data between one daemon and all others is held in both directions
+	PeersMute      Kind = "peers_mute"         // data from one daemon to all others is held
+	PeersDeaf      Kind = "peers_deaf"         // data from all other daemons to one is held
 	OutOfStep      Kind = "daemon_out_of_step" // streams break off, and are taken up at the daemons that are out of step
-	EndpointUpdate Kind = "endpoint_update"    // restarts under a new ID with the newer software version
+	EndpointUpdate Kind = "endpoint_update"    // restarts under a new ID with another software version
 )
 
 // faultSpec defines how often a kind of fault occurs and how long it lasts.
@@ -145,6 +149,8 @@
 	{StrandedReset, 0, 0, 0},
 	{StrandedRefuse, 0, 0, 0},
 	{PeersCut, 0, 0, 0},
+	{PeersMute, 0, 0, 0},
+	{PeersDeaf, 0, 0, 0},
 	{OutOfStep, 0, 0, 0},
 	{EndpointUpdate, 0, 0, 0},
 }
@@ -217,7 +223,7 @@
 // targetCount returns the number of possible targets of a kind of fault.
 func targetCount(k Kind, daemons, endpoints, domains int) int {
 	switch k {
-	case DaemonStop, DaemonKill, DaemonPause, StoreCut, StoreOneWay, StoreSilent, StoreReset, PeerCut, PeerSlow, PeersCut:
+	case DaemonStop, DaemonKill, DaemonPause, StoreCut, StoreOneWay, StoreSilent, StoreReset, PeerCut, PeerSlow, PeersCut, PeersMute, PeersDeaf:
 		return daemons
 	case EndpointCut, EndpointMute, EndpointReset, EndpointSlow, EndpointCrash, EndpointDrain, EndpointLeave, EndpointQuiet, EndpointSilent, EndpointUpdate, ResumeWrong:
 		return endpoints
--- a/internal/zpsoak/plan_out_of_step.go
+++ b/internal/zpsoak/plan_out_of_step.go
@@ -35,7 +35,13 @@
 // outOfStepWays are the ways in which daemons get out of step, in the order of the seeds.
 var outOfStepWays = [][]Kind{{PeersCut}, {PeersCut, StoreCut}, {DaemonPause}, {StoreCut}}
 
-func isOutOfStepRun(seed uint64) bool { return seed%outOfStepEvery == outOfStepSeed }
+// isOutOfStepRun reports whether daemons are out of step in a run, in the plain shape or in one
+// that is drawn.
+func isOutOfStepRun(seed uint64) bool { return isPlainRun(seed) || isDrawnRun(seed) }
+
+func isPlainRun(seed uint64) bool { return seed%outOfStepEvery == outOfStepSeed }
+
+func isDrawnRun(seed uint64) bool { return seed%outOfStepEvery == drawnSeed }
 
 // firstVersion returns the software version with which an endpoint begins the run.
 func (s *cluster) firstVersion(endpoint int) string {
@@ -53,6 +59,9 @@
 		return plan
 	}
 	random := rand.New(rand.NewPCG(seed, uint64(length)+1))
+	if isDrawnRun(seed) {
+		return planDrawn(plan, random, length, daemons, endpoints, domains)
+	}
 	ways := outOfStepWays[seed/outOfStepEvery%uint64(len(outOfStepWays))]
 	lead, lasts := outOfStepLead, outOfStepTime
 	switch {
@@ -77,7 +86,7 @@
 		}
 	}
 	for n, e := range updated {
-		plan = append(plan, Fault{Kind: EndpointUpdate, At: joinAt + time.Duration(n)*joinInterval, Target: e})
+		plan = append(plan, Fault{Kind: EndpointUpdate, At: joinAt + time.Duration(n)*joinInterval, Target: e, Version: versions[1]})
 	}
 	return append(plan, Fault{Kind: OutOfStep, At: joinAt, Duration: end - joinAt, Daemons: list}, Fault{Kind: StreamsBreak, At: joinAt, Duration: end - joinAt})
 }
@@ -97,7 +106,7 @@
 
 func (i *injector) applyOutOfStep(ctx context.Context, f Fault) {
 	switch f.Kind {
-	case PeersCut:
+	case PeersCut, PeersMute, PeersDeaf:
 		i.cutPeers(ctx, f)
 	case OutOfStep:
 		i.sendMoving(ctx, f)
@@ -107,22 +116,21 @@
 }
 
 func (i *injector) cutPeers(ctx context.Context, f Fault) {
-	cut := i.cluster.peerLinks(f.Target)
-	for _, l := range cut {
-		l.setSideMode(clientSide, LinkMode{HoldToTarget: true, HoldFromTarget: true})
-	}
+	in, out := i.cluster.peerLinks(f.Target, f.Daemons)
+	mutes, deafens := f.Kind != PeersDeaf, f.Kind != PeersMute
+	in.setClientMode(LinkMode{HoldToTarget: deafens, HoldFromTarget: mutes})
+	out.setClientMode(LinkMode{HoldToTarget: mutes, HoldFromTarget: deafens})
 	sleep(ctx, f.Duration)
-	for _, l := range cut {
-		l.setSideMode(clientSide, LinkMode{})
-	}
+	in.setClientMode(LinkMode{})
+	out.setClientMode(LinkMode{})
 }
 
-// update restarts an endpoint with the newer software version. Requests in progress go on.
+// update restarts an endpoint with another software version. Requests in progress go on.
 func (i *injector) update(f Fault) {
 	e := i.cluster.endpoints[f.Target]
 	name, _ := e.Entry()
 	i.cluster.store.Remove("servers", name)
-	e.StartVersion(fmt.Sprintf("i-%d", f.Target), versions[len(versions)-1])
+	e.StartVersion(fmt.Sprintf("i-%d", f.Target), f.Version, 0)
 	i.cluster.register(e)
 }
 
@@ -135,7 +143,11 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		if daemon := n % r.cluster.Daemons; !slices.Contains(f.Daemons, daemon) {
 			q := request{ID: fmt.Sprintf("m-%d-%d", daemon, n), Kind: "stream", Daemon: daemon}
-			r.sending.Go(func() { r.sendStream(ctx, client, q, f.Daemons[n%len(f.Daemons)]) })
+			t := takeUp{Daemons: r.cluster.daemonsFrom(f.Daemons[n%len(f.Daemons)])}
+			if len(f.Shape) > 0 {
+				t = r.cluster.drawnTakeUp(t.Daemons, daemon, n/r.cluster.Daemons)
+			}
+			r.sending.Go(func() { r.sendStream(ctx, client, q, t) })
 		}
 		sleep(ctx, movingInterval)
 	}
--- a/internal/zpsoak/requests.go
+++ b/internal/zpsoak/requests.go
@@ -35,6 +35,8 @@
 		IsRetry     bool      // the client has sent the same before
 		Resumes     string    // attempt that brought the first event of a stream; empty: the stream begins
 		ResumeAfter int       // event after which the client resumes a stream; zero: it begins
+		Way         string    // how the client takes the stream up
+		Unnamed     bool      // the client does not name the attempt that it resumes
 		Events      []event   // complete events received of a stream
 	}
 
@@ -45,6 +47,15 @@
 		Err     error  // the event is malformed or answers another request
 	}
 
+	// takeUp says how a client takes up streams that break off.
+	takeUp struct {
+		Way     string
+		Daemons []int         // in turn
+		Delay   time.Duration // before each attempt
+		Unnamed bool
+		Insists bool // goes on after a refusal
+	}
+
 	// requestLog records the requests of all clients. It is safe for concurrent use.
 	requestLog struct {
 		mu       sync.Mutex
@@ -93,7 +104,7 @@
 		case random.IntN(cancelOneIn) == 0:
 			r.sendAndCancel(ctx, client, &q, time.Duration(random.Int64N(int64(maxCancelDelay))))
 		case q.Kind == "stream":
-			r.sendStream(ctx, client, q, (daemon+1)%r.cluster.Daemons)
+			r.sendStream(ctx, client, q, takeUp{Daemons: r.cluster.daemonsFrom(daemon + 1)})
 		default:
 			r.send(ctx, client, &q, "/"+q.Kind+"/1")
 		}
@@ -101,17 +112,18 @@
 	}
 }
 
-// sendStream sends a stream. When it breaks off, its client resumes it at the next daemon, the
-// first time at the one that is given.
-func (r *run) sendStream(ctx context.Context, client *http.Client, q request, next int) {
+// sendStream sends a stream. When it breaks off, its client resumes it as given.
+func (r *run) sendStream(ctx context.Context, client *http.Client, q request, t takeUp) {
 	first := q
 	for attempt := 1; ; attempt++ {
 		r.send(ctx, client, &q, "/stream/1")
-		if !q.Interrupted || attempt == maxStreamAttempts || ctx.Err() != nil {
+		isRefused := q.Status != 0 && q.Status != http.StatusOK
+		if !q.Interrupted && !(t.Insists && isRefused && q.IsRetry) || attempt == maxStreamAttempts || ctx.Err() != nil {
 			return
 		}
-		q = q.nextAttempt(fmt.Sprintf("%s-%d", first.ID, attempt), next)
-		next = (next + 1) % r.cluster.Daemons
+		q = q.nextAttempt(fmt.Sprintf("%s-%d", first.ID, attempt), t.Daemons[(attempt-1)%len(t.Daemons)])
+		q.Way, q.Unnamed = t.Way, t.Unnamed
+		sleep(ctx, t.Delay)
 	}
 }
 
@@ -253,7 +265,9 @@
 	req.Header.Set("Request-Id", q.ID)
 	req.Header.Set("Authorization", "Bearer "+apiKey)
 	if q.Resumes != "" {
-		req.Header.Set("Resumes", q.Resumes)
+		if !q.Unnamed {
+			req.Header.Set("Resumes", q.Resumes)
+		}
 		req.Header.Set("Last-Event-Id", strconv.Itoa(q.ResumeAfter))
 	}
 	if q.Parts != "" {
--- a/internal/zpsoak/run.go
+++ b/internal/zpsoak/run.go
@@ -28,6 +28,7 @@
 		Stranded   tally // first attempts at daemons that were cut off from all endpoints, as far as judged
 		Others     tally // meanwhile, at the other daemons
 		TakenUp    TakenUp
+		Moments    Moments
 		Upgraded   int   // daemons
 		Seams      seams // streams taken up in runs with an upgrade
 		Violations []string
--- a/internal/zpsoak/view.go
+++ b/internal/zpsoak/view.go
@@ -57,15 +57,26 @@
 	return nil
 }
 
-// peerLinks returns the links between a daemon and the others, in both directions.
-func (s *cluster) peerLinks(daemon int) (out links) {
-	for peer, list := range s.toPeer {
-		if peer == daemon {
-			out = append(out, list...)
-		} else {
-			out = append(out, list[daemon])
+// peerLinks returns the links from other daemons to one, and those from it to them, but for those
+// between it and a group.
+func (s *cluster) peerLinks(daemon int, group []int) (in, out links) {
+	for peer := range s.toPeer {
+		if peer != daemon && slices.Contains(group, peer) {
+			continue
+		}
+		in = append(in, s.toPeer[daemon][peer])
+		if peer != daemon {
+			out = append(out, s.toPeer[peer][daemon])
 		}
 	}
+	return in, out
+}
+
+// daemonsFrom returns all daemons in order, beginning with one.
+func (s *cluster) daemonsFrom(first int) (out []int) {
+	for n := range s.Daemons {
+		out = append(out, (first+n)%s.Daemons)
+	}
 	return out
 }
 
@@ -143,6 +154,12 @@
 	}
 }
 
+func (g links) setClientMode(m LinkMode) {
+	for _, l := range g {
+		l.setSideMode(clientSide, m)
+	}
+}
+
 func (g links) setModeFor(ctx context.Context, m LinkMode, d time.Duration) {
 	g.setMode(m)
 	sleep(ctx, d)
--- a/internal/zpsoak/view_test.go
+++ b/internal/zpsoak/view_test.go
@@ -3,6 +3,7 @@
 import (
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+	"slices"
 )
 
 var _ = Describe("The view of a daemon", func() {
@@ -38,7 +39,8 @@
 			s.toPeer = append(s.toPeer, list)
 		}
 		var found []string
-		for _, l := range s.peerLinks(2) {
+		in, out := s.peerLinks(2, nil)
+		for _, l := range slices.Concat(in, out) {
 			found = append(found, l.Listen)
 		}
 		var expected []string
