--- a/internal/zpapp/endpoint_gap.go
+++ b/internal/zpapp/endpoint_gap.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 	"github.com/zinniapaddle/zinniapaddle/internal/zporigin"
 )
 
@@ -32,7 +33,7 @@
 func (g *endpointGap) last() (from int64, until time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.from == 0 {
+	if g.from == 0 || zpmutant.Active(zpmutant.Gap) {
 		return 0, time.Time{}
 	}
 	return g.from, g.until
--- a/internal/zpmutant/name.go
+++ b/internal/zpmutant/name.go
@@ -24,6 +24,12 @@
 	Leaving       Name = "leaving"        // that an endpoint says that it leaves is ignored
 	Quiet         Name = "quiet"          // that an endpoint says for how long it wants no requests is ignored
 	Silence       Name = "silence"        // daemons that do not answer count as ones that do not know a stream
+	StoreWord     Name = "store_word"     // a pool has one version without a read of the store
+	Contact       Name = "contact"        // daemons that were not heard of lately may be left out of those that answer
+	Settled       Name = "settled"        // the word of a daemon that has just started counts
+	Rest          Name = "rest"           // keepers alone are asked for a stream
+	PastSeen      Name = "past_seen"      // a daemon that has just started or missed changes counts as one that has seen all versions
+	Gap           Name = "gap"            // changes of endpoints that a daemon has missed count as seen
 	Detour        Name = "detour"         // requests to endpoints that only other daemons reach take no detour
 	EraOrder      Name = "era_order"      // fencing tokens do not contain the era of the store
 	EraWatch      Name = "era_watch"      // watches go on although the store came back from an older copy
--- a/internal/zporigin/ask.go
+++ b/internal/zporigin/ask.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 )
 
 type (
@@ -89,7 +90,7 @@
 	case r.IsKnown:
 		q.origin, q.isKnown = r.Origin, true
 		q.answered = append(q.answered, r.from)
-	case r.KeptFor < settleTime:
+	case r.KeptFor < settleTime && !zpmutant.Active(zpmutant.Settled):
 		q.unsettled = append(q.unsettled, r.from)
 	default:
 		q.answered = append(q.answered, r.from)
--- a/internal/zporigin/directory.go
+++ b/internal/zporigin/directory.go
@@ -178,7 +178,7 @@
 // askRest asks all daemons that were not asked yet, in a fleet of up to maxAskedAll.
 func (d *Directory) askRest(ctx context.Context, request, pool string, q *inquiry) {
 	others := d.Others()
-	if len(others) > maxAskedAll {
+	if len(others) > maxAskedAll || zpmutant.Active(zpmutant.Rest) {
 		return
 	}
 	rest := slices.DeleteFunc(slices.Clone(others), func(m zpassign.Member) bool { return slices.Contains(q.asked, m.Name) })
@@ -190,14 +190,14 @@
 // of their reach. That nobody was asked, or that nobody answered, proves nothing, unless this
 // daemon is the only one.
 func (d *Directory) isAbsenceProven(q inquiry, now time.Time) bool {
-	return zpmutant.Active(zpmutant.Silence) || (q.isComplete() || len(d.Others()) == 0) && d.HearsAll() && d.keptFor(now) >= settleTime
+	return zpmutant.Active(zpmutant.Silence) || (q.isComplete() || len(d.Others()) == 0) && (d.HearsAll() || zpmutant.Active(zpmutant.Contact)) && d.keptFor(now) >= settleTime
 }
 
 // readVersions reads the endpoints' versions from the store and reports whether it answered.
 func (d *Directory) readVersions(ctx context.Context, pool string) bool {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	if zpmutant.Active(zpmutant.Silence) {
+	if zpmutant.Active(zpmutant.Silence) || zpmutant.Active(zpmutant.StoreWord) {
 		return true
 	}
 	versions, err := d.ReadVersions(ctx, pool)
@@ -211,7 +211,7 @@
 // isPastSeen reports whether this daemon or one that answered has seen the versions of the last
 // minute. The store does not tell of endpoints that have left.
 func (d *Directory) isPastSeen(q inquiry) bool {
-	return q.isPastSeen || d.hasSeenPast(d.Clock()) || zpmutant.Active(zpmutant.Silence)
+	return q.isPastSeen || d.hasSeenPast(d.Clock()) || zpmutant.Active(zpmutant.Silence) || zpmutant.Active(zpmutant.PastSeen)
 }
 
 // hasSeenPast reports whether no version can have come and gone within the last minute without
--- a/internal/zpsoak/faults.go
+++ b/internal/zpsoak/faults.go
@@ -1,6 +1,7 @@
 package zpsoak
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -54,6 +55,8 @@
 const (
 	restoredAge  = 3 * time.Second
 	rewriteDelay = 500 * time.Millisecond
+	// brokenStreamOneIn is the number of streams of which one breaks off while streams break.
+	brokenStreamOneIn = 3
 )
 
 var endpointModes = map[Kind]LinkMode{
@@ -335,11 +338,11 @@
 
 func (i *injector) breakStreams(ctx context.Context, f Fault) {
 	for _, e := range i.cluster.endpoints {
-		e.SetBreakStreams(true)
+		e.SetBreakStreams(cmp.Or(f.OneIn, brokenStreamOneIn))
 	}
 	sleep(ctx, f.Duration)
 	for _, e := range i.cluster.endpoints {
-		e.SetBreakStreams(false)
+		e.SetBreakStreams(0)
 	}
 }
 
--- a/internal/zpsoak/plan.go
+++ b/internal/zpsoak/plan.go
@@ -22,6 +22,7 @@
 		Stranded Stranded // only of kinds that cut daemons off from endpoints
 		Daemons  []int    // of OutOfStep; of cuts between daemons: those that still hear the target
 		Version  string   // software version with which an endpoint starts again; empty: the same
+		OneIn    int      // of StreamsBreak: the number of streams of which one breaks off; zero: brokenStreamOneIn
 		Shape    []string // only of OutOfStep: what was drawn; empty: the plain shape
 	}
 
--- a/internal/zpsoak/plan_drawn.go
+++ b/internal/zpsoak/plan_drawn.go
@@ -37,10 +37,11 @@
 	drawnTime = 10 * time.Second
 	drawnLead = 2500 * time.Millisecond
 	// minStrike and maxStrike bound faults of daemons that are in step.
-	minStrike  = 200 * time.Millisecond
-	maxStrike  = 1500 * time.Millisecond
-	maxStrikes = 4
-	calmDrawn  = 3 // the number of drawn runs of which, on average, one is calm
+	minStrike        = 200 * time.Millisecond
+	maxStrike        = 1500 * time.Millisecond
+	maxStrikes       = 4
+	drawnBrokenOneIn = 1 // more streams are taken up than in the plain shape
+	calmDrawn        = 3 // the number of drawn runs of which, on average, one is calm
 )
 
 // What follows the first release.
@@ -157,7 +158,7 @@
 	}
 	plan = append(plan, s.planNextRelease(random, joinAt, updated, others)...)
 	plan = append(plan, s.planStrikes(random, joinAt, end, daemons)...)
-	return append(plan, Fault{Kind: OutOfStep, At: from, Duration: end - from, Daemons: s.daemons, Shape: s.labels()}, Fault{Kind: StreamsBreak, At: from, Duration: end - from})
+	return append(plan, Fault{Kind: OutOfStep, At: from, Duration: end - from, Daemons: s.daemons, Shape: s.labels()}, Fault{Kind: StreamsBreak, At: from, Duration: end - from, OneIn: drawnBrokenOneIn})
 }
 
 // cuts returns the faults by which daemons are out of step, until the end at most.
