--- a/internal/zpsoak/judge_departed_test.go
+++ b/internal/zpsoak/judge_departed_test.go
@@ -60,6 +60,36 @@
 		Entry("reports a run that goes on", 10_130, 0, true, 10_200, 59_000),
 	)
 
+	// lateViolations returns those of a client that disconnected at 10,100 ms, with a run that was held
+	// on the link until 17,000 ms.
+	lateViolations := func(startedMS, endedMS int, faults ...faultWindow) []string {
+		r := newTestRun(1)
+		r.faults.faultWindows = faults
+		r.requestLog.add(request{ID: "x", Kind: "stream", SentAt: at(10_000), DoneAt: at(10_100), CanceledAt: at(10_100), Interrupted: true})
+		x := zpoutside.Run{Request: "x", Endpoint: "i-0-1", Domain: "a", At: at(startedMS), Source: source}
+		if endedMS > 0 {
+			x.Ended = at(endedMS)
+		}
+		r.cluster.log.RecordStart(x)
+		return r.withRecovery().evaluate().Violations
+	}
+	held := []faultWindow{
+		{Kind: EndpointCut, From: at(9_000), To: at(12_000)}, {Kind: StrandedHang, Stranded: Stranded{Daemons: []int{0}}, From: at(11_500), To: at(17_000)},
+	}
+
+	It("is judged from its start if its late start is excused", func() {
+		Expect(lateViolations(17_050, 17_060, held...)).To(BeEmpty())
+	})
+
+	It("is reported if it goes on after a late start that is excused", func() {
+		Expect(lateViolations(17_050, 17_900, held...)).To(ConsistOf(HavePrefix("departed: x of daemon 0 still ran")))
+		Expect(lateViolations(17_050, 0, held...)).To(ConsistOf(HavePrefix("departed: x of daemon 0 still ran")))
+	})
+
+	It("is reported for a late start that is not excused, however short it is", func() {
+		Expect(lateViolations(17_050, 17_060)).To(ConsistOf(HavePrefix("departed: x of daemon 0 started"), HavePrefix("departed: x of daemon 0 still ran")))
+	})
+
 	It("is described as one that did not end", func() {
 		Expect(violations(0, func(*run) {})).To(ContainElement(HaveSuffix("ended at no link and not at the endpoint, the soak stood still for 0s meanwhile")))
 	})
--- a/internal/zpsoak/judge_stranded.go
+++ b/internal/zpsoak/judge_stranded.go
@@ -113,15 +113,19 @@
 // may have been held on their link. Requests that came later than stableWindow after a daemon
 // was cut off are not sent over that.
 func (r *run) mayBeHeld(q request, x zpoutside.Run, until time.Time) bool {
-	return r.hasFault(q.SentAt, until, func(t faultWindow) bool {
+	return r.mayBeHeldBetween(q, x, q.SentAt, until)
+}
+
+func (r *run) mayBeHeldBetween(q request, x zpoutside.Run, from, until time.Time) bool {
+	return r.hasFault(from, until, func(t faultWindow) bool {
 		return t.Kind == StrandedHang && t.isCut(q.Daemon, r.endpointOf(x)) && q.SentAt.Before(t.From.Add(stableWindow))
-	}) || r.mayBeHeldByOther(q, x, until)
+	}) || r.mayBeHeldByOther(q, x, from, until)
 }
 
 // mayBeHeldByOther reports whether data may have been held on its way through another daemon,
 // to which data is held, or that is paused.
-func (r *run) mayBeHeldByOther(q request, x zpoutside.Run, until time.Time) bool {
-	return r.usesDetours(q, x, until) && r.hasFault(q.SentAt, until, func(t faultWindow) bool {
+func (r *run) mayBeHeldByOther(q request, x zpoutside.Run, from, until time.Time) bool {
+	return r.usesDetours(q, x, until) && r.hasFault(from, until, func(t faultWindow) bool {
 		return t.Target != q.Daemon && (t.Kind == DaemonPause || t.Kind == PeerCut)
 	})
 }
