--- a/internal/zpsoak/faults.go
+++ b/internal/zpsoak/faults.go
@@ -170,6 +170,8 @@
 		i.setStoreModeFor(ctx, zpoutside.StoreMode{RequestDelay: 300 * time.Millisecond}, f.Duration)
 	case StoreRestore:
 		i.restoreStore(ctx, f)
+	case StoreForget:
+		s.store.DiscardHistory()
 	case PeerCut:
 		s.toPeer[f.Target].setModeFor(ctx, LinkMode{HoldToTarget: true}, f.Duration)
 	case PeerSlow:
--- a/internal/zpsoak/plan.go
+++ b/internal/zpsoak/plan.go
@@ -44,6 +44,7 @@
 	StoreLate     Kind = "store_late"    // writes take effect late
 	StoreSlow     Kind = "store_slow"    // each response of the store is delayed
 	StoreRestore  Kind = "store_restore" // the store is down, and comes back from an older copy
+	StoreForget   Kind = "store_forget"  // the store discards its history
 	PeerCut       Kind = "peer_cut"      // data from other daemons to one daemon is held
 	PeerSlow      Kind = "peer_slow"     // connections from other daemons to one daemon are slow
 	EndpointCut   Kind = "endpoint_cut"  // data to and from an endpoint is held
@@ -149,6 +150,7 @@
 	{StrandedHang, 0, 0, 0},
 	{StrandedReset, 0, 0, 0},
 	{StrandedRefuse, 0, 0, 0},
+	{StoreForget, 0, 0, 0},
 	{PeersCut, 0, 0, 0},
 	{PeersMute, 0, 0, 0},
 	{PeersDeaf, 0, 0, 0},
--- a/internal/zpsoak/plan_drawn.go
+++ b/internal/zpsoak/plan_drawn.go
@@ -23,6 +23,7 @@
 		after   time.Duration // from the first endpoint that joins to that
 		strikes int           // faults of daemons that are in step
 		isCalm  bool          // without other faults of the platform
+		forgets bool          // the store discards its history after each of the releases
 	}
 
 	span struct{ from, to time.Duration }
@@ -31,6 +32,7 @@
 const (
 	drawnSeed    = 4 // of each outOfStepEvery seeds, see isDrawnRun
 	thirdVersion = "v3"
+	forgetDelay  = time.Second // after a release begins, longer than its endpoints take to join
 
 	// drawnTime is the time for which streams are taken up at the daemons that are out of step, or
 	// were, of which drawnLead is before the first endpoint joins.
@@ -115,6 +117,7 @@
 	if random.IntN(2) == 0 {
 		s.gap = drawnGap.draw(random)
 	}
+	s.forgets = random.IntN(2) == 0
 	return s
 }
 
@@ -124,7 +127,7 @@
 	for n, kind := range s.ways {
 		names[n] = string(kind)
 	}
-	length, repeats, sky := "long", "once", "beside_others"
+	length, repeats, sky, history := "long", "once", "beside_others", "history_kept"
 	if s.isShort {
 		length = "short"
 	}
@@ -134,7 +137,10 @@
 	if s.isCalm {
 		sky = "calm"
 	}
-	return []string{"begins_" + s.begin, length, repeats, strings.Join(names, "+"), "cut_" + s.extent, "release_" + s.release, sky}
+	if s.forgets {
+		history = "history_lost"
+	}
+	return []string{"begins_" + s.begin, length, repeats, strings.Join(names, "+"), "cut_" + s.extent, "release_" + s.release, sky, history}
 }
 
 // planDrawn adds daemons that are out of step in a shape that is drawn.
@@ -190,6 +196,11 @@
 		}
 	}
 	duration := minStrike + time.Duration(random.Int64N(int64(maxStrike-minStrike)))
+	if s.forgets {
+		for _, forgetAt := range []time.Duration{joinAt + forgetDelay, at + forgetDelay + duration} {
+			out = append(out, Fault{Kind: StoreForget, At: forgetAt})
+		}
+	}
 	switch s.release {
 	case releaseThird:
 		add(Fault{Kind: EndpointUpdate, Version: thirdVersion}, others)
--- a/internal/zpsoak/plan_drawn_test.go
+++ b/internal/zpsoak/plan_drawn_test.go
@@ -94,7 +94,7 @@
 		beside := map[Kind]bool{}
 		each(func(plan []Fault, moment Fault) {
 			for _, f := range find(plan, func(f Fault) bool {
-				return f.At < moment.At+moment.Duration && f.At+f.Duration > moment.At
+				return f.At < moment.At+moment.Duration && f.At+f.Duration >= moment.At
 			}) {
 				Expect(f.Kind).NotTo(Equal(AnswersBreak))
 				Expect(isStranded(f.Kind)).To(BeFalse())
@@ -104,7 +104,7 @@
 				beside[f.Kind] = true
 			}
 		})
-		for _, kind := range []Kind{StoreDown, StoreSlow, StoreRestore, Evacuate, Reconfigure, EndpointCrash, EndpointDrain, EndpointLeave, DaemonKill, DaemonPause, PeersMute, PeersDeaf} {
+		for _, kind := range []Kind{StoreDown, StoreSlow, StoreRestore, StoreForget, Evacuate, Reconfigure, EndpointCrash, EndpointDrain, EndpointLeave, DaemonKill, DaemonPause, PeersMute, PeersDeaf} {
 			Expect(beside).To(HaveKey(kind))
 		}
 	})
