--- a/internal/zpsoak/plan_drawn.go
+++ b/internal/zpsoak/plan_drawn.go
@@ -17,13 +17,13 @@
 		isShort bool
 		begin   string // when daemons get out of step, as seen from the first endpoint that joins
 		lead    time.Duration
-		lasts   time.Duration
-		gap     time.Duration // after which they are out of step again; zero: once
-		release string        // what follows the first release
-		after   time.Duration // from the first endpoint that joins to that
-		strikes int           // faults of daemons that are in step
-		isCalm  bool          // without other faults of the platform
-		forgets bool          // the store discards its history after each of the releases
+		lasts   []time.Duration // in each of the ways
+		gap     time.Duration   // after which they are out of step again; zero: once
+		release string          // what follows the first release
+		after   time.Duration   // from the first endpoint that joins to that
+		strikes int             // faults of daemons that are in step
+		isCalm  bool            // without other faults of the platform
+		forgets bool            // the store discards its history after each of the releases
 	}
 
 	span struct{ from, to time.Duration }
@@ -103,16 +103,8 @@
 	}
 	begin := random.IntN(len(drawnBegins))
 	s.begin, s.lead = drawnBegins[begin], drawnLeads[begin].draw(random)
-	isPause := slices.Contains(s.ways, DaemonPause)
-	switch {
-	case isPause && s.isShort:
-		s.lasts = shortPause.draw(random)
-	case isPause:
-		s.lasts = longPause.draw(random)
-	case s.isShort:
-		s.lasts = shortCut.draw(random)
-	default:
-		s.lasts = longCut.draw(random)
+	for _, kind := range s.ways {
+		s.lasts = append(s.lasts, lengthsOf(kind, s.isShort).draw(random))
 	}
 	if random.IntN(2) == 0 {
 		s.gap = drawnGap.draw(random)
@@ -121,6 +113,20 @@
 	return s
 }
 
+// lengthsOf returns for how long daemons may be out of step in a way.
+func lengthsOf(kind Kind, isShort bool) span {
+	switch {
+	case kind == DaemonPause && isShort:
+		return shortPause
+	case kind == DaemonPause:
+		return longPause
+	case isShort:
+		return shortCut
+	default:
+		return longCut
+	}
+}
+
 // labels returns the parts of the shape by which streams are counted.
 func (s outOfStepShape) labels() []string {
 	names := make([]string, len(s.ways))
@@ -169,10 +175,11 @@
 
 // cuts returns the faults by which daemons are out of step, until the end at most.
 func (s outOfStepShape) cuts(joinAt, end time.Duration) (out []Fault) {
-	for at := joinAt - s.lead; at+s.lasts <= end; at += s.lasts + s.gap {
+	longest := slices.Max(s.lasts)
+	for at := joinAt - s.lead; at+longest <= end; at += longest + s.gap {
 		for _, d := range s.daemons {
-			for _, kind := range s.ways {
-				f := Fault{Kind: kind, At: at, Target: d, Duration: s.lasts}
+			for n, kind := range s.ways {
+				f := Fault{Kind: kind, At: at, Target: d, Duration: s.lasts[n]}
 				if s.extent == "group" && isPeersCut(kind) {
 					f.Daemons = s.daemons
 				}
--- a/internal/zpsoak/plan_drawn_test.go
+++ b/internal/zpsoak/plan_drawn_test.go
@@ -181,7 +181,8 @@
 		random := rand.New(rand.NewPCG(1, 1))
 		for range 100 {
 			s := drawShape(random, 6, 3)
-			Expect(s.lasts).To(And(BeNumerically(">=", 300*time.Millisecond), BeNumerically("<=", 6*time.Second)))
+			Expect(s.lasts).To(HaveLen(len(s.ways)))
+			Expect(s.lasts).To(HaveEach(And(BeNumerically(">=", 300*time.Millisecond), BeNumerically("<=", 6*time.Second))))
 		}
 	})
 })
