--- a/internal/zpsoak/faults.go
+++ b/internal/zpsoak/faults.go
@@ -1,6 +1,7 @@
 package zpsoak
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -38,6 +39,7 @@
 		Target   int
 		Stranded Stranded
 		Daemons  []int
+		Shape    []string
 		From, To time.Time // To is zero while the fault is active
 	}
 
@@ -53,6 +55,8 @@
 const (
 	restoredAge  = 3 * time.Second
 	rewriteDelay = 500 * time.Millisecond
+	// brokenStreamOneIn is the number of streams of which one breaks off while streams break.
+	brokenStreamOneIn = 3
 )
 
 var endpointModes = map[Kind]LinkMode{
@@ -105,7 +109,7 @@
 		return fmt.Sprintf("peer link %d", f.Target)
 	case EndpointCut, EndpointMute, EndpointReset, EndpointSlow, EndpointSilent:
 		return fmt.Sprintf("endpoint link %d", f.Target)
-	case PeersCut:
+	case PeersCut, PeersMute, PeersDeaf:
 		return fmt.Sprintf("peer links %d", f.Target)
 	case StrandedHang, StrandedReset, StrandedRefuse:
 		return "stranded"
@@ -127,7 +131,7 @@
 		return false
 	}
 	i.activeScopes[f.scope()] = true
-	i.faultWindows = append(i.faultWindows, faultWindow{Kind: f.Kind, Target: f.Target, Stranded: f.Stranded, Daemons: f.Daemons, From: time.Now()})
+	i.faultWindows = append(i.faultWindows, faultWindow{Kind: f.Kind, Target: f.Target, Stranded: f.Stranded, Daemons: f.Daemons, Shape: f.Shape, From: time.Now()})
 	return true
 }
 
@@ -166,6 +170,8 @@
 		i.setStoreModeFor(ctx, zpoutside.StoreMode{RequestDelay: 300 * time.Millisecond}, f.Duration)
 	case StoreRestore:
 		i.restoreStore(ctx, f)
+	case StoreForget:
+		s.store.DiscardHistory()
 	case PeerCut:
 		s.toPeer[f.Target].setModeFor(ctx, LinkMode{HoldToTarget: true}, f.Duration)
 	case PeerSlow:
@@ -176,7 +182,7 @@
 		s.toEndpoint[f.Target].resetFor(ctx, f.Duration)
 	case StrandedHang, StrandedReset, StrandedRefuse:
 		return i.strand(ctx, f)
-	case PeersCut, OutOfStep, EndpointUpdate:
+	case PeersCut, PeersMute, PeersDeaf, OutOfStep, EndpointUpdate:
 		i.applyOutOfStep(ctx, f)
 	case EndpointCrash:
 		i.crash(ctx, f)
@@ -282,7 +288,7 @@
 	e.Crash()
 	i.cluster.toEndpoint[f.Target].resetFor(ctx, f.Duration)
 	i.cluster.store.Remove("servers", name)
-	e.Start(fmt.Sprintf("i-%d", f.Target), coldDuration)
+	e.StartVersion(fmt.Sprintf("i-%d", f.Target), f.Version, coldDuration)
 	i.cluster.register(e)
 }
 
@@ -318,7 +324,7 @@
 	sleep(ctx, f.Duration)
 	name, _ := e.Entry()
 	i.cluster.store.Remove("servers", name)
-	e.Start(fmt.Sprintf("i-%d", f.Target), coldDuration)
+	e.StartVersion(fmt.Sprintf("i-%d", f.Target), f.Version, coldDuration)
 	i.cluster.register(e)
 }
 
@@ -334,11 +340,11 @@
 
 func (i *injector) breakStreams(ctx context.Context, f Fault) {
 	for _, e := range i.cluster.endpoints {
-		e.SetBreakStreams(true)
+		e.SetBreakStreams(cmp.Or(f.OneIn, brokenStreamOneIn))
 	}
 	sleep(ctx, f.Duration)
 	for _, e := range i.cluster.endpoints {
-		e.SetBreakStreams(false)
+		e.SetBreakStreams(0)
 	}
 }
 
