--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -207,6 +207,7 @@
 	workers.Go(func() { d.bans.run(work) })
 	workers.Go(func() { d.upgrades.run(work) })
 	workers.Go(func() { d.watchVersions(work) })
+	workers.Go(func() { repeatEvery(work, versionsInterval, d.origins.TellAgain) })
 	workers.Go(func() { d.detour.RunProbes(work) })
 	stalls := &zpstall.Detector{Log: d.Log, Clock: zpclock.Now, Observe: func(late time.Duration) {
 		d.Metrics.StallSeconds.Observe(late.Seconds())
@@ -240,6 +241,7 @@
 	d.gateway.StopBy(now.Add(d.Node.Bounds.StopGrace-shutdownMargin-answerMargin), now)
 	ctx, cancel := context.WithDeadline(context.Background(), startedAt.Add(d.Node.Bounds.StopGrace-shutdownMargin))
 	defer cancel()
+	go d.origins.HandOver(ctx)
 	d.unregister(ctx)
 	if zpmutant.Active(zpmutant.Drain) {
 		_ = d.callers.Close()
@@ -249,6 +251,7 @@
 	if err := d.callers.Shutdown(ctx); err != nil {
 		d.Log.Emit(zplog.DrainTimedOut, zplog.Fields{"open_requests": d.gateway.OpenRequests.Load()})
 	}
+	d.origins.HandOver(ctx) // streams that began while this daemon was stopping
 	// Until here, daemons that are cut off from endpoints may have no other way than this one.
 	d.connector.Shutdown(ctx)
 	// These servers have no requests that need a graceful shutdown.
--- a/internal/zplog/event.go
+++ b/internal/zplog/event.go
@@ -118,6 +118,7 @@
 	OriginTold           = Event{529, logrus.InfoLevel, "origin of a stream was told to other daemons", "check the daemons that did not confirm it if it persists"}
 	EndpointSlow         = Event{530, logrus.InfoLevel, "endpoint says in a response that work takes longer there than usual", "check what else runs on its VM if it persists"}
 	BadLoad              = Event{531, logrus.WarnLevel, "endpoint describes its load in a way that is not understood; the words are ignored", "check the endpoint's software version"}
+	OriginsToldAgain     = Event{532, logrus.InfoLevel, "origins of streams that no other daemon had confirmed were told again", "check the links between the daemons if it persists"}
 	FingerprintBanned    = Event{600, logrus.ErrorLevel, "request is quarantined after crashes of two endpoints", "see docs/operators/crashing_request.md"}
 	ClaimSettleFailed    = Event{700, logrus.WarnLevel, "outcome of a claim could not be recorded yet", "check the platform if it persists"}
 	PeerFailed           = Event{800, logrus.DebugLevel, "call to another daemon failed", "none"}
@@ -143,7 +144,7 @@
 		RequestFailed, RequestRetried, RequestPlaced, CrashRecorded, RequestAnswered, RequestWaits, RequestSilent, RequestAbandoned, ChoiceRevoked, RequestsQuarantined, SuspicionCleared, BanNotStored, TrialBegun, RequestHopeless,
 		EndpointSuspect, EndpointWarm, OrderGiven, EndpointChanged, EndpointGone, WeightsNamed, WeightsLoaded,
 		OrderFailed, StoreState, EndpointAvoided, EndpointLeaving, EndpointQuiet, EndpointsUnreachable, EndpointsReachable, DetourFailed, DetourRefused, EndpointsBrittle,
-		UpgradeOrdered, UpgradeStopped, UpgradeCompleted, UpgradeRolledBack, UpgradeNotWritten, UpgradeRemoved, UpgradeStatus, VersionsMixed, OriginSought, OriginTold, EndpointSlow, BadLoad, FingerprintBanned, ClaimSettleFailed, PeerFailed, PeerLost, PeerRecovered, OwnerUnresponsive, WatcherAvoided, RelayAvoided,
+		UpgradeOrdered, UpgradeStopped, UpgradeCompleted, UpgradeRolledBack, UpgradeNotWritten, UpgradeRemoved, UpgradeStatus, VersionsMixed, OriginSought, OriginTold, EndpointSlow, BadLoad, OriginsToldAgain, FingerprintBanned, ClaimSettleFailed, PeerFailed, PeerLost, PeerRecovered, OwnerUnresponsive, WatcherAvoided, RelayAvoided,
 		ServerFailed, LinesDropped, DaemonStalled, MemoryRefused, ConnectionRefused, HolderEvicted,
 	}
 }
--- a/internal/zporigin/directory.go
+++ b/internal/zporigin/directory.go
@@ -47,6 +47,8 @@
 		Pools     *Versions
 		Log       *zplog.Logger
 		Clock     func() time.Time
+
+		untold untold
 	}
 
 	// Reply is what a daemon knows of a stream and of the pool in which it is taken up.
--- a/internal/zporigin/origin_test.go
+++ b/internal/zporigin/origin_test.go
@@ -192,6 +192,19 @@
 	return f.directories[address], nil
 }
 
+// messages returns how many messages were sent.
+func (f *fleet) messages() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.told
+}
+
+func (f *fleet) forgetMessages() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.told = 0
+}
+
 // restartOthers restarts all daemons but one, which see the versions of a pool.
 func (f *fleet) restartOthers(name string, versions ...string) {
 	for _, m := range f.members {
--- a/internal/zporigin/out_of_step_test.go
+++ b/internal/zporigin/out_of_step_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"slices"
+	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
+	"github.com/zinniapaddle/zinniapaddle/internal/zplookup"
 	"github.com/zinniapaddle/zinniapaddle/internal/zporigin"
 )
 
@@ -221,4 +223,101 @@
 		f.setDown(func(m zpassign.Member) bool { return m.Name == "n1" })
 		f.expectKnownTo("n3")
 	})
+
+	Context("at which a stream began that it could tell nobody", func() {
+		// die lets the daemon that began the stream vanish.
+		die := func() { f.setDown(func(m zpassign.Member) bool { return m.Name == "n1" }) }
+		// tellAgain lets time pass for n1.
+		tellAgain := func(from, to float64) {
+			for s := from; s <= to; s += 0.1 {
+				f.setClock(at(s))
+				f.directories["n1"].TellAgain(context.Background())
+			}
+		}
+
+		BeforeEach(func() {
+			f.observe("v1", "v2")
+			f.silence("n1")
+			beginAtNewVersion()
+		})
+
+		// Guards against a stream that is lost with the daemon that began it while its keepers could not be reached.
+		It("tells others of it once it reaches them", func() {
+			tellAgain(60, 64)
+			f.silence("")
+			tellAgain(64, 65)
+			die()
+			f.expectKnownTo("n3")
+		})
+
+		It("tells daemons that are no keepers while the keepers are down", func() {
+			f.silence("")
+			owners := slices.Concat(zplookup.NewOwners(f.members).Ranked("r")...)
+			f.setDown(func(m zpassign.Member) bool { return slices.Contains(owners, m) })
+			tellAgain(60, 75)
+			die()
+			f.expectKnownTo("s0")
+		})
+
+		It("hands it over when it stops", func() {
+			f.silence("")
+			f.directories["n1"].HandOver(context.Background())
+			die()
+			f.expectKnownTo("n3")
+		})
+
+		It("hands over nothing for longer than it may take", func() {
+			ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+			defer cancel()
+			f.directories["n1"].HandOver(ctx)
+			Expect(ctx.Err()).To(HaveOccurred())
+		})
+
+		It("sends little while nobody answers, and nothing once somebody has confirmed or a minute has passed", func() {
+			f.forgetMessages()
+			tellAgain(60, 119.9)
+			Expect(f.messages()).To(And(BeNumerically(">", 30), BeNumerically("<", 100)))
+			f.forgetMessages()
+			tellAgain(120, 130)
+			Expect(f.messages()).To(BeZero())
+			f.silence("")
+			f.directories["n1"].Record(context.Background(), zporigin.Origin{Request: "s", Pool: "p", Version: "v2"}, false)
+			f.forgetMessages()
+			tellAgain(130, 140)
+			Expect(f.messages()).To(BeZero())
+		})
+	})
+
+	Context("at which a stream began in a pool of one version", func() {
+		expectKnownWithout := func(name string) {
+			GinkgoHelper()
+			f.setDown(func(m zpassign.Member) bool { return m.Name == name })
+			Expect(f.directories["n3"].Find(context.Background(), "r", "p")).To(Equal(zporigin.Finding{Status: zporigin.StatusKnown, Pool: "p", Version: "v1"}))
+		}
+
+		BeforeEach(func() {
+			f.directories["n1"].Record(context.Background(), zporigin.Origin{Request: "r", Pool: "p", Version: "v1"}, false)
+		})
+
+		// Guards against a stream that is lost with its daemon when another version appears.
+		It("hands it over when it stops, and tells nobody before", func() {
+			f.setClock(at(61))
+			f.directories["n1"].TellAgain(context.Background())
+			Expect(f.messages()).To(BeZero())
+			f.directories["n1"].HandOver(context.Background())
+			f.observeOthers("n1", "v1", "v2")
+			expectKnownWithout("n1")
+		})
+
+		// Guards against a stream that is untold as its keepers were silent when the second version appeared.
+		It("tells others again when a second version has appeared", func() {
+			f.silence("n1")
+			f.observe("v1", "v2")
+			Eventually(f.messages, "1s").Should(BeNumerically(">=", 3))
+			f.silence("")
+			f.setClock(at(61))
+			f.directories["n1"].TellAgain(context.Background())
+			expectKnownWithout("n1")
+		})
+	})
 })
--- a/internal/zporigin/record.go
+++ b/internal/zporigin/record.go
@@ -49,21 +49,23 @@
 	}
 }
 
-func (d *Directory) publish(ctx context.Context, address string, list []Origin) {
+// publish tells a daemon of origins and reports whether it has confirmed all.
+func (d *Directory) publish(ctx context.Context, address string, list []Origin) bool {
 	for len(list) > 0 {
 		n := min(len(list), publishBatch)
-		if !d.tell(ctx, address, list[:n], askTimeout) {
-			return
+		if !d.tell(ctx, address, list[:n]) {
+			return false
 		}
 		list = list[n:]
 	}
+	return true
 }
 
 // Record records that a stream begins. While its pool is mixed, or may have been within the last
 // minute for all that this daemon has seen, or if streams of several pools may be open on its
 // route, Record returns once a keeper in this region knows it, or after
 // tellTimeout: the caller must not get an event before, since it may take the stream up
-// elsewhere as soon as it has one.
+// elsewhere as soon as it has one. TellAgain goes on if no keeper has confirmed it.
 func (d *Directory) Record(ctx context.Context, o Origin, hasSeveralPools bool) {
 	if d == nil || o.Request == "" {
 		return
@@ -71,9 +73,11 @@
 	o.Request = keyOf(o.Request)
 	now := d.Clock()
 	d.Table.Record(o, now)
+	isNeeded := hasSeveralPools || !d.hasSeenPast(now)
+	d.untold.add(o, isNeeded, now)
 	// The endpoint's version may have appeared since the versions were last looked at.
 	d.Saw(ctx, o.Pool, []string{o.Version}, now)
-	if !hasSeveralPools && !d.Pools.IsMixed(o.Pool) && d.hasSeenPast(now) {
+	if !isNeeded && !d.Pools.IsMixed(o.Pool) {
 		return
 	}
 	// The keepers are told even if the caller leaves: it may come back.
@@ -84,12 +88,8 @@
 	for _, m := range keepers {
 		isAtHome := m.Region == d.Self.Region
 		isAwaiting = isAwaiting || isAtHome
-		timeout := askTimeout
-		if isAtHome {
-			timeout = tellTimeout
-		}
 		go func() {
-			if d.tell(ctx, m.PeerAddress, []Origin{o}, timeout) && isAtHome {
+			if d.tell(ctx, m.PeerAddress, []Origin{o}) && isAtHome {
 				told <- struct{}{}
 			}
 		}()
@@ -116,11 +116,13 @@
 	return out
 }
 
-func (d *Directory) tell(ctx context.Context, address string, list []Origin, timeout time.Duration) bool {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+func (d *Directory) tell(ctx context.Context, address string, list []Origin) bool {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	err := d.Tell(ctx, address, list)
-	if err != nil {
+	if err == nil {
+		d.untold.confirm(list)
+	} else {
 		d.Log.Emit(zplog.PeerFailed, zplog.Fields{"call": "record_origins", "address": address, "error": err.Error()})
 	}
 	return err == nil
--- a/internal/zporigin/table.go
+++ b/internal/zporigin/table.go
@@ -42,12 +42,15 @@
 )
 
 // NewTable returns an empty table.
-func NewTable() *Table {
-	entries, err := lru.New[string, entry](maxOrigins)
+func NewTable() *Table { return &Table{entries: newCache[entry]()} }
+
+// newCache returns an empty cache of maxOrigins entries by request.
+func newCache[V any]() *lru.Cache[string, V] {
+	entries, err := lru.New[string, V](maxOrigins)
 	if err != nil {
-		panic(fmt.Errorf("create table of origins: %w", err)) // the size is a valid constant
+		panic(fmt.Errorf("create cache of origins: %w", err)) // the size is a valid constant
 	}
-	return &Table{entries: entries}
+	return entries
 }
 
 // keyOf returns the id under which a request is known here and to other daemons.
