--- a/internal/zpapp/gateway_upgrades.go
+++ b/internal/zpapp/gateway_upgrades.go
@@ -113,7 +113,7 @@
 	for _, m := range d.live.list() {
 		live[m.Instance] = true
 	}
-	if rank == 0 && (len(live) > 1 || len(d.members.Names()) == 1) {
+	if rank == 0 && d.live.isMajority() {
 		u.tracker.SetContact(now)
 	}
 	u.logChanges(u.tracker.Step(role, live, now))
@@ -187,9 +187,14 @@
 	}
 }
 
-// answer records the reports of another daemon.
+// answer records the reports of another daemon. A judge that does not hear most of the others
+// decides nothing for those that are cut off with it.
 func (u *upgrades) answer(reports []zpupgrade.Report) []zpupgrade.Decision {
-	return u.tracker.Answer(reports, zpclock.Now())
+	decisions := u.tracker.Answer(reports, zpclock.Now())
+	if !u.daemon.live.isMajority() {
+		return nil
+	}
+	return decisions
 }
 
 // maintainDuty acquires and renews the duty while an order is running, and writes the
--- a/internal/zpapp/silence_test.go
+++ b/internal/zpapp/silence_test.go
@@ -14,6 +14,7 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zpclock"
 	"github.com/zinniapaddle/zinniapaddle/internal/zplog"
 	"github.com/zinniapaddle/zinniapaddle/internal/zpshare"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpupgrade"
 	zpplatform "github.com/zinniapaddle/zinniapaddle/platform"
 )
 
@@ -205,3 +206,52 @@
 		Eventually(w.origins.HearsAll, "1s").Should(BeTrue())
 	})
 })
+
+// Guards against daemons that are cut off together and move on to a new version by their own evidence alone.
+var _ = Describe("A roll-out", func() {
+	var w *listeningDaemon
+
+	BeforeEach(func() {
+		w = newListeningDaemon()
+		w.self.Cores = 8 // the leading judge
+		w.Node.Bounds.Upgrade = zpupgrade.Limits{Share: 0.1, Slack: 500, RollbackAfter: 5 * time.Second}
+		w.upgrades = newUpgrades(w.GatewayDaemon)
+		orderedAt := zpclock.Now().Add(-3 * time.Second)
+		w.upgrades.tracker.Replace(nil, nil, orderedAt)
+		w.upgrades.tracker.SetVersions("p", map[string]int{"v1": 2}, orderedAt)
+		w.upgrades.tracker.SetVersions("p", map[string]int{"v1": 2, "v2": 2}, orderedAt)
+		w.upgrades.tracker.Put(zpupgrade.Order{Pool: "p", To: "v2", Within: 12 * time.Second, Created: 7, Revision: 7}, orderedAt)
+	})
+
+	expectContact := func(hasContact bool) {
+		GinkgoHelper()
+		reports := w.upgrades.tracker.Reports(zpclock.Now())
+		Expect(reports).To(HaveLen(1))
+		reports[0].Instance = "d1.x"
+		Expect(len(w.upgrades.answer(reports)) > 0).To(Equal(hasContact))
+		w.upgrades.step(context.Background())
+		Expect(w.upgrades.tracker.View("p", "r", zpclock.Now()).Allows("v2")).To(Equal(hasContact))
+	}
+
+	It("waits while the leading judge hears nobody", func() {
+		w.run(1)
+		expectContact(false)
+	})
+
+	It("waits at daemons that are cut off together", func() {
+		w.hear("d1")
+		w.run(2)
+		expectContact(false)
+	})
+
+	It("goes on at daemons that hear most of the others", func() {
+		w.hear("d1", "d2")
+		w.run(3)
+		expectContact(true)
+	})
+
+	It("goes on at a daemon without others", func() {
+		w.members.replace([]zpassign.Member{w.self}, zpclock.Now())
+		expectContact(true)
+	})
+})
--- a/internal/zpupgrade/judge.go
+++ b/internal/zpupgrade/judge.go
@@ -173,7 +173,7 @@
 	return false
 }
 
-// SetContact records that this daemon is itself the leading judge and has contact to others.
+// SetContact records that this daemon is itself the leading judge and hears most of the others.
 func (t *Tracker) SetContact(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
