--- a/internal/zpapp/gateway_origins.go
+++ b/internal/zpapp/gateway_origins.go
@@ -52,7 +52,7 @@
 			return versions[pool], err
 		},
 		ListedAt:   func() time.Time { return d.follower.PrefixReadAt(zpplatform.EndpointPrefix) },
-		KeepsSince: d.keepsSince, SeesSince: d.seesSince,
+		KeepsSince: d.keepsSince, SeesSince: d.seesSince, ServesSince: d.servesSince,
 		Table: zporigin.NewTable(), Pools: zporigin.NewVersions(), Log: d.Log, Clock: zpclock.Now,
 	}
 	d.gateway.Origins = d.origins
@@ -97,6 +97,17 @@
 	return since
 }
 
+// servesSince returns since when a pool has served its routes. A daemon that knows no route to it
+// may be about to read a configuration that has one.
+func (d *GatewayDaemon) servesSince(pool string) time.Time {
+	if c := d.catalog.Load(); c != nil {
+		if movedAt, ok := c.ServesSince(pool); ok {
+			return movedAt
+		}
+	}
+	return zpclock.Now()
+}
+
 // runsSince returns when this daemon started or was last paused.
 func (d *GatewayDaemon) runsSince() time.Time {
 	d.catalogs.recordActive(zpclock.Now()) // this may be the first thing that it does after a pause
--- a/internal/zpcatalog/catalog.go
+++ b/internal/zpcatalog/catalog.go
@@ -237,6 +237,22 @@
 // RequiresKey reports whether requests of a route must carry a workspace's key.
 func (c *Catalog) RequiresKey(r *Route) bool { return len(c.Workspaces) > 0 && !r.Anonymous }
 
+// ServesSince returns when a route was last moved to a pool, as far as this daemon has seen it.
+// It returns false if no route sends requests to the pool.
+func (c *Catalog) ServesSince(pool string) (movedAt time.Time, ok bool) {
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if !r.HasPool(pool) {
+			continue
+		}
+		ok = true
+		if r.MovedAt.After(movedAt) {
+			movedAt = r.MovedAt
+		}
+	}
+	return movedAt, ok
+}
+
 // PickPool chooses a pool with a probability proportional to its weight. The number
 // random must be in [0, 1).
 func (r *Route) PickPool(random float64) string {
--- a/internal/zpcatalog/catalog_test.go
+++ b/internal/zpcatalog/catalog_test.go
@@ -81,4 +81,14 @@
 		c.RecordMoves(&zpcatalog.Catalog{}, second)
 		Expect(c.Routes[0].MovedAt).To(BeZero())
 	})
+
+	It("tells since when a pool has served its routes", func() {
+		c := catalogWith(a)
+		_, ok := c.ServesSince("b")
+		Expect(ok).To(BeFalse())
+		c.RecordMoves(catalogWith(b), second)
+		movedAt, ok := c.ServesSince("a")
+		Expect(ok).To(BeTrue())
+		Expect(movedAt).To(Equal(second))
+	})
 })
--- a/internal/zpgateway/origin.go
+++ b/internal/zpgateway/origin.go
@@ -23,7 +23,7 @@
 		return j.bindToOrigin(f)
 	case hasLeft(ctx, j): // which ends the search, too
 		return errCallerGone.WithState(j.runState)
-	case f.Status == zporigin.StatusUnknown, f.Status == zporigin.StatusAny && !g.IsCatalogConfirmed(), hasStreamsOfSeveralPools(j.route, g.Clock()):
+	case f.Status == zporigin.StatusUnknown, f.Status == zporigin.StatusAny && !g.IsCatalogConfirmed(), !f.IsPastSeen, hasStreamsOfSeveralPools(j.route, g.Clock()):
 		return errOriginUnknown.WithRetryAfter(retryAfterUnavailable)
 	case f.Status == zporigin.StatusAssumed, f.Version != "": // endpoints of others may join while the request waits
 		j.bindTo(f.Version)
--- a/internal/zpgateway/origin_test.go
+++ b/internal/zpgateway/origin_test.go
@@ -188,6 +188,18 @@
 		expectResponse(s.serve(resumedRequest("1", "r1")), http.StatusOK, rest)
 	})
 
+	// Guards against the rest of a stream from another pool at a daemon that started after its route was moved.
+	It("is refused as not run if nobody knows it, nor whether its route was moved within the last minute", func() {
+		s := newMixedGateway(responds(http.StatusOK, rest))
+		s.Origins.Pools, s.Origins.VersionsOf = zporigin.NewVersions(), func(string, time.Time) []string { return []string{"v1"} }
+		s.Origins.SeesSince = func() time.Time { return time.Now().Add(-50 * time.Second) }
+		reply := s.serve(resumedRequest("1", "r1"))
+		expectRefused(reply, http.StatusServiceUnavailable, zperror.RunStateNotRun)
+		Expect(reply.refused.Code).To(Equal("stream_origin_unknown"))
+		s.Origins.SeesSince = func() time.Time { return time.Now().Add(-2 * time.Minute) }
+		expectResponse(s.serve(resumedRequest("1", "r1")), http.StatusOK, rest)
+	})
+
 	It("is known by the attempt that began it after it was taken up", func() {
 		s := newMixedGateway(responds(http.StatusOK, rest))
 		s.Origins.Pools, s.Origins.VersionsOf = zporigin.NewVersions(), func(string, time.Time) []string { return []string{"v1"} }
--- a/internal/zporigin/directory.go
+++ b/internal/zporigin/directory.go
@@ -43,10 +43,13 @@
 		// SeesSince returns since when this daemon has seen each version of a pool, or the zero
 		// time if it has since the fleet first started.
 		SeesSince func() time.Time
-		Table     *Table
-		Pools     *Versions
-		Log       *zplog.Logger
-		Clock     func() time.Time
+		// ServesSince returns since when a pool has served its routes, as far as this daemon has
+		// seen that change. It may be nil.
+		ServesSince func(pool string) time.Time
+		Table       *Table
+		Pools       *Versions
+		Log         *zplog.Logger
+		Clock       func() time.Time
 
 		untold untold
 	}
@@ -59,7 +62,7 @@
 		// cannot tell whether the stream exists, and says nothing of the versions.
 		KeptFor time.Duration
 		// SeenFor is the time for which the daemon has read all changes of the endpoints, so that
-		// no version came and went unseen. UnknownTime: it is of a release that does not say.
+		// no version came and went unseen, and for which the pool has served its routes. UnknownTime: it is of a release that does not say.
 		SeenFor  time.Duration
 		Versions map[string]time.Duration // software versions of which streams may be open, and the time since each was last seen
 		MixedFor time.Duration            // since the daemon knew of several versions; zero: it knows one
@@ -72,6 +75,9 @@
 		// Version is the only one at which the stream may go on. It is empty if the status is
 		// StatusUnknown, or StatusAny and the pool has had no endpoints.
 		Version string
+		// IsPastSeen tells that the stream is known, or that this daemon or one that answered knows
+		// which versions the pool had in the last minute, and which routes it served.
+		IsPastSeen bool
 	}
 
 	// Status says how a finding came about.
@@ -103,7 +109,7 @@
 // request is empty if the caller does not name the attempt that began the stream.
 func (d *Directory) Find(ctx context.Context, request, pool string) Finding {
 	if d == nil {
-		return Finding{Status: StatusAny}
+		return Finding{Status: StatusAny, IsPastSeen: true}
 	}
 	request = keyOf(request)
 	startedAt := d.Clock()
@@ -113,17 +119,28 @@
 		q = d.askKeepers(ctx, request, pool)
 	}
 	f, isRead := d.conclude(ctx, request, pool, &q)
+	f.IsPastSeen = f.Status == StatusKnown || d.isPastSeen(q)
 	d.logSought(request, pool, f, q, isRead, startedAt)
 	return f
 }
 
 // Answer returns what this daemon knows of a stream that is taken up in a pool elsewhere.
 func (d *Directory) Answer(request, pool string, now time.Time) Reply {
-	r := Reply{KeptFor: d.keptFor(now), SeenFor: now.Sub(d.SeesSince()), Versions: d.Pools.LastSeen(pool, now), MixedFor: d.Pools.MixedFor(pool, now)}
+	r := Reply{KeptFor: d.keptFor(now), SeenFor: d.seenFor(pool, now), Versions: d.Pools.LastSeen(pool, now), MixedFor: d.Pools.MixedFor(pool, now)}
 	r.Origin, r.IsKnown = d.Table.Find(request, now)
 	return r
 }
 
+// seenFor returns for how long this daemon has known which versions a pool has and which routes
+// it serves.
+func (d *Directory) seenFor(pool string, now time.Time) time.Duration {
+	seen := now.Sub(d.SeesSince())
+	if d.ServesSince != nil {
+		seen = min(seen, now.Sub(d.ServesSince(pool)))
+	}
+	return seen
+}
+
 // conclude returns what follows from what other daemons said of a stream, and whether the
 // store was read for that.
 func (d *Directory) conclude(ctx context.Context, request, pool string, q *inquiry) (f Finding, isRead bool) {
--- a/internal/zporigin/origin_test.go
+++ b/internal/zporigin/origin_test.go
@@ -44,6 +44,7 @@
 	isOlder  bool // all daemons but the one that asks are of a release that answers with the origin alone
 
 	versions map[string][]string // of the pool p, by the name of the daemon that sees them
+	movedAt  time.Time           // when a route was moved to the pool p
 	silent   string              // name of a daemon that no call reaches or leaves
 	lonely   string              // name of a daemon that takes all others for lost
 	missed   map[string]bool     // names of daemons that have just read the list anew and lack the changes before
@@ -71,6 +72,7 @@
 		Self: m, Alive: func(key string) [][]zpassign.Member { return f.alive(m, key) }, Registered: zplookup.NewOwners(f.members).Ranked,
 		Others:   func() []zpassign.Member { return f.others(m) },
 		HearsAll: func() bool { return f.hearsAll(m) }, KeepsSince: func() time.Time { return startedAt }, SeesSince: func() time.Time { return f.seesSince(m.Name, startedAt) }, ListedAt: f.clock, Table: zporigin.NewTable(), Pools: zporigin.NewVersions(), Log: zplog.Discard(), Clock: f.clock,
+		ServesSince: func(string) time.Time { return f.movedAt },
 		VersionsOf: func(pool string, _ time.Time) []string {
 			if pool != "p" {
 				return nil
@@ -269,7 +271,7 @@
 func (f *fleet) expectKnownTo(name string) {
 	GinkgoHelper()
 	Eventually(func() zporigin.Finding { return f.directories[name].Find(context.Background(), "r", "p") }, "1s").
-		Should(Equal(zporigin.Finding{Status: zporigin.StatusKnown, Pool: "p", Version: "v2"}))
+		Should(Equal(zporigin.Finding{Status: zporigin.StatusKnown, Pool: "p", Version: "v2", IsPastSeen: true}))
 }
 
 func (f *fleet) expectStatus(name string, status zporigin.Status) {
@@ -293,7 +295,7 @@
 		f.directories["n0"].Record(context.Background(), zporigin.Origin{Request: "r", Pool: "p", Version: "v1"}, false)
 		Expect(f.told).To(BeZero())
 		f.expectStatusOf("s1", "another", zporigin.StatusAny)
-		Expect(f.directories["s1"].Find(context.Background(), "r", "p")).To(Equal(zporigin.Finding{Status: zporigin.StatusKnown, Pool: "p", Version: "v1"}))
+		Expect(f.directories["s1"].Find(context.Background(), "r", "p")).To(Equal(zporigin.Finding{Status: zporigin.StatusKnown, Pool: "p", Version: "v1", IsPastSeen: true}))
 	})
 
 	It("knows in each daemon at which version a stream began", func() {
@@ -337,7 +339,7 @@
 		f.directories["n0"].Record(context.Background(), zporigin.Origin{Request: "r", Pool: "p", Version: "v1"}, false)
 		f.observe("v1", "v2")
 		Eventually(func() zporigin.Finding { return f.directories["s2"].Find(context.Background(), "r", "p") }, "1s").
-			Should(Equal(zporigin.Finding{Status: zporigin.StatusKnown, Pool: "p", Version: "v1"}))
+			Should(Equal(zporigin.Finding{Status: zporigin.StatusKnown, Pool: "p", Version: "v1", IsPastSeen: true}))
 	})
 
 	It("learns of a stream at a version that this daemon has not seen yet", func() {
@@ -389,7 +391,7 @@
 		f.directories["n0"].Record(context.Background(), ofStream, true)
 		for _, m := range f.members {
 			Eventually(func() zporigin.Finding { return f.directories[m.Name].Find(context.Background(), "r", "q") }, "1s").
-				Should(Equal(zporigin.Finding{Status: zporigin.StatusKnown, Pool: "p", Version: "v2"}))
+				Should(Equal(zporigin.Finding{Status: zporigin.StatusKnown, Pool: "p", Version: "v2", IsPastSeen: true}))
 		}
 	})
 
--- a/internal/zporigin/out_of_step_test.go
+++ b/internal/zporigin/out_of_step_test.go
@@ -209,6 +209,21 @@
 		f.expectStatus("n0", zporigin.StatusAny)
 	})
 
+	// Guards against a daemon that starts after a route was moved to a pool, and takes that for the pool of all its streams.
+	It("takes the word for the past of a pool only from a daemon that has not seen its routes moved lately", func() {
+		f.setClock(at(120))
+		f.restart(f.members[0])
+		f.observeAt("n0", "v1")
+		pastSeen := func() bool { return f.directories["n0"].Find(context.Background(), "r", "p").IsPastSeen }
+		Expect(pastSeen()).To(BeTrue())
+		f.movedAt = at(100)
+		Expect(pastSeen()).To(BeFalse())
+		f.movedAt = at(60)
+		Expect(pastSeen()).To(BeTrue())
+		f.setDown(func(m zpassign.Member) bool { return m.Name != "n0" })
+		Expect(pastSeen()).To(BeFalse())
+	})
+
 	It("knows the streams that began since the whole fleet has started again", func() {
 		f.restartAll("v1")
 		f.directories["n1"].Record(context.Background(), zporigin.Origin{Request: "r", Pool: "p", Version: "v1"}, false)
@@ -292,7 +307,7 @@
 		expectKnownWithout := func(name string) {
 			GinkgoHelper()
 			f.setDown(func(m zpassign.Member) bool { return m.Name == name })
-			Expect(f.directories["n3"].Find(context.Background(), "r", "p")).To(Equal(zporigin.Finding{Status: zporigin.StatusKnown, Pool: "p", Version: "v1"}))
+			Expect(f.directories["n3"].Find(context.Background(), "r", "p")).To(Equal(zporigin.Finding{Status: zporigin.StatusKnown, Pool: "p", Version: "v1", IsPastSeen: true}))
 		}
 
 		BeforeEach(func() {
