--- a/internal/zpapp/gateway_sharing.go
+++ b/internal/zpapp/gateway_sharing.go
@@ -69,7 +69,7 @@
 		},
 	}
 	d.live = &liveDaemons{daemon: d}
-	d.recorder = &zprelay.CachingStore{API: d.reads, HeartbeatPrefix: zpplatform.ConfigPrefix, Clock: zpclock.Now, ExpectsFollowers: func() bool { return d.follower.CanFollow() && d.follower.IsWatcher() }}
+	d.recorder = &zprelay.CachingStore{API: d.reads, HeartbeatPrefix: zpplatform.ConfigPrefix, Clock: zpclock.Now, ExpectsFollowers: func() bool { return d.follower.CanFollow() && d.follower.IsWatcher() }, WasPaused: d.catalogs.wasPaused}
 	d.lookup = &zplookup.Client{
 		Self: d.self, Owners: d.live.partOwners, Learn: d.mergeParts, Log: d.Log, Clock: zpclock.Now,
 		Call: func(ctx context.Context, address string, keys []zpparts.Key) (zpparts.Knowledge, error) {
--- a/internal/zprelay/caching_store.go
+++ b/internal/zprelay/caching_store.go
@@ -18,6 +18,8 @@
 	// ExpectsFollowers reports whether others are to follow this daemon, though none may
 	// have called yet. It may be nil.
 	ExpectsFollowers func() bool
+	// WasPaused reports whether the process was paused since a time. It may be nil.
+	WasPaused func(since time.Time) bool
 
 	mu           sync.Mutex
 	caches       map[string]*prefixCache
@@ -29,6 +31,7 @@
 	feed         *Feed
 	watches      int       // watches in progress
 	lastResponse time.Time // when the store last responded
+	lastCall     time.Time // when the call began to which it responded
 }
 
 const (
@@ -51,10 +54,11 @@
 
 // List lists the store's objects under a prefix and caches them.
 func (r *CachingStore) List(ctx context.Context, prefix string) (zpobject.Listing, error) {
+	startedAt := r.Clock()
 	l, err := r.API.List(ctx, prefix)
 	if err == nil {
 		r.feed(prefix).SetAll(l)
-		r.recordResponse(prefix)
+		r.recordResponse(prefix, startedAt)
 	}
 	return l, err
 }
@@ -74,10 +78,11 @@
 	}
 	r.countWatches(prefix, 1)
 	defer r.countWatches(prefix, -1)
+	startedAt := r.Clock()
 	l, err := r.API.Watch(ctx, prefix, from, wait)
 	if err == nil {
 		r.feed(prefix).Add(from, l)
-		r.recordResponse(prefix)
+		r.recordResponse(prefix, startedAt)
 	}
 	return l, err
 }
@@ -123,10 +128,11 @@
 	return r.cache(prefix).feed
 }
 
-func (r *CachingStore) recordResponse(prefix string) {
+func (r *CachingStore) recordResponse(prefix string, startedAt time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.cache(prefix).lastResponse = r.Clock()
+	c := r.cache(prefix)
+	c.lastResponse, c.lastCall = r.Clock(), startedAt
 }
 
 func (r *CachingStore) countWatches(prefix string, change int) {
@@ -136,8 +142,12 @@
 }
 
 // freshFor returns for how long the store's last response shows that it responds, and tells
-// this daemon of changes under the prefix. It is not positive if it does not show that now.
+// this daemon of changes under the prefix. It is not positive if it does not show that now: a
+// call that was under way during a pause of this process tells nothing.
 func (r *CachingStore) freshFor(prefix string) time.Duration {
+	if r.wasPaused() {
+		return 0
+	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.Clock()
@@ -154,6 +164,15 @@
 	return remaining(r.cache(r.HeartbeatPrefix))
 }
 
+// wasPaused reports whether the process was paused since it made the last call of the heartbeat
+// to which the store has responded.
+func (r *CachingStore) wasPaused() bool {
+	r.mu.Lock()
+	since := r.cache(r.HeartbeatPrefix).lastCall
+	r.mu.Unlock()
+	return r.WasPaused != nil && r.WasPaused(since)
+}
+
 func (r *CachingStore) recordFollower() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/zprelay/follower_test.go
+++ b/internal/zprelay/follower_test.go
@@ -391,6 +391,29 @@
 		Expect(time.Since(startedAt)).To(BeNumerically("<", 2*time.Second))
 	})
 
+	// Guards against a daemon that was paused and takes the list of one that was paused with it for the current one.
+	It("is not followed after a pause until a call to the store that began later has returned", func() {
+		var pausedAt time.Time
+		cache.WasPaused = func(since time.Time) bool { return pausedAt.After(since) }
+		list(prefix)
+		list(otherPrefix)
+		Expect(follow(otherPrefix)).To(HaveField("Revision", BeEquivalentTo(20)))
+		store.waiting = func() {
+			now = now.Add(1200 * time.Millisecond)
+			pausedAt = now
+		}
+		_, err := cache.Watch(context.Background(), prefix, 20, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		for _, p := range []string{prefix, otherPrefix} {
+			_, err = follow(p)
+			Expect(err).To(MatchError(zprelay.ErrNotFollowed), p)
+		}
+		now = now.Add(time.Millisecond)
+		_, err = cache.Watch(context.Background(), prefix, 20, time.Second)
+		Expect(err).NotTo(HaveOccurred())
+		Expect(follow(otherPrefix)).To(HaveField("Revision", BeEquivalentTo(20)))
+	})
+
 	It("shortens its watches while others follow", func() {
 		now := time.Unix(1000, 0)
 		store := &fakeStore{content: listing(10)}
