--- a/internal/zporigin/directory.go
+++ b/internal/zporigin/directory.go
@@ -43,10 +43,13 @@
 		// SeesSince returns since when this daemon has seen each version of a pool, or the zero
 		// time if it has since the fleet first started.
 		SeesSince func() time.Time
-		Table     *Table
-		Pools     *Versions
-		Log       *zplog.Logger
-		Clock     func() time.Time
+		// ServesSince returns since when a pool has served its routes, as far as this daemon has
+		// seen that change. It may be nil.
+		ServesSince func(pool string) time.Time
+		Table       *Table
+		Pools       *Versions
+		Log         *zplog.Logger
+		Clock       func() time.Time
 
 		past   past
 		untold untold
@@ -61,7 +64,8 @@
 		// nothing of the versions.
 		KeptFor time.Duration
 		// SeenFor is the time for which the daemon has read all changes of the endpoints, so that
-		// no version came and went unseen. UnknownTime: it is of a release that does not say.
+		// no version came and went unseen, and for which the pool has served its routes.
+		// UnknownTime: it is of a release that does not say.
 		SeenFor  time.Duration
 		SeenAge  time.Duration            // since it last heard of the endpoints
 		Versions map[string]time.Duration // software versions of which streams may be open, and the time since each was last seen
--- a/internal/zporigin/origin_test.go
+++ b/internal/zporigin/origin_test.go
@@ -44,6 +44,7 @@
 	isOlder  bool // all daemons but the one that asks are of a release that answers with the origin alone
 
 	versions map[string][]string // of the pool p, by the name of the daemon that sees them
+	movedAt  time.Time           // when a route was moved to the pool p
 	silent   string              // name of a daemon that no call reaches or leaves
 	lonely   string              // name of a daemon that takes all others for lost
 	listedAt time.Time           // when all daemons last heard of the endpoints; zero: just now
@@ -72,6 +73,7 @@
 		Self: m, Alive: func(key string) [][]zpassign.Member { return f.alive(m, key) }, Registered: zplookup.NewOwners(f.members).Ranked,
 		Others:   func() []zpassign.Member { return f.others(m) },
 		HearsAll: func() bool { return f.hearsAll(m) }, KeepsSince: func() time.Time { return startedAt }, SeesSince: func() time.Time { return f.seesSince(m.Name, startedAt) }, ListedAt: f.listed, Table: zporigin.NewTable(), Pools: zporigin.NewVersions(), Log: zplog.Discard(), Clock: f.clock,
+		ServesSince: func(string) time.Time { return f.movedAt },
 		VersionsOf: func(pool string, _ time.Time) []string {
 			if pool != "p" {
 				return nil
--- a/internal/zporigin/out_of_step_test.go
+++ b/internal/zporigin/out_of_step_test.go
@@ -277,6 +277,20 @@
 		f.expectStatus("n0", zporigin.StatusAny)
 	})
 
+	// Guards against a daemon that starts after a route was moved to a pool, and takes that for the pool of all its streams.
+	It("takes the word for the past of a pool only from a daemon that has not seen its routes moved lately", func() {
+		f.setClock(at(120))
+		f.restart(f.members[0])
+		f.observeAt("n0", "v1")
+		f.expectStatus("n0", zporigin.StatusAny)
+		f.movedAt = at(100)
+		f.expectStatus("n0", zporigin.StatusUnknown)
+		f.movedAt = at(60)
+		f.expectStatus("n0", zporigin.StatusAny)
+		f.setDown(func(m zpassign.Member) bool { return m.Name != "n0" })
+		f.expectStatus("n0", zporigin.StatusUnknown)
+	})
+
 	It("knows the streams that began since the whole fleet has started again", func() {
 		f.restartAll("v1")
 		f.directories["n1"].Record(context.Background(), zporigin.Origin{Request: "r", Pool: "p", Version: "v1"}, false)
--- a/internal/zporigin/past.go
+++ b/internal/zporigin/past.go
@@ -67,14 +67,20 @@
 	return now.Sub(d.seesSince(pool)) >= Retention
 }
 
-// seesSince returns since when this daemon knows all versions of a pool, by itself or by the
-// word of others.
+// seesSince returns since when this daemon knows all versions of a pool and the routes that it
+// serves, by itself or by the word of others.
 func (d *Directory) seesSince(pool string) time.Time {
 	since := d.SeesSince()
 	d.past.mu.Lock()
-	defer d.past.mu.Unlock()
-	if x, ok := d.past.pools[pool]; ok && x.covers(since) && x.since.Before(since) {
-		return x.since
+	x, ok := d.past.pools[pool]
+	d.past.mu.Unlock()
+	if ok && x.covers(since) && x.since.Before(since) {
+		since = x.since
+	}
+	if d.ServesSince != nil {
+		if at := d.ServesSince(pool); at.After(since) {
+			return at
+		}
 	}
 	return since
 }
