--- a/internal/zpapp/gateway_origins.go
+++ b/internal/zpapp/gateway_origins.go
@@ -77,13 +77,23 @@
 }
 
 // keepsSince returns when this daemon started or was last paused, or the zero time while it
-// does not know the endpoints.
+// does not know the endpoints. No stream is older than the fleet.
 func (d *GatewayDaemon) keepsSince() time.Time {
 	since := d.runsSince()
-	if !d.registry.HasSynced() {
+	switch {
+	case !d.registry.HasSynced():
 		return time.Time{}
+	case d.runsSinceFirstStart(since) && zpclock.Now().Sub(since) >= zporigin.SettleTime:
+		return since.Add(-zporigin.Retention)
+	default:
+		return since
 	}
-	return since
+}
+
+// runsSinceFirstStart reports whether a daemon that runs since a time does so since the fleet
+// first started.
+func (d *GatewayDaemon) runsSinceFirstStart(since time.Time) bool {
+	return d.Node.FirstStart && since.Equal(d.startedAt)
 }
 
 // seesSince returns since when this daemon has read all changes of the endpoints: since it
@@ -94,7 +104,7 @@
 	switch {
 	case listedAt.IsZero():
 		return zpclock.Now()
-	case d.Node.FirstStart && since.Equal(d.startedAt) && listedAt.Sub(d.startedAt) < meetTimeout:
+	case d.runsSinceFirstStart(since) && listedAt.Sub(d.startedAt) < meetTimeout:
 		since = time.Time{}
 	case listedAt.After(since):
 		since = listedAt
--- a/internal/zporigin/ask.go
+++ b/internal/zporigin/ask.go
@@ -16,6 +16,7 @@
 		asked     []string                 // names
 		answered  []string                 // names of those whose word counts, up to the first that knows the stream
 		unsettled []string                 // names of those that answered and cannot tell
+		keptAll   int                      // number of those that have kept all origins of the last minute
 		versions  map[string]time.Duration // software versions that they have seen, and the time since each was last seen
 		mixedFor  time.Duration
 		pasts     []inheritance // what those that answered have seen
@@ -90,10 +91,13 @@
 	case r.IsKnown:
 		q.origin, q.isKnown = r.Origin, true
 		q.answered = append(q.answered, r.from)
-	case r.KeptFor < settleTime:
+	case r.KeptFor < SettleTime:
 		q.unsettled = append(q.unsettled, r.from)
 	default:
 		q.answered = append(q.answered, r.from)
+		if r.KeptFor >= Retention {
+			q.keptAll++
+		}
 	}
 	q.mixedFor = max(q.mixedFor, r.MixedFor)
 	q.pasts = append(q.pasts, r.past)
--- a/internal/zporigin/directory.go
+++ b/internal/zporigin/directory.go
@@ -93,9 +93,9 @@
 const UnknownTime time.Duration = -1
 
 const (
-	// settleTime is how long a daemon must have run for its word that it does not know a stream:
+	// SettleTime is how long a daemon must have run for its word that it does not know a stream:
 	// it has the endpoints that joined meanwhile, and the streams of the versions that may be assumed.
-	settleTime = 2 * assumeFor
+	SettleTime = 2 * assumeFor
 	// readTimeout bounds the wait for the store.
 	readTimeout = 300 * time.Millisecond
 )
@@ -157,11 +157,11 @@
 func (d *Directory) prove(ctx context.Context, request, pool string, q *inquiry) (isProven, isRead bool) {
 	if !q.isKnown && !d.Pools.IsMixed(pool) {
 		isRead = true
-		isProven = d.readVersions(ctx, pool) && d.isPastSeen(pool, *q) || d.proveAbsence(ctx, request, pool, q) && d.isPastSeen(pool, *q)
+		isProven = d.readVersions(ctx, pool) && d.isPastSeen(pool, *q) || d.proveAbsence(ctx, request, pool, q) && d.isMinuteKnown(pool, *q)
 	}
 	// The store or the others may have told of a second version meanwhile.
 	if _, ok := d.Pools.Assume(pool, d.Clock()); ok && !q.isKnown && request != "" {
-		isProven = d.proveAbsence(ctx, request, pool, q) && len(q.asked) >= len(d.Others()) && d.isPastSeen(pool, *q)
+		isProven = d.proveAbsence(ctx, request, pool, q) && len(q.asked) >= len(d.Others()) && d.isMinuteKnown(pool, *q)
 	}
 	return isProven, isRead
 }
@@ -197,7 +197,14 @@
 // of their reach. That nobody was asked, or that nobody answered, proves nothing, unless this
 // daemon is the only one.
 func (d *Directory) isAbsenceProven(q inquiry, now time.Time) bool {
-	return zpmutant.Active(zpmutant.Silence) || (q.isComplete() || len(d.Others()) == 0) && d.HearsAll() && d.keptFor(now) >= settleTime
+	return zpmutant.Active(zpmutant.Silence) || (q.isComplete() || len(d.Others()) == 0) && d.HearsAll() && d.keptFor(now) >= SettleTime
+}
+
+// isMinuteKnown reports whether those that answered know the versions of the last minute, or all
+// of its streams: the time for which they have kept origins may be shorter.
+func (d *Directory) isMinuteKnown(pool string, q inquiry) bool {
+	haveAllKept := len(q.asked) >= len(d.Others()) && q.keptAll == len(q.asked) && d.keptFor(d.Clock()) >= Retention
+	return haveAllKept || d.isPastSeen(pool, q)
 }
 
 // readVersions reads the endpoints' versions from the store and reports whether it answered.
--- a/internal/zporigin/out_of_step_test.go
+++ b/internal/zporigin/out_of_step_test.go
@@ -236,6 +236,19 @@
 		f.expectStatus("n0", zporigin.StatusAny)
 	})
 
+	// Guards against refusals in a fleet that has read the list of endpoints anew, as after a restore of the store.
+	It("knows that a stream began at the pool's version if all daemons know the streams of a minute, whatever they have seen", func() {
+		for _, m := range f.members {
+			f.missed[m.Name] = true
+		}
+		f.expectStatus("n0", zporigin.StatusAny)
+		f.setClock(at(80))
+		f.restart(f.members[1])
+		f.observeAt("n1", "v1")
+		f.setClock(at(95))
+		f.expectStatus("n0", zporigin.StatusUnknown)
+	})
+
 	// Guards against a stream of a version that left before the fleet started again, taken for one of the version that was there since.
 	It("assumes no version within a minute after the whole fleet has started again", func() {
 		f.restartAll("v1")
