--- a/internal/zpapp/endpoint_gap.go
+++ b/internal/zpapp/endpoint_gap.go
@@ -39,11 +39,11 @@
 }
 
 // last returns the revision from which the missing changes can be read and when the gap ended.
-// The revision is zero if there is no gap.
-func (g *endpointGap) last() (from int64, until time.Time) {
+// The revision is zero if there is no gap, or no stream that began in it can be open.
+func (g *endpointGap) last(now time.Time) (from int64, until time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.from == 0 {
+	if g.from == 0 || now.Sub(g.until) >= zporigin.Retention {
 		return 0, time.Time{}
 	}
 	return g.from, g.until
--- a/internal/zpapp/endpoint_gap_test.go
+++ b/internal/zpapp/endpoint_gap_test.go
@@ -5,6 +5,8 @@
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/zinniapaddle/zinniapaddle/internal/zporigin"
 )
 
 var _ = Describe("What a daemon has seen of the endpoints", func() {
@@ -44,4 +46,15 @@
 		w.endpointGap.close(again)
 		Expect(w.seesSince()).To(Equal(first))
 	})
+
+	// Guards against a second read of the store for each stream, long after the history of a gap is gone.
+	It("has no gap any more once the streams of that time have ended", func() {
+		until := w.startedAt.Add(time.Second)
+		w.endpointGap.listed(0, w.startedAt)
+		w.endpointGap.listed(7, until)
+		from, _ := w.endpointGap.last(until.Add(zporigin.Retention - time.Second))
+		Expect(from).To(BeEquivalentTo(7))
+		from, _ = w.endpointGap.last(until.Add(zporigin.Retention))
+		Expect(from).To(BeZero())
+	})
 })
--- a/internal/zpapp/gateway_origins.go
+++ b/internal/zpapp/gateway_origins.go
@@ -109,7 +109,7 @@
 	case listedAt.After(since):
 		since = listedAt
 	}
-	if _, until := d.endpointGap.last(); until.After(since) {
+	if _, until := d.endpointGap.last(zpclock.Now()); until.After(since) {
 		since = until
 	}
 	return since
@@ -135,7 +135,7 @@
 // daemon last heard of them, and returns their software versions by pool. It includes the
 // changes that the daemon has missed, if the store still has them.
 func (d *GatewayDaemon) readVersionChanges(ctx context.Context) (map[string][]string, error) {
-	if from, until := d.endpointGap.last(); from != 0 {
+	if from, until := d.endpointGap.last(zpclock.Now()); from != 0 {
 		out, err := d.readVersionsSince(ctx, from)
 		if err == nil {
 			d.endpointGap.close(until)
