--- a/internal/zpapp/endpoint_gap.go
+++ b/internal/zpapp/endpoint_gap.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 	"github.com/zinniapaddle/zinniapaddle/internal/zporigin"
 )
 
@@ -43,7 +44,7 @@
 func (g *endpointGap) last(now time.Time) (from int64, until time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.from == 0 || now.Sub(g.until) >= zporigin.Retention {
+	if g.from == 0 || now.Sub(g.until) >= zporigin.Retention || zpmutant.Active(zpmutant.Gap) {
 		return 0, time.Time{}
 	}
 	return g.from, g.until
--- a/internal/zpapp/gateway_origins.go
+++ b/internal/zpapp/gateway_origins.go
@@ -77,23 +77,16 @@
 }
 
 // keepsSince returns when this daemon started or was last paused, or the zero time while it
-// does not know the endpoints. No stream is older than the fleet.
+// does not know the endpoints. Before the fleet first started there was nothing to keep.
 func (d *GatewayDaemon) keepsSince() time.Time {
 	since := d.runsSince()
-	switch {
-	case !d.registry.HasSynced():
+	if !d.registry.HasSynced() {
 		return time.Time{}
-	case d.runsSinceFirstStart(since) && zpclock.Now().Sub(since) >= zporigin.SettleTime:
+	}
+	if d.Node.FirstStart && since.Equal(d.startedAt) {
 		return since.Add(-zporigin.Retention)
-	default:
-		return since
 	}
-}
-
-// runsSinceFirstStart reports whether a daemon that runs since a time does so since the fleet
-// first started.
-func (d *GatewayDaemon) runsSinceFirstStart(since time.Time) bool {
-	return d.Node.FirstStart && since.Equal(d.startedAt)
+	return since
 }
 
 // seesSince returns since when this daemon has read all changes of the endpoints: since it
@@ -104,7 +97,7 @@
 	switch {
 	case listedAt.IsZero():
 		return zpclock.Now()
-	case d.runsSinceFirstStart(since) && listedAt.Sub(d.startedAt) < meetTimeout:
+	case d.Node.FirstStart && since.Equal(d.startedAt) && listedAt.Sub(d.startedAt) < meetTimeout:
 		since = time.Time{}
 	case listedAt.After(since):
 		since = listedAt
--- a/internal/zporigin/ask.go
+++ b/internal/zporigin/ask.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 )
 
 type (
@@ -16,10 +17,10 @@
 		asked     []string                 // names
 		answered  []string                 // names of those whose word counts, up to the first that knows the stream
 		unsettled []string                 // names of those that answered and cannot tell
-		keptAll   int                      // number of those that have kept all origins of the last minute
 		versions  map[string]time.Duration // software versions that they have seen, and the time since each was last seen
 		mixedFor  time.Duration
-		pasts     []inheritance // what those that answered have seen
+		pasts     []inheritance   // what those that answered have seen
+		kept      []time.Duration // for how long those that answered have kept origins
 	}
 
 	namedReply struct {
@@ -48,6 +49,14 @@
 	return len(q.asked) > 0 && len(q.answered) == len(q.asked)
 }
 
+// leastKept returns for how long all that answered have kept origins.
+func (q inquiry) leastKept() time.Duration {
+	if len(q.kept) == 0 {
+		return Retention // there is nobody else
+	}
+	return slices.Min(q.kept)
+}
+
 // askKeepers asks the keepers of a request in all regions.
 func (d *Directory) askKeepers(ctx context.Context, request, pool string) inquiry {
 	q := inquiry{versions: map[string]time.Duration{}}
@@ -91,16 +100,14 @@
 	case r.IsKnown:
 		q.origin, q.isKnown = r.Origin, true
 		q.answered = append(q.answered, r.from)
-	case r.KeptFor < SettleTime:
+	case r.KeptFor < settleTime && !zpmutant.Active(zpmutant.Settled):
 		q.unsettled = append(q.unsettled, r.from)
 	default:
 		q.answered = append(q.answered, r.from)
-		if r.KeptFor >= Retention {
-			q.keptAll++
-		}
 	}
 	q.mixedFor = max(q.mixedFor, r.MixedFor)
 	q.pasts = append(q.pasts, r.past)
+	q.kept = append(q.kept, r.KeptFor)
 	for x, age := range r.Versions {
 		if known, ok := q.versions[x]; !ok || age < known {
 			q.versions[x] = age
--- a/internal/zporigin/directory.go
+++ b/internal/zporigin/directory.go
@@ -93,9 +93,9 @@
 const UnknownTime time.Duration = -1
 
 const (
-	// SettleTime is how long a daemon must have run for its word that it does not know a stream:
+	// settleTime is how long a daemon must have run for its word that it does not know a stream:
 	// it has the endpoints that joined meanwhile, and the streams of the versions that may be assumed.
-	SettleTime = 2 * assumeFor
+	settleTime = 2 * assumeFor
 	// readTimeout bounds the wait for the store.
 	readTimeout = 300 * time.Millisecond
 )
@@ -157,11 +157,11 @@
 func (d *Directory) prove(ctx context.Context, request, pool string, q *inquiry) (isProven, isRead bool) {
 	if !q.isKnown && !d.Pools.IsMixed(pool) {
 		isRead = true
-		isProven = d.readVersions(ctx, pool) && d.isPastSeen(pool, *q) || d.proveAbsence(ctx, request, pool, q) && d.isMinuteKnown(pool, *q)
+		isProven = d.readVersions(ctx, pool) && d.isPastSeen(pool, *q) || d.proveAbsence(ctx, request, pool, q)
 	}
 	// The store or the others may have told of a second version meanwhile.
 	if _, ok := d.Pools.Assume(pool, d.Clock()); ok && !q.isKnown && request != "" {
-		isProven = d.proveAbsence(ctx, request, pool, q) && len(q.asked) >= len(d.Others()) && d.isMinuteKnown(pool, *q)
+		isProven = d.proveAbsence(ctx, request, pool, q) && len(q.asked) >= len(d.Others())
 	}
 	return isProven, isRead
 }
@@ -179,13 +179,19 @@
 	if d.isAbsenceProven(*q, d.Clock()) {
 		d.askRest(ctx, request, pool, q)
 	}
-	return !q.isKnown && d.isAbsenceProven(*q, d.Clock())
+	return !q.isKnown && d.isAbsenceProven(*q, d.Clock()) && (d.isPastSeen(pool, *q) || d.haveKeptAll(*q, d.Clock()))
+}
+
+// haveKeptAll reports whether the streams of the last minute are known to those that were asked
+// or to this daemon, as none of them has started, or was paused, since they began.
+func (d *Directory) haveKeptAll(q inquiry, now time.Time) bool {
+	return d.keptFor(now) >= Retention && q.leastKept() >= Retention
 }
 
 // askRest asks all daemons that were not asked yet, in a fleet of up to maxAskedAll.
 func (d *Directory) askRest(ctx context.Context, request, pool string, q *inquiry) {
 	others := d.Others()
-	if len(others) > maxAskedAll {
+	if len(others) > maxAskedAll || zpmutant.Active(zpmutant.Rest) {
 		return
 	}
 	rest := slices.DeleteFunc(slices.Clone(others), func(m zpassign.Member) bool { return slices.Contains(q.asked, m.Name) })
@@ -197,21 +203,14 @@
 // of their reach. That nobody was asked, or that nobody answered, proves nothing, unless this
 // daemon is the only one.
 func (d *Directory) isAbsenceProven(q inquiry, now time.Time) bool {
-	return zpmutant.Active(zpmutant.Silence) || (q.isComplete() || len(d.Others()) == 0) && d.HearsAll() && d.keptFor(now) >= SettleTime
-}
-
-// isMinuteKnown reports whether those that answered know the versions of the last minute, or all
-// of its streams: the time for which they have kept origins may be shorter.
-func (d *Directory) isMinuteKnown(pool string, q inquiry) bool {
-	haveAllKept := len(q.asked) >= len(d.Others()) && q.keptAll == len(q.asked) && d.keptFor(d.Clock()) >= Retention
-	return haveAllKept || d.isPastSeen(pool, q)
+	return zpmutant.Active(zpmutant.Silence) || (q.isComplete() || len(d.Others()) == 0) && (d.HearsAll() || zpmutant.Active(zpmutant.Contact)) && d.keptFor(now) >= settleTime
 }
 
 // readVersions reads the endpoints' versions from the store and reports whether it answered.
 func (d *Directory) readVersions(ctx context.Context, pool string) bool {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	if zpmutant.Active(zpmutant.Silence) {
+	if zpmutant.Active(zpmutant.Silence) || zpmutant.Active(zpmutant.StoreWord) {
 		return true
 	}
 	versions, err := d.ReadVersions(ctx, pool)
--- a/internal/zporigin/past.go
+++ b/internal/zporigin/past.go
@@ -55,7 +55,7 @@
 // minute. The store does not tell of endpoints that have left.
 func (d *Directory) isPastSeen(pool string, q inquiry) bool {
 	now, seesSince := d.Clock(), d.SeesSince()
-	return d.hasSeenPast(pool, now) || zpmutant.Active(zpmutant.Silence) ||
+	return d.hasSeenPast(pool, now) || zpmutant.Active(zpmutant.Silence) || zpmutant.Active(zpmutant.PastSeen) ||
 		slices.ContainsFunc(q.pasts, func(x inheritance) bool {
 			return x.isOlder || x.covers(seesSince) && now.Sub(x.since) >= Retention
 		})
