--- a/internal/zpsoak/faults.go
+++ b/internal/zpsoak/faults.go
@@ -170,8 +170,6 @@
 		i.setStoreModeFor(ctx, zpoutside.StoreMode{RequestDelay: 300 * time.Millisecond}, f.Duration)
 	case StoreRestore:
 		i.restoreStore(ctx, f)
-	case StoreForget:
-		s.store.DiscardHistory()
 	case PeerCut:
 		s.toPeer[f.Target].setModeFor(ctx, LinkMode{HoldToTarget: true}, f.Duration)
 	case PeerSlow:
@@ -182,7 +180,7 @@
 		s.toEndpoint[f.Target].resetFor(ctx, f.Duration)
 	case StrandedHang, StrandedReset, StrandedRefuse:
 		return i.strand(ctx, f)
-	case PeersCut, PeersMute, PeersDeaf, OutOfStep, EndpointUpdate:
+	case PeersCut, PeersMute, PeersDeaf, OutOfStep, EndpointUpdate, StoreForget:
 		i.applyOutOfStep(ctx, f)
 	case EndpointCrash:
 		i.crash(ctx, f)
--- a/internal/zpsoak/judge_departed.go
+++ b/internal/zpsoak/judge_departed.go
@@ -48,32 +48,37 @@
 }
 
 // checkCanceled checks that no work starts or continues for clients that have
-// disconnected. Bookings that have started are completed. A run that started late as it was held
-// on its way is judged from its start.
+// disconnected.
 func (r *run) checkCanceled(runs map[string][]zpoutside.Run, violation reportFunc) {
 	for _, q := range r.requestLog.requests {
 		if q.CanceledAt.IsZero() {
 			continue
 		}
-		bound := q.CanceledAt.Add(cancelLimit + timingTolerance)
 		for _, x := range runs[q.ID] {
-			from, heldFrom, endBound := q.CanceledAt, q.SentAt, bound
-			if x.At.After(bound) {
-				if r.mayBeDelayed(x, x.At) || r.mayBeHeld(q, x, x.At) {
-					from, heldFrom, endBound = x.At, x.At, x.At.Add(cancelLimit+timingTolerance)
-				} else {
-					violation("departed", "%s of daemon %d started on %s %s after its client disconnected; %s", q.ID, q.Daemon, x.Endpoint, x.At.Sub(q.CanceledAt), r.describeEnd(q, x))
-				}
-			}
-			// Work without a recorded end is only known to continue until the end of the run.
-			isRunning := x.Ended.IsZero() && r.endedAt.After(endBound) || x.Ended.Add(-r.stalledAfterEnd(q, x)).After(endBound)
-			if isRunning && q.Kind != "book" && !r.mayBeDelayed(x, endBound) && !r.mayBeHeldBetween(q, x, heldFrom, endBound) && !r.mayBePaused(q.Daemon, from, endBound) {
-				violation("departed", "%s of daemon %d still ran on %s half a second after its client disconnected; %s", q.ID, q.Daemon, x.Endpoint, r.describeEnd(q, x))
-			}
+			r.checkDeparted(q, x, violation)
 		}
 	}
 }
 
+// checkDeparted checks a run for a client that has disconnected. Bookings that have started are
+// completed. A run that started late as it was held on its way is judged from its start.
+func (r *run) checkDeparted(q request, x zpoutside.Run, violation reportFunc) {
+	bound := q.CanceledAt.Add(cancelLimit + timingTolerance)
+	from, heldFrom := q.CanceledAt, q.SentAt
+	isLate := x.At.After(bound)
+	switch {
+	case isLate && (r.mayBeDelayed(x, x.At) || r.mayBeHeld(q, x, x.At)):
+		from, heldFrom, bound = x.At, x.At, x.At.Add(cancelLimit+timingTolerance)
+	case isLate:
+		violation("departed", "%s of daemon %d started on %s %s after its client disconnected; %s", q.ID, q.Daemon, x.Endpoint, x.At.Sub(q.CanceledAt), r.describeEnd(q, x))
+	}
+	// Work without a recorded end is only known to continue until the end of the run.
+	isRunning := x.Ended.IsZero() && r.endedAt.After(bound) || x.Ended.Add(-r.stalledAfterEnd(q, x)).After(bound)
+	if isRunning && q.Kind != "book" && !r.mayBeDelayed(x, bound) && !r.mayBeHeldBetween(q, x, heldFrom, bound) && !r.mayBePaused(q.Daemon, from, bound) {
+		violation("departed", "%s of daemon %d still ran on %s half a second after its client disconnected; %s", q.ID, q.Daemon, x.Endpoint, r.describeEnd(q, x))
+	}
+}
+
 // stalledAfterEnd returns for how long the soak stood still between a daemon's end of the connection
 // at the link and the end of the run. The daemon has no part in that time.
 func (r *run) stalledAfterEnd(q request, x zpoutside.Run) time.Duration {
--- a/internal/zpsoak/plan_out_of_step.go
+++ b/internal/zpsoak/plan_out_of_step.go
@@ -110,6 +110,8 @@
 		i.cutPeers(ctx, f)
 	case OutOfStep:
 		i.sendMoving(ctx, f)
+	case StoreForget:
+		i.cluster.store.DiscardHistory()
 	default:
 		i.update(f)
 	}
