--- a/internal/zpsoak/cluster.go
+++ b/internal/zpsoak/cluster.go
@@ -45,6 +45,7 @@
 		endpoints  []*zpoutside.Endpoint
 		servers    []*http.Server
 		daemons    []*zpsite.Process
+		nodes      []zpoutside.Node      // by daemon, at the first start
 		toStore    []*Link               // by daemon
 		toPeer     []links               // by daemon, from the others
 		rewrites   []func([]byte) []byte // by daemon, replaces addresses by those that it uses
@@ -164,12 +165,13 @@
 	}
 	node := zpoutside.Node{
 		Name: fmt.Sprintf("front-%d", i), IP: s.daemonIP(i), Domain: domains[i%len(domains)], Region: "n",
-		Regions: map[string]string{"a": "n", "b": "n", "c": "n"}, Store: toStore.Listen, MemoryMB: memoryMB,
+		Regions: map[string]string{"a": "n", "b": "n", "c": "n"}, Store: toStore.Listen, MemoryMB: memoryMB, FirstStart: isDrawnRun(s.Seed),
 	}
-	file := filepath.Join(s.Dir, node.Name+".toml")
-	if err := os.WriteFile(file, []byte(node.Settings()), 0o600); err != nil {
-		return fmt.Errorf("write settings: %w", err)
+	file := s.settingsFile(node)
+	if err := s.writeSettings(node); err != nil {
+		return err
 	}
+	s.nodes = append(s.nodes, node)
 	p := &zpsite.Process{
 		Name: node.Name, Path: s.binary(cmp.Or(s.FromBinDir, s.BinDir)), Args: []string{"serve"}, Dir: s.Dir,
 		Env: []string{"ZINNIAPADDLE_NODE_FILE=" + file},
@@ -181,6 +183,26 @@
 	return nil
 }
 
+func (s *cluster) settingsFile(n zpoutside.Node) string { return filepath.Join(s.Dir, n.Name+".toml") }
+
+func (s *cluster) writeSettings(n zpoutside.Node) error {
+	if err := os.WriteFile(s.settingsFile(n), []byte(n.Settings()), 0o600); err != nil {
+		return fmt.Errorf("write settings: %w", err)
+	}
+	return nil
+}
+
+// endFirstStart makes daemons start as in a fleet that has run before.
+func (s *cluster) endFirstStart() error {
+	for _, n := range s.nodes {
+		n.FirstStart = false
+		if err := s.writeSettings(n); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 func (s *cluster) daemonIP(i int) string { return s.ip(1, 10+i) }
 
 // awaitReady waits until each daemon reports that it is ready.
--- a/internal/zpsoak/plan_drawn_test.go
+++ b/internal/zpsoak/plan_drawn_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"math/rand/v2"
+	"os"
 	"slices"
 	"time"
 
 	. "github.com/onsi/ginkgo/v2"
 	. "github.com/onsi/gomega"
+
+	"github.com/zinniapaddle/zinniapaddle/platform/zpoutside"
 )
 
 var _ = Describe("Plan, with daemons that are out of step in a shape that is drawn", func() {
@@ -138,6 +141,17 @@
 	)
 })
 
+var _ = Describe("The settings of daemons", func() {
+	It("say that the fleet starts for the first time until it has", func() {
+		node := zpoutside.Node{Name: "front-0", FirstStart: true}
+		s := &cluster{Config: Config{Dir: GinkgoT().TempDir()}, nodes: []zpoutside.Node{node}}
+		Expect(s.writeSettings(node)).To(Succeed())
+		Expect(os.ReadFile(s.settingsFile(node))).To(ContainSubstring("first-start = true"))
+		Expect(s.endFirstStart()).To(Succeed())
+		Expect(os.ReadFile(s.settingsFile(node))).To(ContainSubstring("first-start = false"))
+	})
+})
+
 var _ = Describe("A cut between daemons", func() {
 	// modesOf returns what is held on the link from one daemon to another while daemon 1 is cut off.
 	modesOf := func(f Fault, from, to int) (toTarget, fromTarget bool) {
--- a/internal/zpsoak/run.go
+++ b/internal/zpsoak/run.go
@@ -47,6 +47,9 @@
 	if err := s.awaitReady(ctx); err != nil {
 		return Outcome{}, err
 	}
+	if err := s.endFirstStart(); err != nil {
+		return Outcome{}, err
+	}
 	r := &run{cluster: s, requestLog: &requestLog{}, startedAt: time.Now()}
 	r.faults = &injector{
 		cluster: s, activeScopes: map[string]bool{}, incarnations: make([]int, c.Daemons), upgradedAt: map[int]int{}, versions: []change{{Version: s.version, From: r.startedAt}},
