--- a/internal/zpgateway/origin_test.go
+++ b/internal/zpgateway/origin_test.go
@@ -213,6 +213,28 @@
 		}),
 	)
 
+	Context("whose caller does not name an attempt", func() {
+		var s testGateway
+
+		BeforeEach(func() {
+			s = newMixedGateway(responds(http.StatusOK, rest))
+			s.Origins.Pools = zporigin.NewVersions()
+			s.Origins.Pools.Observe("pool", []string{"v1"}, time.Now())
+		})
+
+		It("goes on in a pool of one version", func() {
+			s.Origins.VersionsOf = func(string, time.Time) []string { return []string{"v1"} }
+			expectResponse(s.serve(resumedRequest("1", "")), http.StatusOK, rest)
+		})
+
+		// Guards against taking a stream for one of the version before because nobody knows a request that has no id.
+		It("is refused as not run beside another version, although that has just appeared", func() {
+			s.Origins.Pools.Observe("pool", []string{"v1", "v2"}, time.Now())
+			expectRefused(s.serve(resumedRequest("1", "")), http.StatusServiceUnavailable, zperror.RunStateNotRun)
+			Expect(s.runner.runs).To(BeEmpty())
+		})
+	})
+
 	It("is known before its caller gets the first event", func() {
 		s := newMixedGateway(responds(http.StatusOK, first))
 		s.Serve(context.Background(), request("tag"), &fakeReply{failWrites: true})
