--- a/internal/zpgateway/endpoint_start.go
+++ b/internal/zpgateway/endpoint_start.go
@@ -69,7 +69,7 @@
 
 // readStart asks an endpoint when it started. Those that ask at the same time share the answer.
 func (g *Gateway) readStart(ctx context.Context, e zpregistry.Endpoint) (int64, error) {
-	v, err, _ := g.starts.calls.Do(e.ID, func() (any, error) {
+	answer := g.starts.calls.DoChan(e.ID, func() (any, error) {
 		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), startTimeout)
 		defer cancel()
 		startedAtMS, err := g.ReadStart(ctx, e)
@@ -79,7 +79,12 @@
 		}
 		return startedAtMS, err
 	})
-	return v.(int64), err
+	select {
+	case a := <-answer:
+		return a.Val.(int64), a.Err
+	case <-ctx.Done():
+		return 0, context.Cause(ctx)
+	}
 }
 
 func errorText(err error) string {
--- a/internal/zpgateway/endpoint_start_test.go
+++ b/internal/zpgateway/endpoint_start_test.go
@@ -81,6 +81,22 @@
 		Expect(asked).To(ConsistOf("e1", "e2", "e3"))
 	})
 
+	// Guards against holding a request whose caller has left until the endpoint has answered.
+	It("ends at once if its caller leaves before the endpoint says when it started", func() {
+		ctx, leave := context.WithCancel(context.Background())
+		answered := make(chan struct{})
+		s.ReadStart = func(context.Context, zpregistry.Endpoint) (int64, error) {
+			leave()
+			<-answered
+			return 5, nil
+		}
+		reply := &fakeReply{}
+		s.Serve(ctx, request("tag"), reply)
+		close(answered)
+		Expect(reply.aborted).To(BeTrue())
+		Expect(reply.refused).To(BeNil())
+	})
+
 	DescribeTable("is sent without a question",
 		func(route string, prepare func()) {
 			prepare()
