--- a/internal/zporigin/directory.go
+++ b/internal/zporigin/directory.go
@@ -150,7 +150,7 @@
 func (d *Directory) prove(ctx context.Context, request, pool string, q *inquiry) (isProven, isRead bool) {
 	if !q.isKnown && !d.Pools.IsMixed(pool) {
 		isRead = true
-		isProven = d.readVersions(ctx, pool) && d.isPastSeen(*q) || d.proveAbsence(ctx, request, pool, q)
+		isProven = d.readVersions(ctx, pool) && d.provePastSeen(ctx, request, pool, q) || d.proveAbsence(ctx, request, pool, q)
 	}
 	// The store or the others may have told of a second version meanwhile.
 	if _, ok := d.Pools.Assume(pool, d.Clock()); ok && !q.isKnown && request != "" {
@@ -175,6 +175,15 @@
 	return !q.isKnown && d.isAbsenceProven(*q, d.Clock())
 }
 
+// provePastSeen asks all daemons that were not asked yet, in a fleet of up to maxAskedAll, if
+// none of the others has seen the versions of the last minute, and reports whether one has.
+func (d *Directory) provePastSeen(ctx context.Context, request, pool string, q *inquiry) bool {
+	if !d.isPastSeen(*q) {
+		d.askRest(ctx, request, pool, q)
+	}
+	return d.isPastSeen(*q)
+}
+
 // askRest asks all daemons that were not asked yet, in a fleet of up to maxAskedAll.
 func (d *Directory) askRest(ctx context.Context, request, pool string, q *inquiry) {
 	others := d.Others()
--- a/internal/zporigin/out_of_step_test.go
+++ b/internal/zporigin/out_of_step_test.go
@@ -193,6 +193,16 @@
 		f.expectStatus("n0", zporigin.StatusAny)
 	})
 
+	// Guards against streams that are refused while daemons are replaced, as those that are asked first all have been.
+	It("asks the others what they have seen if the keepers have just started", func() {
+		m := f.neverAsked("r")
+		asker := f.members[slices.IndexFunc(f.members, func(x zpassign.Member) bool { return x != m })]
+		f.restartOthers(m.Name, "v1")
+		f.expectStatus(asker.Name, zporigin.StatusAny)
+		f.observeAt(m.Name, "v1", "v2")
+		f.expectStatus(asker.Name, zporigin.StatusUnknown)
+	})
+
 	// Guards against a stream of a version whose last endpoint left before the whole fleet started again.
 	It("cannot tell after the whole fleet has started again, for a minute while a daemon is silent", func() {
 		f.restartAll("v1")
