--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -131,7 +131,7 @@
 		Node: n, Log: log, Metrics: zpmetric.New(), startedAt: zpclock.Now(),
 		self: zpassign.Member{
 			Instance: s.Name + "." + randomHex(instanceRandomBytes), Name: s.Name, PeerAddress: s.Peers.Listen,
-			CallerAddress: s.Callers.Listen, Region: s.Region, Domain: s.Domain, State: zpassign.MemberServing, Cores: n.Cores,
+			CallerAddress: s.Callers.Listen, Region: s.Region, Domain: s.Domain, State: zpassign.MemberServing, Cores: n.Cores, PeerVersion: zppeer.Version,
 		},
 		registry: zpregistry.New(lapsedEntryGrace), weights: zprollout.NewWeightVersions(time.Duration(float64(n.Bounds.OldWeightsGrace) * oldWeightsShare)), members: newMembers(s.Name),
 	}
--- a/internal/zpapp/gateway_metrics.go
+++ b/internal/zpapp/gateway_metrics.go
@@ -1,6 +1,8 @@
 package zpapp
 
 import (
+	"strconv"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpclock"
@@ -18,6 +20,7 @@
 	storeEraDesc     = describe("store_era", "Era of the store: how often it came back from an older copy, as far as the store tells.")
 	dutyDesc         = describe("duty_held", "1 while this daemon is the one that loads new weights into engines.")
 	peersDesc        = describe("answering_daemons", "Daemons that answered recently, including this one.")
+	registeredDesc   = describe("registered_daemons", "Daemons registered in the store, including this one, by the version of the messages between daemons that they speak; 0: their build does not tell.", "peer_version")
 	cutOffDesc       = describe("cut_off_from_endpoints", "1 while this daemon connects to no endpoint by itself although others do.")
 	blockedDesc      = describe("blocked_endpoints", "Addresses of endpoints that this daemon reaches only through other daemons.")
 	detoursDesc      = describe("open_detours_for_others", "Connections to endpoints that are open for other daemons.")
@@ -70,6 +73,9 @@
 	}
 	gauge(dutyDesc, held)
 	gauge(peersDesc, float64(len(d.live.list())))
+	for version, n := range s.registered() {
+		gauge(registeredDesc, float64(n), strconv.Itoa(version))
+	}
 	gauge(waitingDesc, float64(d.gateway.QueuedRequests()))
 	for _, r := range d.upgrades.tracker.Reports(now) {
 		gauge(upgradeSentDesc, float64(r.Sent), r.Pool, "all")
@@ -87,6 +93,15 @@
 	}
 }
 
+// registered counts the registered daemons by the version of the messages that they speak.
+func (s *stateCollector) registered() map[int]int {
+	out := map[int]int{0: 0, s.daemon.self.PeerVersion: 1}
+	for _, m := range s.daemon.members.Others() {
+		out[m.PeerVersion]++
+	}
+	return out
+}
+
 // states counts a pool's endpoints by state:
 //   - listed: all endpoints in the registry
 //   - draining: leaving
--- a/internal/zpassign/member.go
+++ b/internal/zpassign/member.go
@@ -21,20 +21,24 @@
 		Domain        string
 		State         MemberState
 		Cores         float64 // CPU cores available on its VM; 0 if unknown
+		// PeerVersion is the version of the messages between daemons that it speaks; 0: its build
+		// does not tell.
+		PeerVersion int
 	}
 
 	// MemberState is the lifecycle state of an instance.
 	MemberState string
 
 	wireMember struct {
-		Instance string  `json:"instance"`
-		Name     string  `json:"name"`
-		Address  string  `json:"address"`
-		Callers  string  `json:"callers"`
-		Region   string  `json:"region"`
-		Domain   string  `json:"failure_domain"`
-		State    string  `json:"state"`
-		Cores    float64 `json:"cores,omitempty"`
+		Instance    string  `json:"instance"`
+		Name        string  `json:"name"`
+		Address     string  `json:"address"`
+		Callers     string  `json:"callers"`
+		Region      string  `json:"region"`
+		Domain      string  `json:"failure_domain"`
+		State       string  `json:"state"`
+		Cores       float64 `json:"cores,omitempty"`
+		PeerVersion int     `json:"peer_version,omitempty"`
 	}
 )
 
@@ -55,7 +59,7 @@
 func EncodeMember(m Member) ([]byte, error) {
 	return json.Marshal(wireMember{
 		Instance: m.Instance, Name: m.Name, Address: m.PeerAddress, Callers: m.CallerAddress,
-		Region: m.Region, Domain: m.Domain, State: string(m.State), Cores: m.Cores,
+		Region: m.Region, Domain: m.Domain, State: string(m.State), Cores: m.Cores, PeerVersion: m.PeerVersion,
 	})
 }
 
@@ -67,7 +71,7 @@
 	}
 	return Member{
 		Instance: w.Instance, Name: w.Name, PeerAddress: w.Address, CallerAddress: w.Callers,
-		Region: w.Region, Domain: w.Domain, State: MemberState(w.State), Cores: w.Cores,
+		Region: w.Region, Domain: w.Domain, State: MemberState(w.State), Cores: w.Cores, PeerVersion: w.PeerVersion,
 	}, nil
 }
 
--- a/internal/zppeer/server.go
+++ b/internal/zppeer/server.go
@@ -13,6 +13,10 @@
 	"github.com/zinniapaddle/zinniapaddle/internal/zppeer/zppeerpb"
 )
 
+// Version is the version of the messages between daemons. It rises when the answer of an
+// earlier build lacks what others need to know.
+const Version = 1
+
 // Listen opens the listener for calls of other daemons, without TLS if config is
 // nil.
 func Listen(address string, config *tls.Config) (net.Listener, error) {
