--- a/internal/zporigin/origin_test.go
+++ b/internal/zporigin/origin_test.go
@@ -38,10 +38,11 @@
 	down map[string]bool // by address
 	told int             // messages
 
-	reads    int      // of the store
-	stored   []string // versions that the store tells
-	storeErr error
-	isOlder  bool // all daemons but the one that asks are of a release that answers with the origin alone
+	reads     int      // of the store
+	stored    []string // versions that the store tells
+	storeErr  error
+	isOlder   bool // all daemons but the one that asks are of a release that answers with the origin alone
+	omitsSeen bool // all daemons but the one that asks are of a release that does not say what changes it has read
 
 	versions map[string][]string // of the pool p, by the name of the daemon that sees them
 	silent   string              // name of a daemon that no call reaches or leaves
@@ -96,6 +97,9 @@
 			if f.isOlder {
 				reply = zporigin.Reply{Origin: reply.Origin, IsKnown: reply.IsKnown, SeenFor: zporigin.UnknownTime}
 			}
+			if f.omitsSeen {
+				reply.SeenFor = zporigin.UnknownTime
+			}
 			return reply, nil
 		},
 		ReadVersions: func(context.Context, string) ([]string, error) {
--- a/internal/zporigin/out_of_step_test.go
+++ b/internal/zporigin/out_of_step_test.go
@@ -193,6 +193,21 @@
 		f.expectStatus("n0", zporigin.StatusAny)
 	})
 
+	DescribeTable("counts the answer of a daemon of an earlier release for the versions of the last minute, beside the store",
+		func(setRelease func(), withoutStore zporigin.Status) {
+			f.restart(f.members[0])
+			f.observeAt("n0", "v1")
+			setRelease()
+			f.expectStatus("n0", zporigin.StatusAny)
+			f.storeErr = errDown
+			f.expectStatus("n0", zporigin.StatusUnknown)
+			f.setClock(at(70))
+			f.expectStatus("n0", withoutStore)
+		},
+		Entry("that tells the origin alone: never for the absence of a stream", func() { f.isOlder = true }, zporigin.StatusUnknown),
+		Entry("that does not say which changes it has read", func() { f.omitsSeen = true }, zporigin.StatusAny),
+	)
+
 	// Guards against streams that are refused while daemons are replaced, as those that are asked first all have been.
 	It("asks the others what they have seen if the keepers have just started", func() {
 		m := f.neverAsked("r")
