--- a/internal/zporigin/directory.go
+++ b/internal/zporigin/directory.go
@@ -182,10 +182,10 @@
 	return !q.isKnown && d.isAbsenceProven(*q, d.Clock()) && (d.isPastSeen(pool, *q) || d.haveKeptAll(*q, d.Clock()))
 }
 
-// haveKeptAll reports whether the streams of the last minute are known to those that were asked
-// or to this daemon, as none of them has started, or was paused, since they began.
+// haveKeptAll reports whether the streams of the last minute are known to the others, all of
+// which were asked, or to this daemon, as none of them has started, or was paused, since they began.
 func (d *Directory) haveKeptAll(q inquiry, now time.Time) bool {
-	return d.keptFor(now) >= Retention && q.leastKept() >= Retention
+	return len(q.asked) >= len(d.Others()) && d.keptFor(now) >= Retention && q.leastKept() >= Retention
 }
 
 // askRest asks all daemons that were not asked yet, in a fleet of up to maxAskedAll.
--- a/internal/zporigin/out_of_step_test.go
+++ b/internal/zporigin/out_of_step_test.go
@@ -249,6 +249,21 @@
 		f.expectStatus("n0", zporigin.StatusUnknown)
 	})
 
+	// Guards against a large fleet in which the daemons that are asked count for the others.
+	It("cannot tell by the streams that a few daemons know, in a fleet too large to ask all", func() {
+		f = newFleet(70)
+		f.observe("v1")
+		f.setClock(at(60))
+		f.observe("v1")
+		for _, m := range f.members {
+			f.missed[m.Name] = true
+		}
+		m := f.neverAsked("r")
+		f.silence(m.Name)
+		f.directories[m.Name].Record(context.Background(), ofStream, false)
+		f.expectStatus("s0", zporigin.StatusUnknown)
+	})
+
 	// Guards against a stream of a version that left before the fleet started again, taken for one of the version that was there since.
 	It("assumes no version within a minute after the whole fleet has started again", func() {
 		f.restartAll("v1")
