--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -142,7 +142,7 @@
 	d.sender = d.newSender()
 	d.gateway = &zpgateway.Gateway{
 		Domain: s.Domain, Region: s.Region, RegionOf: n.RegionOf, Catalog: d.catalog.Load, CatalogConfirmedAt: func() time.Time { return d.follower.ReadAt() },
-		AwaitCatalog: func(ctx context.Context) { d.catalogs.await(ctx) }, IsCatalogConfirmed: func() bool { return d.catalogs.isConfirmed() }, Registry: d.registry, HasSynced: d.hasSynced,
+		AwaitCatalog: func(ctx context.Context) { d.catalogs.await(ctx) }, IsCatalogConfirmed: func() bool { return d.catalogs.isConfirmed() }, Registry: d.registry, IsListCurrent: d.isEndpointListCurrent, HasSynced: d.hasSynced,
 		Weights: d.weights, Usage: zpusage.NewTracker(usageMaxAge), Parts: zpparts.NewDirectory(maxPartsPerHolder),
 		Stores: zpparts.NewStores(cacheStoreStateMaxAge, cacheStoreSettleDelay), AnnounceParts: d.announceParts, RefreshParts: d.query,
 		Health: zpgateway.NewHealthTracker(), Speed: zpspeed.NewTracker(), Cold: &zpplace.ColdLimiter{Self: s.Name}, Brittle: zpbrittle.New(s.Name), Daemons: d.members.Names,
@@ -207,6 +207,8 @@
 	workers.Go(func() { d.bans.run(work) })
 	workers.Go(func() { d.upgrades.run(work) })
 	workers.Go(func() { d.watchVersions(work) })
+	workers.Go(func() { d.inheritPasts(work) })
+	workers.Go(func() { repeatEvery(work, versionsInterval, d.origins.TellAgain) })
 	workers.Go(func() { d.detour.RunProbes(work) })
 	stalls := &zpstall.Detector{Log: d.Log, Clock: zpclock.Now, Observe: func(late time.Duration) {
 		d.Metrics.StallSeconds.Observe(late.Seconds())
@@ -240,6 +242,7 @@
 	d.gateway.StopBy(now.Add(d.Node.Bounds.StopGrace-shutdownMargin-answerMargin), now)
 	ctx, cancel := context.WithDeadline(context.Background(), startedAt.Add(d.Node.Bounds.StopGrace-shutdownMargin))
 	defer cancel()
+	go d.origins.HandOver(ctx)
 	d.unregister(ctx)
 	if zpmutant.Active(zpmutant.Drain) {
 		_ = d.callers.Close()
@@ -249,6 +252,7 @@
 	if err := d.callers.Shutdown(ctx); err != nil {
 		d.Log.Emit(zplog.DrainTimedOut, zplog.Fields{"open_requests": d.gateway.OpenRequests.Load()})
 	}
+	d.origins.HandOver(ctx) // streams that began while this daemon was stopping
 	// Until here, daemons that are cut off from endpoints may have no other way than this one.
 	d.connector.Shutdown(ctx)
 	// These servers have no requests that need a graceful shutdown.
@@ -323,11 +327,13 @@
 	timing := zpduty.Timing{Validity: dutyValidity, RenewInterval: dutyRenew, HandoverDelay: d.Node.Bounds.MinOrderInterval + dutyMargin}
 	keeper := zpduty.NewKeeper(weightDuty, holder, timing, d.reads, d.Log, zpclock.Now)
 	keeper.Peek, keeper.Eras = d.reads.GetStale, d.eras
+	orderer := &zpplatform.Orderer{Sender: d.sender, Clock: zpclock.Now, Notice: d.gateway.RecordNotice}
+	d.gateway.ReadStart = orderer.StartedAtMS
 	d.rollout = &zprollout.Rollout{
 		Self: holder, Keeper: keeper,
 		WeightVersions: d.weights, Engines: d.engines, Models: d.models,
 		Load:       func(endpoint string, now time.Time) int { return d.gateway.Usage.Total(endpoint, now).Requests },
-		SetWeights: d.registry.SetWeights, Announce: d.announceWeightChange, Orderer: &zpplatform.Orderer{Sender: d.sender, Clock: zpclock.Now, Notice: d.gateway.RecordNotice},
+		SetWeights: d.registry.SetWeights, Announce: d.announceWeightChange, Orderer: orderer,
 		Reaches: func(address string, now time.Time) bool { return !d.detour.Tracker.IsBlocked(address, now) },
 		Rank:    func() int { return zpplace.RendezvousRank(d.self.Name, weightDuty, d.members.Names()) },
 		Timing:  zprollout.Timing{PollInterval: weightPollInterval, RepeatDelay: orderRetryInterval}, Log: d.Log, Clock: zpclock.Now,
--- a/internal/zpapp/gateway_origins.go
+++ b/internal/zpapp/gateway_origins.go
@@ -24,6 +24,9 @@
 	// what the store takes. maxChangesPause is well below the time for which requests wait.
 	changesPerDaemon = 2 * time.Millisecond
 	maxChangesPause  = 200 * time.Millisecond
+	// maxListAge is the age up to which the list of endpoints is current: its watch ends without
+	// changes after its wait.
+	maxListAge = shortWatchWait + 500*time.Millisecond
 )
 
 var (
@@ -39,7 +42,7 @@
 	}}
 	d.origins = &zporigin.Directory{
 		Self: d.self, Alive: d.rankKeepers, Registered: func(request string) [][]zpassign.Member { return d.live.registeredOwners().Ranked(request) },
-		Others: d.members.Others, HearsAll: func() bool { return len(d.live.list()) == len(d.members.Names()) },
+		Others: d.members.Others, HearsAll: d.hearsAll,
 		Tell: func(ctx context.Context, address string, origins []zporigin.Origin) error {
 			return zppeer.RecordOrigins(ctx, d.dialer, address, origins)
 		},
@@ -52,12 +55,18 @@
 			return versions[pool], err
 		},
 		ListedAt:   func() time.Time { return d.follower.PrefixReadAt(zpplatform.EndpointPrefix) },
-		KeepsSince: d.keepsSince, SeesSince: d.seesSince,
+		KeepsSince: d.keepsSince, SeesSince: d.seesSince, ServesSince: d.servesSince,
 		Table: zporigin.NewTable(), Pools: zporigin.NewVersions(), Log: d.Log, Clock: zpclock.Now,
 	}
 	d.gateway.Origins = d.origins
 }
 
+// hearsAll reports whether all daemons that may have begun a stream have answered recently. One
+// that has left can't be asked any more.
+func (d *GatewayDaemon) hearsAll() bool {
+	return len(d.live.list()) == len(d.members.Names()) && !d.members.haveLeft(zpclock.Now())
+}
+
 // rankKeepers returns the daemons of each region in the order in which they keep what is known
 // of a stream. A daemon that has just started takes all that are registered for alive.
 func (d *GatewayDaemon) rankKeepers(request string) [][]zpassign.Member {
@@ -68,29 +77,48 @@
 }
 
 // keepsSince returns when this daemon started or was last paused, or the zero time while it
-// does not know the endpoints.
+// does not know the endpoints. Before the fleet first started there was nothing to keep.
 func (d *GatewayDaemon) keepsSince() time.Time {
 	since := d.runsSince()
 	if !d.registry.HasSynced() {
 		return time.Time{}
 	}
+	if d.Node.FirstStart && since.Equal(d.startedAt) {
+		return since.Add(-zporigin.Retention)
+	}
 	return since
 }
 
 // seesSince returns since when this daemon has read all changes of the endpoints: since it
-// started, was last paused, or missed some. It returns the zero time if it has read them since
-// the fleet first started.
+// first listed them, was last paused, or missed some. It returns the zero time if it has read them
+// since the fleet first started.
 func (d *GatewayDaemon) seesSince() time.Time {
-	since := d.runsSince()
-	if d.Node.FirstStart && since.Equal(d.startedAt) {
+	since, listedAt := d.runsSince(), d.endpointGap.firstListedAt()
+	switch {
+	case listedAt.IsZero():
+		return zpclock.Now()
+	case d.Node.FirstStart && since.Equal(d.startedAt) && listedAt.Sub(d.startedAt) < meetTimeout:
 		since = time.Time{}
+	case listedAt.After(since):
+		since = listedAt
 	}
-	if _, until := d.endpointGap.last(); until.After(since) {
+	if _, until := d.endpointGap.last(zpclock.Now()); until.After(since) {
 		since = until
 	}
 	return since
 }
 
+// servesSince returns since when a pool has served its routes. A daemon that knows no route to it
+// may be about to read a configuration that has one.
+func (d *GatewayDaemon) servesSince(pool string) time.Time {
+	if c := d.catalog.Load(); c != nil {
+		if movedAt, ok := c.ServesSince(pool); ok {
+			return movedAt
+		}
+	}
+	return zpclock.Now()
+}
+
 // runsSince returns when this daemon started or was last paused.
 func (d *GatewayDaemon) runsSince() time.Time {
 	d.catalogs.recordActive(zpclock.Now()) // this may be the first thing that it does after a pause
@@ -100,11 +128,18 @@
 	return d.startedAt
 }
 
+// isEndpointListCurrent reports whether the list of endpoints is as new as its watch keeps it
+// while the store answers.
+func (d *GatewayDaemon) isEndpointListCurrent() bool {
+	now := zpclock.Now()
+	return !d.watches.storeDown.Load() && !d.registry.MayLackEntries(now) && now.Sub(d.follower.PrefixReadAt(zpplatform.EndpointPrefix)) < maxListAge
+}
+
 // readVersionChanges reads from the store itself which endpoints have changed since this
 // daemon last heard of them, and returns their software versions by pool. It includes the
 // changes that the daemon has missed, if the store still has them.
 func (d *GatewayDaemon) readVersionChanges(ctx context.Context) (map[string][]string, error) {
-	if from, until := d.endpointGap.last(); from != 0 {
+	if from, until := d.endpointGap.last(zpclock.Now()); from != 0 {
 		out, err := d.readVersionsSince(ctx, from)
 		if err == nil {
 			d.endpointGap.close(until)
@@ -152,6 +187,19 @@
 	})
 }
 
+// inheritPasts learns from others which versions the pools have had, until ctx ends.
+func (d *GatewayDaemon) inheritPasts(ctx context.Context) {
+	repeatEvery(ctx, versionsInterval, func(ctx context.Context) {
+		c := d.catalog.Load()
+		if c == nil {
+			return
+		}
+		for _, p := range c.Pools {
+			d.origins.InheritPast(ctx, p.Name, zpclock.Now())
+		}
+	})
+}
+
 func (d *GatewayDaemon) keepOrigins(origins []zporigin.Origin) {
 	now := zpclock.Now()
 	for _, o := range origins {
--- a/internal/zpgateway/origin_test.go
+++ b/internal/zpgateway/origin_test.go
@@ -96,7 +96,7 @@
 	})
 
 	// Guards against the rest of a stream from an endpoint of another version that joins after the origin was sought.
-	It("goes on at the only version of its pool, although another one appears while it waits", func() {
+	DescribeTable("goes on at the only version of its pool, although another one appears while it waits", func(version string) {
 		s := newMixedGateway()
 		put := func(id, version string, startedAtMS int64) {
 			s.Registry.Put(zpregistry.Endpoint{
@@ -105,9 +105,9 @@
 		}
 		ids := []string{"e1", "e2", "e3"}
 		for _, id := range ids {
-			put(id, "v1", 1)
+			put(id, version, 1)
 		}
-		s.Origins.Pools, s.Origins.VersionsOf = zporigin.NewVersions(), func(string, time.Time) []string { return []string{"v1"} }
+		s.Origins.Pools, s.Origins.VersionsOf = zporigin.NewVersions(), func(string, time.Time) []string { return []string{version} }
 		s.runner.steps = []step{func(ctx context.Context, gate *zpengine.Gate) (*zpgateway.Response, error) {
 			for _, id := range ids {
 				put(id, "v2", 2)
@@ -115,8 +115,11 @@
 			return dialFails(ctx, gate)
 		}, responds(http.StatusOK, rest)}
 		expectRefused(s.serve(resumedRequest("1", "r1")), http.StatusServiceUnavailable, zperror.RunStateNotRun)
-		Expect(s.versionsOfRuns()).To(HaveEach("v1"))
-	})
+		Expect(s.versionsOfRuns()).To(HaveEach(version))
+	},
+		Entry("with a name", "v1"),
+		Entry("of entries that name none", ""),
+	)
 
 	// Guards against a daemon that is cut off before a second version appears.
 	It("is refused if nobody knows it and this daemon may not know of other versions", func() {
@@ -188,14 +191,42 @@
 		expectResponse(s.serve(resumedRequest("1", "r1")), http.StatusOK, rest)
 	})
 
-	It("is known by the attempt that began it after it was taken up", func() {
+	// Guards against refusing a stream whose caller names the attempt before, which took it up itself.
+	DescribeTable("is known by both attempts after it was taken up",
+		func(version string, prepare func(s testGateway)) {
+			s := newMixedGateway(responds(http.StatusOK, rest))
+			prepare(s)
+			expectResponse(s.serve(resumedRequest("1", "r1")), http.StatusOK, rest)
+			for _, attempt := range []string{"r1", "r2"} {
+				o, ok := s.Origins.Table.Find(attempt, time.Now())
+				Expect(ok).To(BeTrue())
+				Expect(o).To(Equal(zporigin.Origin{Request: attempt, Pool: "pool", Version: version}))
+			}
+		},
+		Entry("in a pool of one version", "v1", func(s testGateway) {
+			s.Origins.Pools, s.Origins.VersionsOf = zporigin.NewVersions(), func(string, time.Time) []string { return []string{"v1"} }
+		}),
+		Entry("if its origin was known", "v2", func(s testGateway) {
+			s.Origins.Table.Record(zporigin.Origin{Request: "r1", Pool: "pool", Version: "v2"}, time.Now())
+		}),
+		Entry("if its origin was assumed", "v1", func(s testGateway) {
+			s.Origins.Pools = zporigin.NewVersions()
+			s.Origins.Pools.Observe("pool", []string{"v1"}, time.Now())
+			s.Origins.Pools.Observe("pool", []string{"v1", "v2"}, time.Now())
+		}),
+	)
+
+	// Guards against the rest of a stream from another pool at a daemon that started after its route was moved.
+	It("is refused as not run if nobody knows it, nor whether its route was moved within the last minute", func() {
 		s := newMixedGateway(responds(http.StatusOK, rest))
 		s.Origins.Pools, s.Origins.VersionsOf = zporigin.NewVersions(), func(string, time.Time) []string { return []string{"v1"} }
+		startedAt := time.Now().Add(-50 * time.Second)
+		s.Origins.SeesSince, s.Origins.KeepsSince = func() time.Time { return startedAt }, func() time.Time { return startedAt }
+		reply := s.serve(resumedRequest("1", "r1"))
+		expectRefused(reply, http.StatusServiceUnavailable, zperror.RunStateNotRun)
+		Expect(reply.refused.Code).To(Equal("stream_origin_unknown"))
+		startedAt = time.Now().Add(-2 * time.Minute)
 		expectResponse(s.serve(resumedRequest("1", "r1")), http.StatusOK, rest)
-		_, ok := s.Origins.Table.Find("r1", time.Now())
-		Expect(ok).To(BeTrue())
-		_, ok = s.Origins.Table.Find("r2", time.Now())
-		Expect(ok).To(BeFalse())
 	})
 
 	It("is known before its caller gets the first event", func() {
--- a/internal/zporigin/ask.go
+++ b/internal/zporigin/ask.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/zinniapaddle/zinniapaddle/internal/zpassign"
+	"github.com/zinniapaddle/zinniapaddle/internal/zpmutant"
 )
 
 type (
@@ -18,13 +19,14 @@
 		unsettled []string                 // names of those that answered and cannot tell
 		versions  map[string]time.Duration // software versions that they have seen, and the time since each was last seen
 		mixedFor  time.Duration
-		// isPastSeen tells that one of those that answered has seen the versions of the last minute.
-		isPastSeen bool
+		pasts     []inheritance   // what those that answered have seen
+		kept      []time.Duration // for how long those that answered have kept origins
 	}
 
 	namedReply struct {
 		Reply
 		from string
+		past inheritance
 		err  error
 	}
 )
@@ -47,6 +49,14 @@
 	return len(q.asked) > 0 && len(q.answered) == len(q.asked)
 }
 
+// leastKept returns for how long all that answered have kept origins.
+func (q inquiry) leastKept() time.Duration {
+	if len(q.kept) == 0 {
+		return Retention // there is nobody else
+	}
+	return slices.Min(q.kept)
+}
+
 // askKeepers asks the keepers of a request in all regions.
 func (d *Directory) askKeepers(ctx context.Context, request, pool string) inquiry {
 	q := inquiry{versions: map[string]time.Duration{}}
@@ -60,12 +70,13 @@
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	replies := make(chan namedReply)
+	startedAt := d.Clock()
 	for _, m := range members {
 		q.asked = append(q.asked, m.Name)
 		go func() {
 			r, err := d.Ask(ctx, m.PeerAddress, request, pool)
 			select {
-			case replies <- namedReply{r, m.Name, err}:
+			case replies <- namedReply{r, m.Name, pastOf(r, startedAt, d.Clock()), err}:
 			case <-ctx.Done():
 			}
 		}()
@@ -89,13 +100,14 @@
 	case r.IsKnown:
 		q.origin, q.isKnown = r.Origin, true
 		q.answered = append(q.answered, r.from)
-	case r.KeptFor < settleTime:
+	case r.KeptFor < settleTime && !zpmutant.Active(zpmutant.Settled):
 		q.unsettled = append(q.unsettled, r.from)
 	default:
 		q.answered = append(q.answered, r.from)
 	}
 	q.mixedFor = max(q.mixedFor, r.MixedFor)
-	q.isPastSeen = q.isPastSeen || r.SeenFor >= Retention || r.SeenFor == UnknownTime
+	q.pasts = append(q.pasts, r.past)
+	q.kept = append(q.kept, r.KeptFor)
 	for x, age := range r.Versions {
 		if known, ok := q.versions[x]; !ok || age < known {
 			q.versions[x] = age
--- a/internal/zporigin/directory.go
+++ b/internal/zporigin/directory.go
@@ -24,7 +24,8 @@
 		// them, so that its silence is noticed.
 		Registered func(key string) [][]zpassign.Member
 		Others     func() []zpassign.Member // all other registered daemons
-		// HearsAll reports whether all registered daemons have answered recently.
+		// HearsAll reports whether all registered daemons have answered recently, and none has
+		// left within Retention.
 		HearsAll func() bool
 		Tell     func(ctx context.Context, address string, origins []Origin) error
 		Ask      func(ctx context.Context, address, request, pool string) (Reply, error)
@@ -42,22 +43,31 @@
 		// SeesSince returns since when this daemon has seen each version of a pool, or the zero
 		// time if it has since the fleet first started.
 		SeesSince func() time.Time
-		Table     *Table
-		Pools     *Versions
-		Log       *zplog.Logger
-		Clock     func() time.Time
+		// ServesSince returns since when a pool has served its routes, as far as this daemon has
+		// seen that change. It may be nil.
+		ServesSince func(pool string) time.Time
+		Table       *Table
+		Pools       *Versions
+		Log         *zplog.Logger
+		Clock       func() time.Time
+
+		past   past
+		untold untold
 	}
 
 	// Reply is what a daemon knows of a stream and of the pool in which it is taken up.
 	Reply struct {
 		Origin  Origin
 		IsKnown bool
-		// KeptFor is the time since the daemon started or was last paused. Zero means that it
-		// cannot tell whether the stream exists, and says nothing of the versions.
+		// KeptFor is the time since the daemon started, was last paused, or had no room for an
+		// origin that began then. Zero means that it cannot tell whether the stream exists, and says
+		// nothing of the versions.
 		KeptFor time.Duration
 		// SeenFor is the time for which the daemon has read all changes of the endpoints, so that
-		// no version came and went unseen. UnknownTime: it is of a release that does not say.
+		// no version came and went unseen, and for which the pool has served its routes.
+		// UnknownTime: it is of a release that does not say.
 		SeenFor  time.Duration
+		SeenAge  time.Duration            // since it last heard of the endpoints
 		Versions map[string]time.Duration // software versions of which streams may be open, and the time since each was last seen
 		MixedFor time.Duration            // since the daemon knew of several versions; zero: it knows one
 	}
@@ -66,8 +76,8 @@
 	Finding struct {
 		Status Status
 		Pool   string // in which the stream began, if the status is StatusKnown
-		// Version is the only one at which the stream may go on. It is empty if the status is
-		// StatusUnknown, or StatusAny and the pool has had no endpoints.
+		// Version is the only one at which the stream may go on, unless the status is
+		// StatusUnknown. It is empty where endpoints name none.
 		Version string
 	}
 
@@ -116,7 +126,7 @@
 
 // Answer returns what this daemon knows of a stream that is taken up in a pool elsewhere.
 func (d *Directory) Answer(request, pool string, now time.Time) Reply {
-	r := Reply{KeptFor: d.keptFor(now), SeenFor: now.Sub(d.SeesSince()), Versions: d.Pools.LastSeen(pool, now), MixedFor: d.Pools.MixedFor(pool, now)}
+	r := Reply{KeptFor: d.keptFor(now), SeenFor: now.Sub(d.seesSince(pool)), SeenAge: now.Sub(d.ListedAt()), Versions: d.Pools.LastSeen(pool, now), MixedFor: d.Pools.MixedFor(pool, now)}
 	r.Origin, r.IsKnown = d.Table.Find(request, now)
 	return r
 }
@@ -130,15 +140,16 @@
 		d.askRest(ctx, request, pool, q) // one that is no keeper may have begun the stream
 	}
 	now := d.Clock()
-	version, mayAssume := d.Pools.Assume(pool, now)
+	only, hasOne := d.Pools.Only(pool)
+	before, mayAssume := d.Pools.Assume(pool, now)
 	switch {
 	case q.isKnown:
 		d.Table.Record(q.origin, now)
 		return Finding{Status: StatusKnown, Pool: q.origin.Pool, Version: q.origin.Version}, isRead
-	case isProven && !d.Pools.IsMixed(pool):
-		return Finding{Status: StatusAny, Version: d.Pools.Only(pool)}, isRead
+	case isProven && hasOne:
+		return Finding{Status: StatusAny, Version: only}, isRead
 	case isProven && mayAssume && request != "" && q.mixedFor < assumeFor:
-		return Finding{Status: StatusAssumed, Version: version}, isRead
+		return Finding{Status: StatusAssumed, Version: before}, isRead
 	default:
 		return Finding{Status: StatusUnknown}, isRead
 	}
@@ -172,22 +183,28 @@
 	if d.isAbsenceProven(*q, d.Clock()) {
 		d.askRest(ctx, request, pool, q)
 	}
-	return !q.isKnown && d.isAbsenceProven(*q, d.Clock())
+	return !q.isKnown && d.isAbsenceProven(*q, d.Clock()) && (d.isPastSeen(pool, *q) || d.haveKeptAll(*q, d.Clock()))
+}
+
+// haveKeptAll reports whether the streams of the last minute are known to those that were asked
+// or to this daemon, as none of them has started, or was paused, since they began.
+func (d *Directory) haveKeptAll(q inquiry, now time.Time) bool {
+	return d.keptFor(now) >= Retention && q.leastKept() >= Retention
 }
 
 // provePastSeen asks all daemons that were not asked yet, in a fleet of up to maxAskedAll, if
 // none of the others has seen the versions of the last minute, and reports whether one has.
 func (d *Directory) provePastSeen(ctx context.Context, request, pool string, q *inquiry) bool {
-	if !d.isPastSeen(*q) {
+	if !d.isPastSeen(pool, *q) {
 		d.askRest(ctx, request, pool, q)
 	}
-	return d.isPastSeen(*q)
+	return d.isPastSeen(pool, *q)
 }
 
 // askRest asks all daemons that were not asked yet, in a fleet of up to maxAskedAll.
 func (d *Directory) askRest(ctx context.Context, request, pool string, q *inquiry) {
 	others := d.Others()
-	if len(others) > maxAskedAll {
+	if len(others) > maxAskedAll || zpmutant.Active(zpmutant.Rest) {
 		return
 	}
 	rest := slices.DeleteFunc(slices.Clone(others), func(m zpassign.Member) bool { return slices.Contains(q.asked, m.Name) })
@@ -199,14 +216,14 @@
 // of their reach. That nobody was asked, or that nobody answered, proves nothing, unless this
 // daemon is the only one.
 func (d *Directory) isAbsenceProven(q inquiry, now time.Time) bool {
-	return zpmutant.Active(zpmutant.Silence) || (q.isComplete() || len(d.Others()) == 0) && d.HearsAll() && d.keptFor(now) >= settleTime
+	return zpmutant.Active(zpmutant.Silence) || (q.isComplete() || len(d.Others()) == 0) && (d.HearsAll() || zpmutant.Active(zpmutant.Contact)) && d.keptFor(now) >= settleTime
 }
 
 // readVersions reads the endpoints' versions from the store and reports whether it answered.
 func (d *Directory) readVersions(ctx context.Context, pool string) bool {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
-	if zpmutant.Active(zpmutant.Silence) {
+	if zpmutant.Active(zpmutant.Silence) || zpmutant.Active(zpmutant.StoreWord) {
 		return true
 	}
 	versions, err := d.ReadVersions(ctx, pool)
@@ -217,22 +234,15 @@
 	return err == nil
 }
 
-// isPastSeen reports whether this daemon or one that answered has seen the versions of the last
-// minute. The store does not tell of endpoints that have left.
-func (d *Directory) isPastSeen(q inquiry) bool {
-	return q.isPastSeen || d.hasSeenPast(d.Clock()) || zpmutant.Active(zpmutant.Silence)
-}
-
-// hasSeenPast reports whether no version can have come and gone within the last minute without
-// this daemon's knowledge.
-func (d *Directory) hasSeenPast(now time.Time) bool { return now.Sub(d.SeesSince()) >= Retention }
-
-// keptFor returns for how long this daemon has kept origins; zero if it cannot tell.
+// keptFor returns for how long this daemon has kept all origins; zero if it cannot tell.
 func (d *Directory) keptFor(now time.Time) time.Duration {
 	since := d.KeepsSince()
 	if since.IsZero() {
 		return 0
 	}
+	if at := d.Table.KeepsSince(); at.After(since) {
+		since = at
+	}
 	return now.Sub(since)
 }
 
--- a/internal/zporigin/origin_test.go
+++ b/internal/zporigin/origin_test.go
@@ -45,8 +45,10 @@
 	omitsSeen bool // all daemons but the one that asks are of a release that does not say what changes it has read
 
 	versions map[string][]string // of the pool p, by the name of the daemon that sees them
+	movedAt  time.Time           // when a route was moved to the pool p
 	silent   string              // name of a daemon that no call reaches or leaves
 	lonely   string              // name of a daemon that takes all others for lost
+	listedAt time.Time           // when all daemons last heard of the endpoints; zero: just now
 	missed   map[string]bool     // names of daemons that have just read the list anew and lack the changes before
 }
 
@@ -71,7 +73,8 @@
 	d := &zporigin.Directory{
 		Self: m, Alive: func(key string) [][]zpassign.Member { return f.alive(m, key) }, Registered: zplookup.NewOwners(f.members).Ranked,
 		Others:   func() []zpassign.Member { return f.others(m) },
-		HearsAll: func() bool { return f.hearsAll(m) }, KeepsSince: func() time.Time { return startedAt }, SeesSince: func() time.Time { return f.seesSince(m.Name, startedAt) }, ListedAt: f.clock, Table: zporigin.NewTable(), Pools: zporigin.NewVersions(), Log: zplog.Discard(), Clock: f.clock,
+		HearsAll: func() bool { return f.hearsAll(m) }, KeepsSince: func() time.Time { return startedAt }, SeesSince: func() time.Time { return f.seesSince(m.Name, startedAt) }, ListedAt: f.listed, Table: zporigin.NewTable(), Pools: zporigin.NewVersions(), Log: zplog.Discard(), Clock: f.clock,
+		ServesSince: func(string) time.Time { return f.movedAt },
 		VersionsOf: func(pool string, _ time.Time) []string {
 			if pool != "p" {
 				return nil
@@ -173,6 +176,16 @@
 	return startedAt
 }
 
+// listed returns when daemons last heard of the endpoints.
+func (f *fleet) listed() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.listedAt.IsZero() {
+		return f.now
+	}
+	return f.listedAt
+}
+
 // silence cuts a daemon off from the others.
 func (f *fleet) silence(name string) {
 	f.mu.Lock()
@@ -196,6 +209,19 @@
 	return f.directories[address], nil
 }
 
+// messages returns how many messages were sent.
+func (f *fleet) messages() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.told
+}
+
+func (f *fleet) forgetMessages() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.told = 0
+}
+
 // restartOthers restarts all daemons but one, which see the versions of a pool.
 func (f *fleet) restartOthers(name string, versions ...string) {
 	for _, m := range f.members {
@@ -340,7 +366,9 @@
 
 	It("takes a stream that nobody knows for one of the only version before, for a short time", func() {
 		f.observe("v1")
-		f.setClock(at(20))
+		f.setClock(at(60))
+		f.observe("v1")
+		f.setClock(at(80))
 		f.observe("v1", "v2")
 		Expect(f.directories["n1"].Find(context.Background(), "r", "p")).To(Equal(zporigin.Finding{Status: zporigin.StatusAssumed, Version: "v1"}))
 		for _, m := range f.members {
@@ -348,7 +376,7 @@
 			f.expectStatus("n1", statusWithout(m))
 		}
 		f.setDown(func(zpassign.Member) bool { return false })
-		f.setClock(at(25))
+		f.setClock(at(85))
 		f.expectStatus("n1", zporigin.StatusUnknown)
 	})
 
--- a/internal/zpsoak/run.go
+++ b/internal/zpsoak/run.go
@@ -28,6 +28,7 @@
 		Stranded   tally // first attempts at daemons that were cut off from all endpoints, as far as judged
 		Others     tally // meanwhile, at the other daemons
 		TakenUp    TakenUp
+		Moments    Moments
 		Upgraded   int   // daemons
 		Seams      seams // streams taken up in runs with an upgrade
 		Violations []string
@@ -46,6 +47,9 @@
 	if err := s.awaitReady(ctx); err != nil {
 		return Outcome{}, err
 	}
+	if err := s.endFirstStart(); err != nil {
+		return Outcome{}, err
+	}
 	r := &run{cluster: s, requestLog: &requestLog{}, startedAt: time.Now()}
 	r.faults = &injector{
 		cluster: s, activeScopes: map[string]bool{}, incarnations: make([]int, c.Daemons), upgradedAt: map[int]int{}, versions: []change{{Version: s.version, From: r.startedAt}},
