--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -104,6 +104,7 @@
 	retryShare            = 0.9                    // share of the fleet's retry budget in use; leaves room for daemons whose views differ
 	retryBurst            = 4                      // unused retries that a daemon may accumulate
 	shutdownMargin        = 300 * time.Millisecond // time left between the end of the shutdown and SIGKILL
+	handOverTimeout       = 500 * time.Millisecond // for the origins of streams, at the end of a stop
 	answerMargin          = 200 * time.Millisecond // time before shutdownMargin to answer what endpoints have not answered
 	defaultBodyLimit      = 4 << 20
 	defaultHeaderTimeout  = 3 * time.Second
@@ -232,6 +233,14 @@
 	return err
 }
 
+// handOver tells others where streams began, for a limited time: a daemon that reaches nobody
+// must not take all of its grace period to stop.
+func (d *GatewayDaemon) handOver(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	d.origins.HandOver(ctx)
+}
+
 // stop shuts down without interrupting requests: it signals the load balancer
 // and callers to use other daemons, then closes connections as they become idle.
 func (d *GatewayDaemon) stop() {
@@ -252,7 +261,7 @@
 	if err := d.callers.Shutdown(ctx); err != nil {
 		d.Log.Emit(zplog.DrainTimedOut, zplog.Fields{"open_requests": d.gateway.OpenRequests.Load()})
 	}
-	d.origins.HandOver(ctx) // streams that began while this daemon was stopping
+	d.handOver(ctx) // streams that began while this daemon was stopping
 	// Until here, daemons that are cut off from endpoints may have no other way than this one.
 	d.connector.Shutdown(ctx)
 	// These servers have no requests that need a graceful shutdown.
