--- a/internal/zpapp/gateway.go
+++ b/internal/zpapp/gateway.go
@@ -104,7 +104,7 @@
 	retryShare            = 0.9                    // share of the fleet's retry budget in use; leaves room for daemons whose views differ
 	retryBurst            = 4                      // unused retries that a daemon may accumulate
 	shutdownMargin        = 300 * time.Millisecond // time left between the end of the shutdown and SIGKILL
-	handOverTimeout       = 500 * time.Millisecond // for the origins of streams, at the end of a stop
+	originsTimeout        = 500 * time.Millisecond // for the origins of streams, at the end of a stop
 	answerMargin          = 200 * time.Millisecond // time before shutdownMargin to answer what endpoints have not answered
 	defaultBodyLimit      = 4 << 20
 	defaultHeaderTimeout  = 3 * time.Second
@@ -236,7 +236,7 @@
 // handOver tells others where streams began, for a limited time: a daemon that reaches nobody
 // must not take all of its grace period to stop.
 func (d *GatewayDaemon) handOver(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	ctx, cancel := context.WithTimeout(ctx, originsTimeout)
 	defer cancel()
 	d.origins.HandOver(ctx)
 }
